--- /dev/null
+++ b/cmd/ridgehinged/main.go
@@ -0,0 +1,133 @@
+// Command ridgehinged is the entry daemon.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/ridgehinge/ridgehinge/internal/dev"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/node"
+	"github.com/ridgehinge/ridgehinge/internal/settings"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&devCommand{}, "")
+	flag.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	os.Exit(int(subcommands.Execute(ctx)))
+}
+
+func complain(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	return subcommands.ExitFailure
+}
+
+// loadSettings reads the file that -settings names.
+func loadSettings(path string) (*settings.Settings, subcommands.ExitStatus) {
+	if path == "" {
+		fmt.Fprintln(os.Stderr, "give the settings file: -settings FILE")
+		return nil, subcommands.ExitUsageError
+	}
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, complain(err)
+	}
+	return s, subcommands.ExitSuccess
+}
+
+type serveCommand struct{ path string }
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run one entry instance" }
+func (*serveCommand) Usage() string    { return "serve -settings FILE\n" }
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "the INI file of this instance")
+}
+
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, status := loadSettings(c.path)
+	if s == nil {
+		return status
+	}
+	logging.Setup(os.Stderr, s.LogLevel)
+	n, err := node.Start(s)
+	if err != nil {
+		return complain(err)
+	}
+	<-ctx.Done()
+	n.Stop()
+	return subcommands.ExitSuccess
+}
+
+type checkCommand struct{ path string }
+
+func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Synopsis() string { return "check a settings file and report every mistake" }
+func (*checkCommand) Usage() string    { return "check -settings FILE\n" }
+
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "the INI file to check")
+}
+
+func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	s, status := loadSettings(c.path)
+	if s == nil {
+		return status
+	}
+	fmt.Printf("%s: the settings of %s in %s are right\n", c.path, s.Node, s.DataCentre)
+	return subcommands.ExitSuccess
+}
+
+type devCommand struct {
+	smoke   bool
+	verbose bool
+}
+
+func (*devCommand) Name() string     { return "dev" }
+func (*devCommand) Synopsis() string { return "run a small whole in one process, with stand-ins" }
+func (*devCommand) Usage() string    { return "dev [-smoke] [-verbose]\n" }
+
+func (c *devCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.smoke, "smoke", false, "send one request for each sample workspace and stop")
+	f.BoolVar(&c.verbose, "verbose", false, "log everything")
+}
+
+func (c *devCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	level := slog.LevelWarn
+	if c.verbose {
+		level = slog.LevelDebug
+	}
+	logging.Setup(os.Stderr, level)
+	whole, err := dev.Start()
+	if err != nil {
+		return complain(err)
+	}
+	defer whole.Stop()
+	whole.Describe(os.Stdout)
+	if err := whole.WaitReady(); err != nil {
+		return complain(err)
+	}
+	if c.smoke {
+		if err := whole.Smoke(os.Stdout); err != nil {
+			return complain(err)
+		}
+		return subcommands.ExitSuccess
+	}
+	fmt.Println("\nThe samples are served. Stop with Ctrl-C.")
+	<-ctx.Done()
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,281 @@
+// Package control is the node's control state and the one goroutine that
+// owns it.
+//
+// Loop drives the pure machines (membership, lease, placement, configuration)
+// with what other goroutines bring it as events: answers of endpoints, peers
+// and the platform. It publishes an immutable Snapshot that traffic reads.
+//
+// Each duty has a file of its own: watch (endpoints), exchange (peers),
+// platform reads, lease, controller (placement), orders, snapshot, status.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/engine"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/platform"
+	"github.com/ridgehinge/ridgehinge/pkg/configuration"
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/lease"
+	"github.com/ridgehinge/ridgehinge/pkg/membership"
+	"github.com/ridgehinge/ridgehinge/pkg/placement"
+)
+
+// Intervals of the loop's periodic work.
+type Intervals struct {
+	// Tick is how often due work is looked for.
+	Tick time.Duration
+	// Poll is the time between two status polls of one endpoint.
+	Poll time.Duration
+	// Exchange is the time between two exchanges with a peer of the same
+	// data centre, Remote with one of another.
+	Exchange time.Duration
+	Remote   time.Duration
+	// Head is the time between two reads of the table's head rows.
+	Head time.Duration
+	// Instances is the time between two reads of the instance list.
+	Instances time.Duration
+	// Plan is the time between two placement steps.
+	Plan time.Duration
+	// Publish is the time between two snapshots.
+	Publish time.Duration
+	// Order is the time before an order is repeated.
+	Order time.Duration
+}
+
+// DefaultIntervals suit some ten entry instances and sixty endpoints.
+func DefaultIntervals() Intervals {
+	return Intervals{
+		Tick:      20 * time.Millisecond,
+		Poll:      400 * time.Millisecond,
+		Exchange:  400 * time.Millisecond,
+		Remote:    2 * time.Second,
+		Head:      time.Second,
+		Instances: 2 * time.Second,
+		Plan:      500 * time.Millisecond,
+		Publish:   100 * time.Millisecond,
+		Order:     time.Second,
+	}
+}
+
+// PoolLoad is how busy this node is with one pool, and what callers want.
+type PoolLoad struct {
+	Slots    int
+	InFlight int
+	Queued   int
+	// Rate is the recent requests a second.
+	Rate float64
+}
+
+// Options of a Loop.
+type Options struct {
+	Self        membership.Node
+	Incarnation uint64
+	Intervals   Intervals
+	Membership  membership.Options
+	Placement   placement.Options
+	LeaseTTL    time.Duration
+	// UnfencedWait is how long a new controller waits before its first order
+	// to an endpoint that does not check fences: longer than an order of the
+	// last controller can be under way.
+	UnfencedWait time.Duration
+	// CallTimeout bounds one poll, order or exchange.
+	CallTimeout time.Duration
+	// Bootstrap are nodes that are known from the settings.
+	Bootstrap []membership.Node
+	Platform  *platform.Client
+	Engine    *engine.Client
+	Peers     *peers.Client
+	// Load returns what traffic does now, by pool.
+	Load func() map[string]PoolLoad
+	// Publish is called on the loop's goroutine with each new snapshot.
+	Publish func(*Snapshot)
+}
+
+// event is something that happened outside, to be applied by the loop.
+type event interface {
+	apply(l *Loop, now time.Time)
+}
+
+const eventBuffer = 1024
+
+// Loop owns the control state. Only its own goroutine touches the fields
+// below the line; others post events and read the snapshot.
+type Loop struct {
+	options  Options
+	log      logging.Logger
+	events   chan event
+	ctx      context.Context
+	running  sync.WaitGroup
+	snapshot atomic.Pointer[Snapshot]
+
+	start     time.Time
+	random    *rand.Rand
+	tracker   *membership.Tracker
+	lease     *lease.Machine
+	planner   *placement.Planner
+	store     *configuration.Store
+	groups    *fleet.Groups
+	instances map[fleet.InstanceID]fleet.Instance
+	// listed is when the platform's list was last read.
+	listed   time.Time
+	watches  map[fleet.InstanceID]*watch
+	watchKey string
+	links    map[membership.NodeID]*link
+	remotes  map[membership.NodeID]*remote
+	leaving  bool
+	// matched is since when each member has matched its group.
+	matched map[fleet.InstanceID]match
+	reads   reads
+	control controller
+	orders  map[fleet.InstanceID]time.Time
+	next    due
+}
+
+// due is when each periodic duty runs next.
+type due struct {
+	publish, plan, watches, forget time.Time
+}
+
+// New returns a loop that has not started.
+func New(options Options) *Loop {
+	start := time.Now()
+	options.Membership.Self = options.Self
+	options.Membership.Incarnation = options.Incarnation
+	options.Membership.Start = start
+	l := &Loop{
+		options:   options,
+		log:       logging.For("control").With("node", string(options.Self.ID)),
+		events:    make(chan event, eventBuffer),
+		start:     start,
+		random:    rand.New(rand.NewPCG(options.Incarnation, uint64(start.UnixNano()))),
+		tracker:   membership.New(options.Membership),
+		planner:   placement.New(options.Placement),
+		store:     configuration.NewStore(),
+		groups:    fleet.NewGroups(),
+		instances: map[fleet.InstanceID]fleet.Instance{},
+		watches:   map[fleet.InstanceID]*watch{},
+		links:     map[membership.NodeID]*link{},
+		remotes:   map[membership.NodeID]*remote{},
+		matched:   map[fleet.InstanceID]match{},
+		orders:    map[fleet.InstanceID]time.Time{},
+	}
+	l.lease = lease.New(lease.Options{
+		Self:  string(options.Self.ID),
+		TTL:   options.LeaseTTL,
+		Renew: options.LeaseTTL / 4,
+		Guard: options.LeaseTTL / 4,
+	})
+	l.control.rows = map[string]uint64{}
+	l.control.owners = map[fleet.InstanceID]fleet.GroupID{}
+	l.setKnown(nil)
+	l.snapshot.Store(&Snapshot{Made: start})
+	return l
+}
+
+// Snapshot returns the last published state.
+func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
+
+// Run owns the control state until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	l.ctx = ctx
+	ticker := time.NewTicker(l.options.Intervals.Tick)
+	defer ticker.Stop()
+	l.log.Info("started", "data_centre", string(l.options.Self.DataCentre))
+	for {
+		select {
+		case <-ctx.Done():
+			l.running.Wait()
+			return
+		case e := <-l.events:
+			e.apply(l, time.Now())
+		case <-ticker.C:
+			l.tick(time.Now())
+		}
+	}
+}
+
+func (l *Loop) tick(now time.Time) {
+	l.tracker.Expire(now)
+	l.watchEndpoints(now)
+	l.exchangeWithPeers(now)
+	l.readPlatform(now)
+	l.keepLease(now)
+	l.runController(now)
+	l.publish(now)
+	if now.After(l.next.forget) {
+		l.next.forget = now.Add(time.Minute)
+		l.tracker.Forget(now, 5*time.Minute)
+	}
+}
+
+// post hands an event to the loop; it gives up when the loop ends.
+func (l *Loop) post(e event) {
+	select {
+	case l.events <- e:
+	case <-l.ctx.Done():
+	}
+}
+
+// async runs work on another goroutine and posts its result.
+func (l *Loop) async(work func(ctx context.Context) event) {
+	l.running.Add(1)
+	go func() {
+		defer l.running.Done()
+		ctx, cancel := context.WithTimeout(l.ctx, l.options.CallTimeout)
+		defer cancel()
+		if e := work(ctx); e != nil {
+			l.post(e)
+		}
+	}()
+}
+
+// jitter spreads an interval by a tenth, so that nodes that started together
+// drift apart.
+func (l *Loop) jitter(d time.Duration) time.Duration {
+	return d - d/20 + time.Duration(l.random.Int64N(int64(d/10)+1))
+}
+
+// leaveEvent marks the node as stopping.
+type leaveEvent struct{ done chan struct{} }
+
+func (e leaveEvent) apply(l *Loop, now time.Time) {
+	l.leaving = true
+	l.releaseLease(now, e.done)
+}
+
+// Leave tells peers that this node is stopping and gives up the lease. It
+// returns when the table has it, or when the context ends.
+func (l *Loop) Leave(ctx context.Context) {
+	done := make(chan struct{})
+	select {
+	case l.events <- leaveEvent{done}:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// poolLoads turns the traffic's load into its message.
+func (l *Loop) poolLoads() []*peerpb.PoolLoad {
+	var out []*peerpb.PoolLoad
+	for name, load := range l.options.Load() {
+		out = append(out, &peerpb.PoolLoad{
+			Pool:     name,
+			Slots:    int32(load.Slots),
+			InFlight: int32(load.InFlight),
+			Queued:   int32(load.Queued),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,261 @@
+package control
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/configuration"
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/membership"
+	"github.com/ridgehinge/ridgehinge/pkg/routing"
+)
+
+// Snapshot is what traffic needs of the control state. It is immutable.
+type Snapshot struct {
+	Made time.Time
+	// Ready is set once configuration is in force here.
+	Ready         bool
+	Configuration configuration.Revision
+	Groups        uint64
+	// Workspaces is by the hash of the bearer key.
+	Workspaces map[string]Workspace
+	// Targets may be sent new requests.
+	Targets []routing.Target
+	// Whole has every group and service endpoint that is all there, those
+	// that drain or have a leaving member included: what runs there goes on.
+	Whole map[fleet.GroupID]Whole
+	// Slots is how many requests of each pool this node may run at once.
+	Slots map[string]int
+	// Remotes are entry instances of other data centres that answered lately.
+	Remotes []Remote
+}
+
+// Whole is the evidence that a group is all there.
+type Whole struct {
+	Generation uint64
+	Until      time.Time
+}
+
+// Workspace is one workspace with its template.
+type Workspace struct {
+	configuration.Workspace
+	Template *configuration.Template
+}
+
+// Remote is an entry instance of another data centre, and what it had free.
+type Remote struct {
+	Node  membership.Node
+	Pools map[string]PoolLoad
+}
+
+// ModelPool names the pool of a template's groups.
+func ModelPool(template string) string { return "model/" + template }
+
+// ServicePool names the pool of a plain service's endpoints.
+func ServicePool(service string) string { return "service/" + service }
+
+// ServiceGroup names the single-endpoint group of a plain service instance.
+func ServiceGroup(id fleet.InstanceID) fleet.GroupID { return fleet.GroupID("service/" + string(id)) }
+
+// match is since when an endpoint has matched its place in a group.
+type match struct {
+	group      fleet.GroupID
+	generation uint64
+	since      time.Time
+}
+
+// unfencedSettle is how long an endpoint that does not check fences must have
+// matched before its group serves: a late order of an earlier controller
+// would show within that time.
+const unfencedSettle = time.Second
+
+// remoteTTL is how long an answer of another data centre counts.
+const remoteTTL = 6 * time.Second
+
+func (l *Loop) publish(now time.Time) {
+	if now.Before(l.next.publish) {
+		return
+	}
+	l.next.publish = now.Add(l.options.Intervals.Publish)
+	s := &Snapshot{
+		Made:          now,
+		Configuration: l.store.Revision(),
+		Groups:        l.groups.Revision(),
+		Ready:         l.store.Revision() > 0 && !l.leaving,
+		Workspaces:    l.workspaces(),
+		Whole:         map[fleet.GroupID]Whole{},
+		Remotes:       l.remoteList(now),
+	}
+	s.Targets = l.targets(now, s.Whole)
+	s.Slots = l.slots(now, s.Targets)
+	l.snapshot.Store(s)
+	if l.options.Publish != nil {
+		l.options.Publish(s)
+	}
+}
+
+// workspaces is rebuilt only when the configuration has changed.
+func (l *Loop) workspaces() map[string]Workspace {
+	last := l.snapshot.Load()
+	if last.Configuration == l.store.Revision() && last.Workspaces != nil {
+		return last.Workspaces
+	}
+	out := map[string]Workspace{}
+	for _, entry := range l.store.Entries() {
+		if entry.Template == nil {
+			continue
+		}
+		for _, w := range entry.Template.Workspaces {
+			out[w.KeyHash] = Workspace{w, entry.Template}
+		}
+	}
+	return out
+}
+
+// targets lists the groups all of whose members are there, by evidence, and
+// the plain service endpoints, and notes all that are whole.
+func (l *Loop) targets(now time.Time, whole map[fleet.GroupID]Whole) []routing.Target {
+	var out []routing.Target
+	for _, g := range l.groups.All() {
+		t, state := l.groupTarget(now, g)
+		if state != groupDown {
+			whole[g.ID] = Whole{t.Generation, t.Until}
+		}
+		if state == groupOpen {
+			out = append(out, t)
+		}
+	}
+	for _, in := range l.instances {
+		if in.Kind != fleet.KindService {
+			continue
+		}
+		status, fresh := l.tracker.Status(now, in.ID)
+		if !fresh {
+			continue
+		}
+		t := serviceTarget(in, status)
+		whole[t.Group] = Whole{t.Generation, t.Until}
+		if !in.Leaving && !status.Report.Leaving {
+			out = append(out, t)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Group < out[j].Group })
+	return out
+}
+
+func serviceTarget(in fleet.Instance, status membership.Status) routing.Target {
+	return routing.Target{
+		Group:    ServiceGroup(in.ID),
+		Address:  in.Address,
+		Pool:     ServicePool(in.Service),
+		Slots:    max(1, status.Report.Slots),
+		Load:     status.Report.Load,
+		Reported: status.Report.Version,
+		Until:    status.Until,
+	}
+}
+
+// groupState is what traffic may do with a group.
+type groupState uint8
+
+const (
+	// groupDown: a member is not there, by evidence.
+	groupDown groupState = iota
+	// groupClosed: all members are there, but new requests are not sent.
+	groupClosed
+	// groupOpen: new requests may be sent.
+	groupOpen
+)
+
+func (l *Loop) groupTarget(now time.Time, g fleet.Group) (routing.Target, groupState) {
+	t := routing.Target{
+		Group:      g.ID,
+		Generation: g.Generation,
+		Epoch:      g.Epoch,
+		Pool:       ModelPool(g.Template),
+	}
+	state := groupOpen
+	if g.Draining {
+		state = groupClosed
+	}
+	for rank, m := range g.Members {
+		in, listed := l.instances[m.Instance]
+		status, fresh := l.tracker.Status(now, m.Instance)
+		r := status.Report
+		if !listed || !fresh || !l.matches(now, g, m, in, r) {
+			return t, groupDown
+		}
+		if in.Leaving || r.Leaving {
+			state = groupClosed
+		}
+		if t.Until.IsZero() || status.Until.Before(t.Until) {
+			t.Until = status.Until
+		}
+		if rank == 0 {
+			t.Address = in.Address
+			t.Slots = max(1, r.Slots)
+			t.Load = r.Load
+			t.Reported = r.Version
+		}
+	}
+	if len(g.Members) == 0 {
+		return t, groupDown
+	}
+	return t, state
+}
+
+func (l *Loop) matches(now time.Time, g fleet.Group, m fleet.Member, in fleet.Instance, r fleet.Report) bool {
+	if !g.Matches(m, r) {
+		delete(l.matched, m.Instance)
+		return false
+	}
+	if in.ChecksFences {
+		return true
+	}
+	known := l.matched[m.Instance]
+	if known.group != g.ID || known.generation != g.Generation {
+		l.matched[m.Instance] = match{g.ID, g.Generation, now}
+		return false
+	}
+	return now.Sub(known.since) >= unfencedSettle
+}
+
+// slots shares each pool's slots among the live nodes by their recent
+// demand. Every node gets a little, so that a first request finds room.
+func (l *Loop) slots(now time.Time, targets []routing.Target) map[string]int {
+	total := map[string]int{}
+	for _, t := range targets {
+		total[t.Pool] += t.Slots
+	}
+	nodes := float64(len(l.tracker.Live(now)))
+	theirs := l.tracker.Demand(now)
+	loads := l.options.Load()
+	out := map[string]int{}
+	for pool, slots := range total {
+		mine := loads[pool].Rate
+		share := (mine + 1) / (mine + theirs[pool] + nodes)
+		out[pool] = max(1, int(math.Ceil(float64(slots)*share)))
+	}
+	return out
+}
+
+func (l *Loop) remoteList(now time.Time) []Remote {
+	var out []Remote
+	for _, r := range l.remotes {
+		if now.Sub(r.answered) > remoteTTL {
+			continue
+		}
+		pools := map[string]PoolLoad{}
+		for _, p := range r.pools {
+			pools[p.GetPool()] = PoolLoad{
+				Slots:    int(p.GetSlots()),
+				InFlight: int(p.GetInFlight()),
+				Queued:   int(p.GetQueued()),
+			}
+		}
+		out = append(out, Remote{r.node, pools})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node.ID < out[j].Node.ID })
+	return out
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+)
+
+// forwardMargin is what must be left of the deadline for a request to be
+// worth sending to another data centre.
+const forwardMargin = 100 * time.Millisecond
+
+// forward hands a request that this data centre cannot take to an entry
+// instance of another, which decides about it anew. It returns false when
+// the request was not handed over.
+func (c *call) forward(ctx context.Context) bool {
+	if c.in.Forwarded || c.begun || time.Until(c.p.deadline) < forwardMargin {
+		return false
+	}
+	remote, ok := pickRemote(c.g.snapshot.Load().Remotes, c.p.pool)
+	if !ok {
+		return false
+	}
+	answer, err := c.g.options.Peers.Forward(ctx, remote.Node.Address, c.forwardRequest())
+	if err != nil {
+		return false
+	}
+	defer answer.Close()
+	// From here on the other side may run it.
+	c.mayHaveRun = true
+	stop := context.AfterFunc(ctx, answer.Close)
+	defer stop()
+	c.relay(ctx, answer)
+	return true
+}
+
+// pickRemote draws one of the remotes that have room, so that the overflow
+// of many nodes does not meet on one.
+func pickRemote(remotes []control.Remote, pool string) (control.Remote, bool) {
+	var open []control.Remote
+	for _, r := range remotes {
+		load := r.Pools[pool]
+		if load.InFlight+load.Queued < load.Slots {
+			open = append(open, r)
+		}
+	}
+	if len(open) == 0 {
+		return control.Remote{}, false
+	}
+	return open[rand.IntN(len(open))], true
+}
+
+func (c *call) forwardRequest() *peerpb.ForwardRequest {
+	return &peerpb.ForwardRequest{
+		Method:               c.in.Method,
+		Path:                 c.in.Path,
+		Headers:              headersToWire(c.in.Header),
+		Body:                 c.in.Body,
+		DeadlineMilliseconds: time.Until(c.p.deadline).Milliseconds(),
+		RequestId:            c.id,
+	}
+}
+
+func headersToWire(h http.Header) []*peerpb.Header {
+	var out []*peerpb.Header
+	for name, values := range h {
+		for _, value := range values {
+			out = append(out, &peerpb.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+func headersFromWire(list []*peerpb.Header) http.Header {
+	h := http.Header{}
+	for _, pair := range list {
+		h.Add(pair.GetName(), pair.GetValue())
+	}
+	return h
+}
+
+// relay passes the other data centre's answer on, whole or as broken.
+func (c *call) relay(ctx context.Context, answer *peers.Forwarded) {
+	first := true
+	for {
+		event, err := answer.Read()
+		if err != nil {
+			c.relayBroke(ctx)
+			return
+		}
+		if first {
+			first = false
+			c.begun = true
+			header := headersFromWire(event.GetHeaders())
+			c.outcome = OutcomeServed
+			if outcome := header.Get(HeaderOutcome); outcome != "" && event.GetStatus() >= http.StatusBadRequest {
+				c.outcome = Outcome(outcome)
+			}
+			c.out.Begin(int(event.GetStatus()), header)
+		}
+		if len(event.GetBody()) > 0 && c.out.Write(event.GetBody()) != nil {
+			c.outcome = OutcomeGone
+			c.out.Cut()
+			return
+		}
+		if event.GetDone() {
+			c.out.End()
+			return
+		}
+	}
+}
+
+func (c *call) relayBroke(ctx context.Context) {
+	if ctx.Err() != nil {
+		c.failEnded(ctx)
+		return
+	}
+	if c.begun && !c.p.stream {
+		c.outcome = OutcomeUnknown
+		c.out.Cut()
+		return
+	}
+	c.fail(failure{http.StatusBadGateway, "broken", "the other data centre's answer broke off", OutcomeUnknown, time.Second})
+}
+
+// peerResponder answers a peer that forwarded a request.
+type peerResponder struct {
+	stream peerpb.DRPCPeers_ForwardStream
+	first  *peerpb.ForwardEvent
+	failed error
+}
+
+func (r *peerResponder) Begin(status int, header http.Header) {
+	r.first = &peerpb.ForwardEvent{Status: int32(status), Headers: headersToWire(header)}
+}
+
+func (r *peerResponder) send(event *peerpb.ForwardEvent) error {
+	if r.first != nil {
+		event.Status = r.first.Status
+		event.Headers = r.first.Headers
+		r.first = nil
+	}
+	if r.failed == nil {
+		r.failed = r.stream.Send(event)
+	}
+	return r.failed
+}
+
+func (r *peerResponder) Write(p []byte) error { return r.send(&peerpb.ForwardEvent{Body: p}) }
+
+func (r *peerResponder) End() { _ = r.send(&peerpb.ForwardEvent{Done: true}) }
+
+func (r *peerResponder) Cut() { r.failed = ErrGone }
+
+// ServeForwarded runs a request for an entry instance of another data centre.
+func (g *Gateway) ServeForwarded(q *peerpb.ForwardRequest, stream peerpb.DRPCPeers_ForwardStream) error {
+	in := &Request{
+		Method:    q.GetMethod(),
+		Path:      q.GetPath(),
+		Header:    headersFromWire(q.GetHeaders()),
+		Body:      q.GetBody(),
+		Forwarded: true,
+		ID:        q.GetRequestId(),
+		Left:      time.Duration(q.GetDeadlineMilliseconds()) * time.Millisecond,
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	stop := context.AfterFunc(stream.Context(), func() { cancel(ErrGone) })
+	defer stop()
+	out := &peerResponder{stream: stream}
+	g.Serve(ctx, in, out)
+	return out.failed
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,264 @@
+// Package gateway takes callers' requests, decides about them and has them
+// run on endpoints.
+//
+// A request goes through authentication, admission, a claim if it may run
+// only once, the choice of a group, and one or more attempts. Every error
+// answer says whether the request ran.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/claims"
+	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/internal/engine"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/pkg/admission"
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/routing"
+)
+
+// Options of a Gateway.
+type Options struct {
+	Node    string
+	Engine  *engine.Client
+	Peers   *peers.Client
+	Claims  *claims.Store
+	Metrics *metrics.Metrics
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody int
+	// MaxAttempts bounds the tries of one repeatable request.
+	MaxAttempts int
+	// RetryShare bounds retries as a share of requests.
+	RetryShare float64
+}
+
+const (
+	tickInterval = 50 * time.Millisecond
+	rateInterval = time.Second
+	rateWeight   = 0.3
+	// retryReserve lets a quiet node retry at all.
+	retryReserve = 10
+)
+
+// Gateway runs requests. It is safe for concurrent use.
+type Gateway struct {
+	options  Options
+	log      logging.Logger
+	snapshot atomic.Pointer[control.Snapshot]
+	// stopping refuses new requests; inProgress counts those under way.
+	stopping   atomic.Bool
+	inProgress atomic.Int64
+
+	mu        sync.Mutex
+	admission *admission.Machine
+	router    *routing.Router
+	nextID    admission.ID
+	waiting   map[admission.ID]chan admission.Decision
+	arrivals  map[string]int
+	rates     map[string]float64
+	// retries is the budget of further attempts, filled by requests.
+	retries float64
+	classes map[classKey]*metrics.Class
+}
+
+type classKey struct{ workspace, class string }
+
+// New returns a gateway without any capacity yet.
+func New(options Options) *Gateway {
+	g := &Gateway{
+		options:   options,
+		log:       logging.For("gateway").With("node", options.Node),
+		admission: admission.New(),
+		router:    routing.New(),
+		waiting:   map[admission.ID]chan admission.Decision{},
+		arrivals:  map[string]int{},
+		rates:     map[string]float64{},
+		retries:   retryReserve,
+		classes:   map[classKey]*metrics.Class{},
+	}
+	g.snapshot.Store(&control.Snapshot{})
+	return g
+}
+
+// Publish takes a new snapshot of the control state.
+func (g *Gateway) Publish(s *control.Snapshot) {
+	g.snapshot.Store(s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.SetTargets(s.Targets)
+	now := time.Now()
+	for pool := range g.rates {
+		if _, ok := s.Slots[pool]; !ok {
+			g.deliver(g.admission.SetSlots(now, pool, 0))
+		}
+	}
+	for pool, slots := range s.Slots {
+		g.deliver(g.admission.SetSlots(now, pool, slots))
+	}
+}
+
+// Load returns how busy each pool is, for the control state.
+func (g *Gateway) Load() map[string]control.PoolLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make(map[string]control.PoolLoad, len(g.rates))
+	for pool, rate := range g.rates {
+		load := g.admission.Load(pool)
+		out[pool] = control.PoolLoad{Slots: load.Slots, InFlight: load.InFlight, Queued: load.Queued, Rate: rate}
+	}
+	for pool := range g.snapshot.Load().Slots {
+		if _, ok := out[pool]; !ok {
+			out[pool] = control.PoolLoad{Slots: g.admission.Load(pool).Slots}
+		}
+	}
+	return out
+}
+
+// Run does the gateway's periodic work until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	rate := time.NewTicker(rateInterval)
+	defer rate.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.mu.Lock()
+			g.deliver(g.admission.Tick(time.Now()))
+			g.mu.Unlock()
+		case <-rate.C:
+			g.measureRates()
+		}
+	}
+}
+
+func (g *Gateway) measureRates() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for pool := range g.arrivals {
+		if _, ok := g.rates[pool]; !ok {
+			g.rates[pool] = 0
+		}
+	}
+	for pool, rate := range g.rates {
+		sample := float64(g.arrivals[pool]) / rateInterval.Seconds()
+		g.rates[pool] = (1-rateWeight)*rate + rateWeight*sample
+	}
+	clear(g.arrivals)
+}
+
+// deliver hands decisions to the requests that wait for them. The caller
+// holds the lock.
+func (g *Gateway) deliver(list []admission.Decision) {
+	for _, d := range list {
+		if reply, ok := g.waiting[d.ID]; ok {
+			delete(g.waiting, d.ID)
+			reply <- d
+		}
+	}
+}
+
+// admit asks admission for a place and waits in its queue.
+func (g *Gateway) admit(ctx context.Context, q admission.Request) (admission.Decision, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	g.nextID++
+	q.ID = g.nextID
+	g.arrivals[q.Pool]++
+	g.retries = min(g.retries+g.options.RetryShare, retryReserve)
+	d := g.admission.Arrive(now, q)
+	if d.Outcome != admission.OutcomeQueued {
+		g.mu.Unlock()
+		return d, true
+	}
+	reply := make(chan admission.Decision, 1)
+	g.waiting[q.ID] = reply
+	g.mu.Unlock()
+	select {
+	case d := <-reply:
+		return d, true
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiting, q.ID)
+	g.deliver(g.admission.Abandon(time.Now(), q.Pool, q.ID))
+	return admission.Decision{ID: q.ID}, false
+}
+
+func (g *Gateway) finish(id admission.ID, served bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.admission.Finish(time.Now(), id, served))
+}
+
+// mayRetry takes one retry from the budget, so that retries never exceed
+// their share of requests, however many groups fail at once.
+func (g *Gateway) mayRetry() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.retries < 1 {
+		return false
+	}
+	g.retries--
+	return true
+}
+
+// choose picks a target and counts the request there.
+func (g *Gateway) choose(pool string, prefix uint64, exclude []fleet.GroupID) (routing.Target, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	target, ok := g.router.Choose(time.Now(), routing.Request{
+		Pool:    pool,
+		Prefix:  prefix,
+		Random:  rand.Uint64(),
+		Exclude: exclude,
+	})
+	if ok {
+		g.router.Started(target.Group)
+	}
+	return target, ok
+}
+
+func (g *Gateway) finished(id fleet.GroupID, took time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Finished(time.Now(), id, took, ok)
+}
+
+func (g *Gateway) class(workspace, class string) *metrics.Class {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := classKey{workspace, class}
+	c := g.classes[key]
+	if c == nil {
+		c = g.options.Metrics.Class(workspace, class)
+		g.classes[key] = c
+	}
+	return c
+}
+
+// Stop refuses new requests and waits until those in progress have ended, or
+// the context ends; it returns how many were left.
+func (g *Gateway) Stop(ctx context.Context) int64 {
+	g.stopping.Store(true)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for g.inProgress.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return g.inProgress.Load()
+		case <-ticker.C:
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,104 @@
+// Package metrics holds the node's metrics, by tally, and their page.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+)
+
+var log = logging.For("metrics")
+
+const reportInterval = time.Second
+
+// buckets suit waits from a millisecond to a minute.
+var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.6, 24)
+
+// Metrics is the root of a node's metrics.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+}
+
+// New returns metrics with a page of their own, so that several nodes can
+// run in one process.
+func New(node, dataCentre string) *Metrics {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer:      registry,
+		Gatherer:        registry,
+		OnRegisterError: func(err error) { log.Warn("a metric was not registered", "error", err) },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "ridgehinge",
+		Tags:           map[string]string{"node": node, "data_centre": dataCentre},
+		CachedReporter: reporter,
+		Separator:      tallyprom.DefaultSeparator,
+		// The names of tally's own cardinality metrics are not valid here.
+		OmitCardinalityMetrics: true,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+}
+
+// Close reports a last time and stops.
+func (m *Metrics) Close() { _ = m.closer.Close() }
+
+// Handler returns the metrics page.
+func (m *Metrics) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.reportInvariants()
+		m.handler.ServeHTTP(w, r)
+	})
+}
+
+func (m *Metrics) reportInvariants() {
+	for _, name := range invariant.Names {
+		checked, violated := invariant.Count(name)
+		scope := m.scope.Tagged(map[string]string{"invariant": string(name)})
+		scope.Gauge("invariant_checks").Update(float64(checked))
+		scope.Gauge("invariant_violations").Update(float64(violated))
+	}
+}
+
+// Gauge sets a gauge of the whole node.
+func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+// Count adds to a counter of the whole node.
+func (m *Metrics) Count(name string, n int64) { m.scope.Counter(name).Inc(n) }
+
+// Class is the metrics of one workspace and priority class.
+type Class struct {
+	scope tally.Scope
+	// Wait is the time in admission; FirstToken and Total count from the
+	// request's arrival; Between is the time between two events.
+	Wait       tally.Histogram
+	FirstToken tally.Histogram
+	Between    tally.Histogram
+	Total      tally.Histogram
+}
+
+// Class returns the metrics of one workspace and class.
+func (m *Metrics) Class(workspace, class string) *Class {
+	scope := m.scope.Tagged(map[string]string{"workspace": workspace, "class": class})
+	return &Class{
+		scope:      scope,
+		Wait:       scope.Histogram("request_wait_seconds", buckets),
+		FirstToken: scope.Histogram("request_first_token_seconds", buckets),
+		Between:    scope.Histogram("request_between_tokens_seconds", buckets),
+		Total:      scope.Histogram("request_total_seconds", buckets),
+	}
+}
+
+// Outcome counts one finished request by its outcome.
+func (c *Class) Outcome(outcome string) {
+	c.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,224 @@
+// Package node puts the parts of one entry instance together.
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/samber/oops"
+
+	"github.com/ridgehinge/ridgehinge/internal/claims"
+	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/internal/engine"
+	"github.com/ridgehinge/ridgehinge/internal/gateway"
+	"github.com/ridgehinge/ridgehinge/internal/httpserver"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/internal/operatorapi"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/platform"
+	"github.com/ridgehinge/ridgehinge/internal/settings"
+	"github.com/ridgehinge/ridgehinge/pkg/membership"
+)
+
+const (
+	claimBatch       = 64
+	operatorRequests = 64
+	leaveTimeout     = 2 * time.Second
+	// aliveLimit is how old the last snapshot may be for the node to call
+	// itself healthy.
+	aliveLimit = 5 * time.Second
+)
+
+// Node is one running entry instance.
+type Node struct {
+	settings  *settings.Settings
+	log       logging.Logger
+	platform  *platform.Client
+	engine    *engine.Client
+	peers     *peers.Client
+	metrics   *metrics.Metrics
+	claims    *claims.Store
+	gateway   *gateway.Gateway
+	loop      *control.Loop
+	peerSide  *peers.Server
+	callers   *gateway.Server
+	operators *nbhttp.Engine
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// peerHandler answers peers by the loop and the gateway.
+type peerHandler struct {
+	loop    *control.Loop
+	gateway *gateway.Gateway
+}
+
+func (h peerHandler) Exchange(ctx context.Context, m *peers.Message) (*peers.Message, error) {
+	return h.loop.Exchange(ctx, m)
+}
+
+func (h peerHandler) Forward(q *peerpb.ForwardRequest, out peerpb.DRPCPeers_ForwardStream) error {
+	return h.gateway.ServeForwarded(q, out)
+}
+
+// Start starts an entry instance.
+func Start(s *settings.Settings) (*Node, error) {
+	n := &Node{
+		settings: s,
+		log:      logging.For("node").With("node", s.Node),
+		platform: platform.New(platform.Options{Address: s.Platform, Timeout: s.PlatformTimeout}),
+		engine:   engine.New(),
+		peers:    peers.NewClient([]byte(s.PeerKey)),
+		metrics:  metrics.New(s.Node, string(s.DataCentre)),
+	}
+	n.claims = claims.New(claims.Options{
+		Node:    s.Node,
+		Table:   n.platform,
+		Window:  s.ClaimWindow,
+		Most:    claimBatch,
+		Timeout: s.CallTimeout,
+	})
+	n.gateway = gateway.New(gateway.Options{
+		Node:        s.Node,
+		Engine:      n.engine,
+		Peers:       n.peers,
+		Claims:      n.claims,
+		Metrics:     n.metrics,
+		MaxBody:     s.MaxBody,
+		MaxAttempts: s.MaxAttempts,
+		RetryShare:  s.RetryShare,
+	})
+	n.loop = control.New(control.Options{
+		Self:         membership.Node{ID: membership.NodeID(s.Node), DataCentre: s.DataCentre, Address: s.Peers},
+		Incarnation:  uint64(time.Now().UnixNano()),
+		Intervals:    s.Intervals,
+		Membership:   s.Membership,
+		Placement:    s.Placement,
+		LeaseTTL:     s.LeaseTTL,
+		UnfencedWait: s.UnfencedWait,
+		CallTimeout:  s.CallTimeout,
+		Bootstrap:    s.Bootstrap,
+		Platform:     n.platform,
+		Engine:       n.engine,
+		Peers:        n.peers,
+		Load:         n.gateway.Load,
+		Publish:      n.gateway.Publish,
+	})
+	if err := n.listen(); err != nil {
+		n.close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.running.Go(func() { n.loop.Run(ctx) })
+	n.running.Go(func() { n.gateway.Run(ctx) })
+	n.log.Info("serving", "callers", s.Callers, "operator", s.Operator, "peers", s.Peers)
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	var err error
+	n.peerSide, err = peers.Listen(n.settings.Peers, []byte(n.settings.PeerKey), peerHandler{n.loop, n.gateway})
+	if err != nil {
+		return err
+	}
+	api := operatorapi.New(operatorapi.Options{
+		Node:  n.settings.Node,
+		Key:   n.settings.OperatorKey,
+		Table: n.platform,
+		Loop:  n.loop,
+	})
+	n.operators = httpserver.New(httpserver.Options{
+		Address:     n.settings.Operator,
+		MaxBody:     n.settings.MaxBody,
+		MaxRequests: operatorRequests,
+		Handler:     api.Handler(),
+	})
+	if err := n.operators.Start(); err != nil {
+		return oops.In("node").Wrapf(err, "listen on %s", n.settings.Operator)
+	}
+	n.callers, err = gateway.Serve(gateway.ServerOptions{
+		Address:     n.settings.Callers,
+		MaxBody:     n.settings.MaxBody,
+		MaxRequests: n.settings.MaxRequests,
+		Handler:     n.pages(),
+		Gateway:     n.gateway,
+	})
+	return err
+}
+
+// pages are the paths beside callers' requests.
+func (n *Node) pages() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", n.healthz)
+	mux.HandleFunc("GET /readyz", n.readyz)
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	return mux
+}
+
+func (n *Node) healthz(w http.ResponseWriter, _ *http.Request) {
+	age := time.Since(n.loop.Snapshot().Made)
+	if age > aliveLimit {
+		http.Error(w, fmt.Sprintf("the control state is %s old", age), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ok")
+}
+
+func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !n.loop.Snapshot().Ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ready")
+}
+
+// Loop returns the node's control state.
+func (n *Node) Loop() *control.Loop { return n.loop }
+
+// Stop is a planned stop: readiness goes off, requests are taken a little
+// longer, and those in progress are finished within the bound.
+func (n *Node) Stop() {
+	n.log.Info("stopping")
+	leave, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	n.loop.Leave(leave)
+	cancelLeave()
+	time.Sleep(n.settings.StopNotice)
+	bound, cancel := context.WithTimeout(context.Background(), n.settings.StopBound)
+	defer cancel()
+	if left := n.gateway.Stop(bound); left > 0 {
+		n.log.Warn("stopped with requests in progress", "requests", left)
+	}
+	n.close()
+	n.log.Info("stopped")
+}
+
+// Kill ends the node at once, as a crash would, for tests.
+func (n *Node) Kill() { n.close() }
+
+func (n *Node) close() {
+	if n.callers != nil {
+		n.callers.Close()
+	}
+	if n.operators != nil {
+		n.operators.Stop()
+	}
+	if n.cancel != nil {
+		n.cancel()
+	}
+	n.running.Wait()
+	if n.peerSide != nil {
+		n.peerSide.Close()
+	}
+	n.claims.Close()
+	n.peers.Close()
+	n.engine.Close()
+	n.platform.Close()
+	n.metrics.Close()
+}
--- /dev/null
+++ b/internal/operatorapi/client.go
@@ -0,0 +1,136 @@
+package operatorapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/ridgehinge/ridgehinge/internal/confstore"
+	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/pkg/configuration"
+)
+
+const clientTimeout = 15 * time.Second
+
+// Client calls the operator API of one entry instance.
+type Client struct {
+	server string
+	key    string
+	http   *http.Client
+}
+
+// NewClient returns a client for an address and key.
+func NewClient(server, key string) *Client {
+	return &Client{server: server, key: key, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Error is a call that the API refused.
+type Error struct {
+	Status int
+	ErrorBody
+}
+
+// Error gives the message with each mistake or difference on its own line.
+func (e *Error) Error() string {
+	lines := []string{e.Message}
+	for _, m := range e.Mistakes {
+		lines = append(lines, "  "+m.Error())
+	}
+	if e.Conflict != nil {
+		lines = append(lines, fmt.Sprintf("  changed since revision %d:", e.Conflict.Base))
+		for _, d := range e.Conflict.Theirs {
+			lines = append(lines, "    "+d.String())
+		}
+		lines = append(lines, "  changed by you:")
+		for _, d := range e.Conflict.Yours {
+			lines = append(lines, "    "+d.String())
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (c *Client) call(method, path string, query url.Values, body []byte, into any) error {
+	target := url.URL{Scheme: "http", Host: c.server, Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequest(method, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return oops.In("operator").Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return oops.In("operator").Wrapf(err, "call %s", c.server)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return oops.In("operator").Wrapf(err, "call %s", c.server)
+	}
+	if response.StatusCode != http.StatusOK {
+		refused := &Error{Status: response.StatusCode}
+		if json.Unmarshal(text, &refused.ErrorBody) != nil {
+			refused.Message = fmt.Sprintf("%s answered %d", c.server, response.StatusCode)
+		}
+		return refused
+	}
+	return oops.In("operator").Wrap(json.Unmarshal(text, into))
+}
+
+// Submit sends a template that is based on a revision; 0 is a new one. An
+// empty request id lets the server choose one.
+func (c *Client) Submit(file string, text []byte, base configuration.Revision, requestID string) (confstore.Accepted, error) {
+	query := url.Values{}
+	query.Set(QueryBase, strconv.FormatUint(uint64(base), 10))
+	query.Set(QueryFile, file)
+	if requestID != "" {
+		query.Set(QueryRequestID, requestID)
+	}
+	var accepted confstore.Accepted
+	err := c.call(http.MethodPost, PathTemplates, query, text, &accepted)
+	return accepted, err
+}
+
+// List returns all templates.
+func (c *Client) List() (ListBody, error) {
+	var body ListBody
+	err := c.call(http.MethodGet, PathTemplates, nil, nil, &body)
+	return body, err
+}
+
+// Show returns one template.
+func (c *Client) Show(name string) (configuration.Entry, error) {
+	var entry configuration.Entry
+	err := c.call(http.MethodGet, PathTemplates+"/"+name, nil, nil, &entry)
+	return entry, err
+}
+
+// History returns all changes of one template.
+func (c *Client) History(name string) (HistoryBody, error) {
+	var body HistoryBody
+	err := c.call(http.MethodGet, PathTemplates+"/"+name+"/history", nil, nil, &body)
+	return body, err
+}
+
+// Diff returns the difference between two revisions of a template.
+func (c *Client) Diff(name string, from, to configuration.Revision) (DiffBody, error) {
+	query := url.Values{}
+	query.Set(QueryFrom, strconv.FormatUint(uint64(from), 10))
+	query.Set(QueryTo, strconv.FormatUint(uint64(to), 10))
+	var body DiffBody
+	err := c.call(http.MethodGet, PathTemplates+"/"+name+"/diff", query, nil, &body)
+	return body, err
+}
+
+// Status returns the state of the server's data centre.
+func (c *Client) Status() (control.Status, error) {
+	var status control.Status
+	err := c.call(http.MethodGet, PathStatus, nil, nil, &status)
+	return status, err
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,285 @@
+// Package peers carries the messages between entry instances, over drpc.
+//
+// Each connection starts with a proof of the shared key by both sides. A
+// drpc connection runs one call at a time, so a peer has one connection for
+// exchanges, and each forwarded request has one of its own.
+package peers
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+)
+
+// ErrUnreachable means that a peer gave no answer.
+var ErrUnreachable = errors.New("peer unreachable")
+
+const dialTimeout = time.Second
+
+// MaxMessage bounds one message; a forwarded body must fit.
+const MaxMessage = 16 << 20
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage}}
+}
+
+// Message is one side of an exchange.
+type Message = peerpb.ExchangeMessage
+
+// ByteCount counts bytes of peer connections, both directions.
+type ByteCount struct {
+	Read    atomic.Int64
+	Written atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	counts *ByteCount
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counts.Read.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counts.Written.Add(int64(n))
+	return n, err
+}
+
+// Handler answers peers' calls.
+type Handler interface {
+	// Exchange takes a peer's message and returns this node's.
+	Exchange(ctx context.Context, m *Message) (*Message, error)
+	// Forward runs a request and sends its answer in events.
+	Forward(q *peerpb.ForwardRequest, out peerpb.DRPCPeers_ForwardStream) error
+}
+
+// Server listens for peers.
+type Server struct {
+	key      []byte
+	listener net.Listener
+	rpc      *drpcserver.Server
+	counts   *ByteCount
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+}
+
+// Listen starts a server on an IP address and port.
+func Listen(address string, key []byte, h Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, oops.In("peers").Wrap(err)
+	}
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeers(mux, h); err != nil {
+		_ = listener.Close()
+		return nil, oops.In("peers").Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		key:      key,
+		listener: listener,
+		rpc:      drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
+		counts:   &ByteCount{},
+		cancel:   cancel,
+		conns:    map[net.Conn]struct{}{},
+	}
+	s.running.Add(1)
+	go s.accept(ctx)
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Bytes returns the counter of the accepted connections.
+func (s *Server) Bytes() *ByteCount { return s.counts }
+
+// Close ends the server and all its connections.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.running.Wait()
+}
+
+func (s *Server) accept(ctx context.Context) {
+	defer s.running.Done()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.running.Add(1)
+		go s.serve(ctx, conn)
+	}
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	defer s.running.Done()
+	s.track(conn, true)
+	defer s.track(conn, false)
+	defer conn.Close()
+	if ctx.Err() != nil {
+		return
+	}
+	if handshakeServer(conn, s.key) != nil {
+		return
+	}
+	_ = s.rpc.ServeOne(ctx, countedConn{conn, s.counts})
+}
+
+func (s *Server) track(conn net.Conn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.conns[conn] = struct{}{}
+		return
+	}
+	delete(s.conns, conn)
+}
+
+// Client calls peers.
+type Client struct {
+	key    []byte
+	counts *ByteCount
+	mu     sync.Mutex
+	conns  map[string]*drpcconn.Conn
+}
+
+// NewClient returns a client; it opens no connection yet.
+func NewClient(key []byte) *Client {
+	return &Client{key: key, counts: &ByteCount{}, conns: map[string]*drpcconn.Conn{}}
+}
+
+// Bytes returns the counter of the opened connections.
+func (c *Client) Bytes() *ByteCount { return c.counts }
+
+// Close ends the connections that exchanges use.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, turn(err)
+	}
+	if err := handshakeClient(raw, c.key); err != nil {
+		_ = raw.Close()
+		return nil, turn(err)
+	}
+	return drpcconn.NewWithOptions(countedConn{raw, c.counts}, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func turn(err error) error {
+	return oops.In("peers").Wrap(errors.Join(ErrUnreachable, err))
+}
+
+func (c *Client) take(address string) *drpcconn.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.conns[address]
+	delete(c.conns, address)
+	return conn
+}
+
+func (c *Client) put(address string, conn *drpcconn.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.conns[address]; old != nil {
+		_ = old.Close()
+	}
+	c.conns[address] = conn
+}
+
+// Exchange swaps messages with the peer at an address. The caller runs at
+// most one exchange with a peer at a time.
+func (c *Client) Exchange(ctx context.Context, address string, m *Message) (*Message, error) {
+	conn := c.take(address)
+	if conn == nil || isClosed(conn) {
+		var err error
+		if conn, err = c.dial(ctx, address); err != nil {
+			return nil, err
+		}
+	}
+	answer, err := peerpb.NewDRPCPeersClient(conn).Exchange(ctx, m)
+	if err != nil {
+		_ = conn.Close()
+		return nil, turn(err)
+	}
+	c.put(address, conn)
+	return answer, nil
+}
+
+func isClosed(conn *drpcconn.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+// Forwarded is an answer that is being received from a peer.
+type Forwarded struct {
+	stream peerpb.DRPCPeers_ForwardClient
+	conn   *drpcconn.Conn
+}
+
+// Forward sends a request to the peer at an address. An error says that the
+// request did not leave this node.
+func (c *Client) Forward(ctx context.Context, address string, q *peerpb.ForwardRequest) (*Forwarded, error) {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := peerpb.NewDRPCPeersClient(conn).Forward(ctx, q)
+	if err != nil {
+		// Bytes of the request may have left with this connection.
+		return &Forwarded{conn: conn}, nil
+	}
+	return &Forwarded{stream: stream, conn: conn}, nil
+}
+
+// Read returns the next event of the answer.
+func (f *Forwarded) Read() (*peerpb.ForwardEvent, error) {
+	if f.stream == nil {
+		return nil, oops.In("peers").Wrap(ErrUnreachable)
+	}
+	event, err := f.stream.Recv()
+	if err != nil {
+		return nil, turn(err)
+	}
+	return event, nil
+}
+
+// Close ends the request if it still runs.
+func (f *Forwarded) Close() { _ = f.conn.Close() }
--- /dev/null
+++ b/internal/standin/enginestandin/slots.go
@@ -0,0 +1,63 @@
+package enginestandin
+
+import "sync"
+
+// slots is a counting semaphore whose waiters go by priority, then in order.
+type slots struct {
+	mu    sync.Mutex
+	free  int
+	queue [3][]chan struct{}
+}
+
+func newSlots(n int) *slots { return &slots{free: n} }
+
+// acquire waits for a slot; it returns false when the caller went first.
+func (s *slots) acquire(done <-chan struct{}, gone <-chan struct{}, priority int) bool {
+	priority = min(max(priority, 0), len(s.queue)-1)
+	s.mu.Lock()
+	if s.free > 0 {
+		s.free--
+		s.mu.Unlock()
+		return true
+	}
+	turn := make(chan struct{})
+	s.queue[priority] = append(s.queue[priority], turn)
+	s.mu.Unlock()
+	select {
+	case <-turn:
+		return true
+	case <-done:
+	case <-gone:
+	}
+	if !s.withdraw(priority, turn) {
+		// The slot was given while the caller went.
+		s.release()
+	}
+	return false
+}
+
+func (s *slots) withdraw(priority int, turn chan struct{}) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.queue[priority]
+	for i, other := range q {
+		if other == turn {
+			s.queue[priority] = append(q[:i:i], q[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, q := range s.queue {
+		if len(q) > 0 {
+			close(q[0])
+			s.queue[i] = q[1:]
+			return
+		}
+	}
+	s.free++
+}
--- /dev/null
+++ b/pkg/fleet/groups.go
@@ -0,0 +1,119 @@
+package fleet
+
+import "sort"
+
+// Groups holds the newest known replica groups of one data centre. It never
+// goes back to an older state of a group.
+type Groups struct {
+	revision uint64
+	// floor is the revision up to which tombstones have been dropped; a node
+	// that is behind it needs everything.
+	floor  uint64
+	groups map[GroupID]Group
+}
+
+// NewGroups returns an empty store at revision 0.
+func NewGroups() *Groups {
+	return &Groups{groups: map[GroupID]Group{}}
+}
+
+// Revision returns the revision that is held.
+func (s *Groups) Revision() uint64 { return s.revision }
+
+// Get returns a group; a tombstone is not returned.
+func (s *Groups) Get(id GroupID) (Group, bool) {
+	g, ok := s.groups[id]
+	return g, ok && !g.Gone
+}
+
+// All returns the groups that have not ended, by id.
+func (s *Groups) All() []Group {
+	out := make([]Group, 0, len(s.groups))
+	for _, g := range s.groups {
+		if !g.Gone {
+			out = append(out, g)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// GroupsDelta is every group that changed after Since, up to To.
+type GroupsDelta struct {
+	Since  uint64  `json:"since"`
+	To     uint64  `json:"to"`
+	Groups []Group `json:"groups"`
+	// Whole tells that groups not listed have ended.
+	Whole bool `json:"whole,omitempty"`
+}
+
+// DeltaSince returns what a node at an older revision lacks.
+func (s *Groups) DeltaSince(since uint64) GroupsDelta {
+	whole := since < s.floor
+	d := GroupsDelta{Since: since, To: s.revision, Whole: whole}
+	for _, g := range s.groups {
+		if whole || g.Revision > since {
+			d.Groups = append(d.Groups, g)
+		}
+	}
+	sort.Slice(d.Groups, func(i, j int) bool { return d.Groups[i].ID < d.Groups[j].ID })
+	return d
+}
+
+// Apply takes a delta. It returns false, and changes nothing, when the delta
+// would leave a gap or brings nothing newer.
+func (s *Groups) Apply(d GroupsDelta) bool {
+	if d.To <= s.revision || !d.Whole && d.Since > s.revision {
+		return false
+	}
+	if d.Whole {
+		s.dropUnlisted(d)
+	}
+	for _, g := range d.Groups {
+		if old, ok := s.groups[g.ID]; ok && old.Revision >= g.Revision {
+			continue
+		}
+		s.groups[g.ID] = g
+	}
+	s.revision = d.To
+	return true
+}
+
+func (s *Groups) dropUnlisted(d GroupsDelta) {
+	listed := make(map[GroupID]bool, len(d.Groups))
+	for _, g := range d.Groups {
+		listed[g.ID] = true
+	}
+	for id, g := range s.groups {
+		if !listed[id] && g.Revision <= d.To {
+			delete(s.groups, id)
+		}
+	}
+	s.floor = max(s.floor, d.To)
+}
+
+// DropTombstones forgets groups that ended at or before a revision, and
+// returns their ids.
+func (s *Groups) DropTombstones(upTo uint64) []GroupID {
+	var out []GroupID
+	for id, g := range s.groups {
+		if g.Gone && g.Revision <= upTo {
+			delete(s.groups, id)
+			s.floor = max(s.floor, g.Revision)
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Tombstones returns the number of ended groups that are still remembered.
+func (s *Groups) Tombstones() int {
+	n := 0
+	for _, g := range s.groups {
+		if g.Gone {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/lease/lease.go
@@ -0,0 +1,164 @@
+// Package lease decides when a node may act as its data centre's controller.
+//
+// The lease keeps two controllers from wasting work; it gives no safety by
+// itself. Every change that a controller makes carries its epoch and is
+// checked against the epoch row in the same transaction, so that a holder
+// which was paused past its lease finds out at the table.
+//
+// Machine is pure: it has no clock, goroutine or socket.
+package lease
+
+import "time"
+
+// Row is the lease as the platform's table has it.
+type Row struct {
+	Epoch  uint64 `json:"epoch"`
+	Holder string `json:"holder"`
+	// Renewals rises with every renewal, so that others see a living holder
+	// by change alone, without comparing clocks.
+	Renewals uint64 `json:"renewals"`
+	// Released is set by a holder that is stopping.
+	Released bool `json:"released,omitempty"`
+}
+
+// Options of a Machine.
+type Options struct {
+	Self string
+	// TTL is how long an unchanged row counts as held.
+	TTL time.Duration
+	// Renew is how often the holder renews, and how often others look.
+	Renew time.Duration
+	// Guard is how long before TTL the holder itself stops acting.
+	Guard time.Duration
+}
+
+// ActionKind is what the caller has to do next.
+type ActionKind uint8
+
+// The kinds of action.
+const (
+	// ActionNone asks for nothing.
+	ActionNone ActionKind = iota
+	// ActionRead asks for the row, then Machine.Read.
+	ActionRead
+	// ActionAcquire asks to write Row if the table's row has not changed
+	// since it was read, with a new epoch row, then Machine.Written.
+	ActionAcquire
+	// ActionRenew asks to write Row if it has not changed, then Machine.Written.
+	ActionRenew
+)
+
+// Action is one request to the caller.
+type Action struct {
+	Kind ActionKind
+	Row  Row
+	// Version is the version that the table's row must still have.
+	Version uint64
+}
+
+// Machine is one node's view of the lease.
+type Machine struct {
+	options Options
+	row     Row
+	version uint64
+	// changed is when this node first saw the row as it is.
+	changed time.Time
+	// until is when this node's own hold ends on its own clock.
+	until time.Time
+	next  time.Time
+	busy  bool
+	seen  bool
+}
+
+// New returns a machine that knows nothing of the row.
+func New(options Options) *Machine {
+	return &Machine{options: options}
+}
+
+// Held reports whether this node may act, and under which epoch.
+func (m *Machine) Held(now time.Time) (epoch uint64, held bool) {
+	if m.row.Holder != m.options.Self || m.row.Released || !now.Before(m.until) {
+		return 0, false
+	}
+	return m.row.Epoch, true
+}
+
+// Holder returns the last known holder and epoch.
+func (m *Machine) Holder() (holder string, epoch uint64) {
+	return m.row.Holder, m.row.Epoch
+}
+
+// Next returns what to do now. Only one action is under way at a time.
+func (m *Machine) Next(now time.Time) Action {
+	if m.busy || now.Before(m.next) {
+		return Action{}
+	}
+	m.busy = true
+	m.next = now.Add(m.options.Renew)
+	if !m.seen {
+		return Action{Kind: ActionRead}
+	}
+	if _, held := m.Held(now); held {
+		row := m.row
+		row.Renewals++
+		return Action{Kind: ActionRenew, Row: row, Version: m.version}
+	}
+	if m.lapsed(now) {
+		row := Row{Epoch: m.row.Epoch + 1, Holder: m.options.Self}
+		return Action{Kind: ActionAcquire, Row: row, Version: m.version}
+	}
+	return Action{Kind: ActionRead}
+}
+
+func (m *Machine) lapsed(now time.Time) bool {
+	return m.row.Released || m.version == 0 || now.Sub(m.changed) > m.options.TTL
+}
+
+// Read takes the row as it was read at the time given.
+func (m *Machine) Read(now time.Time, row Row, version uint64) {
+	m.busy = false
+	if m.seen && version == m.version {
+		return
+	}
+	m.seen = true
+	m.row = row
+	m.version = version
+	m.changed = now
+	// A row that names this node but was read, not written, is no hold: an
+	// earlier life of this node may have written it.
+}
+
+// Written takes the outcome of a write that was asked for at the time given.
+// The hold counts from the asking, not from the answer.
+func (m *Machine) Written(asked time.Time, row Row, version uint64, committed bool) {
+	m.busy = false
+	if !committed {
+		m.seen = false
+		m.until = time.Time{}
+		m.next = time.Time{}
+		return
+	}
+	m.row = row
+	m.version = version
+	m.changed = asked
+	m.until = asked.Add(m.options.TTL - m.options.Guard)
+	if row.Released {
+		m.until = time.Time{}
+	}
+}
+
+// Failed says that the table did not answer; the hold runs on to its end.
+func (m *Machine) Failed() {
+	m.busy = false
+}
+
+// Release returns the row that gives the lease up, if it is held.
+func (m *Machine) Release(now time.Time) (Action, bool) {
+	if _, held := m.Held(now); !held {
+		return Action{}, false
+	}
+	row := m.row
+	row.Released = true
+	m.until = time.Time{}
+	return Action{Kind: ActionRenew, Row: row, Version: m.version}, true
+}
--- /dev/null
+++ b/pkg/membership/beat.go
@@ -0,0 +1,178 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+)
+
+// NodeID names an entry instance.
+type NodeID string
+
+// Node is where an entry instance is found.
+type Node struct {
+	ID         NodeID           `json:"id"`
+	DataCentre fleet.DataCentre `json:"data_centre"`
+	// Address is the IP and port that peers call.
+	Address string `json:"address"`
+}
+
+// Beat is one message between two entry instances of a data centre. It is
+// heartbeat, vouch and delta in one, so that a quiet pair costs one small
+// message each way an interval.
+type Beat struct {
+	From Node
+	// Incarnation changes whenever the sender's process starts.
+	Incarnation uint64
+	// Stamp is the sender's time since its own start when the beat was made.
+	Stamp time.Duration
+	// Echo is the last Stamp that the sender has from the receiver, and
+	// EchoFor the receiver's incarnation that it belongs to. The receiver
+	// dates the whole beat by it, on its own clock: whatever delayed the beat
+	// (a full buffer, a frozen sender), it was made after that moment.
+	Echo    time.Duration
+	EchoFor uint64
+	// OldestAge is the age of the oldest report that the sender vouches for.
+	OldestAge time.Duration
+	// Reports are the changes of the sender's reports after Since up to Seq;
+	// a Since of 0 replaces all that the receiver has of the sender.
+	Since   uint64
+	Seq     uint64
+	Reports []fleet.Report
+	// Ack is the last Seq that the sender has of the receiver's reports.
+	Ack    uint64
+	AckFor uint64
+	// Leaving is set by a sender that is stopping.
+	Leaving bool
+	// ConfigurationRevision and GroupsRevision are what the sender holds.
+	ConfigurationRevision uint64
+	GroupsRevision        uint64
+	// Demand is the sender's recent requests a second for each workspace.
+	Demand map[string]float64
+	// Known lists other nodes, sent to a node that is not known yet.
+	Known []Node
+}
+
+// Own is what the caller adds of its own state to an outgoing beat.
+type Own struct {
+	Leaving               bool
+	ConfigurationRevision uint64
+	GroupsRevision        uint64
+	Demand                map[string]float64
+}
+
+// Compose makes the next beat for a peer.
+func (t *Tracker) Compose(now time.Time, to NodeID, own Own) Beat {
+	b := Beat{
+		From:                  t.options.Self,
+		Incarnation:           t.options.Incarnation,
+		Stamp:                 now.Sub(t.options.Start),
+		Leaving:               own.Leaving,
+		ConfigurationRevision: own.ConfigurationRevision,
+		GroupsRevision:        own.GroupsRevision,
+		Demand:                own.Demand,
+	}
+	p := t.peers[to]
+	if p == nil {
+		p = &peer{}
+	}
+	if !p.greeted {
+		p.greeted = true
+		b.Known = t.Nodes()
+	}
+	b.Echo = p.stamp
+	b.EchoFor = p.incarnation
+	b.Ack = p.seq
+	b.AckFor = p.incarnation
+	b.Since = p.acked
+	if p.acked < t.floor {
+		b.Since = 0
+	}
+	b.Seq = t.seq
+	for _, own := range t.own {
+		if own.seq > b.Since {
+			b.Reports = append(b.Reports, own.report)
+		}
+		if own.report.Phase == fleet.PhaseLost {
+			continue
+		}
+		b.OldestAge = max(b.OldestAge, now.Sub(own.at))
+	}
+	sort.Slice(b.Reports, func(i, j int) bool { return b.Reports[i].Instance < b.Reports[j].Instance })
+	return b
+}
+
+// Receive takes a peer's beat. It returns false for a beat of an older
+// incarnation of the peer, or one overtaken by a later beat.
+func (t *Tracker) Receive(now time.Time, b Beat) bool {
+	if b.From.ID == t.options.Self.ID {
+		return false
+	}
+	p := t.peers[b.From.ID]
+	switch {
+	case p == nil || b.Incarnation > p.incarnation:
+		if p != nil {
+			t.releaseAll(p)
+		}
+		p = &peer{node: b.From, incarnation: b.Incarnation, reports: map[fleet.InstanceID]fleet.Report{}}
+		t.peers[b.From.ID] = p
+	case b.Incarnation < p.incarnation || b.Stamp < p.stamp:
+		return false
+	}
+	p.node = b.From
+	p.stamp = b.Stamp
+	p.leaving = b.Leaving
+	p.demand = b.Demand
+	p.configurationRevision = b.ConfigurationRevision
+	p.groupsRevision = b.GroupsRevision
+	t.takeAck(p, b)
+	t.takeReports(p, b)
+	if b.EchoFor == t.options.Incarnation && b.Echo > 0 {
+		p.heard = later(p.heard, t.options.Start.Add(b.Echo))
+		p.vouched = later(p.vouched, t.options.Start.Add(b.Echo-b.OldestAge))
+	}
+	if p.first.IsZero() {
+		p.first = now
+	}
+	for _, node := range b.Known {
+		t.learn(node)
+	}
+	return true
+}
+
+func (t *Tracker) takeAck(p *peer, b Beat) {
+	if b.AckFor == t.options.Incarnation {
+		p.acked = max(p.acked, b.Ack)
+		return
+	}
+	// The peer has nothing of this incarnation yet: send all of it.
+	p.acked = 0
+}
+
+// takeReports applies the changes of a beat. A beat that starts behind a gap
+// is not applied: the peer's acknowledgement then makes the next beat start
+// where this node's knowledge ends.
+func (t *Tracker) takeReports(p *peer, b Beat) {
+	if b.Since > p.seq {
+		return
+	}
+	if b.Since == 0 {
+		t.releaseAll(p)
+	}
+	for _, r := range b.Reports {
+		if r.Phase == fleet.PhaseLost {
+			t.release(p, r.Instance)
+			continue
+		}
+		t.hold(p, r)
+	}
+	p.seq = max(p.seq, b.Seq)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/pkg/membership/membership.go
@@ -0,0 +1,350 @@
+// Package membership tracks which entry instances and endpoints of a data
+// centre are alive, from direct evidence that expires.
+//
+// The entry instances share out the watching of endpoints by rendezvous
+// hashing: each endpoint is watched by a few of them. A watcher tells its
+// peers what changed, and vouches with every beat that the rest still holds.
+// Evidence is dated by the clock of whoever uses it, from the moment that the
+// question left it, so a paused process or a delayed message never makes old
+// evidence look fresh.
+//
+// Tracker is a pure state machine: it has no clock, goroutine or socket.
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+)
+
+// Options of a Tracker.
+type Options struct {
+	Self Node
+	// Incarnation must be higher at each start of the process.
+	Incarnation uint64
+	// Start is the origin of the stamps in beats.
+	Start time.Time
+	// Watchers is how many entry instances watch one endpoint.
+	Watchers int
+	// OwnTTL is how long a report that this node got itself is vouched for.
+	OwnTTL time.Duration
+	// VouchTTL is how long a vouch counts after the moment it is dated to.
+	VouchTTL time.Duration
+	// PeerTTL is how long a silent peer still counts as alive.
+	PeerTTL time.Duration
+}
+
+// DefaultOptions returns options that find a lost member within two seconds
+// at the size of some ten entry instances.
+func DefaultOptions(self Node, incarnation uint64, start time.Time) Options {
+	return Options{
+		Self:        self,
+		Incarnation: incarnation,
+		Start:       start,
+		Watchers:    2,
+		OwnTTL:      1200 * time.Millisecond,
+		VouchTTL:    3 * time.Second,
+		PeerTTL:     1500 * time.Millisecond,
+	}
+}
+
+// forgetAfter is how long a withdrawn report is kept for peers that were cut
+// off; without a bound a year of replaced instances would fill the memory.
+const forgetAfter = 10 * time.Minute
+
+type ownReport struct {
+	report fleet.Report
+	// at is when the question left that the report answers.
+	at  time.Time
+	seq uint64
+}
+
+type peer struct {
+	node        Node
+	incarnation uint64
+	first       time.Time
+	// stamp is the peer's last stamp, to be echoed.
+	stamp time.Duration
+	// heard and vouched are on this node's clock.
+	heard   time.Time
+	vouched time.Time
+	// seq is the last of the peer's changes held here; acked is the last of
+	// this node's changes that the peer holds.
+	seq     uint64
+	acked   uint64
+	leaving bool
+	// greeted is set once the peer was told of the other nodes.
+	greeted bool
+	reports map[fleet.InstanceID]fleet.Report
+	demand  map[string]float64
+
+	configurationRevision uint64
+	groupsRevision        uint64
+}
+
+// Tracker is one node's knowledge of its peers and endpoints.
+type Tracker struct {
+	options Options
+	seq     uint64
+	// floor is the highest seq of a withdrawn report that was forgotten; a
+	// peer that has not seen it needs all reports anew.
+	floor uint64
+	own   map[fleet.InstanceID]*ownReport
+	peers map[NodeID]*peer
+	known map[NodeID]Node
+	// holders lists the peers that have a report of an endpoint, so that
+	// Status looks at a few peers only, however many there are.
+	holders map[fleet.InstanceID][]*peer
+}
+
+// New returns a tracker that knows nobody.
+func New(options Options) *Tracker {
+	return &Tracker{
+		options: options,
+		own:     map[fleet.InstanceID]*ownReport{},
+		peers:   map[NodeID]*peer{},
+		known:   map[NodeID]Node{},
+		holders: map[fleet.InstanceID][]*peer{},
+	}
+}
+
+// hold notes that a peer has a report of an endpoint.
+func (t *Tracker) hold(p *peer, r fleet.Report) {
+	if _, ok := p.reports[r.Instance]; !ok {
+		t.holders[r.Instance] = append(t.holders[r.Instance], p)
+	}
+	p.reports[r.Instance] = r
+}
+
+// release undoes hold.
+func (t *Tracker) release(p *peer, id fleet.InstanceID) {
+	if _, ok := p.reports[id]; !ok {
+		return
+	}
+	delete(p.reports, id)
+	list := t.holders[id]
+	for i, other := range list {
+		if other == p {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	t.holders[id] = list
+	if len(list) == 0 {
+		delete(t.holders, id)
+	}
+}
+
+// releaseAll undoes hold for all of a peer's reports.
+func (t *Tracker) releaseAll(p *peer) {
+	for id := range p.reports {
+		t.release(p, id)
+	}
+}
+
+// learn remembers where a node of the data centre is, until it is heard.
+func (t *Tracker) learn(node Node) {
+	if node.ID == "" || node.ID == t.options.Self.ID || node.DataCentre != t.options.Self.DataCentre {
+		return
+	}
+	t.known[node.ID] = node
+}
+
+// SetKnown replaces the list of nodes that should exist, as the platform or
+// the settings have it. Nodes that were heard stay known by that.
+func (t *Tracker) SetKnown(nodes []Node) {
+	t.known = map[NodeID]Node{}
+	for _, node := range nodes {
+		t.learn(node)
+	}
+}
+
+// Nodes returns this node and all nodes it has heard of, by id.
+func (t *Tracker) Nodes() []Node {
+	all := map[NodeID]Node{t.options.Self.ID: t.options.Self}
+	for id, node := range t.known {
+		all[id] = node
+	}
+	for id, p := range t.peers {
+		all[id] = p.node
+	}
+	out := make([]Node, 0, len(all))
+	for _, node := range all {
+		out = append(out, node)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Forget drops peers that have been silent for long and that nobody lists.
+func (t *Tracker) Forget(now time.Time, silence time.Duration) {
+	for id, p := range t.peers {
+		last := later(p.heard, p.first)
+		if _, listed := t.known[id]; !listed && now.Sub(last) > silence {
+			t.releaseAll(p)
+			delete(t.peers, id)
+		}
+	}
+}
+
+// Live returns the ids of the nodes that are alive and not leaving, this
+// node among them, in order.
+func (t *Tracker) Live(now time.Time) []NodeID {
+	out := []NodeID{t.options.Self.ID}
+	for id, p := range t.peers {
+		if t.peerAlive(now, p) && !p.leaving {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func (t *Tracker) peerAlive(now time.Time, p *peer) bool {
+	return now.Sub(p.heard) <= t.options.PeerTTL
+}
+
+// Newest returns the peer that holds the highest configuration revision and
+// the one that holds the highest groups revision, with these revisions.
+func (t *Tracker) Newest() (configuration, groups uint64) {
+	for _, p := range t.peers {
+		configuration = max(configuration, p.configurationRevision)
+		groups = max(groups, p.groupsRevision)
+	}
+	return configuration, groups
+}
+
+// Revisions returns the revisions that a peer last said it holds.
+func (t *Tracker) Revisions(id NodeID) (configuration, groups uint64) {
+	p := t.peers[id]
+	if p == nil {
+		return 0, 0
+	}
+	return p.configurationRevision, p.groupsRevision
+}
+
+// Demand sums what the living peers tell of each workspace's requests.
+func (t *Tracker) Demand(now time.Time) map[string]float64 {
+	out := map[string]float64{}
+	for _, p := range t.peers {
+		if !t.peerAlive(now, p) {
+			continue
+		}
+		for name, rate := range p.demand {
+			out[name] += rate
+		}
+	}
+	return out
+}
+
+// Watches reports whether this node is among the watchers of an endpoint.
+func (t *Tracker) Watches(live []NodeID, id fleet.InstanceID) bool {
+	return watches(live, id, t.options.Self.ID, t.options.Watchers)
+}
+
+// watches ranks the nodes by a hash of node and endpoint together, so that a
+// node's end moves only the endpoints that it watched.
+func watches(live []NodeID, id fleet.InstanceID, self NodeID, k int) bool {
+	mine := score(self, id)
+	higher := 0
+	for _, node := range live {
+		if node == self {
+			continue
+		}
+		s := score(node, id)
+		if s > mine || s == mine && node < self {
+			higher++
+		}
+		if higher >= k {
+			return false
+		}
+	}
+	return true
+}
+
+func score(node NodeID, id fleet.InstanceID) uint64 {
+	return xxh3.HashString(string(node) + "\x00" + string(id))
+}
+
+// Observe takes a report that this node got itself. The time is when the
+// question left this node.
+func (t *Tracker) Observe(asked time.Time, r fleet.Report) {
+	o := t.own[r.Instance]
+	if o == nil {
+		o = &ownReport{}
+		t.own[r.Instance] = o
+	}
+	if asked.Before(o.at) {
+		return
+	}
+	o.at = asked
+	if o.report != r {
+		t.seq++
+		o.seq = t.seq
+		o.report = r
+	}
+}
+
+// Unreachable withdraws this node's own report: the endpoint refused the
+// connection, or this node no longer watches it.
+func (t *Tracker) Unreachable(id fleet.InstanceID) {
+	o := t.own[id]
+	if o == nil || o.report.Phase == fleet.PhaseLost {
+		return
+	}
+	t.seq++
+	o.seq = t.seq
+	o.report = fleet.Report{Instance: id, Phase: fleet.PhaseLost}
+}
+
+// Expire withdraws this node's own reports that have grown too old. It must
+// run before each Compose: a beat must not vouch for what has lapsed.
+func (t *Tracker) Expire(now time.Time) {
+	for id, o := range t.own {
+		age := now.Sub(o.at)
+		if age > t.options.OwnTTL {
+			t.Unreachable(id)
+		}
+		if age > forgetAfter {
+			t.floor = max(t.floor, o.seq)
+			delete(t.own, id)
+		}
+	}
+}
+
+// Status is the best evidence about an endpoint.
+type Status struct {
+	Report fleet.Report
+	// Until is when the evidence ends unless it is renewed.
+	Until time.Time
+}
+
+// Status returns the latest report of an endpoint that is still vouched for.
+// Evidence of an older state never lengthens the life of a newer one.
+func (t *Tracker) Status(now time.Time, id fleet.InstanceID) (Status, bool) {
+	best := Status{}
+	if o := t.own[id]; o != nil && o.report.Phase != fleet.PhaseLost {
+		best.take(now, o.report, o.at.Add(t.options.OwnTTL))
+	}
+	for _, p := range t.holders[id] {
+		best.take(now, p.reports[id], p.vouched.Add(t.options.VouchTTL))
+	}
+	return best, !best.Until.IsZero()
+}
+
+func (s *Status) take(now time.Time, r fleet.Report, until time.Time) {
+	if !until.After(now) {
+		return
+	}
+	switch {
+	case s.Until.IsZero() || r.Newer(s.Report):
+		s.Report = r
+		s.Until = until
+	case s.Report.Newer(r):
+	default:
+		s.Until = later(s.Until, until)
+	}
+}
