Run the whole path as real processes behind a fault proxy

Cause: promises need proof under failure, with processes that can be killed, frozen and cut off. Ruled out: one proxy for each pair of processes; connections leave from the node's own IP, so one proxy before each process tells the pairs apart. Change: lab module with fault proxy, stand-in binary and cluster harness; status shows a group as serving when it is published to traffic (it was a publish interval early, which the first run of the test met as a 503).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# The door to everything that is done with this repository.
+
+GO ?= go
+PACKAGES = ./... ./lab/...
+SEED ?= 1
+MINUTES ?= 5
+
+.PHONY: help run test check race soak bench capacity experiments generate
+
+help: ## list the targets
+	@grep -E '^[a-z]+:.*##' Makefile
+
+run: ## run a small whole on loopback
+	$(GO) run ./cmd/ridgehinged dev
+
+test: ## run all tests
+	$(GO) test $(PACKAGES)
+
+check: ## formatter, vet, staticcheck
+	test -z "$$(gofmt -l .)"
+	$(GO) vet $(PACKAGES)
+	staticcheck $(PACKAGES)
+
+race: ## run all tests with the race detector
+	RIDGEHINGE_RACE=1 $(GO) test -race $(PACKAGES)
+
+soak: ## long randomised runs: make soak SEED=1 MINUTES=20
+	SOAK_SEED=$(SEED) SOAK_MINUTES=$(MINUTES) $(GO) test -timeout 0 -count 1 -run TestSoak -v ./internal/soak/
+
+generate: ## make the generated code anew; needs protoc and its Go plugins
+	cd internal/peers/peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
--- a/cmd/ridgehinge/template.go
+++ b/cmd/ridgehinge/template.go
@@ -237,4 +237,3 @@
 	fmt.Printf("%s: template %s is right\n", f.Arg(0), t.Name)
 	return subcommands.ExitSuccess
 }
-
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -47,6 +47,7 @@
 // GroupStatus is one replica group.
 type GroupStatus struct {
 	fleet.Group
+	// Serving tells whether the node sends new requests to the group.
 	Serving bool `json:"serving"`
 }
 
@@ -109,9 +110,12 @@
 		})
 	}
 	sort.Slice(s.Instances, func(i, j int) bool { return s.Instances[i].ID < s.Instances[j].ID })
+	open := map[fleet.GroupID]bool{}
+	for _, t := range l.snapshot.Load().Targets {
+		open[t.Group] = now.Before(t.Until)
+	}
 	for _, g := range l.groups.All() {
-		_, state := l.groupTarget(now, g)
-		s.GroupList = append(s.GroupList, GroupStatus{g, state == groupOpen})
+		s.GroupList = append(s.GroupList, GroupStatus{g, open[g.ID]})
 	}
 	for _, r := range l.remotes {
 		s.Remotes = append(s.Remotes, RemoteStatus{
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -65,9 +65,10 @@
 	Written atomic.Int64
 }
 
-// New returns a client; it opens no connection yet.
-func New() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// New returns a client; it opens no connection yet. Connections leave from
+// the source address, unless that is nil.
+func New(source net.Addr) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, LocalAddr: source}
 	counts := &ByteCount{}
 	traffic := &http.Transport{
 		DialContext:         dialer.DialContext,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/engine"
 	"github.com/ridgehinge/ridgehinge/internal/gateway"
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/operatorapi"
@@ -69,12 +70,17 @@
 
 // Start starts an entry instance.
 func Start(s *settings.Settings) (*Node, error) {
+	if s.Advertised == "" {
+		s.Advertised = s.Peers
+	}
+	invariant.SetFatal(s.FatalInvariants)
+	source := s.Source()
 	n := &Node{
 		settings: s,
 		log:      logging.For("node").With("node", s.Node),
-		platform: platform.New(platform.Options{Address: s.Platform, Timeout: s.PlatformTimeout}),
-		engine:   engine.New(),
-		peers:    peers.NewClient([]byte(s.PeerKey)),
+		platform: platform.New(platform.Options{Address: s.Platform, Timeout: s.PlatformTimeout, Source: source}),
+		engine:   engine.New(source),
+		peers:    peers.NewClient([]byte(s.PeerKey), source),
 		metrics:  metrics.New(s.Node, string(s.DataCentre)),
 	}
 	n.claims = claims.New(claims.Options{
@@ -95,7 +101,7 @@
 		RetryShare:  s.RetryShare,
 	})
 	n.loop = control.New(control.Options{
-		Self:         membership.Node{ID: membership.NodeID(s.Node), DataCentre: s.DataCentre, Address: s.Peers},
+		Self:         membership.Node{ID: membership.NodeID(s.Node), DataCentre: s.DataCentre, Address: s.Advertised},
 		Incarnation:  uint64(time.Now().UnixNano()),
 		Intervals:    s.Intervals,
 		Membership:   s.Membership,
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -163,14 +163,16 @@
 // Client calls peers.
 type Client struct {
 	key    []byte
+	source net.Addr
 	counts *ByteCount
 	mu     sync.Mutex
 	conns  map[string]*drpcconn.Conn
 }
 
-// NewClient returns a client; it opens no connection yet.
-func NewClient(key []byte) *Client {
-	return &Client{key: key, counts: &ByteCount{}, conns: map[string]*drpcconn.Conn{}}
+// NewClient returns a client; it opens no connection yet. Connections leave
+// from the source address, unless that is nil.
+func NewClient(key []byte, source net.Addr) *Client {
+	return &Client{key: key, source: source, counts: &ByteCount{}, conns: map[string]*drpcconn.Conn{}}
 }
 
 // Bytes returns the counter of the opened connections.
@@ -187,7 +189,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: c.source}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, turn(err)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -42,6 +43,8 @@
 	Address string
 	// Timeout bounds one call, in wall time.
 	Timeout time.Duration
+	// Source is the address that connections leave from, or nil.
+	Source net.Addr
 }
 
 // Client talks to one platform service. It is safe for concurrent use.
@@ -52,7 +55,8 @@
 
 // New returns a client; it opens no connection yet.
 func New(options Options) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	dialer := &net.Dialer{LocalAddr: options.Source}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	return &Client{options: options, http: &http.Client{Transport: transport, Timeout: options.Timeout}}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,8 @@
 
 import (
 	"log/slog"
+	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -19,11 +21,14 @@
 type Settings struct {
 	Node       string
 	DataCentre fleet.DataCentre
-	// Callers, Operator and Peers are the addresses to listen on. Peers is
-	// also the address under which other nodes find this one.
+	// Callers, Operator and Peers are the addresses to listen on. Connections
+	// leave from the IP of Peers.
 	Callers  string
 	Operator string
 	Peers    string
+	// Advertised is the address under which other nodes find this one; empty
+	// is Peers.
+	Advertised string
 	// PeerKey is shared by all entry instances, OperatorKey by operators.
 	PeerKey     string
 	OperatorKey string
@@ -42,8 +47,11 @@
 	StopNotice time.Duration
 	StopBound  time.Duration
 	LogLevel   slog.Level
-	Bootstrap  []membership.Node
-	Intervals  control.Intervals
+	// FatalInvariants ends the process at the first violated invariant, for
+	// tests.
+	FatalInvariants bool
+	Bootstrap       []membership.Node
+	Intervals       control.Intervals
 	// Membership has the times only; the node fills in the rest.
 	Membership   membership.Options
 	Placement    placement.Options
@@ -80,6 +88,9 @@
 	s.Callers = listen.Address("callers")
 	s.Operator = listen.Address("operator")
 	s.Peers = listen.Address("peers")
+	if text := listen.String("peers_advertised", ""); text != "" {
+		s.Advertised = listen.Address("peers_advertised")
+	}
 	s.readKeys(f.Section("keys"))
 	platform := f.Section("platform")
 	s.Platform = platform.Address("address")
@@ -183,6 +194,7 @@
 }
 
 func (s *Settings) readLog(l *inicheck.Section) {
+	s.FatalInvariants = l.Bool("fatal_invariants", false)
 	switch l.OneOf("level", "info", "debug", "info", "warn", "error") {
 	case "debug":
 		s.LogLevel = slog.LevelDebug
@@ -192,3 +204,13 @@
 		s.LogLevel = slog.LevelError
 	}
 }
+
+// Source returns the address that connections leave from: the IP that peers
+// call, so that a firewall, or a test, can tell the nodes apart.
+func (s *Settings) Source() net.Addr {
+	address, err := netip.ParseAddrPort(s.Peers)
+	if err != nil || address.Addr().IsUnspecified() {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(address.Addr(), 0))
+}
--- /dev/null
+++ b/lab/cluster/call.go
@@ -0,0 +1,124 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/gateway"
+	"github.com/ridgehinge/ridgehinge/internal/standin/enginestandin"
+)
+
+// Call is one request as a caller sends it.
+type Call struct {
+	Key    string
+	Path   string
+	Body   string
+	Header map[string]string
+}
+
+// Answer is what the caller got.
+type Answer struct {
+	Status  int
+	Outcome string
+	Body    string
+	// Text is the joined content of a chat answer.
+	Text string
+	// Whole is set when the answer said that it was whole.
+	Whole bool
+	// Failed is set by an error event in a stream.
+	Failed     bool
+	RetryAfter string
+	// Err is an error of the connection itself.
+	Err error
+}
+
+// callTimeout bounds a call whose answer never comes; no test relies on it.
+const callTimeout = 60 * time.Second
+
+// Chat returns a streamed chat call.
+func Chat(key, prompt string, tokens int) Call {
+	body := fmt.Sprintf(`{"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)
+	return Call{Key: key, Path: "/v1/chat/completions", Body: body}
+}
+
+// Want returns the whole answer that the stand-in gives to Chat.
+func Want(prompt string, tokens int) string {
+	return enginestandin.Answer("user:"+prompt+"\n", tokens)
+}
+
+// Send sends a call to an entry instance and reads the answer to its end.
+func (e *Entry) Send(call Call) Answer { return e.SendContext(context.Background(), call, nil) }
+
+// SendContext is Send with a context and a function that is called with the
+// text so far after each token.
+func (e *Entry) SendContext(ctx context.Context, call Call, progress func(string)) Answer {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Callers+call.Path, strings.NewReader(call.Body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+call.Key)
+	for name, value := range call.Header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer response.Body.Close()
+	a := Answer{
+		Status:     response.StatusCode,
+		Outcome:    response.Header.Get(gateway.HeaderOutcome),
+		RetryAfter: response.Header.Get("Retry-After"),
+	}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		a.readStream(response.Body, progress)
+		return a
+	}
+	text, err := io.ReadAll(response.Body)
+	a.Body, a.Err = string(text), err
+	a.Whole = err == nil && response.StatusCode == http.StatusOK
+	return a
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+func (a *Answer) readStream(body io.Reader, progress func(string)) {
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		a.Body += line + "\n"
+		if line == "event: error" {
+			a.Failed = true
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.Whole = true
+			continue
+		}
+		var c chunk
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			a.Text += c.Choices[0].Delta.Content
+		}
+		if progress != nil {
+			progress(a.Text)
+		}
+	}
+	a.Err = scanner.Err()
+}
