--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -152,6 +152,7 @@
 		Slots:    max(1, status.Report.Slots),
 		Load:     status.Report.Load,
 		Reported: status.Report.Version,
+		Seen:     status.Seen,
 		Until:    status.Until,
 	}
 }
@@ -189,9 +190,12 @@
 		if in.Leaving || r.Leaving {
 			state = groupClosed
 		}
-		if t.Until.IsZero() || status.Until.Before(t.Until) {
+		if rank == 0 || status.Until.Before(t.Until) {
 			t.Until = status.Until
 		}
+		if rank == 0 || status.Seen.Before(t.Seen) {
+			t.Seen = status.Seen
+		}
 		if rank == 0 {
 			t.Address = in.Address
 			t.Slots = max(1, r.Slots)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,14 +214,14 @@
 }
 
 // choose picks a target and counts the request there.
-func (g *Gateway) choose(pool string, prefix uint64, exclude []fleet.GroupID) (routing.Target, bool) {
+func (g *Gateway) choose(pool string, prefix uint64, failed []routing.Failure) (routing.Target, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	target, ok := g.router.Choose(time.Now(), routing.Request{
-		Pool:    pool,
-		Prefix:  prefix,
-		Random:  rand.Uint64(),
-		Exclude: exclude,
+		Pool:   pool,
+		Prefix: prefix,
+		Random: rand.Uint64(),
+		Failed: failed,
 	})
 	if ok {
 		g.router.Started(target.Group)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,7 +15,6 @@
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/pkg/admission"
 	"github.com/ridgehinge/ridgehinge/pkg/claim"
-	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 	"github.com/ridgehinge/ridgehinge/pkg/routing"
 )
 
@@ -43,7 +42,7 @@
 	attempts   int
 	mayHaveRun bool
 	held       *claims.Held
-	exclude    []fleet.GroupID
+	failed     []routing.Failure
 	// contents are the tokens that the answer has so far, still encoded.
 	contents []json.RawMessage
 	last     time.Time
@@ -215,7 +214,7 @@
 		if result == attemptAnswered {
 			return
 		}
-		c.exclude = append(c.exclude, target.Group)
+		c.failed = append(c.failed, routing.Failure{Group: target.Group, Generation: target.Generation, At: time.Now()})
 		if result == attemptBroken && !c.p.repeatable {
 			c.fail(failure{http.StatusBadGateway, "broken", "the endpoint's answer broke off; the request may have run and is not repeated", OutcomeUnknown, 0})
 			return
@@ -233,11 +232,10 @@
 // chooseTarget picks a group. A request that was under way when its only
 // group went waits a little for another.
 func (c *call) chooseTarget(ctx context.Context, wait bool) (routing.Target, bool) {
-	target, ok := c.g.choose(c.p.pool, c.p.prefix, c.exclude)
+	target, ok := c.g.choose(c.p.pool, c.p.prefix, c.failed)
 	if ok || !wait {
 		return target, ok
 	}
-	c.exclude = nil
 	until := time.NewTimer(targetWait)
 	defer until.Stop()
 	poll := time.NewTicker(targetPoll)
@@ -250,7 +248,7 @@
 			return target, false
 		case <-poll.C:
 		}
-		if target, ok = c.g.choose(c.p.pool, c.p.prefix, nil); ok {
+		if target, ok = c.g.choose(c.p.pool, c.p.prefix, c.failed); ok {
 			return target, true
 		}
 	}
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -409,3 +409,116 @@
 		time.Sleep(pollInterval)
 	}
 }
+
+// Runs counts how often requests with a mark have started on any endpoint.
+func (c *Cluster) Runs(mark string) int {
+	total := 0
+	for _, p := range c.Endpoints {
+		if !p.running {
+			continue
+		}
+		response, err := http.Get("http://" + p.Address + "/standin/runs?mark=" + mark)
+		require.NoError(c.t, err)
+		var n int
+		_, err = fmt.Fscan(response.Body, &n)
+		require.NoError(c.t, err)
+		require.NoError(c.t, response.Body.Close())
+		total += n
+	}
+	return total
+}
+
+// Report returns what an endpoint says about itself, past its proxy.
+func (c *Cluster) Report(p *Process) fleet.Report {
+	var report fleet.Report
+	response, err := http.Get("http://" + p.Address + "/ridgehinge/status")
+	require.NoError(c.t, err)
+	defer response.Body.Close()
+	require.NoError(c.t, json.NewDecoder(response.Body).Decode(&report))
+	return report
+}
+
+// Leave makes an endpoint say that it is leaving.
+func (c *Cluster) Leave(p *Process) { c.post(p.Address, "/standin/leave", struct{}{}) }
+
+// Cut cuts entry instances off from processes, in both directions, in the
+// way that a network does: connections hang.
+func Cut(from []*Entry, to ...*Process) {
+	setFault(from, to, faultproxy.Fault{HoldUp: true, HoldDown: true})
+}
+
+// Heal ends Cut.
+func Heal(from []*Entry, to ...*Process) { setFault(from, to, faultproxy.Fault{}) }
+
+func setFault(from []*Entry, to []*Process, f faultproxy.Fault) {
+	for _, p := range to {
+		for _, e := range from {
+			p.Proxy.Set(e.Source, f)
+		}
+	}
+}
+
+// In returns the entry instances of a data centre.
+func (c *Cluster) In(dc string) []*Entry {
+	var out []*Entry
+	for _, e := range c.Entries {
+		if e.DataCentre == dc {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Processes returns the processes of entry instances.
+func Processes(list []*Entry) []*Process {
+	var out []*Process
+	for _, e := range list {
+		out = append(out, e.Process)
+	}
+	return out
+}
+
+// Controller returns the entry instance that holds a data centre's lease.
+func (c *Cluster) Controller(dc string) *Entry {
+	c.t.Helper()
+	var holder *Entry
+	c.Eventually("a controller is known in "+dc, func() bool {
+		for _, e := range c.In(dc) {
+			s, ok := e.Status()
+			if !ok {
+				continue
+			}
+			for _, other := range c.In(dc) {
+				if other.Name == s.Controller {
+					holder = other
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return holder
+}
+
+// Groups reads the groups of a data centre from the table and checks that no
+// instance is in two of them.
+func (c *Cluster) Groups(dc string) []fleet.Group {
+	c.t.Helper()
+	rows, err := c.Control.Scan(c.t.Context(), "dc/"+dc+"/g/")
+	require.NoError(c.t, err)
+	owner := map[fleet.InstanceID]fleet.GroupID{}
+	var out []fleet.Group
+	for _, row := range rows {
+		var g fleet.Group
+		require.NoError(c.t, json.Unmarshal(row.Value, &g))
+		if g.Gone {
+			continue
+		}
+		for _, m := range g.Members {
+			require.Empty(c.t, owner[m.Instance], "instance %s is in two groups", m.Instance)
+			owner[m.Instance] = g.ID
+		}
+		out = append(out, g)
+	}
+	return out
+}
--- a/lab/integration/integration_test.go
+++ b/lab/integration/integration_test.go
@@ -33,6 +33,10 @@
 	return m.Run()
 }
 
+// places bounds the clusters that run at once, so that a small machine has
+// time for each process.
+var places = make(chan struct{}, 3)
+
 const (
 	walletKey = "wallet-workspace-key"
 	noticeKey = "notice-workspace-key"
@@ -72,6 +76,8 @@
 // a plain service, and both templates in force.
 func start(t *testing.T, engines, groups int, args ...string) *cluster.Cluster {
 	t.Helper()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
 	c := cluster.New(t, binaries)
 	for _, dc := range []string{"kochi", "tvm"} {
 		c.AddEngines(dc, dc+"-rack", engines, args...)
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -318,6 +318,8 @@
 // Status is the best evidence about an endpoint.
 type Status struct {
 	Report fleet.Report
+	// Seen is the moment that the evidence is dated to.
+	Seen time.Time
 	// Until is when the evidence ends unless it is renewed.
 	Until time.Time
 }
@@ -327,24 +329,27 @@
 func (t *Tracker) Status(now time.Time, id fleet.InstanceID) (Status, bool) {
 	best := Status{}
 	if o := t.own[id]; o != nil && o.report.Phase != fleet.PhaseLost {
-		best.take(now, o.report, o.at.Add(t.options.OwnTTL))
+		best.take(now, o.report, o.at, t.options.OwnTTL)
 	}
 	for _, p := range t.holders[id] {
-		best.take(now, p.reports[id], p.vouched.Add(t.options.VouchTTL))
+		best.take(now, p.reports[id], p.vouched, t.options.VouchTTL)
 	}
 	return best, !best.Until.IsZero()
 }
 
-func (s *Status) take(now time.Time, r fleet.Report, until time.Time) {
+func (s *Status) take(now time.Time, r fleet.Report, seen time.Time, ttl time.Duration) {
+	until := seen.Add(ttl)
 	if !until.After(now) {
 		return
 	}
 	switch {
 	case s.Until.IsZero() || r.Newer(s.Report):
 		s.Report = r
+		s.Seen = seen
 		s.Until = until
 	case s.Report.Newer(r):
 	default:
+		s.Seen = later(s.Seen, seen)
 		s.Until = later(s.Until, until)
 	}
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -29,10 +29,25 @@
 	Load int
 	// Reported is the version of the report that Load is from.
 	Reported uint64
-	// Until is when the evidence ends that all members are there.
+	// Seen is the moment at which all members were last known to be there,
+	// and Until when that evidence ends.
+	Seen  time.Time
 	Until time.Time
 }
 
+// Failure is a target that a request has failed on.
+type Failure struct {
+	Group      fleet.GroupID
+	Generation uint64
+	At         time.Time
+}
+
+// Rules reports whether the failure rules a target out: the target is the
+// same, and nobody has seen it whole since.
+func (f Failure) Rules(t Target) bool {
+	return f.Group == t.Group && f.Generation == t.Generation && !t.Seen.After(f.At)
+}
+
 // Tuning constants of the choice.
 const (
 	// affinityBound is how much busier than the average a group may be and
@@ -111,8 +126,8 @@
 	Prefix uint64
 	// Random is a fresh random number from the caller.
 	Random uint64
-	// Exclude lists groups that this request has failed on.
-	Exclude []fleet.GroupID
+	// Failed lists what the request has failed on so far.
+	Failed []Failure
 }
 
 // Choose returns the best target whose evidence lasts beyond now.
@@ -134,7 +149,7 @@
 func (r *Router) usable(now time.Time, q Request) []*state {
 	var good, avoided []*state
 	for _, s := range r.pools[q.Pool] {
-		if !now.Before(s.target.Until) || excluded(q.Exclude, s.target.Group) {
+		if !now.Before(s.target.Until) || ruledOut(q.Failed, s.target) {
 			continue
 		}
 		if now.Before(s.avoid) {
@@ -149,9 +164,9 @@
 	return good
 }
 
-func excluded(list []fleet.GroupID, id fleet.GroupID) bool {
-	for _, other := range list {
-		if other == id {
+func ruledOut(list []Failure, t Target) bool {
+	for _, f := range list {
+		if f.Rules(t) {
 			return true
 		}
 	}
