Put the controller's transactions into a pure ledger and run all pure parts under random faults

Cause: the transaction that keeps an instance out of two groups was built inside the daemon's loop, where no randomised run could reach it. Ruled out: a model of it in the test, which would prove the model. Change: pkg/ledger makes the transactions; internal/soak drives membership, lease, placement and ledger together under kills, freezes, cuts, lost answers, late and doubled orders, with invariants after each step.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -173,8 +173,6 @@
 		Renew: options.LeaseTTL / 4,
 		Guard: options.LeaseTTL / 4,
 	})
-	l.control.rows = map[string]uint64{}
-	l.control.owners = map[fleet.InstanceID]fleet.GroupID{}
 	l.setKnown(nil)
 	l.snapshot.Store(&Snapshot{Made: start})
 	return l
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"strings"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/platform"
-	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/ledger"
 	"github.com/ridgehinge/ridgehinge/pkg/placement"
 )
 
@@ -19,13 +16,10 @@
 	epochVersion uint64
 	// since is when this node became the controller.
 	since time.Time
-	// loaded is set once the table's groups and owners were read under this
-	// epoch; nothing is decided before.
-	loaded  bool
-	loading bool
-	// rows has the versions of the data centre's rows.
-	rows       map[string]uint64
-	owners     map[fleet.InstanceID]fleet.GroupID
+	// ledger is nil until the table's rows were read under this epoch;
+	// nothing is decided before.
+	ledger     *ledger.Ledger
+	loading    bool
 	committing bool
 	queue      []placement.Action
 }
@@ -38,7 +32,7 @@
 func (l *Loop) runController(now time.Time) {
 	epoch, held := l.lease.Held(now)
 	if !held || l.leaving {
-		l.control.loaded = false
+		l.control.ledger = nil
 		l.control.epoch = 0
 		l.control.queue = nil
 		return
@@ -46,13 +40,13 @@
 	if l.control.epoch != epoch {
 		l.control.epoch = epoch
 		l.control.since = now
-		l.control.loaded = false
+		l.control.ledger = nil
 		l.planner = placement.New(l.options.Placement)
 	}
 	if l.control.committing {
 		return
 	}
-	if !l.control.loaded {
+	if l.control.ledger == nil {
 		l.loadRows()
 		return
 	}
@@ -85,7 +79,7 @@
 	}
 	l.control.loading = true
 	epoch := l.control.epoch
-	prefix := "dc/" + string(l.options.Self.DataCentre) + "/"
+	prefix := ledger.Prefix(l.options.Self.DataCentre)
 	l.async(func(ctx context.Context) event {
 		rows, err := l.options.Platform.Scan(ctx, prefix)
 		return rowsRead{epoch, rows, err}
@@ -97,49 +91,18 @@
 	if e.err != nil || e.epoch != l.control.epoch {
 		return
 	}
-	if err := l.takeRows(e.rows); err != nil {
+	rows := make([]ledger.Row, 0, len(e.rows))
+	for _, row := range e.rows {
+		rows = append(rows, ledger.Row(row))
+	}
+	loaded, delta, err := ledger.Load(l.options.Self.DataCentre, e.epoch, l.control.epochVersion, rows)
+	if err != nil {
 		l.log.Error("a row of the table cannot be read", "error", err)
 		return
 	}
-	l.control.loaded = true
+	l.control.ledger = loaded
 	l.control.queue = nil
-}
-
-func (l *Loop) takeRows(rows []platform.Row) error {
-	dc := l.options.Self.DataCentre
-	delta := fleet.GroupsDelta{Whole: true}
-	owners := map[fleet.InstanceID]fleet.GroupID{}
-	versions := map[string]uint64{}
-	for _, row := range rows {
-		versions[row.Key] = row.Version
-		if row.Key == headKey(dc) {
-			var head groupsHead
-			if err := json.Unmarshal(row.Value, &head); err != nil {
-				return fmt.Errorf("%s: %w", row.Key, err)
-			}
-			delta.To = head.Revision
-			continue
-		}
-		if strings.HasPrefix(row.Key, groupPrefix(dc)) {
-			var g fleet.Group
-			if err := json.Unmarshal(row.Value, &g); err != nil {
-				return fmt.Errorf("%s: %w", row.Key, err)
-			}
-			delta.Groups = append(delta.Groups, g)
-			continue
-		}
-		if id, ok := strings.CutPrefix(row.Key, ownerPrefix(dc)); ok {
-			var owner ownerRow
-			if err := json.Unmarshal(row.Value, &owner); err != nil {
-				return fmt.Errorf("%s: %w", row.Key, err)
-			}
-			owners[fleet.InstanceID(id)] = owner.Group
-		}
-	}
-	l.control.rows = versions
-	l.control.owners = owners
 	l.applyGroups(delta)
-	return nil
 }
 
 // view gathers what a placement step depends on.
@@ -175,120 +138,52 @@
 		l.orderPreload(now, a)
 		return
 	}
-	txn, group, ok := l.transaction(a)
+	change, ok := l.control.ledger.Change(a, l.groups)
 	if !ok {
 		// The view has moved on since the step; the next one sees it.
 		l.control.queue = nil
 		return
 	}
+	txn := platform.Txn{}
+	for _, c := range change.Conditions {
+		txn.Conditions = append(txn.Conditions, platform.Condition(c))
+	}
+	for _, w := range change.Writes {
+		txn.Writes = append(txn.Writes, platform.Write(w))
+	}
 	l.control.committing = true
 	epoch := l.control.epoch
 	l.async(func(ctx context.Context) event {
 		outcome, err := l.options.Platform.Commit(ctx, txn)
-		return committed{epoch, a, group, txn, outcome, err}
+		return committed{epoch, a, change, outcome, err}
 	})
 }
 
-// transaction turns an action into a conditional write: the epoch is still
-// this node's, nobody has changed the data centre's groups since they were
-// read, and every new member belongs to no group.
-func (l *Loop) transaction(a placement.Action) (platform.Txn, fleet.Group, bool) {
-	dc := l.options.Self.DataCentre
-	rows := l.control.rows
-	revision := l.groups.Revision() + 1
-	old, exists := l.groups.Get(a.Group.ID)
-	if exists == (a.Kind == placement.ActionForm) {
-		return platform.Txn{}, old, false
-	}
-	group := a.Group
-	group.DataCentre = dc
-	group.Revision = revision
-	switch a.Kind {
-	case placement.ActionForm:
-		group.ID = fleet.GroupID(fmt.Sprintf("%s-%d-%d", dc, l.control.epoch, revision))
-		group.Epoch, group.Generation = l.control.epoch, revision
-	case placement.ActionRepair:
-		group.Epoch, group.Generation = l.control.epoch, revision
-	case placement.ActionEnd:
-		group.Gone = true
-	}
-	txn := platform.Txn{
-		Conditions: []platform.Condition{
-			{Key: headKey(dc), Version: rows[headKey(dc)]},
-			{Key: epochKey(dc), Version: l.control.epochVersion},
-			{Key: groupKey(dc, group.ID), Version: rows[groupKey(dc, group.ID)]},
-		},
-		Writes: []platform.Write{
-			{Key: headKey(dc), Value: groupsHead{Revision: revision}},
-			{Key: groupKey(dc, group.ID), Value: group},
-		},
-	}
-	if !l.addOwners(&txn, old, group) {
-		return txn, group, false
-	}
-	return txn, group, true
-}
-
-// addOwners adds the rows of the instances that join or leave a group.
-func (l *Loop) addOwners(txn *platform.Txn, old, group fleet.Group) bool {
-	dc := l.options.Self.DataCentre
-	for _, m := range group.Members {
-		if group.Gone || old.Has(m.Instance) {
-			continue
-		}
-		if owner := l.control.owners[m.Instance]; owner != "" {
-			return false
-		}
-		key := ownerKey(dc, m.Instance)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: l.control.rows[key]})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: ownerRow{group.ID, group.Generation}})
-	}
-	for _, m := range old.Members {
-		if group.Has(m.Instance) && !group.Gone {
-			continue
-		}
-		key := ownerKey(dc, m.Instance)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: l.control.rows[key]})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: ownerRow{}})
-	}
-	return true
-}
-
 // committed is the outcome of an action's transaction.
 type committed struct {
 	epoch   uint64
 	action  placement.Action
-	group   fleet.Group
-	txn     platform.Txn
+	change  ledger.Change
 	outcome platform.Outcome
 	err     error
 }
 
 func (e committed) apply(l *Loop, _ time.Time) {
 	l.control.committing = false
+	if l.control.ledger == nil || e.epoch != l.control.epoch {
+		return
+	}
 	if e.err != nil || !e.outcome.Committed {
 		// What the table holds is not known here any more: read it again
 		// before the next decision.
-		l.control.loaded = false
+		l.control.ledger = nil
 		if !errors.Is(e.err, platform.ErrUnavailable) {
 			l.log.Info("another controller was first", "action", e.action.Kind.String())
 		}
 		return
 	}
-	for _, w := range e.txn.Writes {
-		l.control.rows[w.Key] = e.outcome.Version
-		l.noteOwner(w)
-	}
-	l.applyGroups(fleet.GroupsDelta{Since: e.group.Revision - 1, To: e.group.Revision, Groups: []fleet.Group{e.group}})
-	l.log.Info("changed a group", "action", e.action.Kind.String(), "group", string(e.group.ID),
-		"template", e.group.Template, "reason", e.action.Reason)
-}
-
-func (l *Loop) noteOwner(w platform.Write) {
-	owner, ok := w.Value.(ownerRow)
-	if !ok {
-		return
-	}
-	id := strings.TrimPrefix(w.Key, ownerPrefix(l.options.Self.DataCentre))
-	l.control.owners[fleet.InstanceID(id)] = owner.Group
+	l.applyGroups(l.control.ledger.Committed(e.change, e.outcome.Version))
+	group := e.change.Group
+	l.log.Info("changed a group", "action", e.action.Kind.String(), "group", string(group.ID),
+		"template", group.Template, "reason", e.action.Reason)
 }
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -7,15 +7,9 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/platform"
 	"github.com/ridgehinge/ridgehinge/pkg/lease"
+	"github.com/ridgehinge/ridgehinge/pkg/ledger"
 )
 
-// epochRow changes only when the lease changes hands. Every change that a
-// controller makes is conditional on it, so that renewals do not disturb.
-type epochRow struct {
-	Epoch  uint64 `json:"epoch"`
-	Holder string `json:"holder"`
-}
-
 // keepLease does what the lease machine asks for.
 func (l *Loop) keepLease(now time.Time) {
 	if l.leaving {
@@ -41,7 +35,7 @@
 func (l *Loop) readLease() {
 	dc := l.options.Self.DataCentre
 	l.async(func(ctx context.Context) event {
-		rows, err := l.options.Platform.Get(ctx, leaseKey(dc), epochKey(dc))
+		rows, err := l.options.Platform.Get(ctx, ledger.LeaseKey(dc), ledger.EpochKey(dc))
 		if err != nil {
 			return leaseRead{err: err}
 		}
@@ -74,13 +68,13 @@
 func (l *Loop) writeLease(action lease.Action, done chan struct{}) {
 	dc := l.options.Self.DataCentre
 	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: leaseKey(dc), Version: action.Version}},
-		Writes:     []platform.Write{{Key: leaseKey(dc), Value: action.Row}},
+		Conditions: []platform.Condition{{Key: ledger.LeaseKey(dc), Version: action.Version}},
+		Writes:     []platform.Write{{Key: ledger.LeaseKey(dc), Value: action.Row}},
 	}
 	if action.Kind == lease.ActionAcquire {
-		row := epochRow{Epoch: action.Row.Epoch, Holder: action.Row.Holder}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: epochKey(dc), Version: l.control.epochVersion})
-		txn.Writes = append(txn.Writes, platform.Write{Key: epochKey(dc), Value: row})
+		row := ledger.Epoch{Epoch: action.Row.Epoch, Holder: action.Row.Holder}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: ledger.EpochKey(dc), Version: l.control.epochVersion})
+		txn.Writes = append(txn.Writes, platform.Write{Key: ledger.EpochKey(dc), Value: row})
 	}
 	asked := time.Now()
 	l.async(func(ctx context.Context) event {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -67,7 +67,7 @@
 
 func (l *Loop) orderPreload(now time.Time, a placement.Action) {
 	status, fresh := l.tracker.Status(now, a.Instance)
-	if !fresh || l.control.owners[a.Instance] != "" {
+	if !fresh || l.control.ledger.Owner(a.Instance) != "" {
 		return
 	}
 	l.order(now, a.Instance, engine.Order{
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -12,6 +12,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/confstore"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/ledger"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
 )
 
@@ -26,21 +27,6 @@
 	answered time.Time
 }
 
-// groupsHead is the row that numbers a data centre's group changes.
-type groupsHead struct {
-	Revision uint64 `json:"revision"`
-}
-
-func headKey(dc fleet.DataCentre) string     { return "dc/" + string(dc) + "/head" }
-func leaseKey(dc fleet.DataCentre) string    { return "dc/" + string(dc) + "/lease" }
-func epochKey(dc fleet.DataCentre) string    { return "dc/" + string(dc) + "/epoch" }
-func groupPrefix(dc fleet.DataCentre) string { return "dc/" + string(dc) + "/g/" }
-func ownerPrefix(dc fleet.DataCentre) string { return "dc/" + string(dc) + "/i/" }
-
-func groupKey(dc fleet.DataCentre, id fleet.GroupID) string { return groupPrefix(dc) + string(id) }
-
-func ownerKey(dc fleet.DataCentre, id fleet.InstanceID) string { return ownerPrefix(dc) + string(id) }
-
 func (l *Loop) readPlatform(now time.Time) {
 	if !l.reads.busyHead && !now.Before(l.reads.nextHead) {
 		l.reads.busyHead = true
@@ -78,7 +64,7 @@
 // fetchHead runs outside the loop's goroutine and touches none of its state.
 func (l *Loop) fetchHead(ctx context.Context, have configuration.Revision, haveGroups uint64, behind bool) headRead {
 	dc := l.options.Self.DataCentre
-	rows, err := l.options.Platform.Get(ctx, confstore.HeadKey, headKey(dc))
+	rows, err := l.options.Platform.Get(ctx, confstore.HeadKey, ledger.HeadKey(dc))
 	if err != nil {
 		return headRead{err: err}
 	}
@@ -86,7 +72,7 @@
 	if err != nil {
 		return headRead{err: err}
 	}
-	var groups groupsHead
+	var groups ledger.Head
 	if rows[1].Version > 0 {
 		if err := json.Unmarshal(rows[1].Value, &groups); err != nil {
 			return headRead{err: err}
@@ -106,7 +92,7 @@
 // before are kept as well; they only bring later news earlier.
 func (l *Loop) fetchGroups(ctx context.Context, head uint64) (fleet.GroupsDelta, error) {
 	delta := fleet.GroupsDelta{To: head, Whole: true}
-	rows, err := l.options.Platform.Scan(ctx, groupPrefix(l.options.Self.DataCentre))
+	rows, err := l.options.Platform.Scan(ctx, ledger.GroupPrefix(l.options.Self.DataCentre))
 	if err != nil {
 		return delta, err
 	}
@@ -242,10 +228,3 @@
 	}
 	return strings.Compare(string(a.ID), string(b.ID))
 }
-
-// ownerRow says which group an instance belongs to; empty is none. It is the
-// row that keeps an instance out of a second group.
-type ownerRow struct {
-	Group      fleet.GroupID `json:"group"`
-	Generation uint64        `json:"generation"`
-}
