--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -16,7 +17,6 @@
 	"os/exec"
 	"path/filepath"
 	"syscall"
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -65,9 +65,21 @@
 	Operator   string
 }
 
+// T is what a cluster needs of a test; the load tool brings its own.
+type T interface {
+	require.TestingT
+	Helper()
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+	Failed() bool
+	Cleanup(func())
+	TempDir() string
+	Context() context.Context
+}
+
 // Cluster is a set of processes on loopback.
 type Cluster struct {
-	t         *testing.T
+	t         T
 	dir       string
 	binaries  Binaries
 	Platform  *Process
@@ -108,7 +120,7 @@
 }
 
 // New starts a platform stand-in.
-func New(t *testing.T, b Binaries) *Cluster {
+func New(t T, b Binaries) *Cluster {
 	t.Helper()
 	c := &Cluster{
 		t:         t,
@@ -159,6 +171,9 @@
 	p.running = true
 }
 
+// PID returns the process's number.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Kill ends a process at once.
 func (c *Cluster) Kill(p *Process) {
 	if !p.running {
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,109 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const ttl = 4 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func machine(self string) *Machine {
+	return New(Options{Self: self, TTL: ttl, Renew: time.Second, Guard: time.Second})
+}
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// acquired returns a machine that acquired an absent row at the start.
+func acquired(t *testing.T) *Machine {
+	t.Helper()
+	m := machine("a")
+	require.Equal(t, ActionRead, m.Next(start).Kind)
+	m.Read(start, Row{}, 0)
+	action := m.Next(at(time.Second))
+	require.Equal(t, ActionAcquire, action.Kind)
+	require.Equal(t, uint64(1), action.Row.Epoch)
+	m.Written(at(time.Second), action.Row, 1, true)
+	return m
+}
+
+func TestHoldEndsOnItsOwnClock(t *testing.T) {
+	m := acquired(t)
+	for _, c := range []struct {
+		at   time.Duration
+		want bool
+	}{
+		{time.Second, true},
+		{time.Second + ttl - time.Second - 1, true},
+		// The guard before the others' limit: the holder stops first.
+		{time.Second + ttl - time.Second, false},
+		{time.Hour, false},
+	} {
+		_, held := m.Held(at(c.at))
+		assert.Equal(t, c.want, held, "after %s", c.at)
+	}
+}
+
+func TestRenewalCountsFromTheAsking(t *testing.T) {
+	m := acquired(t)
+	action := m.Next(at(2 * time.Second))
+	require.Equal(t, ActionRenew, action.Kind)
+	// The answer comes 2 s after the asking, which buys nothing.
+	m.Written(at(2*time.Second), action.Row, 2, true)
+	_, held := m.Held(at(5*time.Second - 1))
+	assert.True(t, held)
+	_, held = m.Held(at(5 * time.Second))
+	assert.False(t, held)
+}
+
+func TestOthersWaitForTheRowToRest(t *testing.T) {
+	m := machine("b")
+	m.Next(start)
+	m.Read(start, Row{Epoch: 3, Holder: "a", Renewals: 1}, 7)
+	assert.Equal(t, ActionRead, m.Next(at(3*time.Second)).Kind)
+	// The holder has renewed: the wait begins anew.
+	m.Read(at(3*time.Second), Row{Epoch: 3, Holder: "a", Renewals: 2}, 8)
+	assert.Equal(t, ActionRead, m.Next(at(5*time.Second)).Kind)
+	m.Read(at(5*time.Second), Row{Epoch: 3, Holder: "a", Renewals: 2}, 8)
+	action := m.Next(at(7*time.Second + 1))
+	assert.Equal(t, Action{Kind: ActionAcquire, Row: Row{Epoch: 4, Holder: "b"}, Version: 8}, action)
+}
+
+func TestReleasedIsTakenAtOnce(t *testing.T) {
+	m := machine("b")
+	m.Next(start)
+	m.Read(start, Row{Epoch: 3, Holder: "a", Released: true}, 9)
+	assert.Equal(t, ActionAcquire, m.Next(at(time.Second)).Kind)
+}
+
+func TestLostRaceIsNoHold(t *testing.T) {
+	m := acquired(t)
+	action := m.Next(at(2 * time.Second))
+	m.Written(at(2*time.Second), action.Row, 0, false)
+	_, held := m.Held(at(2 * time.Second))
+	assert.False(t, held)
+	assert.Equal(t, ActionRead, m.Next(at(2*time.Second)).Kind)
+}
+
+// A node that restarts under its old name reads its own name in the row; that
+// was an earlier life, and is no hold.
+func TestOwnNameFromAnEarlierLife(t *testing.T) {
+	m := machine("a")
+	m.Next(start)
+	m.Read(start, Row{Epoch: 5, Holder: "a"}, 4)
+	_, held := m.Held(start)
+	assert.False(t, held)
+}
+
+func TestRelease(t *testing.T) {
+	m := acquired(t)
+	action, held := m.Release(at(2 * time.Second))
+	require.True(t, held)
+	assert.True(t, action.Row.Released)
+	_, held = m.Held(at(2 * time.Second))
+	assert.False(t, held)
+}
