Share the watching with nodes that are known but not heard yet; publish on change

Cause: the capacity benchmark of 72 entry instances and 1,833 endpoints did not end within ten minutes. Each node that starts knows itself only, so it watched every endpoint at first, told all peers of all of them, and kept the withdrawn reports in the list that every beat walks. Ruled out: a longer start-up pause (it would lengthen every restart); a shorter memory of withdrawals (peers that were cut off need them).

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,7 @@
 
 generate: ## make the generated code anew; needs protoc and its Go plugins
 	cd internal/peers/peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
+
+capacity: ## print the slopes behind docs/CAPACITY.md
+	$(GO) test -run xxx -bench 'Exchange|Publish|Plan|Poll|Wire' -benchtime 50x ./internal/control
+	$(GO) test -run xxx -bench Memory -benchtime 1x ./internal/control
--- /dev/null
+++ b/internal/control/capacity_test.go
@@ -0,0 +1,280 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgehinge/ridgehinge/internal/engine"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/standin/enginestandin"
+	"github.com/ridgehinge/ridgehinge/pkg/configuration"
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/membership"
+	"github.com/ridgehinge/ridgehinge/pkg/placement"
+)
+
+// The slopes behind docs/CAPACITY.md; `make capacity` prints them. A data
+// centre of loops is driven without sockets: the watchers' polls succeed, and
+// messages are encoded, decoded and applied as on the wire.
+
+const benchSize = 8
+
+// centre is all the loops of one data centre at rest.
+type centre struct {
+	loops     []*Loop
+	instances []fleet.Instance
+	endpoints int
+	now       time.Time
+}
+
+func newCentre(nodes, endpoints int) *centre {
+	c := &centre{now: time.Now(), endpoints: endpoints}
+	var groups []fleet.Group
+	for i := range endpoints {
+		id := fleet.InstanceID(fmt.Sprintf("engine-%05d", i))
+		c.instances = append(c.instances, fleet.Instance{
+			ID: id, DataCentre: "dc", Domain: fmt.Sprintf("rack-%d", i/32), Address: "10.0.0.1:80",
+			Kind: fleet.KindEngine, Accelerators: 4, ChecksFences: true,
+		})
+		if i%benchSize == 0 && i+benchSize <= endpoints {
+			n := uint64(len(groups) + 1)
+			groups = append(groups, fleet.Group{
+				ID: fleet.GroupID(fmt.Sprintf("dc-1-%d", n)), DataCentre: "dc", Domain: fmt.Sprintf("rack-%d", i/32),
+				Template: "t", Weights: "m@1", Role: fleet.RoleMixed, Epoch: 1, Generation: n, Revision: n,
+			})
+		}
+		if i/benchSize < len(groups) {
+			g := &groups[i/benchSize]
+			g.Members = append(g.Members, fleet.Member{Instance: id, Incarnation: 1})
+		}
+	}
+	for i := range nodes {
+		c.loops = append(c.loops, newBenchLoop(i))
+	}
+	for _, l := range c.loops {
+		self := l.options.Self
+		c.instances = append(c.instances, fleet.Instance{ID: fleet.InstanceID(self.ID), DataCentre: "dc", Address: self.Address, Kind: fleet.KindEntry})
+	}
+	for _, l := range c.loops {
+		l.applyGroups(fleet.GroupsDelta{To: uint64(max(1, len(groups))), Groups: groups})
+		l.setInstances(c.now, c.instances)
+	}
+	for range 3 {
+		c.round()
+	}
+	return c
+}
+
+func newBenchLoop(i int) *Loop {
+	self := membership.Node{ID: membership.NodeID(fmt.Sprintf("node-%02d", i)), DataCentre: "dc", Address: "10.0.0.2:70"}
+	options := Options{
+		Self: self, Incarnation: uint64(i + 1), Intervals: DefaultIntervals(),
+		Membership: membership.DefaultOptions(self, 1, time.Time{}), Placement: placement.DefaultOptions(),
+		LeaseTTL: time.Second,
+		Load:     func() map[string]PoolLoad { return map[string]PoolLoad{"model/t": {Slots: 8, Rate: 50}} },
+	}
+	l := New(options)
+	l.store.Apply(configuration.Delta{To: 1})
+	return l
+}
+
+// report is what an endpoint says of itself while its group serves.
+func (c *centre) report(i int) fleet.Report {
+	r := fleet.Report{Instance: c.instances[i].ID, Incarnation: 1, Version: 2, Phase: fleet.PhaseReady, Weights: "m@1", Slots: 16}
+	if g := i / benchSize; (g+1)*benchSize <= c.endpoints {
+		r.Group, r.Generation = fleet.GroupID(fmt.Sprintf("dc-1-%d", g+1)), uint64(g+1)
+	}
+	return r
+}
+
+// round polls every endpoint once and has every pair exchange once; it
+// returns the bytes of the messages.
+func (c *centre) round() (bytes int) {
+	c.now = c.now.Add(DefaultIntervals().Exchange)
+	for _, l := range c.loops {
+		l.shareWatches(c.now)
+		for i, in := range c.instances[:c.endpoints] {
+			if l.watches[in.ID] != nil {
+				l.tracker.Observe(c.now, c.report(i))
+			}
+		}
+	}
+	for i, a := range c.loops {
+		for _, b := range c.loops[i+1:] {
+			bytes += exchangeOnce(c.now, a, b)
+		}
+	}
+	return bytes
+}
+
+func exchangeOnce(now time.Time, a, b *Loop) int {
+	conf, groups := a.tracker.Revisions(b.options.Self.ID)
+	question, n := overTheWire(a.message(now, b.options.Self.ID, conf, groups))
+	e := exchangeEvent{question, make(chan *peers.Message, 1)}
+	e.apply(b, now)
+	answer, m := overTheWire(<-e.reply)
+	a.take(now, answer)
+	return n + m
+}
+
+func overTheWire(m *peers.Message) (*peers.Message, int) {
+	text, err := proto.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	out := &peerpb.ExchangeMessage{}
+	if err := proto.Unmarshal(text, out); err != nil {
+		panic(err)
+	}
+	return out, len(text)
+}
+
+// sizes are the entry instances and endpoints of one data centre.
+var sizes = []struct{ nodes, endpoints int }{
+	{3, 18}, {9, 50}, {18, 450}, {36, 900}, {72, 1833},
+}
+
+// BenchmarkExchange is one exchange of a pair at rest: both sides' work, and
+// the bytes of both messages.
+func BenchmarkExchange(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("nodes=%d/endpoints=%d", s.nodes, s.endpoints), func(b *testing.B) {
+			c := newCentre(s.nodes, s.endpoints)
+			x, y := c.loops[0], c.loops[1]
+			bytes := 0
+			b.ResetTimer()
+			for range b.N {
+				bytes = exchangeOnce(c.now, x, y)
+			}
+			b.ReportMetric(float64(bytes), "B/exchange")
+		})
+	}
+}
+
+// BenchmarkPublish is one snapshot, with all groups serving.
+func BenchmarkPublish(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("nodes=%d/endpoints=%d", s.nodes, s.endpoints), func(b *testing.B) {
+			c := newCentre(s.nodes, s.endpoints)
+			l := c.loops[0]
+			l.publishNow(c.now)
+			require.Len(b, l.Snapshot().Targets, s.endpoints/benchSize)
+			b.ResetTimer()
+			for i := range b.N {
+				l.publishNow(c.now.Add(time.Duration(i)))
+			}
+		})
+	}
+}
+
+// BenchmarkPlan is one placement step of the controller, at rest.
+func BenchmarkPlan(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("nodes=%d/endpoints=%d", s.nodes, s.endpoints), func(b *testing.B) {
+			c := newCentre(s.nodes, s.endpoints)
+			l := c.loops[0]
+			demand := placement.Demand{Template: "t", Weights: "m@1", Size: benchSize, Want: s.endpoints / benchSize, Soon: s.endpoints / benchSize, WeightDowntime: 1, WeightStranded: 1}
+			b.ResetTimer()
+			for range b.N {
+				v := l.view(c.now)
+				v.Demands = []placement.Demand{demand}
+				l.planner.Step(v)
+			}
+		})
+	}
+}
+
+// BenchmarkMemory is the heap that one node's control state takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("nodes=%d/endpoints=%d", s.nodes, s.endpoints), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				c := newCentre(s.nodes, s.endpoints)
+				for _, l := range c.loops {
+					l.publishNow(c.now)
+				}
+				b.ReportMetric(float64(heap()-before)/float64(s.nodes)/1024, "KB/node")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkPoll is one status poll over a real connection, and its bytes.
+func BenchmarkPoll(b *testing.B) {
+	server := enginestandin.New(enginestandin.DefaultOptions("engine-00001", 1))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	serving := &http.Server{Handler: server.Handler()}
+	go func() { _ = serving.Serve(listener) }()
+	defer serving.Close()
+	client := engine.New(nil)
+	defer client.Close()
+	ctx := context.Background()
+	_, tag, _, err := client.Status(ctx, listener.Addr().String(), "")
+	require.NoError(b, err)
+	counter := client.ControlBytes()
+	read, written := counter.Read.Load(), counter.Written.Load()
+	b.ResetTimer()
+	for range b.N {
+		if _, _, _, err := client.Status(ctx, listener.Addr().String(), tag); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(counter.Read.Load()-read)/float64(b.N), "B-read/poll")
+	b.ReportMetric(float64(counter.Written.Load()-written)/float64(b.N), "B-written/poll")
+}
+
+// benchHandler answers exchanges with a message of its own size.
+type benchHandler struct{ answer *peers.Message }
+
+func (h benchHandler) Exchange(context.Context, *peers.Message) (*peers.Message, error) {
+	return h.answer, nil
+}
+
+func (h benchHandler) Forward(*peerpb.ForwardRequest, peerpb.DRPCPeers_ForwardStream) error {
+	return nil
+}
+
+// BenchmarkWire is one exchange over a real connection, and what the framing
+// adds to the messages' bytes.
+func BenchmarkWire(b *testing.B) {
+	c := newCentre(3, 18)
+	message := c.loops[0].message(c.now, c.loops[1].options.Self.ID, 1, 99)
+	key := []byte("0123456789abcdef")
+	server, err := peers.Listen("127.0.0.1:0", key, benchHandler{message})
+	require.NoError(b, err)
+	defer server.Close()
+	client := peers.NewClient(key, nil)
+	defer client.Close()
+	ctx := context.Background()
+	_, err = client.Exchange(ctx, server.Address(), message)
+	require.NoError(b, err)
+	read, written := client.Bytes().Read.Load(), client.Bytes().Written.Load()
+	b.ResetTimer()
+	for range b.N {
+		if _, err := client.Exchange(ctx, server.Address(), message); err != nil {
+			b.Fatal(err)
+		}
+	}
+	total := client.Bytes().Read.Load() - read + client.Bytes().Written.Load() - written
+	b.ReportMetric(float64(total)/float64(b.N)-float64(2*proto.Size(message)), "B-framing/exchange")
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,8 +44,10 @@
 	Instances time.Duration
 	// Plan is the time between two placement steps.
 	Plan time.Duration
-	// Publish is the time between two snapshots.
+	// Publish is the least time between two snapshots, Refresh the time to
+	// the next one when nothing changes.
 	Publish time.Duration
+	Refresh time.Duration
 	// Order is the time before an order is repeated.
 	Order time.Duration
 }
@@ -61,6 +63,7 @@
 		Instances: 2 * time.Second,
 		Plan:      500 * time.Millisecond,
 		Publish:   100 * time.Millisecond,
+		Refresh:   500 * time.Millisecond,
 		Order:     time.Second,
 	}
 }
@@ -131,6 +134,8 @@
 	links    map[membership.NodeID]*link
 	remotes  map[membership.NodeID]*remote
 	leaving  bool
+	// published is the state of the last snapshot.
+	published state
 	// matched is since when each member has matched its group.
 	matched map[fleet.InstanceID]match
 	reads   reads
@@ -141,7 +146,7 @@
 
 // due is when each periodic duty runs next.
 type due struct {
-	publish, plan, watches, forget time.Time
+	publish, refresh, plan, watches, forget time.Time
 }
 
 // New returns a loop that has not started.
@@ -173,7 +178,7 @@
 		Renew: options.LeaseTTL / 4,
 		Guard: options.LeaseTTL / 4,
 	})
-	l.setKnown(nil)
+	l.setKnown(start, nil)
 	l.snapshot.Store(&Snapshot{Made: start})
 	return l
 }
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -161,7 +161,7 @@
 		l.listed = now
 	}
 	l.instances = mine
-	l.setKnown(entries)
+	l.setKnown(now, entries)
 }
 
 func sameInstances(a, b map[fleet.InstanceID]fleet.Instance) bool {
@@ -178,7 +178,7 @@
 
 // setKnown takes the entry instances that the platform lists, besides those
 // of the settings.
-func (l *Loop) setKnown(entries []fleet.Instance) {
+func (l *Loop) setKnown(now time.Time, entries []fleet.Instance) {
 	nodes := slices.Clone(l.options.Bootstrap)
 	for _, in := range entries {
 		nodes = append(nodes, membership.Node{
@@ -187,7 +187,7 @@
 			Address:    in.Address,
 		})
 	}
-	l.tracker.SetKnown(nodes)
+	l.tracker.SetKnown(now, nodes)
 	l.setRemotes(nodes)
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -73,11 +73,30 @@
 // remoteTTL is how long an answer of another data centre counts.
 const remoteTTL = 6 * time.Second
 
+// state is what a snapshot depends on, beside time.
+type state struct {
+	reports       uint64
+	configuration configuration.Revision
+	groups        uint64
+	listed        time.Time
+	leaving       bool
+}
+
+// publish makes a snapshot soon after a change, and else only as often as the
+// evidence in the last one has to be lengthened.
 func (l *Loop) publish(now time.Time) {
-	if now.Before(l.next.publish) {
+	s := state{l.tracker.Changes(), l.store.Revision(), l.groups.Revision(), l.listed, l.leaving}
+	changed := s != l.published && !now.Before(l.next.publish)
+	if !changed && now.Before(l.next.refresh) {
 		return
 	}
+	l.published = s
 	l.next.publish = now.Add(l.options.Intervals.Publish)
+	l.next.refresh = now.Add(l.options.Intervals.Refresh)
+	l.publishNow(now)
+}
+
+func (l *Loop) publishNow(now time.Time) {
 	s := &Snapshot{
 		Made:          now,
 		Configuration: l.store.Revision(),
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -45,7 +45,7 @@
 // shareWatches works out anew which endpoints are this node's to watch, if
 // the nodes or the endpoints have changed.
 func (l *Loop) shareWatches(now time.Time) {
-	live := l.tracker.Live(now)
+	live := l.tracker.Sharing(now)
 	key := watchKey(live, l.listed)
 	if key == l.watchKey {
 		return
@@ -120,7 +120,7 @@
 	}
 	if !w.known || w.last.Instance != e.id {
 		// Another instance answers at this address.
-		l.tracker.Unreachable(e.id)
+		l.tracker.Unreachable(now, e.id)
 		return
 	}
 	l.tracker.Observe(e.asked, w.last)
@@ -138,5 +138,5 @@
 		w.next = now
 		return
 	}
-	l.tracker.Unreachable(e.id)
+	l.tracker.Unreachable(now, e.id)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,6 +21,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/ridgehinge/ridgehinge/internal/bytecount"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 )
 
@@ -56,20 +57,14 @@
 	// control is apart from traffic, so that a status poll never waits
 	// behind requests and its bytes can be counted.
 	control *http.Client
-	bytes   *ByteCount
-}
-
-// ByteCount counts the bytes of control connections in both directions.
-type ByteCount struct {
-	Read    atomic.Int64
-	Written atomic.Int64
+	bytes   *bytecount.Counter
 }
 
 // New returns a client; it opens no connection yet. Connections leave from
 // the source address, unless that is nil.
 func New(source net.Addr) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, LocalAddr: source}
-	counts := &ByteCount{}
+	counts := &bytecount.Counter{}
 	traffic := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idlePerHost,
@@ -77,7 +72,7 @@
 		DisableCompression:  true,
 	}
 	control := &http.Transport{
-		DialContext:         counts.dial(dialer),
+		DialContext:         counts.DialContext(dialer),
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -106,34 +101,7 @@
 }
 
 // ControlBytes returns the counter of control bytes.
-func (c *Client) ControlBytes() *ByteCount { return c.bytes }
-
-type countedConn struct {
-	net.Conn
-	counts *ByteCount
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counts.Read.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.counts.Written.Add(int64(n))
-	return n, err
-}
-
-func (b *ByteCount) dial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return countedConn{conn, b}, nil
-	}
-}
+func (c *Client) ControlBytes() *bytecount.Counter { return c.bytes }
 
 // Status asks an endpoint about itself. The tag is the one of the last
 // answer; an unchanged endpoint answers without a body, and ok is false.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,12 +4,14 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/ridgehinge/ridgehinge/internal/bytecount"
 	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 )
@@ -26,6 +28,9 @@
 	scope   tally.Scope
 	closer  io.Closer
 	handler http.Handler
+
+	mu    sync.Mutex
+	links map[string]*bytecount.Counter
 }
 
 // New returns metrics with a page of their own, so that several nodes can
@@ -46,7 +51,7 @@
 		OmitCardinalityMetrics: true,
 		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
 	}, reportInterval)
-	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler(), links: map[string]*bytecount.Counter{}}
 }
 
 // Close reports a last time and stops.
@@ -56,6 +61,7 @@
 func (m *Metrics) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		m.reportInvariants()
+		m.reportBytes()
 		m.handler.ServeHTTP(w, r)
 	})
 }
@@ -69,11 +75,23 @@
 	}
 }
 
-// Gauge sets a gauge of the whole node.
-func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+// Watch reports the bytes of one kind of control connection.
+func (m *Metrics) Watch(link string, counter *bytecount.Counter) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.links[link] = counter
+}
 
-// Count adds to a counter of the whole node.
-func (m *Metrics) Count(name string, n int64) { m.scope.Counter(name).Inc(n) }
+func (m *Metrics) reportBytes() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for link, counter := range m.links {
+		for direction, n := range map[string]int64{"read": counter.Read.Load(), "written": counter.Written.Load()} {
+			scope := m.scope.Tagged(map[string]string{"link": link, "direction": direction})
+			scope.Gauge("control_bytes").Update(float64(n))
+		}
+	}
+}
 
 // Class is the metrics of one workspace and priority class.
 type Class struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,6 +120,10 @@
 		n.close()
 		return nil, err
 	}
+	n.metrics.Watch("platform", n.platform.Bytes())
+	n.metrics.Watch("endpoints", n.engine.ControlBytes())
+	n.metrics.Watch("peers_opened", n.peers.Bytes())
+	n.metrics.Watch("peers_accepted", n.peerSide.Bytes())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.running.Go(func() { n.loop.Run(ctx) })
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -10,7 +10,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -20,6 +19,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/ridgehinge/ridgehinge/internal/bytecount"
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
 )
 
@@ -38,29 +38,6 @@
 // Message is one side of an exchange.
 type Message = peerpb.ExchangeMessage
 
-// ByteCount counts bytes of peer connections, both directions.
-type ByteCount struct {
-	Read    atomic.Int64
-	Written atomic.Int64
-}
-
-type countedConn struct {
-	net.Conn
-	counts *ByteCount
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counts.Read.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.counts.Written.Add(int64(n))
-	return n, err
-}
-
 // Handler answers peers' calls.
 type Handler interface {
 	// Exchange takes a peer's message and returns this node's.
@@ -74,7 +51,7 @@
 	key      []byte
 	listener net.Listener
 	rpc      *drpcserver.Server
-	counts   *ByteCount
+	counts   *bytecount.Counter
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 	mu       sync.Mutex
@@ -97,7 +74,7 @@
 		key:      key,
 		listener: listener,
 		rpc:      drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
-		counts:   &ByteCount{},
+		counts:   &bytecount.Counter{},
 		cancel:   cancel,
 		conns:    map[net.Conn]struct{}{},
 	}
@@ -110,7 +87,7 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Bytes returns the counter of the accepted connections.
-func (s *Server) Bytes() *ByteCount { return s.counts }
+func (s *Server) Bytes() *bytecount.Counter { return s.counts }
 
 // Close ends the server and all its connections.
 func (s *Server) Close() {
@@ -147,7 +124,7 @@
 	if handshakeServer(conn, s.key) != nil {
 		return
 	}
-	_ = s.rpc.ServeOne(ctx, countedConn{conn, s.counts})
+	_ = s.rpc.ServeOne(ctx, s.counts.Conn(conn))
 }
 
 func (s *Server) track(conn net.Conn, open bool) {
@@ -164,7 +141,7 @@
 type Client struct {
 	key    []byte
 	source net.Addr
-	counts *ByteCount
+	counts *bytecount.Counter
 	mu     sync.Mutex
 	conns  map[string]*drpcconn.Conn
 }
@@ -172,11 +149,11 @@
 // NewClient returns a client; it opens no connection yet. Connections leave
 // from the source address, unless that is nil.
 func NewClient(key []byte, source net.Addr) *Client {
-	return &Client{key: key, source: source, counts: &ByteCount{}, conns: map[string]*drpcconn.Conn{}}
+	return &Client{key: key, source: source, counts: &bytecount.Counter{}, conns: map[string]*drpcconn.Conn{}}
 }
 
 // Bytes returns the counter of the opened connections.
-func (c *Client) Bytes() *ByteCount { return c.counts }
+func (c *Client) Bytes() *bytecount.Counter { return c.counts }
 
 // Close ends the connections that exchanges use.
 func (c *Client) Close() {
@@ -198,7 +175,7 @@
 		_ = raw.Close()
 		return nil, turn(err)
 	}
-	return drpcconn.NewWithOptions(countedConn{raw, c.counts}, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(c.counts.Conn(raw), drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 func turn(err error) error {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -21,6 +21,7 @@
 	"github.com/rs/xid"
 	"github.com/samber/oops"
 
+	"github.com/ridgehinge/ridgehinge/internal/bytecount"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 )
 
@@ -51,15 +52,20 @@
 type Client struct {
 	options Options
 	http    *http.Client
+	bytes   *bytecount.Counter
 }
 
 // New returns a client; it opens no connection yet.
 func New(options Options) *Client {
 	dialer := &net.Dialer{LocalAddr: options.Source}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
-	return &Client{options: options, http: &http.Client{Transport: transport, Timeout: options.Timeout}}
+	counts := &bytecount.Counter{}
+	transport := &http.Transport{DialContext: counts.DialContext(dialer), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	return &Client{options: options, http: &http.Client{Transport: transport, Timeout: options.Timeout}, bytes: counts}
 }
 
+// Bytes returns the counter of the client's connections.
+func (c *Client) Bytes() *bytecount.Counter { return c.bytes }
+
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -165,6 +165,7 @@
 	s.Intervals.Instances = t.Duration("instances", s.Intervals.Instances, least, most)
 	s.Intervals.Plan = t.Duration("plan", s.Intervals.Plan, least, most)
 	s.Intervals.Publish = t.Duration("publish", s.Intervals.Publish, least, most)
+	s.Intervals.Refresh = t.Duration("refresh", s.Intervals.Refresh, least, most)
 	s.Membership.Watchers = t.Int("watchers", s.Membership.Watchers, 1, 5)
 	s.Membership.OwnTTL = t.Duration("own_ttl", s.Membership.OwnTTL, least, most)
 	s.Membership.VouchTTL = t.Duration("vouch_ttl", s.Membership.VouchTTL, least, most)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -156,7 +156,7 @@
 	for _, other := range w.nodes {
 		known = append(known, membership.Node{ID: other.id, DataCentre: dc, Address: "x"})
 	}
-	n.tracker.SetKnown(known)
+	n.tracker.SetKnown(w.now, known)
 	n.lease = lease.New(lease.Options{Self: string(n.id), TTL: leaseTTL, Renew: leaseTTL / 4, Guard: leaseTTL / 4})
 	n.planner = placement.New(placement.DefaultOptions())
 	n.groups = fleet.NewGroups()
@@ -315,7 +315,7 @@
 func (n *node) tick() {
 	w := n.w
 	n.tracker.Expire(w.now)
-	live := n.tracker.Live(w.now)
+	live := n.tracker.Sharing(w.now)
 	for _, e := range w.endpoints {
 		if n.tracker.Watches(live, e.in.ID) && w.now.Sub(n.polled[e.in.ID]) >= 400*time.Millisecond {
 			n.poll(e)
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -304,6 +304,7 @@
 instances = 300ms
 plan = 100ms
 publish = 50ms
+refresh = 200ms
 own_ttl = 900ms
 vouch_ttl = 2s
 peer_ttl = 1200ms
--- a/lab/cmd/load/streams.go
+++ b/lab/cmd/load/streams.go
@@ -101,7 +101,6 @@
 type cpuCommand struct {
 	seconds int
 	callers int
-	tokens  int
 }
 
 func (*cpuCommand) Name() string     { return "cpu" }
--- a/pkg/membership/beat.go
+++ b/pkg/membership/beat.go
@@ -90,19 +90,30 @@
 		b.Since = 0
 	}
 	b.Seq = t.seq
-	for _, own := range t.own {
-		if own.seq > b.Since {
-			b.Reports = append(b.Reports, own.report)
+	for _, o := range t.own {
+		if o.seq > b.Since {
+			b.Reports = append(b.Reports, o.report)
 		}
-		if own.report.Phase == fleet.PhaseLost {
-			continue
-		}
-		b.OldestAge = max(b.OldestAge, now.Sub(own.at))
+		b.OldestAge = max(b.OldestAge, now.Sub(o.at))
+	}
+	if b.Since > 0 && t.lastWithdrawn > b.Since {
+		b.Reports = append(b.Reports, t.withdrawnSince(b.Since)...)
 	}
 	sort.Slice(b.Reports, func(i, j int) bool { return b.Reports[i].Instance < b.Reports[j].Instance })
 	return b
 }
 
+// withdrawnSince returns the withdrawals that a peer lacks, as reports.
+func (t *Tracker) withdrawnSince(since uint64) []fleet.Report {
+	var out []fleet.Report
+	for id, w := range t.withdrawn {
+		if w.seq > since {
+			out = append(out, fleet.Report{Instance: id, Phase: fleet.PhaseLost})
+		}
+	}
+	return out
+}
+
 // Receive takes a peer's beat. It returns false for a beat of an older
 // incarnation of the peer, or one overtaken by a later beat.
 func (t *Tracker) Receive(now time.Time, b Beat) bool {
@@ -136,7 +147,7 @@
 		p.first = now
 	}
 	for _, node := range b.Known {
-		t.learn(node)
+		t.learn(now, node)
 	}
 	return true
 }
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -55,6 +55,7 @@
 // off; without a bound a year of replaced instances would fill the memory.
 const forgetAfter = 10 * time.Minute
 
+// ownReport is a report that this node vouches for.
 type ownReport struct {
 	report fleet.Report
 	// at is when the question left that the report answers.
@@ -62,6 +63,18 @@
 	seq uint64
 }
 
+// withdrawal is a report that this node vouches for no longer.
+type withdrawal struct {
+	at  time.Time
+	seq uint64
+}
+
+// knownNode is a node that should exist, and since when it is known.
+type knownNode struct {
+	node  Node
+	since time.Time
+}
+
 type peer struct {
 	node        Node
 	incarnation uint64
@@ -89,12 +102,18 @@
 type Tracker struct {
 	options Options
 	seq     uint64
+	// changes counts what could change an endpoint's Status, beside time.
+	changes uint64
 	// floor is the highest seq of a withdrawn report that was forgotten; a
 	// peer that has not seen it needs all reports anew.
 	floor uint64
 	own   map[fleet.InstanceID]*ownReport
-	peers map[NodeID]*peer
-	known map[NodeID]Node
+	// withdrawn is apart from own: a beat looks at all own reports, and at
+	// the withdrawals only for a peer that lacks the last of them.
+	withdrawn     map[fleet.InstanceID]withdrawal
+	lastWithdrawn uint64
+	peers         map[NodeID]*peer
+	known         map[NodeID]knownNode
 	// holders lists the peers that have a report of an endpoint, so that
 	// Status looks at a few peers only, however many there are.
 	holders map[fleet.InstanceID][]*peer
@@ -103,19 +122,27 @@
 // New returns a tracker that knows nobody.
 func New(options Options) *Tracker {
 	return &Tracker{
-		options: options,
-		own:     map[fleet.InstanceID]*ownReport{},
-		peers:   map[NodeID]*peer{},
-		known:   map[NodeID]Node{},
-		holders: map[fleet.InstanceID][]*peer{},
+		options:   options,
+		own:       map[fleet.InstanceID]*ownReport{},
+		withdrawn: map[fleet.InstanceID]withdrawal{},
+		peers:     map[NodeID]*peer{},
+		known:     map[NodeID]knownNode{},
+		holders:   map[fleet.InstanceID][]*peer{},
 	}
 }
 
+// Changes rises whenever a report has changed; a Status that was looked up
+// before may since only have been lengthened, or have lapsed.
+func (t *Tracker) Changes() uint64 { return t.changes }
+
 // hold notes that a peer has a report of an endpoint.
 func (t *Tracker) hold(p *peer, r fleet.Report) {
 	if _, ok := p.reports[r.Instance]; !ok {
 		t.holders[r.Instance] = append(t.holders[r.Instance], p)
 	}
+	if p.reports[r.Instance] != r {
+		t.changes++
+	}
 	p.reports[r.Instance] = r
 }
 
@@ -124,6 +151,7 @@
 	if _, ok := p.reports[id]; !ok {
 		return
 	}
+	t.changes++
 	delete(p.reports, id)
 	list := t.holders[id]
 	for i, other := range list {
@@ -146,27 +174,37 @@
 }
 
 // learn remembers where a node of the data centre is, until it is heard.
-func (t *Tracker) learn(node Node) {
+func (t *Tracker) learn(now time.Time, node Node) {
 	if node.ID == "" || node.ID == t.options.Self.ID || node.DataCentre != t.options.Self.DataCentre {
 		return
 	}
-	t.known[node.ID] = node
+	since := now
+	if old, ok := t.known[node.ID]; ok {
+		since = old.since
+	}
+	t.known[node.ID] = knownNode{node, since}
 }
 
 // SetKnown replaces the list of nodes that should exist, as the platform or
 // the settings have it. Nodes that were heard stay known by that.
-func (t *Tracker) SetKnown(nodes []Node) {
-	t.known = map[NodeID]Node{}
+func (t *Tracker) SetKnown(now time.Time, nodes []Node) {
+	listed := map[NodeID]bool{}
 	for _, node := range nodes {
-		t.learn(node)
+		listed[node.ID] = true
+		t.learn(now, node)
+	}
+	for id := range t.known {
+		if !listed[id] {
+			delete(t.known, id)
+		}
 	}
 }
 
 // Nodes returns this node and all nodes it has heard of, by id.
 func (t *Tracker) Nodes() []Node {
 	all := map[NodeID]Node{t.options.Self.ID: t.options.Self}
-	for id, node := range t.known {
-		all[id] = node
+	for id, k := range t.known {
+		all[id] = k.node
 	}
 	for id, p := range t.peers {
 		all[id] = p.node
@@ -179,17 +217,6 @@
 	return out
 }
 
-// Forget drops peers that have been silent for long and that nobody lists.
-func (t *Tracker) Forget(now time.Time, silence time.Duration) {
-	for id, p := range t.peers {
-		last := later(p.heard, p.first)
-		if _, listed := t.known[id]; !listed && now.Sub(last) > silence {
-			t.releaseAll(p)
-			delete(t.peers, id)
-		}
-	}
-}
-
 // Live returns the ids of the nodes that are alive and not leaving, this
 // node among them, in order.
 func (t *Tracker) Live(now time.Time) []NodeID {
@@ -203,6 +230,21 @@
 	return out
 }
 
+// Sharing returns the nodes that the watching of endpoints is shared out to:
+// those that live, and those that are known and have had no time yet to be
+// heard. Without the latter, each of many nodes that start together would
+// first watch everything.
+func (t *Tracker) Sharing(now time.Time) []NodeID {
+	out := t.Live(now)
+	for id, k := range t.known {
+		if _, heard := t.peers[id]; !heard && now.Sub(k.since) <= t.options.PeerTTL {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
 func (t *Tracker) peerAlive(now time.Time, p *peer) bool {
 	return now.Sub(p.heard) <= t.options.PeerTTL
 }
@@ -266,7 +308,7 @@
 }
 
 func score(node NodeID, id fleet.InstanceID) uint64 {
-	return xxh3.HashString(string(node) + "\x00" + string(id))
+	return xxh3.HashStringSeed(string(id), xxh3.HashString(string(node)))
 }
 
 // Observe takes a report that this node got itself. The time is when the
@@ -274,6 +316,10 @@
 func (t *Tracker) Observe(asked time.Time, r fleet.Report) {
 	o := t.own[r.Instance]
 	if o == nil {
+		if w, ok := t.withdrawn[r.Instance]; ok && asked.Before(w.at) {
+			return
+		}
+		delete(t.withdrawn, r.Instance)
 		o = &ownReport{}
 		t.own[r.Instance] = o
 	}
@@ -282,6 +328,7 @@
 	}
 	o.at = asked
 	if o.report != r {
+		t.changes++
 		t.seq++
 		o.seq = t.seq
 		o.report = r
@@ -289,28 +336,42 @@
 }
 
 // Unreachable withdraws this node's own report: the endpoint refused the
-// connection, or this node no longer watches it.
-func (t *Tracker) Unreachable(id fleet.InstanceID) {
-	o := t.own[id]
-	if o == nil || o.report.Phase == fleet.PhaseLost {
+// connection, or the report is too old.
+func (t *Tracker) Unreachable(now time.Time, id fleet.InstanceID) {
+	if _, ok := t.own[id]; !ok {
 		return
 	}
+	delete(t.own, id)
+	t.changes++
 	t.seq++
-	o.seq = t.seq
-	o.report = fleet.Report{Instance: id, Phase: fleet.PhaseLost}
+	t.lastWithdrawn = t.seq
+	t.withdrawn[id] = withdrawal{now, t.seq}
 }
 
 // Expire withdraws this node's own reports that have grown too old. It must
 // run before each Compose: a beat must not vouch for what has lapsed.
 func (t *Tracker) Expire(now time.Time) {
 	for id, o := range t.own {
-		age := now.Sub(o.at)
-		if age > t.options.OwnTTL {
-			t.Unreachable(id)
+		if now.Sub(o.at) > t.options.OwnTTL {
+			t.Unreachable(now, id)
+		}
+	}
+}
+
+// Forget drops what is of no use any more: peers that have been silent for
+// long and that nobody lists, and old withdrawals.
+func (t *Tracker) Forget(now time.Time, silence time.Duration) {
+	for id, p := range t.peers {
+		last := later(p.heard, p.first)
+		if _, listed := t.known[id]; !listed && now.Sub(last) > silence {
+			t.releaseAll(p)
+			delete(t.peers, id)
 		}
-		if age > forgetAfter {
-			t.floor = max(t.floor, o.seq)
-			delete(t.own, id)
+	}
+	for id, w := range t.withdrawn {
+		if now.Sub(w.at) > forgetAfter {
+			t.floor = max(t.floor, w.seq)
+			delete(t.withdrawn, id)
 		}
 	}
 }
@@ -328,7 +389,7 @@
 // Evidence of an older state never lengthens the life of a newer one.
 func (t *Tracker) Status(now time.Time, id fleet.InstanceID) (Status, bool) {
 	best := Status{}
-	if o := t.own[id]; o != nil && o.report.Phase != fleet.PhaseLost {
+	if o := t.own[id]; o != nil {
 		best.take(now, o.report, o.at, t.options.OwnTTL)
 	}
 	for _, p := range t.holders[id] {
