--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,275 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/internal/engine"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/internal/standin/enginestandin"
+	"github.com/ridgehinge/ridgehinge/pkg/configuration"
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/routing"
+)
+
+const (
+	testKey = "workspace-key"
+	maxBody = 4096
+)
+
+// bench is a gateway before one endpoint, without any control state.
+type bench struct {
+	t       *testing.T
+	gateway *Gateway
+	address string
+}
+
+func newBench(t *testing.T, endpoint http.Handler) *bench {
+	t.Helper()
+	upstream := httptest.NewServer(endpoint)
+	t.Cleanup(upstream.Close)
+	client := engine.New(nil)
+	t.Cleanup(client.Close)
+	m := metrics.New("test", "dc")
+	t.Cleanup(m.Close)
+	g := New(Options{Node: "test", Engine: client, Metrics: m, MaxBody: maxBody, MaxAttempts: 2, RetryShare: 0.1})
+	template := &configuration.Template{Name: "t", Model: "m", Version: "1", Service: "s"}
+	workspace := configuration.Workspace{Name: "w", KeyHash: configuration.HashKey(testKey), Share: 1, MaxInFlight: 100, Deadline: 5 * time.Second}
+	address := strings.TrimPrefix(upstream.URL, "http://")
+	until := time.Now().Add(time.Hour)
+	g.Publish(&control.Snapshot{
+		Made:       time.Now(),
+		Ready:      true,
+		Workspaces: map[string]control.Workspace{workspace.KeyHash: {Workspace: workspace, Template: template}},
+		Targets: []routing.Target{
+			{Group: "g", Generation: 1, Address: address, Pool: control.ModelPool("t"), Slots: 8, Until: until},
+			{Group: "service/s1", Address: address, Pool: control.ServicePool("s"), Slots: 8, Until: until},
+		},
+		Whole: map[fleet.GroupID]control.Whole{"g": {Generation: 1, Until: until}},
+		Slots: map[string]int{control.ModelPool("t"): 8, control.ServicePool("s"): 8},
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &bench{t: t, gateway: g, address: listener.Addr().String()}
+	require.NoError(t, listener.Close())
+	server, err := Serve(ServerOptions{Address: b.address, MaxBody: maxBody, MaxRequests: 256, Handler: http.NotFoundHandler(), Gateway: g})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return b
+}
+
+func standIn() *enginestandin.Server {
+	o := enginestandin.DefaultOptions("e", 1)
+	o.ChecksFences = false
+	return enginestandin.New(o)
+}
+
+func (b *bench) send(method, path, body string, header map[string]string) (*http.Response, string) {
+	b.t.Helper()
+	request, err := http.NewRequest(method, "http://"+b.address+path, strings.NewReader(body))
+	require.NoError(b.t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(b.t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(b.t, err)
+	return response, string(text)
+}
+
+const chat = `{"model":"m","messages":[{"role":"user","content":"hello"}]}`
+
+// Each bad request gets one clear answer, and a good one right after it is
+// served.
+func TestBadInput(t *testing.T) {
+	b := newBench(t, standIn().Handler())
+	long := strings.Repeat("x", 300)
+	for _, c := range []struct {
+		name, method, path, body string
+		header                   map[string]string
+		status                   int
+		says                     string
+	}{
+		{"wrong key", "POST", engine.PathChat, chat, map[string]string{"Authorization": "Bearer nope"}, 401, "no workspace has this key"},
+		{"no bearer", "POST", engine.PathChat, chat, map[string]string{"Authorization": "Basic x"}, 401, "no workspace has this key"},
+		{"bad JSON", "POST", engine.PathChat, `{"messages":`, nil, 400, "the body is not a JSON object"},
+		{"no messages", "POST", engine.PathChat, `{}`, nil, 400, "messages must be a list"},
+		{"stream no bool", "POST", engine.PathChat, `{"messages":[],"stream":"yes"}`, nil, 400, "stream must be true or false"},
+		{"unknown model", "POST", engine.PathChat, `{"model":"other","messages":[]}`, nil, 404, `workspace w has no model \"other\"`},
+		{"unknown service", "POST", "/services/other/x", "", nil, 404, `workspace w has no service \"other\"`},
+		{"unknown path", "POST", "/v1/other", "", nil, 404, "the paths are"},
+		{"wrong method", "GET", engine.PathChat, "", nil, 405, "by POST"},
+		{"too large", "POST", engine.PathChat, `{"messages":["` + strings.Repeat("x", maxBody-16) + `"]}`, nil, 413, "at most 4096"},
+		{"far too large", "POST", engine.PathChat, strings.Repeat("x", 100*maxBody), nil, 413, "larger than this entry instance takes"},
+		{"header too large", "POST", engine.PathChat, chat, map[string]string{"X-Large": strings.Repeat("x", 600<<10)}, 413, "larger than this entry instance takes"},
+		{"bad timeout", "POST", engine.PathChat, chat, map[string]string{HeaderTimeout: "soon"}, 400, HeaderTimeout},
+		{"bad deadline", "POST", engine.PathChat, chat, map[string]string{HeaderDeadline: "tomorrow"}, 400, HeaderDeadline},
+		{"deadline past", "POST", engine.PathChat, chat, map[string]string{HeaderDeadline: "2020-01-01T00:00:00Z"}, 504, "the deadline had passed"},
+		{"bad priority", "POST", engine.PathChat, chat, map[string]string{HeaderPriority: "urgent"}, 400, HeaderPriority},
+		{"bad repeatable", "POST", engine.PathChat, chat, map[string]string{HeaderRepeatable: "maybe"}, 400, HeaderRepeatable},
+		{"long key", "POST", engine.PathChat, chat, map[string]string{HeaderKey: long}, 400, HeaderKey},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			response, text := b.send(c.method, c.path, c.body, c.header)
+			assert.Equal(t, c.status, response.StatusCode, text)
+			assert.Equal(t, "not-run", response.Header.Get(HeaderOutcome))
+			assert.Contains(t, text, c.says)
+			response, text = b.send("POST", engine.PathChat, chat, nil)
+			assert.Equal(t, 200, response.StatusCode, text)
+		})
+	}
+}
+
+// closing answers a request by closing its connection at a chosen moment.
+func closing(after string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = buffer.WriteString(after)
+		_ = buffer.Flush()
+		_ = conn.Close()
+	})
+}
+
+// An endpoint whose connection breaks after the request has left is never
+// called not run, and a call that may not be repeated is sent once.
+func TestBrokenEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		status       int
+		cut          bool
+	}{
+		{"before the answer", "", 502, false},
+		{"in the header", "HTTP/1.1 200 OK\r\nContent-Ty", 502, false},
+		{"in the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", 200, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var sent atomic.Int64
+			inner := closing(c.answer)
+			b := newBench(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				sent.Add(1)
+				inner.ServeHTTP(w, r)
+			}))
+			request, err := http.NewRequest("POST", "http://"+b.address+"/services/s/pay", nil)
+			require.NoError(t, err)
+			request.Header.Set("Authorization", "Bearer "+testKey)
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			assert.Equal(t, c.status, response.StatusCode)
+			_, err = io.ReadAll(response.Body)
+			if c.cut {
+				assert.Error(t, err, "an answer that is not whole looks whole")
+			} else {
+				assert.Equal(t, "unknown", response.Header.Get(HeaderOutcome))
+			}
+			assert.Equal(t, int64(1), sent.Load())
+		})
+	}
+}
+
+// Events of another attempt, or out of order, never reach the caller.
+func TestForeignEvents(t *testing.T) {
+	event := func(id string, token int, text string) string {
+		return fmt.Sprintf("data: {\"id\":%q,\"ridgehinge_token\":%d,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", id, token, text)
+	}
+	for _, c := range []struct {
+		name string
+		body func(attempt string) string
+	}{
+		{"another attempt", func(a string) string { return event(a, 0, "mine") + event("other-1", 1, "theirs") }},
+		{"repeated", func(a string) string { return event(a, 0, "mine") + event(a, 0, "theirs") }},
+		{"skipped", func(a string) string { return event(a, 0, "mine") + event(a, 2, "theirs") }},
+		{"cut without an end mark", func(a string) string { return event(a, 0, "mine") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, c.body(r.Header.Get(engine.HeaderAttempt)))
+			}))
+			_, text := b.send("POST", engine.PathChat, `{"stream":true,"messages":[]}`, map[string]string{HeaderRepeatable: "false"})
+			assert.Contains(t, text, "mine")
+			assert.NotContains(t, text, "theirs")
+			assert.NotContains(t, text, "[DONE]")
+			assert.Contains(t, text, "event: error")
+			assert.Contains(t, text, `"outcome":"unknown"`)
+		})
+	}
+}
+
+// A slow reader costs bounded memory: its connection is closed in the end.
+func TestSlowReader(t *testing.T) {
+	other := standIn().Handler()
+	b := newBench(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/large" {
+			other.ServeHTTP(w, r)
+			return
+		}
+		piece := strings.Repeat("y", 64<<10)
+		for range 400 {
+			if _, err := io.WriteString(w, piece); err != nil {
+				return
+			}
+		}
+	}))
+	conn, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET /services/s/large HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", testKey)
+	require.NoError(t, err)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	require.NoError(t, err)
+	assert.Contains(t, line, "200")
+	// Nothing more is read. The request must come to its end all the same.
+	require.Eventually(t, func() bool { return b.gateway.inProgress.Load() == 0 }, 30*time.Second, 10*time.Millisecond)
+	response, text := b.send("POST", engine.PathChat, chat, nil)
+	assert.Equal(t, 200, response.StatusCode, text)
+}
+
+// A stopping gateway refuses as not run and lets the rest finish.
+func TestStopRefuses(t *testing.T) {
+	b := newBench(t, standIn().Handler())
+	b.gateway.stopping.Store(true)
+	response, text := b.send("POST", engine.PathChat, chat, nil)
+	assert.Equal(t, 503, response.StatusCode, text)
+	assert.Equal(t, "not-run", response.Header.Get(HeaderOutcome))
+	assert.Equal(t, "1", response.Header.Get("Retry-After"))
+}
+
+// Retries have a budget: when everything fails, a node sends few more
+// requests than it got.
+func TestRetryBudget(t *testing.T) {
+	var sent atomic.Int64
+	b := newBench(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sent.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	b.gateway.options.MaxAttempts = 3
+	const requests = 100
+	for range requests {
+		b.gateway.mu.Lock()
+		b.gateway.router.Finished(time.Now(), "g", 0, true)
+		b.gateway.mu.Unlock()
+		b.send("POST", engine.PathChat, chat, map[string]string{HeaderTimeout: "60"})
+	}
+	assert.LessOrEqual(t, sent.Load(), int64(requests+requests/10+retryReserve))
+}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -95,7 +95,12 @@
 		invariant.Check(!c.mayHaveRun, invariant.NotRun, "request %s is called not run after attempt %d", c.id, c.attempts)
 	}
 	c.outcome = f.outcome
-	c.log.Info("answered with an error", "status", f.status, "outcome", string(f.outcome), "reason", f.message)
+	note := c.log.Info
+	if f.outcome == OutcomeNotRun {
+		// Refusals come in floods just when there is most to do.
+		note = c.log.Debug
+	}
+	note("answered with an error", "status", f.status, "outcome", string(f.outcome), "reason", f.message)
 	body := f.body(c.id)
 	if c.begun {
 		_ = c.out.Write([]byte("event: error\ndata: "))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -191,6 +191,11 @@
 func (r *httpResponder) End() {}
 
 func (r *httpResponder) Cut() {
+	if flusher, ok := r.w.(http.Flusher); ok && !r.closed() {
+		// What there is goes out first: a caller that has a status knows more
+		// than one whose connection just ends.
+		flusher.Flush()
+	}
 	if r.conn != nil {
 		_ = r.conn.Close()
 	}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -2,9 +2,12 @@
 package httpserver
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -13,6 +16,9 @@
 	// the connection is closed.
 	maxWriteBuffer = 1 << 20
 	keepAlive      = 2 * time.Minute
+	// maxHeader bounds a header that is still incomplete, in bytes. It is
+	// larger than one read of a connection, which may bring a body as well.
+	maxHeader = 256 << 10
 )
 
 // Options of an engine.
@@ -27,13 +33,52 @@
 
 // New returns an engine that has not started.
 func New(o Options) *nbhttp.Engine {
-	return nbhttp.NewEngine(nbhttp.Config{
+	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network:                "tcp",
 		Addrs:                  []string{o.Address},
 		Handler:                o.Handler,
 		MaxHTTPBodySize:        o.MaxBody + 1,
+		ReadLimit:              maxHeader,
 		MaxWriteBufferSize:     maxWriteBuffer,
 		MessageHandlerPoolSize: o.MaxRequests,
 		KeepaliveTime:          keepAlive,
 	})
+	answerTooLarge(engine)
+	return engine
 }
+
+// tooLargeBody is the answer to a request that passes a bound before a handler
+// sees it. Nothing of it has run.
+const tooLargeBody = `{"error":{"message":"the request is larger than this entry instance takes","type":"too_large","outcome":"not-run"}}` + "\n"
+
+// lingerTime is how long the rest of such a request is read and dropped, so
+// that the answer is not lost to a reset of the connection.
+const lingerTime = 2 * time.Second
+
+// answerTooLarge takes the place of nbhttp's own data handler, which closes
+// the connection of a request that is too large without an answer.
+func answerTooLarge(e *nbhttp.Engine) {
+	e.OnData(func(c *nbio.Conn, data []byte) {
+		parser, ok := c.Session().(nbhttp.ParserCloser)
+		if !ok {
+			return
+		}
+		err := parser.Parse(data)
+		switch {
+		case err == nil:
+		case errors.Is(err, nbhttp.ErrTooLong):
+			c.SetSession(discarder{parser})
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 413 Request Entity Too Large\r\nContent-Type: application/json\r\n"+
+				"Content-Length: %d\r\nConnection: close\r\nRidgehinge-Outcome: not-run\r\n\r\n%s", len(tooLargeBody), tooLargeBody)
+			time.AfterFunc(lingerTime, func() { _ = c.CloseWithError(err) })
+		default:
+			_ = c.CloseWithError(err)
+		}
+	})
+}
+
+// discarder drops what still comes of a request that was answered.
+type discarder struct{ nbhttp.ParserCloser }
+
+// Parse drops the data.
+func (discarder) Parse([]byte) error { return nil }
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,88 @@
+package peers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/membership"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var key = []byte("0123456789abcdef")
+
+// echo answers an exchange with the question, and a forward with its body.
+type echo struct{}
+
+func (echo) Exchange(_ context.Context, m *Message) (*Message, error) { return m, nil }
+
+func (echo) Forward(q *peerpb.ForwardRequest, out peerpb.DRPCPeers_ForwardStream) error {
+	for _, b := range q.GetBody() {
+		if err := out.Send(&peerpb.ForwardEvent{Body: []byte{b}}); err != nil {
+			return err
+		}
+	}
+	return out.Send(&peerpb.ForwardEvent{Done: true})
+}
+
+func listen(t *testing.T) *Server {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", key, echo{})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestExchange(t *testing.T) {
+	s := listen(t)
+	c := NewClient(key, nil)
+	defer c.Close()
+	beat := membership.Beat{
+		From:        membership.Node{ID: "n", DataCentre: "dc", Address: "a"},
+		Incarnation: 7, Stamp: time.Second, Echo: 2, EchoFor: 3, OldestAge: 4, Since: 5, Seq: 6, Ack: 8, AckFor: 9,
+		Leaving: true, ConfigurationRevision: 10, GroupsRevision: 11,
+		Reports: []fleet.Report{{Instance: "i", Incarnation: 1, Version: 2, Phase: fleet.PhaseReady, Group: "g", Generation: 3, Leaving: true, Weights: "w", Slots: 4, Load: 5}},
+		Demand:  map[string]float64{"p": 1.5},
+		Known:   []membership.Node{{ID: "m"}},
+	}
+	for range 3 {
+		answer, err := c.Exchange(context.Background(), s.Address(), &Message{Beat: BeatToWire(beat)})
+		require.NoError(t, err)
+		assert.Equal(t, beat, BeatFromWire(answer.GetBeat()))
+	}
+}
+
+func TestForward(t *testing.T) {
+	s := listen(t)
+	c := NewClient(key, nil)
+	f, err := c.Forward(context.Background(), s.Address(), &peerpb.ForwardRequest{Body: []byte("abc")})
+	require.NoError(t, err)
+	defer f.Close()
+	got := ""
+	for {
+		event, err := f.Read()
+		require.NoError(t, err)
+		got += string(event.GetBody())
+		if event.GetDone() {
+			break
+		}
+	}
+	assert.Equal(t, "abc", got)
+}
+
+func TestWrongKey(t *testing.T) {
+	s := listen(t)
+	c := NewClient([]byte("another key 0000"), nil)
+	defer c.Close()
+	_, err := c.Exchange(context.Background(), s.Address(), &Message{})
+	assert.ErrorIs(t, err, ErrUnreachable)
+	_, err = c.Forward(context.Background(), s.Address(), &peerpb.ForwardRequest{})
+	assert.ErrorIs(t, err, ErrUnreachable, "a request must not leave to a peer without the key")
+}
--- a/pkg/membership/beat.go
+++ b/pkg/membership/beat.go
@@ -139,7 +139,7 @@
 	p.groupsRevision = b.GroupsRevision
 	t.takeAck(p, b)
 	t.takeReports(p, b)
-	if b.EchoFor == t.options.Incarnation && b.Echo > 0 {
+	if b.EchoFor == t.options.Incarnation {
 		p.heard = later(p.heard, t.options.Start.Add(b.Echo))
 		p.vouched = later(p.vouched, t.options.Start.Add(b.Echo-b.OldestAge))
 	}
