Scale the intervals with the data centre; read the instance list by version; shorten beats

Cause: arithmetic from the measured slopes: at 72 nodes and 1,833 endpoints a node would send 8.9 KB/s of beats, 10 KB/s of polls, and read 130 KB/s of instance list, against 6 KB/s. Ruled out: relays between nodes (1.1 KB/s but 4 s of staleness, against 2.7 s direct); dropping the second watcher. Change: intervals grow until beats fit 2,200 B/s and polls 2,400 B/s, evidence lives for two of them and a little; the list is read by data centre and version; a beat says where its sender is, and what it is asked for, only when that is news; the lease is looked at less often by those who do not hold it.

--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -278,3 +278,27 @@
 	total := client.Bytes().Read.Load() - read + client.Bytes().Written.Load() - written
 	b.ReportMetric(float64(total)/float64(b.N)-float64(2*proto.Size(message)), "B-framing/exchange")
 }
+
+// TestBudgetAtSize holds the scaled intervals against what a node may send,
+// with the sizes that the benchmarks above measure.
+func TestBudgetAtSize(t *testing.T) {
+	ttl := membership.Times{Own: 1200 * time.Millisecond, Vouch: 3 * time.Second, Peer: 1500 * time.Millisecond}
+	for _, c := range []struct {
+		nodes, watched int
+		exchange, poll time.Duration
+	}{
+		{3, 12, 400 * time.Millisecond, 400 * time.Millisecond},
+		{9, 12, 400 * time.Millisecond, 400 * time.Millisecond},
+		{72, 51, 2743181818, 1700 * time.Millisecond},
+	} {
+		got, times := scaled(DefaultIntervals(), ttl, c.nodes, c.watched)
+		require.Equal(t, c.exchange, got.Exchange)
+		require.Equal(t, c.poll, got.Poll)
+		require.GreaterOrEqual(t, times.Own, 2*got.Poll)
+		require.GreaterOrEqual(t, times.Vouch, 2*got.Exchange)
+		require.GreaterOrEqual(t, times.Peer, 2*got.Exchange)
+	}
+	c := newCentre(9, 50)
+	bytes := exchangeOnce(c.now, c.loops[0], c.loops[1])
+	require.LessOrEqual(t, bytes/2+28, exchangeBytes, "a beat at rest has grown; measure and set the constant anew")
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -118,6 +118,8 @@
 	ctx      context.Context
 	running  sync.WaitGroup
 	snapshot atomic.Pointer[Snapshot]
+	// intervals are those of the options, scaled to the data centre's size.
+	intervals Intervals
 
 	start     time.Time
 	random    *rand.Rand
@@ -127,6 +129,9 @@
 	store     *configuration.Store
 	groups    *fleet.Groups
 	instances map[fleet.InstanceID]fleet.Instance
+	// unlisted are the instances that the list no longer has, but that still
+	// answer.
+	unlisted map[fleet.InstanceID]bool
 	// listed is when the platform's list was last read.
 	listed   time.Time
 	watches  map[fleet.InstanceID]*watch
@@ -157,6 +162,7 @@
 	options.Membership.Start = start
 	l := &Loop{
 		options:   options,
+		intervals: options.Intervals,
 		log:       logging.For("control").With("node", string(options.Self.ID)),
 		events:    make(chan event, eventBuffer),
 		start:     start,
@@ -166,6 +172,7 @@
 		store:     configuration.NewStore(),
 		groups:    fleet.NewGroups(),
 		instances: map[fleet.InstanceID]fleet.Instance{},
+		unlisted:  map[fleet.InstanceID]bool{},
 		watches:   map[fleet.InstanceID]*watch{},
 		links:     map[membership.NodeID]*link{},
 		remotes:   map[membership.NodeID]*remote{},
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if !now.Before(l.next.plan) {
-		l.next.plan = now.Add(l.options.Intervals.Plan)
+		l.next.plan = now.Add(l.intervals.Plan)
 		l.control.queue = l.planner.Step(l.view(now))
 	}
 	l.sendOrders(now)
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -52,7 +52,7 @@
 		}
 		// Whoever finds the interval over begins; the other side's clock
 		// starts anew with it, so a pair has one exchange an interval.
-		if k.busy || now.Before(k.next) || now.Sub(k.last) < l.options.Intervals.Exchange {
+		if k.busy || now.Before(k.next) || now.Sub(k.last) < l.intervals.Exchange {
 			continue
 		}
 		l.exchangeWith(now, node, k)
@@ -74,7 +74,7 @@
 func (l *Loop) exchangeWith(now time.Time, node membership.Node, k *link) {
 	k.busy = true
 	k.last = now
-	k.next = now.Add(l.jitter(l.options.Intervals.Exchange))
+	k.next = now.Add(l.jitter(l.intervals.Exchange))
 	configurationRevision, groupsRevision := l.tracker.Revisions(node.ID)
 	message := l.message(now, node.ID, configurationRevision, groupsRevision)
 	message.LacksInstances = len(l.instances) == 0
@@ -130,7 +130,7 @@
 	k.busy = false
 	if e.err != nil {
 		k.failures++
-		wait := l.options.Intervals.Exchange << min(k.failures, 4)
+		wait := l.intervals.Exchange << min(k.failures, 4)
 		k.next = now.Add(l.jitter(min(wait, maxBackoff)))
 		return
 	}
@@ -237,7 +237,7 @@
 func (e exchangeEvent) apply(l *Loop, now time.Time) {
 	beat := e.message.GetBeat()
 	from := fleet.DataCentre(beat.GetFrom().GetDataCentre())
-	if from != l.options.Self.DataCentre {
+	if from != "" && from != l.options.Self.DataCentre {
 		l.takeConfiguration(e.message.GetConfiguration())
 		e.reply <- l.remoteMessage(beat.GetConfigurationRevision())
 		return
@@ -294,7 +294,7 @@
 
 func (l *Loop) exchangeRemote(now time.Time, r *remote) {
 	r.busy = true
-	r.next = now.Add(l.jitter(l.options.Intervals.Remote))
+	r.next = now.Add(l.jitter(l.intervals.Remote))
 	message := l.remoteMessage(r.revision)
 	l.async(func(ctx context.Context) event {
 		answer, err := l.options.Peers.Exchange(ctx, r.node.Address, message)
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -89,7 +89,7 @@
 // controller may still be under way.
 func (l *Loop) order(now time.Time, id fleet.InstanceID, o engine.Order) {
 	in, listed := l.instances[id]
-	if !listed || now.Sub(l.orders[id]) < l.options.Intervals.Order {
+	if !listed || now.Sub(l.orders[id]) < l.intervals.Order {
 		return
 	}
 	if !in.ChecksFences && now.Sub(l.control.since) < l.options.UnfencedWait {
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -23,6 +23,8 @@
 	// behind is set when a head read found groups that this node lacks; the
 	// next one reads them from the table if no peer has brought them.
 	behind bool
+	// listVersion is the version of the instance list that is held.
+	listVersion uint64
 	// answered is when the table last answered.
 	answered time.Time
 }
@@ -30,15 +32,16 @@
 func (l *Loop) readPlatform(now time.Time) {
 	if !l.reads.busyHead && !now.Before(l.reads.nextHead) {
 		l.reads.busyHead = true
-		l.reads.nextHead = now.Add(l.jitter(l.options.Intervals.Head))
+		l.reads.nextHead = now.Add(l.jitter(l.intervals.Head))
 		l.readHead()
 	}
 	if !l.reads.busyInstances && !now.Before(l.reads.nextInstances) {
 		l.reads.busyInstances = true
-		l.reads.nextInstances = now.Add(l.jitter(l.options.Intervals.Instances))
+		l.reads.nextInstances = now.Add(l.jitter(l.intervals.Instances))
+		dc, version := l.options.Self.DataCentre, l.reads.listVersion
 		l.async(func(ctx context.Context) event {
-			list, err := l.options.Platform.Instances(ctx)
-			return instancesRead{list, err}
+			list, newVersion, err := l.options.Platform.Instances(ctx, dc, version)
+			return instancesRead{list, newVersion, newVersion != version, err}
 		})
 	}
 }
@@ -121,8 +124,10 @@
 
 // instancesRead is the platform's instance list.
 type instancesRead struct {
-	list []fleet.Instance
-	err  error
+	list    []fleet.Instance
+	version uint64
+	changed bool
+	err     error
 }
 
 func (e instancesRead) apply(l *Loop, now time.Time) {
@@ -131,7 +136,23 @@
 		l.log.Debug("the instance list did not come", "error", e.err)
 		return
 	}
-	l.setInstances(now, e.list)
+	l.reads.listVersion = e.version
+	if e.changed {
+		l.setInstances(now, e.list)
+		return
+	}
+	l.dropEnded(now)
+}
+
+// dropEnded forgets instances that were kept only because they answered.
+func (l *Loop) dropEnded(now time.Time) {
+	for id := range l.unlisted {
+		if _, fresh := l.tracker.Status(now, id); !fresh {
+			delete(l.unlisted, id)
+			delete(l.instances, id)
+			l.listed = now
+		}
+	}
 }
 
 // setInstances takes a new list. An instance that is no longer listed but
@@ -148,6 +169,7 @@
 			mine[in.ID] = in
 		}
 	}
+	clear(l.unlisted)
 	for id, in := range l.instances {
 		if _, listed := mine[id]; listed {
 			continue
@@ -155,13 +177,16 @@
 		if _, fresh := l.tracker.Status(now, id); fresh {
 			in.Leaving = true
 			mine[id] = in
+			l.unlisted[id] = true
 		}
 	}
 	if !sameInstances(l.instances, mine) {
 		l.listed = now
 	}
 	l.instances = mine
-	l.setKnown(now, entries)
+	if len(entries) > 0 {
+		l.setKnown(now, entries)
+	}
 }
 
 func sameInstances(a, b map[fleet.InstanceID]fleet.Instance) bool {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -91,8 +91,8 @@
 		return
 	}
 	l.published = s
-	l.next.publish = now.Add(l.options.Intervals.Publish)
-	l.next.refresh = now.Add(l.options.Intervals.Refresh)
+	l.next.publish = now.Add(l.intervals.Publish)
+	l.next.refresh = now.Add(l.intervals.Refresh)
 	l.publishNow(now)
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		if w := l.watches[id]; w == nil || w.address != in.Address {
-			first := time.Duration(l.random.Int64N(int64(l.options.Intervals.Poll)/4 + 1))
+			first := time.Duration(l.random.Int64N(int64(l.intervals.Poll)/4 + 1))
 			l.watches[id] = &watch{address: in.Address, next: now.Add(first)}
 		}
 	}
@@ -67,6 +67,7 @@
 			delete(l.watches, id)
 		}
 	}
+	l.rescale(len(live))
 }
 
 func watchKey(live []membership.NodeID, listed time.Time) string {
@@ -92,7 +93,7 @@
 
 func (l *Loop) poll(now time.Time, id fleet.InstanceID, w *watch) {
 	w.busy = true
-	w.next = now.Add(l.jitter(l.options.Intervals.Poll))
+	w.next = now.Add(l.jitter(l.intervals.Poll))
 	tag := w.tag
 	address := w.address
 	l.async(func(ctx context.Context) event {
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -157,7 +157,7 @@
 	if t.Model == "" {
 		return nil
 	}
-	list, err := a.options.Table.Instances(ctx)
+	list, _, err := a.options.Table.Instances(ctx, "", 0)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -212,11 +212,13 @@
 	return 0, false, nil
 }
 
-// Instances reads the platform's list of live and leaving instances.
-func (c *Client) Instances(ctx context.Context) ([]fleet.Instance, error) {
+// Instances reads the platform's list of live and leaving instances: all of
+// them, or those of a data centre and all entry instances. It returns the
+// list's version, and no instances if that is the version given.
+func (c *Client) Instances(ctx context.Context, dc fleet.DataCentre, version uint64) ([]fleet.Instance, uint64, error) {
 	var response InstancesResponse
-	err := c.call(ctx, PathInstances, struct{}{}, &response)
-	return response.Instances, err
+	err := c.call(ctx, PathInstances, InstancesRequest{DataCentre: dc, Version: version}, &response)
+	return response.Instances, response.Version, err
 }
 
 func (c *Client) call(ctx context.Context, path string, in, out any) error {
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -64,7 +64,15 @@
 	Rows []Row `json:"rows"`
 }
 
+// InstancesRequest asks for the endpoints of one data centre and for all
+// entry instances, unless the list is still at the version given.
+type InstancesRequest struct {
+	DataCentre fleet.DataCentre `json:"data_centre,omitempty"`
+	Version    uint64           `json:"version"`
+}
+
 // InstancesResponse is the platform's instance list; it lags.
 type InstancesResponse struct {
-	Instances []fleet.Instance `json:"instances"`
+	Version   uint64           `json:"version"`
+	Instances []fleet.Instance `json:"instances,omitempty"`
 }
--- a/internal/standin/platformstandin/platformstandin.go
+++ b/internal/standin/platformstandin/platformstandin.go
@@ -36,11 +36,13 @@
 	rows      map[string]platform.Row
 	version   uint64
 	instances map[fleet.InstanceID]fleet.Instance
-	faults    Faults
-	second    int64
-	writes    int
-	reads     int
-	total     Counts
+	// listed is the version of the instance list.
+	listed uint64
+	faults Faults
+	second int64
+	writes int
+	reads  int
+	total  Counts
 }
 
 // Counts is how many calls the stand-in has served.
@@ -51,7 +53,7 @@
 
 // New returns an empty stand-in.
 func New() *Server {
-	return &Server{rows: map[string]platform.Row{}, instances: map[fleet.InstanceID]fleet.Instance{}}
+	return &Server{rows: map[string]platform.Row{}, instances: map[fleet.InstanceID]fleet.Instance{}, listed: 1}
 }
 
 // SetFaults switches the faults.
@@ -80,6 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instances[in.ID] = in
+	s.listed++
 }
 
 // RemoveInstance takes an instance off the list.
@@ -87,6 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.instances, id)
+	s.listed++
 }
 
 // Handler returns the stand-in's HTTP interface, with the switches under
@@ -198,10 +202,18 @@
 	return rows
 }
 
-func (s *Server) handleInstances(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) handleInstances(w http.ResponseWriter, r *http.Request) {
+	var request platform.InstancesRequest
+	if !decode(w, r, &request) {
+		return
+	}
 	s.mu.Lock()
-	var response platform.InstancesResponse
+	response := platform.InstancesResponse{Version: s.listed}
 	for _, in := range s.instances {
+		wanted := request.DataCentre == "" || in.DataCentre == request.DataCentre || in.Kind == fleet.KindEntry
+		if request.Version == s.listed || !wanted {
+			continue
+		}
 		response.Instances = append(response.Instances, in)
 	}
 	s.mu.Unlock()
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -25,6 +25,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/control"
 	"github.com/ridgehinge/ridgehinge/internal/operatorapi"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
+	"github.com/ridgehinge/ridgehinge/internal/standin/enginestandin"
 	"github.com/ridgehinge/ridgehinge/internal/standin/platformstandin"
 	"github.com/ridgehinge/ridgehinge/lab/faultproxy"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
@@ -89,6 +90,8 @@
 	// Control has a line of its own to the platform, without faults.
 	Control *platform.Client
 	nextIP  byte
+	// Tuning replaces the quick settings that tests run with.
+	Tuning string
 	// requests numbers the submissions.
 	requests int
 }
@@ -126,6 +129,7 @@
 		t:         t,
 		dir:       t.TempDir(),
 		binaries:  b,
+		Tuning:    tuning,
 		Endpoints: map[string]*Process{},
 		instances: map[string]fleet.Instance{},
 	}
@@ -134,7 +138,7 @@
 	c.Platform = c.start("platform", address, b.StandIn, "platform", "-listen", address)
 	c.Control = platform.New(platform.Options{Address: address, Timeout: 2 * time.Second})
 	c.Eventually("the platform answers", func() bool {
-		_, err := c.Control.Instances(t.Context())
+		_, _, err := c.Control.Instances(t.Context(), "", 0)
 		return err == nil
 	})
 	return c
@@ -254,6 +258,18 @@
 	return p
 }
 
+// HostEndpoint serves an endpoint inside this process, for measurements with
+// more endpoints than a machine should have processes.
+func (c *Cluster) HostEndpoint(in fleet.Instance, o enginestandin.Options) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(c.t, err)
+	server := &http.Server{Handler: enginestandin.New(o).Handler()}
+	c.t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	in.Address = listener.Addr().String()
+	c.PutInstance(in)
+}
+
 // AddEngines starts model engines in one fabric domain.
 func (c *Cluster) AddEngines(dc, domain string, count int, args ...string) []*Process {
 	var out []*Process
@@ -344,7 +360,7 @@
 	e.Source = netip.MustParseAddr(ip)
 	text := fmt.Sprintf("[node]\nname = %s\ndata_centre = %s\n[listen]\ncallers = %s\noperator = %s\npeers = %s\npeers_advertised = %s\n"+
 		"[keys]\npeers = %s\noperator = %s\n[platform]\naddress = %s\n%s",
-		name, dc, e.Callers, e.Operator, address, e.Proxy.Address(), peerKey, OperatorKey, c.Platform.Proxy.Address(), tuning)
+		name, dc, e.Callers, e.Operator, address, e.Proxy.Address(), peerKey, OperatorKey, c.Platform.Proxy.Address(), c.Tuning)
 	require.NoError(c.t, os.WriteFile(path, []byte(text), 0o600))
 	c.run(e.Process)
 	c.Entries = append(c.Entries, e)
--- a/lab/cmd/load/main.go
+++ b/lab/cmd/load/main.go
@@ -4,6 +4,7 @@
 //	load pair     added time to first token and between tokens, at half load
 //	load streams  memory by the number of concurrent streams
 //	load cpu      processor time for each request and token
+//	load steady   what control costs a data centre at rest, by its size
 package main
 
 import (
@@ -23,6 +24,7 @@
 	subcommands.Register(&pairCommand{}, "")
 	subcommands.Register(&streamsCommand{}, "")
 	subcommands.Register(&cpuCommand{}, "")
+	subcommands.Register(&steadyCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -66,6 +66,7 @@
 	// until is when this node's own hold ends on its own clock.
 	until time.Time
 	next  time.Time
+	look  time.Duration
 	busy  bool
 	seen  bool
 }
@@ -88,22 +89,27 @@
 	return m.row.Holder, m.row.Epoch
 }
 
+// SetLook changes how often a node that does not hold the lease looks at it.
+func (m *Machine) SetLook(d time.Duration) { m.look = d }
+
 // Next returns what to do now. Only one action is under way at a time.
 func (m *Machine) Next(now time.Time) Action {
 	if m.busy || now.Before(m.next) {
 		return Action{}
 	}
 	m.busy = true
-	m.next = now.Add(m.options.Renew)
+	m.next = now.Add(max(m.options.Renew, m.look))
 	if !m.seen {
 		return Action{Kind: ActionRead}
 	}
 	if _, held := m.Held(now); held {
+		m.next = now.Add(m.options.Renew)
 		row := m.row
 		row.Renewals++
 		return Action{Kind: ActionRenew, Row: row, Version: m.version}
 	}
 	if m.lapsed(now) {
+		m.next = now.Add(m.options.Renew)
 		row := Row{Epoch: m.row.Epoch + 1, Holder: m.options.Self}
 		return Action{Kind: ActionAcquire, Row: row, Version: m.version}
 	}
--- a/pkg/membership/beat.go
+++ b/pkg/membership/beat.go
@@ -40,15 +40,16 @@
 	Since   uint64
 	Seq     uint64
 	Reports []fleet.Report
-	// Ack is the last Seq that the sender has of the receiver's reports.
-	Ack    uint64
-	AckFor uint64
+	// Ack is the last Seq that the sender has of the receiver's reports. It
+	// belongs to the same incarnation of the receiver as Echo.
+	Ack uint64
 	// Leaving is set by a sender that is stopping.
 	Leaving bool
 	// ConfigurationRevision and GroupsRevision are what the sender holds.
 	ConfigurationRevision uint64
 	GroupsRevision        uint64
-	// Demand is the sender's recent requests a second for each workspace.
+	// Demand is the sender's recent requests a second for each pool, as far
+	// as they have changed noticeably since the last beat to the receiver.
 	Demand map[string]float64
 	// Known lists other nodes, sent to a node that is not known yet.
 	Known []Node
@@ -71,20 +72,20 @@
 		Leaving:               own.Leaving,
 		ConfigurationRevision: own.ConfigurationRevision,
 		GroupsRevision:        own.GroupsRevision,
-		Demand:                own.Demand,
 	}
 	p := t.peers[to]
 	if p == nil {
 		p = &peer{}
 	}
-	if !p.greeted {
-		p.greeted = true
+	if p.greeted {
+		b.From = Node{ID: b.From.ID}
+	} else {
 		b.Known = t.Nodes()
 	}
+	b.Demand = p.tell(own.Demand)
 	b.Echo = p.stamp
 	b.EchoFor = p.incarnation
 	b.Ack = p.seq
-	b.AckFor = p.incarnation
 	b.Since = p.acked
 	if p.acked < t.floor {
 		b.Since = 0
@@ -122,24 +123,33 @@
 	}
 	p := t.peers[b.From.ID]
 	switch {
+	case (p == nil || b.Incarnation > p.incarnation) && b.From.DataCentre == "":
+		// The sender takes this node for an earlier life of it, which knew the
+		// sender. It will find out by this node's own beat.
+		return false
 	case p == nil || b.Incarnation > p.incarnation:
 		if p != nil {
 			t.releaseAll(p)
 		}
-		p = &peer{node: b.From, incarnation: b.Incarnation, reports: map[fleet.InstanceID]fleet.Report{}}
+		p = &peer{node: b.From, incarnation: b.Incarnation, reports: map[fleet.InstanceID]fleet.Report{}, demand: map[string]float64{}}
 		t.peers[b.From.ID] = p
 	case b.Incarnation < p.incarnation || b.Stamp < p.stamp:
 		return false
 	}
-	p.node = b.From
+	if b.From.DataCentre != "" {
+		p.node = b.From
+	}
 	p.stamp = b.Stamp
 	p.leaving = b.Leaving
-	p.demand = b.Demand
+	for pool, rate := range b.Demand {
+		p.demand[pool] = rate
+	}
 	p.configurationRevision = b.ConfigurationRevision
 	p.groupsRevision = b.GroupsRevision
 	t.takeAck(p, b)
 	t.takeReports(p, b)
 	if b.EchoFor == t.options.Incarnation {
+		p.greeted = true
 		p.heard = later(p.heard, t.options.Start.Add(b.Echo))
 		p.vouched = later(p.vouched, t.options.Start.Add(b.Echo-b.OldestAge))
 	}
@@ -153,7 +163,7 @@
 }
 
 func (t *Tracker) takeAck(p *peer, b Beat) {
-	if b.AckFor == t.options.Incarnation {
+	if b.EchoFor == t.options.Incarnation {
 		p.acked = max(p.acked, b.Ack)
 		return
 	}
@@ -181,6 +191,29 @@
 	p.seq = max(p.seq, b.Seq)
 }
 
+// demandStep is the factor by which a rate must have changed to be told.
+const demandStep = 1.5
+
+// tell returns the rates that have changed since they were last told.
+func (p *peer) tell(rates map[string]float64) map[string]float64 {
+	var out map[string]float64
+	for pool, rate := range rates {
+		old := p.told[pool]
+		if rate <= (old+1)*demandStep && old <= (rate+1)*demandStep {
+			continue
+		}
+		if out == nil {
+			out = map[string]float64{}
+		}
+		if p.told == nil {
+			p.told = map[string]float64{}
+		}
+		out[pool] = rate
+		p.told[pool] = rate
+	}
+	return out
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// Times are how long evidence lives.
+type Times struct{ Own, Vouch, Peer time.Duration }
+
+// SetTimes changes how long evidence lives, as the data centre grows.
+func (t *Tracker) SetTimes(times Times) {
+	t.options.OwnTTL = times.Own
+	t.options.VouchTTL = times.Vouch
+	t.options.PeerTTL = times.Peer
+}
+
 // forgetAfter is how long a withdrawn report is kept for peers that were cut
 // off; without a bound a year of replaced instances would fill the memory.
 const forgetAfter = 10 * time.Minute
@@ -89,10 +99,13 @@
 	seq     uint64
 	acked   uint64
 	leaving bool
-	// greeted is set once the peer was told of the other nodes.
+	// greeted is set once the peer has shown that it knows this life of this
+	// node; until then beats say where the node is, and whom it knows.
 	greeted bool
 	reports map[fleet.InstanceID]fleet.Report
-	demand  map[string]float64
+	// demand is what the peer has told, told what this node has told it.
+	demand map[string]float64
+	told   map[string]float64
 
 	configurationRevision uint64
 	groupsRevision        uint64
