--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 MINUTES ?= 5
 
-.PHONY: help run test check race soak bench capacity experiments generate
+.PHONY: help run test check race soak bench steady capacity experiments generate
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' Makefile
@@ -33,3 +33,13 @@
 capacity: ## print the slopes behind docs/CAPACITY.md
 	$(GO) test -run xxx -bench 'Exchange|Publish|Plan|Poll|Wire' -benchtime 50x ./internal/control
 	$(GO) test -run xxx -bench Memory -benchtime 1x ./internal/control
+
+bench: ## speed of one entry instance against direct calls
+	$(GO) run ./lab/cmd/load pair
+	$(GO) run ./lab/cmd/load streams
+	$(GO) run ./lab/cmd/load cpu
+
+steady: ## what control costs real entry instances at rest
+	$(GO) run ./lab/cmd/load steady -nodes 9 -endpoints 50
+	$(GO) run ./lab/cmd/load steady -nodes 18 -endpoints 450
+	$(GO) run ./lab/cmd/load steady -nodes 36 -endpoints 900
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,7 +55,7 @@
 // DefaultIntervals suit some ten entry instances and sixty endpoints.
 func DefaultIntervals() Intervals {
 	return Intervals{
-		Tick:      20 * time.Millisecond,
+		Tick:      50 * time.Millisecond,
 		Poll:      400 * time.Millisecond,
 		Exchange:  400 * time.Millisecond,
 		Remote:    2 * time.Second,
--- a/lab/cmd/load/steady.go
+++ b/lab/cmd/load/steady.go
@@ -39,7 +39,7 @@
 	steadySize   = 8
 	steadyDomain = 64
 	// quietLog keeps the default times, which the tests' tuning replaces.
-	quietLog = "[log]\nlevel = warn\n[limits]\nmax_requests = 64\n"
+	quietLog = "[log]\nlevel = warn\n[limits]\nmax_requests = 64\n[placement]\nload_budget = 10000\n"
 )
 
 func (c *steadyCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
@@ -65,6 +65,8 @@
 	})
 }
 
+const restAfterForming = 20 * time.Second
+
 // formBound is how long the groups may take to form: they are formed one
 // transaction at a time.
 const formBound = 4 * time.Minute
@@ -135,6 +137,8 @@
 
 // measure prints the mean and the highest of all nodes.
 func (c *steadyCommand) measure(bed *cluster.Cluster, formed time.Duration) {
+	// What forming the groups has set going is told to all by then.
+	time.Sleep(restAfterForming)
 	for _, e := range bed.Entries {
 		controlBytes(e)
 	}
--- a/pkg/placement/grow.go
+++ b/pkg/placement/grow.go
@@ -199,7 +199,7 @@
 			continue
 		}
 		g := s.lastGroup(d.Template)
-		if g != nil && !s.surplusPays(d, g.Domain) {
+		if g != nil && !s.surplusPays(d, g.Domain, g) {
 			s.drain(g, "fewer groups are wanted")
 		}
 	}
@@ -229,12 +229,15 @@
 
 // surplusPays weighs one more serving group against its instances as idle
 // spares of the domain. Serving, they strand nothing, but a repair must
-// drain them first; idle, they strand for as long as nothing fails.
-func (s *step) surplusPays(d Demand, domain string) bool {
+// drain them first; idle, they strand for as long as nothing fails. The group
+// itself is left out of what its instances would protect: counted in, a group
+// that was formed in an empty domain would be drained at once, and formed
+// again after that.
+func (s *step) surplusPays(d Demand, domain string, itself *groupState) bool {
 	protected := 0
 	accelerators := 0
 	for _, g := range s.groups {
-		if g.Domain != domain || g.ended {
+		if g == itself || g.Domain != domain || g.ended {
 			continue
 		}
 		protected += len(g.Members)
@@ -275,7 +278,7 @@
 }
 
 func (s *step) fillDomain(d Demand, domain string) {
-	for len(s.free[domain]) >= d.Size && s.surplusPays(d, domain) {
+	for len(s.free[domain]) >= d.Size && s.surplusPays(d, domain, nil) {
 		taken, ok := s.pick(domain, d.Weights, d.Size)
 		if !ok {
 			return
