Give refused callers who come back their place: a returning line in each workspace, deadlines with a margin

Ruled out: longer times alone (those inside the surge still lose to new arrivals); signed tickets (a forged return only overtakes the caller's own workspace). Change: a request that says which refusal it returns from goes before new ones of its workspace; times of up to 10 minutes; a queued request needs two mean service times left after its predicted wait.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,6 @@
 	$(GO) run ./lab/cmd/load steady -nodes 9 -endpoints 50
 	$(GO) run ./lab/cmd/load steady -nodes 18 -endpoints 450
 	$(GO) run ./lab/cmd/load steady -nodes 36 -endpoints 900
+
+experiments: ## measure single decisions on seeded traces
+	$(GO) run ./lab/cmd/experiments
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -62,8 +62,8 @@
 	if !now.Before(l.next.plan) {
 		l.next.plan = now.Add(l.intervals.Plan)
 		l.control.queue = l.planner.Step(l.view(now))
+		l.sendOrders(now)
 	}
-	l.sendOrders(now)
 }
 
 // rowsRead is all rows of the data centre.
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -81,8 +81,26 @@
 	MaxInFlight int
 	Priority    Priority
 	Deadline    time.Time
+	// Returning marks a request that was refused before and comes back at the
+	// time it was told. It goes before new ones of its workspace, which have
+	// their own times to come.
+	Returning bool
 }
 
+// line is the queue of its workspace that the request waits in.
+func (q Request) line() int {
+	if q.Returning {
+		return lineReturning
+	}
+	return 1 + int(q.Priority)
+}
+
+// The lines of a workspace: returning requests, then one for each priority.
+const (
+	lineReturning = 0
+	lines         = 1 + int(priorities)
+)
+
 // Decision is the answer to one request.
 type Decision struct {
 	ID         ID
@@ -97,12 +115,15 @@
 	ewmaWeight = 0.1
 	// initialService is assumed until the first request has finished.
 	initialService = 500 * time.Millisecond
+	// serviceMargin is how many mean service times must be left of a deadline
+	// after the wait: work that ends too late is lost, and service times vary.
+	serviceMargin = 2
 	// agingStep is the wait that lifts a request by one priority, so that
 	// low ones are not starved by a steady flow of high ones.
 	agingStep = 2 * time.Second
 	// minRetryAfter and maxRetryAfter bound what callers are told.
 	minRetryAfter = time.Second
-	maxRetryAfter = time.Minute
+	maxRetryAfter = 10 * time.Minute
 	// noCapacityRetryAfter is told while a pool has no slots at all: about
 	// the time that a group takes to be repaired with a spare.
 	noCapacityRetryAfter = 5 * time.Second
@@ -116,7 +137,7 @@
 type workspace struct {
 	share    float64
 	inFlight int
-	queues   [priorities][]waiting
+	queues   [lines][]waiting
 }
 
 func (w *workspace) queued() int {
@@ -189,11 +210,11 @@
 		m.start(now, q)
 		return Decision{ID: q.ID, Outcome: OutcomeAdmitted}
 	}
-	wait := p.predictedWait(w)
-	if now.Add(wait).After(q.Deadline) {
+	wait := p.predictedWait(w, q.line())
+	if now.Add(wait + serviceMargin*p.service).After(q.Deadline) {
 		return refuse(q.ID, ReasonBusy, p.book(now, w, wait))
 	}
-	w.queues[q.Priority] = append(w.queues[q.Priority], waiting{q, now})
+	w.queues[q.line()] = append(w.queues[q.line()], waiting{q, now})
 	return Decision{ID: q.ID, Outcome: OutcomeQueued}
 }
 
@@ -222,9 +243,14 @@
 	return slots / math.Max(p.service.Seconds(), 1e-3)
 }
 
-// predictedWait is the time until one more request of the workspace starts.
-func (p *pool) predictedWait(w *workspace) time.Duration {
-	seconds := float64(w.queued()+1) / p.rate(w)
+// predictedWait is the time until one more request of the workspace starts,
+// behind all that wait in its line or in those before it.
+func (p *pool) predictedWait(w *workspace, line int) time.Duration {
+	ahead := 0
+	for _, q := range w.queues[:line+1] {
+		ahead += len(q)
+	}
+	seconds := float64(ahead+1) / p.rate(w)
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -312,8 +338,8 @@
 			switch {
 			case p.slots <= 0:
 				out = append(out, refuse(item.request.ID, ReasonNoCapacity, noCapacityRetryAfter))
-			case !now.Before(item.request.Deadline):
-				out = append(out, refuse(item.request.ID, ReasonExpired, clampRetry(p.predictedWait(w))))
+			case now.Add(p.service).After(item.request.Deadline):
+				out = append(out, refuse(item.request.ID, ReasonExpired, clampRetry(p.predictedWait(w, item.request.line()))))
 			default:
 				kept = append(kept, item)
 			}
@@ -358,7 +384,7 @@
 	return best
 }
 
-// take removes the first request by priority, each lifted by its wait.
+// take removes the first request by its line, each lifted by its wait.
 func (w *workspace) take(now time.Time) waiting {
 	chosen := -1
 	lowest := math.Inf(1)
