Count new requests behind the returns of their own workspace

Cause: with returns first, new requests were still predicted the whole rate, waited behind later returns and ended too late. Ruled out: one figure for the pool (a surging workspace's returns would slow the quiet one's new requests). Change: each workspace keeps the part of its starts that were returns, and its own come-back times; new requests are predicted the rest of the rate. Callers name the refusal in Ridgehinge-Retry-Of.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,7 @@
 	deadline   time.Time
 	priority   admission.Priority
 	repeatable bool
+	returning  bool
 	key        string
 }
 
@@ -181,6 +182,7 @@
 	default:
 		return badRequest("%s must be true or false", HeaderRepeatable)
 	}
+	p.returning = r.Header.Get(HeaderRetryOf) != ""
 	p.key = r.Header.Get(HeaderKey)
 	if len(p.key) > maxKeyLength || strings.ContainsFunc(p.key, notPrintable) {
 		return badRequest("%s must be at most %d printable characters without spaces", HeaderKey, maxKeyLength)
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -19,6 +19,8 @@
 	HeaderPriority   = "Ridgehinge-Priority"
 	HeaderRepeatable = "Ridgehinge-Repeatable"
 	HeaderKey        = "Idempotency-Key"
+	// HeaderRetryOf names the refused request that a request returns from.
+	HeaderRetryOf = "Ridgehinge-Retry-Of"
 )
 
 // Outcome says whether a request that got an error has run.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -97,6 +97,7 @@
 		MaxInFlight: c.p.workspace.MaxInFlight,
 		Priority:    c.p.priority,
 		Deadline:    c.p.deadline,
+		Returning:   c.p.returning,
 	})
 	c.class.Wait.RecordDuration(time.Since(c.start))
 	if !answered {
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -115,6 +115,11 @@
 	ewmaWeight = 0.1
 	// initialService is assumed until the first request has finished.
 	initialService = 500 * time.Millisecond
+	// returnsWeight is the weight of one start in the part of returning ones,
+	// and minNewShare the part of the rate that new requests are counted at
+	// least.
+	returnsWeight = 0.02
+	minNewShare   = 0.05
 	// serviceMargin is how many mean service times must be left of a deadline
 	// after the wait: work that ends too late is lost, and service times vary.
 	serviceMargin = 2
@@ -138,6 +143,11 @@
 	share    float64
 	inFlight int
 	queues   [lines][]waiting
+	// returns is the part of the started requests that were returning, of
+	// late; new ones have only the rest of the rate.
+	returns float64
+	// booked is how far ahead the come-back times are already promised.
+	booked time.Time
 }
 
 func (w *workspace) queued() int {
@@ -153,8 +163,6 @@
 	inFlight   int
 	service    time.Duration
 	workspaces map[string]*workspace
-	// booked is how far ahead the come-back times are already promised.
-	booked time.Time
 }
 
 type running struct {
@@ -250,7 +258,11 @@
 	for _, q := range w.queues[:line+1] {
 		ahead += len(q)
 	}
-	seconds := float64(ahead+1) / p.rate(w)
+	rate := p.rate(w)
+	if line != lineReturning {
+		rate *= max(1-w.returns, minNewShare)
+	}
+	seconds := float64(ahead+1) / rate
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -259,10 +271,10 @@
 func (p *pool) book(now time.Time, w *workspace, wait time.Duration) time.Duration {
 	step := time.Duration(float64(time.Second) / p.rate(w))
 	at := now.Add(wait)
-	if p.booked.After(at) {
-		at = p.booked
+	if w.booked.After(at) {
+		at = w.booked
 	}
-	p.booked = at.Add(step)
+	w.booked = at.Add(step)
 	return clampRetry(at.Sub(now))
 }
 
@@ -273,7 +285,12 @@
 func (m *Machine) start(now time.Time, q Request) {
 	p := m.pools[q.Pool]
 	p.inFlight++
-	p.workspaces[q.Workspace].inFlight++
+	w := p.workspaces[q.Workspace]
+	w.inFlight++
+	w.returns *= 1 - returnsWeight
+	if q.Returning {
+		w.returns += returnsWeight
+	}
 	m.running[q.ID] = running{q.Pool, q.Workspace, now}
 }
 
