Forget groups that ended 200 revisions ago, in the table as well

Ruled out: deleting the row with the end of the group (peers that were cut off would keep serving it until a whole read). Change: later transactions take old rows along; nodes drop the tombstones at the same revision, and one that is further behind gets everything.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -144,7 +144,7 @@
 		l.control.queue = nil
 		return
 	}
-	txn := platform.Txn{}
+	txn := platform.Txn{Deletes: change.Deletes}
 	for _, c := range change.Conditions {
 		txn.Conditions = append(txn.Conditions, platform.Condition(c))
 	}
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+	"github.com/ridgehinge/ridgehinge/pkg/ledger"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
 )
 
@@ -185,6 +186,9 @@
 		return
 	}
 	invariant.Check(l.groups.Revision() > before, invariant.Forward, "groups %d after %d", l.groups.Revision(), before)
+	if revision := l.groups.Revision(); revision > ledger.KeepTombstones {
+		l.groups.DropTombstones(revision - ledger.KeepTombstones)
+	}
 	l.checkOneGroup()
 }
 
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -250,7 +250,7 @@
 }
 
 // commit is the table: conditional, and now and then its answer is lost.
-func (w *world) commit(conditions []ledger.Condition, writes []ledger.Write) (version uint64, committed, answered bool) {
+func (w *world) commit(conditions []ledger.Condition, writes []ledger.Write, deletes ...string) (version uint64, committed, answered bool) {
 	if w.down {
 		return 0, false, false
 	}
@@ -268,6 +268,9 @@
 		}
 		w.rows[write.Key] = row{w.version, text}
 	}
+	for _, key := range deletes {
+		delete(w.rows, key)
+	}
 	return w.version, true, w.random.Float64() >= w.loseRate
 }
 
@@ -348,6 +351,16 @@
 	})
 }
 
+// keep is shorter than the daemon's, so that short runs meet the dropping.
+const keep = 5
+
+func (n *node) applyGroups(d fleet.GroupsDelta) {
+	n.groups.Apply(d)
+	if revision := n.groups.Revision(); revision > keep {
+		n.groups.DropTombstones(revision - keep)
+	}
+}
+
 func (n *node) beat(to *node) membership.Beat {
 	n.tracker.Expire(n.w.now)
 	return n.tracker.Compose(n.w.now, to.id, membership.Own{GroupsRevision: n.groups.Revision()})
@@ -372,12 +385,12 @@
 	w.toNode(to, func() {
 		to.beaten[n.id] = w.now
 		to.receive(b)
-		to.groups.Apply(delta)
+		to.applyGroups(delta)
 		answer := to.beat(n)
 		back := to.groups.DeltaSince(b.GroupsRevision)
 		w.toNode(n, func() {
 			n.receive(answer)
-			n.groups.Apply(back)
+			n.applyGroups(back)
 		})
 	})
 }
@@ -476,7 +489,7 @@
 				panic(err)
 			}
 			n.ledger = l
-			n.groups.Apply(delta)
+			n.applyGroups(delta)
 		}
 	})
 }
@@ -504,7 +517,7 @@
 		return
 	}
 	n.call(func() func() {
-		version, committed, answered := n.w.commit(change.Conditions, change.Writes)
+		version, committed, answered := n.w.commit(change.Conditions, change.Writes, change.Deletes...)
 		return func() {
 			if n.ledger == nil {
 				return
@@ -513,7 +526,7 @@
 				n.ledger = nil
 				return
 			}
-			n.groups.Apply(n.ledger.Committed(change, version))
+			n.applyGroups(n.ledger.Committed(change, version))
 		}
 	})
 }
--- a/pkg/fleet/groups.go
+++ b/pkg/fleet/groups.go
@@ -92,28 +92,12 @@
 	s.floor = max(s.floor, d.To)
 }
 
-// DropTombstones forgets groups that ended at or before a revision, and
-// returns their ids.
-func (s *Groups) DropTombstones(upTo uint64) []GroupID {
-	var out []GroupID
+// DropTombstones forgets groups that ended at or before a revision.
+func (s *Groups) DropTombstones(upTo uint64) {
 	for id, g := range s.groups {
 		if g.Gone && g.Revision <= upTo {
 			delete(s.groups, id)
 			s.floor = max(s.floor, g.Revision)
-			out = append(out, id)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
-
-// Tombstones returns the number of ended groups that are still remembered.
-func (s *Groups) Tombstones() int {
-	n := 0
-	for _, g := range s.groups {
-		if g.Gone {
-			n++
-		}
-	}
-	return n
 }
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -84,15 +84,26 @@
 type Change struct {
 	Conditions []Condition
 	Writes     []Write
-	Group      fleet.Group
+	// Deletes are the rows of groups that ended long ago.
+	Deletes []string
+	Group   fleet.Group
 }
 
+// KeepTombstones is for how many revisions an ended group is remembered. A
+// node that is further behind reads all groups anew.
+const KeepTombstones = 200
+
+// maxDeletes bounds the rows that one transaction deletes.
+const maxDeletes = 16
+
 // Ledger is what a controller knows of its data centre's rows.
 type Ledger struct {
 	dc       fleet.DataCentre
 	epoch    uint64
 	versions map[string]uint64
 	owners   map[fleet.InstanceID]fleet.GroupID
+	// ended has the revisions of the ended groups whose rows are still there.
+	ended map[fleet.GroupID]uint64
 }
 
 // Load reads the rows of a data centre under a lease's epoch. The epoch row's
@@ -100,7 +111,13 @@
 // has taken over meanwhile, every transaction must fail. The delta brings a
 // groups store up to date.
 func Load(dc fleet.DataCentre, epoch, epochVersion uint64, rows []Row) (*Ledger, fleet.GroupsDelta, error) {
-	l := &Ledger{dc: dc, epoch: epoch, versions: map[string]uint64{}, owners: map[fleet.InstanceID]fleet.GroupID{}}
+	l := &Ledger{
+		dc:       dc,
+		epoch:    epoch,
+		versions: map[string]uint64{},
+		owners:   map[fleet.InstanceID]fleet.GroupID{},
+		ended:    map[fleet.GroupID]uint64{},
+	}
 	delta := fleet.GroupsDelta{Whole: true}
 	for _, row := range rows {
 		l.versions[row.Key] = row.Version
@@ -123,6 +140,9 @@
 		var g fleet.Group
 		err := json.Unmarshal(row.Value, &g)
 		delta.Groups = append(delta.Groups, g)
+		if g.Gone {
+			l.ended[g.ID] = g.Revision
+		}
 		return err
 	}
 	if id, ok := strings.CutPrefix(row.Key, OwnerPrefix(l.dc)); ok {
@@ -162,9 +182,20 @@
 	l.add(&c, HeadKey(l.dc), Head{Revision: revision})
 	l.add(&c, GroupKey(l.dc, group.ID), group)
 	c.Conditions = append(c.Conditions, Condition{EpochKey(l.dc), l.versions[EpochKey(l.dc)]})
+	l.addDeletes(&c)
 	return c, l.addOwners(&c, old)
 }
 
+// addDeletes takes the rows of groups that ended long ago along, or the table
+// would keep every group that there ever was.
+func (l *Ledger) addDeletes(c *Change) {
+	for id, revision := range l.ended {
+		if revision+KeepTombstones < c.Group.Revision && len(c.Deletes) < maxDeletes {
+			c.Deletes = append(c.Deletes, GroupKey(l.dc, id))
+		}
+	}
+}
+
 func (l *Ledger) add(c *Change, key string, value any) {
 	c.Conditions = append(c.Conditions, Condition{key, l.versions[key]})
 	c.Writes = append(c.Writes, Write{key, value})
@@ -199,5 +230,12 @@
 			l.owners[fleet.InstanceID(id)] = owner.Group
 		}
 	}
+	for _, key := range c.Deletes {
+		delete(l.versions, key)
+		delete(l.ended, fleet.GroupID(strings.TrimPrefix(key, GroupPrefix(l.dc))))
+	}
+	if c.Group.Gone {
+		l.ended[c.Group.ID] = c.Group.Revision
+	}
 	return fleet.GroupsDelta{Since: c.Group.Revision - 1, To: c.Group.Revision, Groups: []fleet.Group{c.Group}}
 }
