--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -23,6 +23,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/confstore"
 	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/internal/engine"
 	"github.com/ridgehinge/ridgehinge/internal/operatorapi"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
 	"github.com/ridgehinge/ridgehinge/internal/standin/enginestandin"
@@ -470,6 +471,17 @@
 	return report
 }
 
+// Order sends an endpoint an order of nobody's, past its proxy.
+func (c *Cluster) Order(p *Process, group string, generation uint64) {
+	c.post(p.Address, engine.PathOrders, engine.Order{
+		Kind:        engine.OrderLoad,
+		Group:       fleet.GroupID(group),
+		Weights:     "stray",
+		Fence:       fleet.Fence{Epoch: 1, Generation: generation},
+		Incarnation: c.Report(p).Incarnation,
+	})
+}
+
 // Leave makes an endpoint say that it is leaving.
 func (c *Cluster) Leave(p *Process) { c.post(p.Address, "/standin/leave", struct{}{}) }
 
