--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
@@ -142,6 +143,7 @@
 			whole[g.ID] = Whole{t.Generation, t.Until}
 		}
 		if state == groupOpen {
+			invariant.Check(!l.anyLeaving(now, g), invariant.NoNewWork, "group %s is open", g.ID)
 			out = append(out, t)
 		}
 	}
@@ -163,6 +165,17 @@
 	return out
 }
 
+// anyLeaving reports whether a member of a group is on its way out.
+func (l *Loop) anyLeaving(now time.Time, g fleet.Group) bool {
+	for _, m := range g.Members {
+		status, _ := l.tracker.Status(now, m.Instance)
+		if l.instances[m.Instance].Leaving || status.Report.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 func serviceTarget(in fleet.Instance, status membership.Status) routing.Target {
 	return routing.Target{
 		Group:    ServiceGroup(in.ID),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,6 +83,8 @@
 		if len(event.Content) == 0 {
 			continue
 		}
+		invariant.Check(stream.Next == len(c.contents)+1, invariant.OwnAnswer,
+			"request %s, attempt %s: token %d after %d", c.id, attempt, stream.Next, len(c.contents))
 		if c.emit(event.Content) != nil {
 			c.cancelAttempt(target, attempt)
 			c.outcome = OutcomeGone
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
@@ -199,6 +200,10 @@
 	c.conns[address] = conn
 }
 
+// largeExchange is the size of an exchange, in bytes, after which its
+// connection is not used again.
+const largeExchange = 8 << 10
+
 // Exchange swaps messages with the peer at an address. The caller runs at
 // most one exchange with a peer at a time.
 func (c *Client) Exchange(ctx context.Context, address string, m *Message) (*Message, error) {
@@ -214,6 +219,12 @@
 		_ = conn.Close()
 		return nil, turn(err)
 	}
+	if proto.Size(m)+proto.Size(answer) > largeExchange {
+		// Both ends keep buffers of the largest message on a connection. The
+		// first exchanges of a peer are a thousand times larger than the rest.
+		_ = conn.Close()
+		return answer, nil
+	}
 	c.put(address, conn)
 	return answer, nil
 }
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -463,14 +463,22 @@
 
 // Report returns what an endpoint says about itself, past its proxy.
 func (c *Cluster) Report(p *Process) fleet.Report {
-	var report fleet.Report
-	response, err := http.Get("http://" + p.Address + "/ridgehinge/status")
+	report, err := TryReport(p)
 	require.NoError(c.t, err)
-	defer response.Body.Close()
-	require.NoError(c.t, json.NewDecoder(response.Body).Decode(&report))
 	return report
 }
 
+// TryReport is Report for an endpoint that may not be up yet.
+func TryReport(p *Process) (fleet.Report, error) {
+	var report fleet.Report
+	response, err := http.Get("http://" + p.Address + engine.PathStatus)
+	if err != nil {
+		return report, err
+	}
+	defer response.Body.Close()
+	return report, json.NewDecoder(response.Body).Decode(&report)
+}
+
 // Order sends an endpoint an order of nobody's, past its proxy.
 func (c *Cluster) Order(p *Process, group string, generation uint64) {
 	c.post(p.Address, engine.PathOrders, engine.Order{
--- a/lab/cmd/load/main.go
+++ b/lab/cmd/load/main.go
@@ -5,6 +5,7 @@
 //	load streams  memory by the number of concurrent streams
 //	load cpu      processor time for each request and token
 //	load steady   what control costs a data centre at rest, by its size
+//	load recovery time to a steady state after each kind of fault
 package main
 
 import (
@@ -25,6 +26,7 @@
 	subcommands.Register(&streamsCommand{}, "")
 	subcommands.Register(&cpuCommand{}, "")
 	subcommands.Register(&steadyCommand{}, "")
+	subcommands.Register(&recoveryCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
