Split the cluster harness by duty; name the experiments' policies

Ruled out: nothing. Change: cluster (processes), entry, endpoint and observe; Others; tables instead of positions.

--- /dev/null
+++ b/lab/cluster/entry.go
@@ -0,0 +1,84 @@
+package cluster
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/pkg/fleet"
+)
+
+// Entry is one entry instance.
+type Entry struct {
+	*Process
+	DataCentre string
+	Callers    string
+	Operator   string
+}
+
+// tuning makes the daemons quick enough for tests, with room for a busy
+// machine: no wait here is shorter than several scheduling delays.
+const tuning = `
+[tuning]
+poll = 150ms
+exchange = 150ms
+remote = 300ms
+head = 200ms
+instances = 300ms
+plan = 100ms
+publish = 50ms
+refresh = 200ms
+own_ttl = 900ms
+vouch_ttl = 2s
+peer_ttl = 1200ms
+lease_ttl = 1600ms
+unfenced_wait = 1500ms
+call_timeout = 700ms
+
+[placement]
+lost_grace = 500ms
+restart_grace = 3s
+settle = 700ms
+shrink_after = 1s
+load_time = 1s
+drain_time = 1s
+
+[stop]
+notice = 300ms
+bound = 30s
+
+[log]
+level = info
+fatal_invariants = true
+`
+
+// AddEntry starts an entry instance.
+func (c *Cluster) AddEntry(name, dc string) *Entry {
+	c.nextIP++
+	ip := fmt.Sprintf("127.0.1.%d", c.nextIP)
+	e := &Entry{
+		DataCentre: dc,
+		Callers:    c.freeAddress(ip),
+		Operator:   c.freeAddress(ip),
+	}
+	address := c.freeAddress(ip)
+	path := filepath.Join(c.dir, name+".ini")
+	e.Process = c.prepare(name, address, c.binaries.Daemon, "serve", "-settings", path)
+	e.Source = netip.MustParseAddr(ip)
+	text := fmt.Sprintf("[node]\nname = %s\ndata_centre = %s\n[listen]\ncallers = %s\noperator = %s\npeers = %s\npeers_advertised = %s\n"+
+		"[keys]\npeers = %s\noperator = %s\n[platform]\naddress = %s\n%s",
+		name, dc, e.Callers, e.Operator, address, e.Proxy.Address(), peerKey, OperatorKey, c.Platform.Proxy.Address(), c.Tuning)
+	require.NoError(c.t, os.WriteFile(path, []byte(text), 0o600))
+	c.run(e.Process)
+	c.Entries = append(c.Entries, e)
+	c.PutInstance(fleet.Instance{
+		ID:         fleet.InstanceID(name),
+		DataCentre: fleet.DataCentre(dc),
+		Kind:       fleet.KindEntry,
+		Address:    e.Proxy.Address(),
+	})
+	return e
+}
--- a/lab/cmd/load/recovery.go
+++ b/lab/cmd/load/recovery.go
@@ -188,12 +188,7 @@
 	p, g := b.victim("near", 2)
 	b.Kill(old.Process)
 	b.Kill(p)
-	var rest []*cluster.Entry
-	for _, e := range b.near {
-		if e != old {
-			rest = append(rest, e)
-		}
-	}
+	rest := b.Others(old)
 	start := time.Now()
 	taken := b.until("another has the lease", func() bool {
 		s, ok := rest[0].Status()
--- a/lab/experiments/admission.go
+++ b/lab/experiments/admission.go
@@ -267,9 +267,12 @@
 func Admission(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "policy\tgoodput\tquiet served\trefused\tcome-back served\tp99 wait\t")
-	for policy, name := range []string{"ridgehinge", "queue all", "reject when full"} {
-		r := RunAdmission(admissionPolicy(policy), 1)
-		fmt.Fprintf(w, "%s\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%s\t\n", name, 100*r.Goodput, 100*r.Quiet, 100*r.Refused, 100*r.ComeBack, r.P99Wait.Round(time.Millisecond))
+	for _, row := range []struct {
+		name   string
+		policy admissionPolicy
+	}{{"ridgehinge", policyMachine}, {"queue all", policyQueueAll}, {"reject when full", policyRejectFull}} {
+		r := RunAdmission(row.policy, 1)
+		fmt.Fprintf(w, "%s\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%s\t\n", row.name, 100*r.Goodput, 100*r.Quiet, 100*r.Refused, 100*r.ComeBack, r.P99Wait.Round(time.Millisecond))
 	}
 	_ = w.Flush()
 }
--- a/lab/experiments/routing.go
+++ b/lab/experiments/routing.go
@@ -153,9 +153,12 @@
 func Routing(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "policy\tp50\tp99\t")
-	for policy, name := range []string{"ridgehinge", "least reported load", "random"} {
-		res := RunRouting(routingPolicy(policy), 1)
-		fmt.Fprintf(w, "%s\t%s\t%s\t\n", name, res.P50.Round(time.Millisecond), res.P99.Round(time.Millisecond))
+	for _, row := range []struct {
+		name   string
+		policy routingPolicy
+	}{{"ridgehinge", policyRouter}, {"least reported load", policyLeastReported}, {"random", policyRandom}} {
+		res := RunRouting(row.policy, 1)
+		fmt.Fprintf(w, "%s\t%s\t%s\t\n", row.name, res.P50.Round(time.Millisecond), res.P99.Round(time.Millisecond))
 	}
 	_ = w.Flush()
 }
--- a/lab/integration/control_test.go
+++ b/lab/integration/control_test.go
@@ -31,12 +31,7 @@
 	t.Parallel()
 	c := start(t, 9, 1)
 	old := c.Controller("kochi")
-	var other *cluster.Entry
-	for _, e := range c.In("kochi") {
-		if e != old {
-			other = e
-		}
-	}
+	other := c.Others(old)[0]
 	c.Freeze(old.Process)
 	c.Eventually("another takes the lease", func() bool {
 		s, ok := other.Status()
@@ -64,12 +59,7 @@
 	before := c.Groups("tvm")[0]
 	c.Kill(old.Process)
 	c.Kill(member(c, before, 0))
-	var other *cluster.Entry
-	for _, e := range c.In("tvm") {
-		if e != old {
-			other = e
-		}
-	}
+	other := c.Others(old)[0]
 	c.Eventually("the group is repaired", func() bool {
 		groups := other.Serving("wallet")
 		return len(groups) == 1 && groups[0].Generation > before.Generation
--- a/lab/integration/whole_test.go
+++ b/lab/integration/whole_test.go
@@ -46,12 +46,7 @@
 	before := c.Groups("kochi")[0]
 	c.Freeze(old.Process)
 	c.Kill(member(c, before, 2))
-	var other *cluster.Entry
-	for _, e := range c.Entries {
-		if e != old {
-			other = e
-		}
-	}
+	other := c.Others(old)[0]
 	c.Eventually("a successor repairs the group", func() bool {
 		groups := other.Serving("wallet")
 		return len(groups) == 1 && groups[0].Generation > before.Generation
@@ -102,12 +97,7 @@
 	c.SetPlatformFaults(platformstandin.Faults{Down: true})
 	c.Kill(old.Process)
 	c.Kill(member(c, before, 3))
-	var other *cluster.Entry
-	for _, e := range c.In("kochi") {
-		if e != old {
-			other = e
-		}
-	}
+	other := c.Others(old)[0]
 	c.Eventually("the group is out of service", func() bool { return len(other.Serving("wallet")) == 0 })
 	c.Eventually("the other data centre helps out", func() bool {
 		return other.Send(cluster.Chat(walletKey, "help", 8)).Whole
