Count invariants without a lock

Cause: own_answer is checked for every token, and all checks shared one mutex and two maps. Ruled out: checking only some tokens. Change: an enum and atomic counters.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -6,41 +6,53 @@
 import (
 	"fmt"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 )
 
 // Name is one invariant.
-type Name string
+type Name uint8
 
 // The invariants, one for each promise that can be asserted in place.
 const (
 	// GroupWhole: a request starts only on a group all of whose members are
 	// backed by evidence.
-	GroupWhole Name = "group_whole"
+	GroupWhole Name = iota
 	// OneGroup: no instance is a member of two groups.
-	OneGroup Name = "one_group"
+	OneGroup
 	// OwnAnswer: an event reaches a caller only if it belongs to the
 	// caller's request and is the next one.
-	OwnAnswer Name = "own_answer"
+	OwnAnswer
 	// NotRun: no request is called not run after a byte of it left.
-	NotRun Name = "not_run"
+	NotRun
 	// AtMostOnce: a request that may not be repeated has one attempt.
-	AtMostOnce Name = "at_most_once"
+	AtMostOnce
 	// NoNewWork: no request starts on a leaving endpoint.
-	NoNewWork Name = "no_new_work"
+	NoNewWork
 	// Forward: configuration and groups never go back.
-	Forward Name = "forward"
+	Forward
+	count
 )
 
-// Names lists all invariants, for metrics.
-var Names = []Name{GroupWhole, OneGroup, OwnAnswer, NotRun, AtMostOnce, NoNewWork, Forward}
+// String returns the name as metrics have it.
+func (n Name) String() string {
+	return [count]string{"group_whole", "one_group", "own_answer", "not_run", "at_most_once", "no_new_work", "forward"}[n]
+}
 
+// Names returns all invariants, for metrics.
+func Names() []Name {
+	var all []Name
+	for n := range count {
+		all = append(all, n)
+	}
+	return all
+}
+
+// The counters are atomic: own_answer is checked for every token, on all
+// processors at once.
 var (
 	fatal      atomic.Bool
-	mu         sync.Mutex
-	checks     = map[Name]uint64{}
-	violations = map[Name]uint64{}
+	checks     [count]atomic.Uint64
+	violations [count]atomic.Uint64
 )
 
 // SetFatal makes violations panic.
@@ -49,25 +61,19 @@
 // Check asserts that ok holds. The details are only formatted when it does
 // not.
 func Check(ok bool, name Name, format string, args ...any) {
-	mu.Lock()
-	checks[name]++
-	if !ok {
-		violations[name]++
-	}
-	mu.Unlock()
+	checks[name].Add(1)
 	if ok {
 		return
 	}
+	violations[name].Add(1)
 	text := fmt.Sprintf(format, args...)
-	slog.Error("invariant: violated", "name", string(name), "details", text)
+	slog.Error("invariant: violated", "name", name.String(), "details", text)
 	if fatal.Load() {
-		panic("invariant " + string(name) + ": " + text)
+		panic("invariant " + name.String() + ": " + text)
 	}
 }
 
 // Count returns how often an invariant was checked and violated.
 func Count(name Name) (checked, violated uint64) {
-	mu.Lock()
-	defer mu.Unlock()
-	return checks[name], violations[name]
+	return checks[name].Load(), violations[name].Load()
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -67,9 +67,9 @@
 }
 
 func (m *Metrics) reportInvariants() {
-	for _, name := range invariant.Names {
+	for _, name := range invariant.Names() {
 		checked, violated := invariant.Count(name)
-		scope := m.scope.Tagged(map[string]string{"invariant": string(name)})
+		scope := m.scope.Tagged(map[string]string{"invariant": name.String()})
 		scope.Gauge("invariant_checks").Update(float64(checked))
 		scope.Gauge("invariant_violations").Update(float64(violated))
 	}
