Read the few fields of an event with gjson

Cause: a profile under 64-token answers: 26% of an entry instance's processor time went into encoding/json for one event a token. Ruled out: own scanning of the events (a parser of our own). Change: gjson checks the event and reads five fields. What is left is mostly one read and one write call a token.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/samber/oops"
+	"github.com/tidwall/gjson"
 )
 
 // ErrForeign means that an event belongs to another attempt or is out of
@@ -66,28 +67,29 @@
 	}
 }
 
+// event reads the few fields that matter, once for each token: decoding the
+// whole event into structs took a quarter of an entry instance's processor
+// time.
 func (s *Stream) event(data []byte) (Event, error) {
-	var chunk Chunk
-	if err := json.Unmarshal(data, &chunk); err != nil {
-		return Event{}, oops.In("engine").Wrapf(err, "read event")
+	if !gjson.ValidBytes(data) {
+		return Event{}, oops.In("engine").Errorf("an event that is no JSON")
 	}
-	if chunk.ID != s.attempt {
-		return Event{}, oops.In("engine").Wrap(fmt.Errorf("%w: got %s, want %s", ErrForeign, chunk.ID, s.attempt))
+	fields := gjson.GetManyBytes(data, "id", "ridgehinge_token", "choices.0.delta.content", "choices.0.finish_reason", "choices.#")
+	id, token, content, finish, choices := fields[0], fields[1], fields[2], fields[3], fields[4]
+	if id.String() != s.attempt {
+		return Event{}, oops.In("engine").Wrap(fmt.Errorf("%w: got %s, want %s", ErrForeign, id.String(), s.attempt))
 	}
-	if len(chunk.Choices) == 0 {
+	if choices.Int() == 0 {
 		return Event{}, oops.In("engine").Errorf("an event without a choice")
 	}
-	choice := chunk.Choices[0]
-	event := Event{Content: choice.Delta.Content}
-	if choice.FinishReason != nil {
-		event.Finish = *choice.FinishReason
-	}
-	if len(event.Content) == 0 {
+	event := Event{Finish: finish.String()}
+	if content.Type != gjson.String {
 		return event, nil
 	}
-	if chunk.Token != s.Next {
-		return Event{}, oops.In("engine").Wrap(fmt.Errorf("%w: token %d, want %d", ErrForeign, chunk.Token, s.Next))
+	if int(token.Int()) != s.Next || token.Type != gjson.Number {
+		return Event{}, oops.In("engine").Wrap(fmt.Errorf("%w: token %s, want %d", ErrForeign, token.Raw, s.Next))
 	}
+	event.Content = json.RawMessage(content.Raw)
 	s.Next++
 	return event, nil
 }
