--- a/internal/control/scale.go
+++ b/internal/control/scale.go
@@ -21,6 +21,9 @@
 	pollBytes     = 80
 )
 
+// loadExchanges is the number of exchanges between two reports of a load.
+const loadExchanges = 4
+
 // headPerNode is how much longer the time between two reads of the table's
 // head becomes with each node of the data centre: at 72 it is 3 s, so that
 // 430 nodes read it 143 times a second.
@@ -40,6 +43,8 @@
 	// One message may always be lost or late.
 	ttl.Own = max(ttl.Own, 5*out.Poll/2)
 	ttl.Vouch = max(ttl.Vouch, 2*out.Exchange+ttl.Own)
+	ttl.Load = max(ttl.Load, loadExchanges*out.Exchange)
+	out.Refresh = max(base.Refresh, out.Exchange/2)
 	ttl.Peer = max(ttl.Peer, 5*out.Exchange/2)
 	return out, ttl
 }
@@ -56,6 +61,7 @@
 		Own:   l.options.Membership.OwnTTL,
 		Vouch: l.options.Membership.VouchTTL,
 		Peer:  l.options.Membership.PeerTTL,
+		Load:  l.options.Membership.LoadEvery,
 	}
 	l.intervals, times = scaled(l.options.Intervals, times, nodes, len(l.watches))
 	l.tracker.SetTimes(times)
--- a/lab/cmd/load/steady.go
+++ b/lab/cmd/load/steady.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -22,7 +23,7 @@
 // steadyCommand runs one data centre of real entry instances without traffic
 // and measures what control costs each of them.
 type steadyCommand struct {
-	nodes, endpoints, seconds int
+	nodes, endpoints, seconds, callers int
 }
 
 func (*steadyCommand) Name() string     { return "steady" }
@@ -33,6 +34,7 @@
 	f.IntVar(&c.nodes, "nodes", 9, "entry instances")
 	f.IntVar(&c.endpoints, "endpoints", 50, "model engines")
 	f.IntVar(&c.seconds, "seconds", 15, "how long")
+	f.IntVar(&c.callers, "callers", 0, "callers of each entry instance; the processor time then includes their requests")
 }
 
 const (
@@ -135,6 +137,25 @@
 	return out
 }
 
+// call keeps callers busy until the function that it returns is called.
+func (c *steadyCommand) call(bed *cluster.Cluster) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for _, e := range bed.Entries {
+		for range c.callers {
+			all.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					e.Send(cluster.Chat(workspaceKey, fmt.Sprint(n), 20))
+				}
+			})
+		}
+	}
+	return func() {
+		cancel()
+		all.Wait()
+	}
+}
+
 // measure prints the mean and the highest of all nodes.
 func (c *steadyCommand) measure(bed *cluster.Cluster, formed time.Duration) {
 	// What forming the groups has set going is told to all by then.
@@ -149,7 +170,9 @@
 		before[e.Name] = used(e)
 	}
 	start := time.Now()
+	stop := c.call(bed)
 	time.Sleep(time.Duration(c.seconds) * time.Second)
+	stop()
 	seconds := time.Since(start).Seconds()
 	mean, most := map[string]float64{}, map[string]float64{}
 	note := func(name string, value float64) {
--- a/lab/experiments/plots.go
+++ b/lab/experiments/plots.go
@@ -29,10 +29,12 @@
 		}[name]
 		p.Y.Min = 0
 		p.Legend.Top = true
+		highest := 0.0
 		for i, policy := range policyOrder {
 			var values plotter.Values
 			for _, u := range users {
 				values = append(values, value(results[u.name][policy]))
+				highest = max(highest, value(results[u.name][policy]))
 			}
 			bars, err := plotter.NewBarChart(values, barWidth)
 			if err != nil {
@@ -47,6 +49,8 @@
 		for _, u := range users {
 			names = append(names, u.name+"'s weights")
 		}
+		// Room for the legend above the bars.
+		p.Y.Max = highest * 1.4
 		p.NominalX(names...)
 		if err := p.Save(plotWidth, plotHeight, filepath.Join(dir, "placement-"+name+".svg")); err != nil {
 			return fmt.Errorf("plot %s: %w", name, err)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -115,6 +115,13 @@
 	Load int `json:"load,omitempty"`
 }
 
+// SameButLoad reports whether two reports differ in the load at most, and in
+// the version that rises with it.
+func (r Report) SameButLoad(other Report) bool {
+	r.Load, r.Version = other.Load, other.Version
+	return r == other
+}
+
 // Newer reports whether r describes a later state of the endpoint than other.
 func (r Report) Newer(other Report) bool {
 	if r.Incarnation != other.Incarnation {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -12,6 +12,7 @@
 package membership
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -35,6 +36,9 @@
 	VouchTTL time.Duration
 	// PeerTTL is how long a silent peer still counts as alive.
 	PeerTTL time.Duration
+	// LoadEvery is the least time between two reports of one endpoint that
+	// differ in the load only.
+	LoadEvery time.Duration
 }
 
 // DefaultOptions returns options that find a lost member within two seconds
@@ -48,17 +52,19 @@
 		OwnTTL:      1200 * time.Millisecond,
 		VouchTTL:    3 * time.Second,
 		PeerTTL:     1500 * time.Millisecond,
+		LoadEvery:   time.Second,
 	}
 }
 
 // Times are how long evidence lives.
-type Times struct{ Own, Vouch, Peer time.Duration }
+type Times struct{ Own, Vouch, Peer, Load time.Duration }
 
 // SetTimes changes how long evidence lives, as the data centre grows.
 func (t *Tracker) SetTimes(times Times) {
 	t.options.OwnTTL = times.Own
 	t.options.VouchTTL = times.Vouch
 	t.options.PeerTTL = times.Peer
+	t.options.LoadEvery = times.Load
 }
 
 // forgetAfter is how long a withdrawn report is kept for peers that were cut
@@ -71,6 +77,8 @@
 	// at is when the question left that the report answers.
 	at  time.Time
 	seq uint64
+	// told is when the report was last passed on.
+	told time.Time
 }
 
 // withdrawal is a report that this node vouches for no longer.
@@ -153,7 +161,7 @@
 	if _, ok := p.reports[r.Instance]; !ok {
 		t.holders[r.Instance] = append(t.holders[r.Instance], p)
 	}
-	if p.reports[r.Instance] != r {
+	if !p.reports[r.Instance].SameButLoad(r) {
 		t.changes++
 	}
 	p.reports[r.Instance] = r
@@ -340,12 +348,31 @@
 		return
 	}
 	o.at = asked
-	if o.report != r {
+	if o.report == r || !t.worthTelling(asked, o, r) {
+		return
+	}
+	if !o.report.SameButLoad(r) {
 		t.changes++
-		t.seq++
-		o.seq = t.seq
-		o.report = r
 	}
+	t.seq++
+	o.seq = t.seq
+	o.report = r
+	o.told = asked
+}
+
+// loadStep is the part of an endpoint's slots by which its load must have
+// changed to be told.
+const loadStep = 0.25
+
+// worthTelling reports whether peers should hear of a report now. The load
+// changes with every request; told at every change it would fill the beats,
+// and routing allows for loads that are late.
+func (t *Tracker) worthTelling(now time.Time, o *ownReport, r fleet.Report) bool {
+	if !o.report.SameButLoad(r) || r.Load == o.report.Load {
+		return true
+	}
+	step := max(1, loadStep*float64(r.Slots))
+	return math.Abs(float64(r.Load-o.report.Load)) >= step && now.Sub(o.told) >= t.options.LoadEvery
 }
 
 // Unreachable withdraws this node's own report: the endpoint refused the
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -89,6 +89,27 @@
 	assert.Equal(t, fleet.PhaseLoading, status.Report.Phase)
 }
 
+// A load that changes all the time is told now and then, and only when it has
+// changed a lot; any other change is told at once.
+func TestLoadIsToldSeldom(t *testing.T) {
+	a := tracker("a")
+	r := ready(1)
+	r.Slots = 16
+	a.Observe(at(0), r)
+	told := func() uint64 { return a.Compose(at(0), "b", Own{}).Seq }
+	for i := range 50 {
+		r.Version++
+		r.Load = i % 16
+		a.Observe(at(time.Duration(i)*100*time.Millisecond), r)
+	}
+	assert.LessOrEqual(t, told(), uint64(6), "once a second at the most")
+	before, changes := told(), a.Changes()
+	r.Phase = fleet.PhaseLoading
+	a.Observe(at(5*time.Second), r)
+	assert.Equal(t, before+1, told())
+	assert.Equal(t, changes+1, a.Changes())
+}
+
 // A lost message leaves no gap: the next beat brings what the peer has not
 // acknowledged.
 func TestLostBeatIsMadeUp(t *testing.T) {
