Do not forward a request that has its claim here; close pools that are gone

Cause: read while looking for holes: a keyed request that was admitted, claimed and then found no endpoint was handed to another data centre, met its own claim there, and was answered 409 unknown though it had never run; its key stayed spent. A pool that nobody had asked for yet kept its slots when its last group went. Ruled out: handing the claim over with the request (two nodes would hold it). Figures: both tests failed before (409, unknown, one forwarded, the row left), pass after.

--- /dev/null
+++ b/internal/gateway/forward_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/claims"
+	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/platform"
+	"github.com/ridgehinge/ridgehinge/internal/standin/platformstandin"
+	"github.com/ridgehinge/ridgehinge/pkg/membership"
+)
+
+// otherCentre answers forwarded requests as an entry instance of another data
+// centre would whose table says that the key is claimed.
+type otherCentre struct{ forwarded atomic.Int64 }
+
+func (o *otherCentre) Exchange(_ context.Context, m *peers.Message) (*peers.Message, error) {
+	return m, nil
+}
+
+func (o *otherCentre) Forward(_ *peerpb.ForwardRequest, out peerpb.DRPCPeers_ForwardStream) error {
+	o.forwarded.Add(1)
+	_ = out.Send(&peerpb.ForwardEvent{Status: 409, Headers: []*peerpb.Header{{Name: HeaderOutcome, Value: "unknown"}}})
+	return out.Send(&peerpb.ForwardEvent{Done: true})
+}
+
+// A request that has its claim here and finds no endpoint is refused as not
+// run, and its key is free again. Handed to another data centre, it would
+// meet its own claim there.
+func TestClaimedRequestIsNotForwarded(t *testing.T) {
+	other := &otherCentre{}
+	key := []byte("0123456789abcdef")
+	server, err := peers.Listen("127.0.0.1:0", key, other)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	table := platformstandin.New()
+	tableServer := httptest.NewServer(table.Handler())
+	t.Cleanup(tableServer.Close)
+	store := claims.New(claims.Options{
+		Node: "test", Most: 8, Timeout: 5 * time.Second,
+		Table: platform.New(platform.Options{Address: strings.TrimPrefix(tableServer.URL, "http://"), Timeout: 5 * time.Second}),
+	})
+	t.Cleanup(store.Close)
+	b := newBench(t, standIn().Handler())
+	b.gateway.options.Peers = peers.NewClient(key, nil)
+	b.gateway.options.Claims = store
+	s := *b.gateway.snapshot.Load()
+	s.Targets = nil
+	s.Remotes = []control.Remote{{
+		Node:  membership.Node{ID: "far", Address: server.Address()},
+		Pools: map[string]control.PoolLoad{control.ServicePool("s"): {Slots: 8}},
+	}}
+	b.gateway.Publish(&s)
+	response, text := b.send("POST", "/services/s/pay", "{}", map[string]string{HeaderKey: "k-1"})
+	assert.Equal(t, 503, response.StatusCode, text)
+	assert.Equal(t, "not-run", response.Header.Get(HeaderOutcome))
+	assert.Zero(t, other.forwarded.Load())
+	require.Eventually(t, func() bool { return len(table.Rows("claim/")) == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// A pool that is gone has no slots any more, also if nobody has asked for it
+// yet.
+func TestPoolThatIsGone(t *testing.T) {
+	b := newBench(t, standIn().Handler())
+	s := *b.gateway.snapshot.Load()
+	s.Targets, s.Slots = nil, nil
+	b.gateway.Publish(&s)
+	_, text := b.send("POST", "/services/s/pay", "{}", nil)
+	assert.Contains(t, text, "no replica group serves this workspace now")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,12 +89,12 @@
 
 // Publish takes a new snapshot of the control state.
 func (g *Gateway) Publish(s *control.Snapshot) {
-	g.snapshot.Store(s)
+	last := g.snapshot.Swap(s)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.router.SetTargets(s.Targets)
 	now := time.Now()
-	for pool := range g.rates {
+	for pool := range last.Slots {
 		if _, ok := s.Slots[pool]; !ok {
 			g.deliver(g.admission.SetSlots(now, pool, 0))
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -263,7 +263,9 @@
 		c.failEnded(ctx)
 		return
 	}
-	if !c.mayHaveRun && c.forward(ctx) {
+	// A request with a claim would meet its own claim in the other data
+	// centre; refused as not run, its key is free again.
+	if !c.mayHaveRun && c.held == nil && c.forward(ctx) {
 		return
 	}
 	c.fail(failure{http.StatusServiceUnavailable, "no_group", "no replica group could serve the request", c.notRunOutcome(), giveUpRetryAfter})
