--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
@@ -143,7 +142,6 @@
 			whole[g.ID] = Whole{t.Generation, t.Until}
 		}
 		if state == groupOpen {
-			invariant.Check(!l.anyLeaving(now, g), invariant.NoNewWork, "group %s is open", g.ID)
 			out = append(out, t)
 		}
 	}
@@ -157,7 +155,7 @@
 		}
 		t := serviceTarget(in, status)
 		whole[t.Group] = Whole{t.Generation, t.Until}
-		if !in.Leaving && !status.Report.Leaving {
+		if !t.Leaving {
 			out = append(out, t)
 		}
 	}
@@ -165,17 +163,6 @@
 	return out
 }
 
-// anyLeaving reports whether a member of a group is on its way out.
-func (l *Loop) anyLeaving(now time.Time, g fleet.Group) bool {
-	for _, m := range g.Members {
-		status, _ := l.tracker.Status(now, m.Instance)
-		if l.instances[m.Instance].Leaving || status.Report.Leaving {
-			return true
-		}
-	}
-	return false
-}
-
 func serviceTarget(in fleet.Instance, status membership.Status) routing.Target {
 	return routing.Target{
 		Group:    ServiceGroup(in.ID),
@@ -186,6 +173,7 @@
 		Reported: status.Report.Version,
 		Seen:     status.Seen,
 		Until:    status.Until,
+		Leaving:  in.Leaving || status.Report.Leaving,
 	}
 }
 
@@ -220,6 +208,7 @@
 			return t, groupDown
 		}
 		if in.Leaving || r.Leaving {
+			t.Leaving = true
 			state = groupClosed
 		}
 		if rank == 0 || status.Until.Before(t.Until) {
