--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -273,3 +273,46 @@
 	}
 	assert.LessOrEqual(t, sent.Load(), int64(requests+requests/10+retryReserve))
 }
+
+// Answers that have no body by their method or status are passed on as such,
+// and the connection can be used again.
+func TestAnswersWithoutBody(t *testing.T) {
+	b := newBench(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/nothing":
+			w.WriteHeader(http.StatusNoContent)
+		case "/same":
+			w.WriteHeader(http.StatusNotModified)
+		case "/moved":
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(http.StatusSeeOther)
+		default:
+			w.Header().Set("Content-Length", "5")
+			_, _ = io.WriteString(w, "hello")
+		}
+	}))
+	client := &http.Client{Timeout: 10 * time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	defer client.CloseIdleConnections()
+	for _, c := range []struct {
+		method, path string
+		status       int
+		body         string
+	}{
+		{"HEAD", "/full", 200, ""},
+		{"GET", "/nothing", 204, ""},
+		{"GET", "/same", 304, ""},
+		{"POST", "/moved", 303, ""},
+		{"GET", "/full", 200, "hello"},
+	} {
+		request, err := http.NewRequest(c.method, "http://"+b.address+"/services/s"+c.path, nil)
+		require.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer "+testKey)
+		response, err := client.Do(request)
+		require.NoError(t, err, "%s %s", c.method, c.path)
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err, "%s %s", c.method, c.path)
+		require.NoError(t, response.Body.Close())
+		assert.Equal(t, c.status, response.StatusCode, "%s %s", c.method, c.path)
+		assert.Equal(t, c.body, string(text), "%s %s", c.method, c.path)
+	}
+}
