Give test processes ports that no outgoing connection takes

The harness asked the kernel for a free port, closed it and started the process some time later; in between, one of the many outgoing connections of the clusters beside it can be given that port, as both come from one range. The engine's own log was not kept, so this is the likely cause and not a proven one. Ruled out: a stuck lease or commit (the loop frees both on each answer; the log shows one acquisition, which was renewed, as the other node never took over). Change: ports below the kernel's outgoing range, each given once; an endpoint must answer under its own name before it is listed; endpoints' logs are shown when a test fails.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -10,7 +10,9 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -131,7 +133,7 @@
 		s.StopBound = 10 * time.Second
 		for _, address := range []*string{&s.Callers, &s.Operator, &s.Peers} {
 			var err error
-			if *address, err = FreeAddress(); err != nil {
+			if *address, err = FreeAddress("127.0.0.1"); err != nil {
 				return err
 			}
 		}
@@ -151,14 +153,31 @@
 	return nil
 }
 
-// FreeAddress returns a loopback address that was free a moment ago.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", oops.In("dev").Wrap(err)
+// The ports that FreeAddress gives out lie below those that the kernel takes
+// for outgoing connections: a port from among the latter may be gone again
+// before its listener starts.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+	portTries = 1_000
+)
+
+var nextPort atomic.Uint32
+
+// FreeAddress returns an address of a loopback IP that nobody listens on. No
+// two calls of a process return the same port.
+func FreeAddress(ip string) (string, error) {
+	for range portTries {
+		// Processes that run at the same time start at different places.
+		n := uint32(os.Getpid())*97 + nextPort.Add(1)
+		address := fmt.Sprintf("%s:%d", ip, firstPort+n%(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, listener.Close()
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", oops.In("dev").Errorf("no free port on %s from %d to %d", ip, firstPort, lastPort)
 }
 
 func (w *Whole) submitSamples() error {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -9,7 +9,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ridgehinge/ridgehinge/internal/dev"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
 	"github.com/ridgehinge/ridgehinge/lab/faultproxy"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
@@ -129,10 +129,9 @@
 }
 
 func (c *Cluster) freeAddress(ip string) string {
-	listener, err := net.Listen("tcp", ip+":0")
+	address, err := dev.FreeAddress(ip)
 	require.NoError(c.t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // start runs a process with a proxy before its address.
@@ -204,6 +203,7 @@
 	for _, p := range c.Endpoints {
 		c.Kill(p)
 		p.Proxy.Close()
+		c.checkLog(p)
 	}
 	if c.Platform != nil {
 		c.Kill(c.Platform)
@@ -223,7 +223,7 @@
 			c.t.Errorf("%s: %s", p.Name, text[i:min(len(text), i+3000)])
 		}
 	}
-	if c.t.Failed() {
+	if c.t.Failed() && len(text) > 0 {
 		c.t.Logf("the end of %s's log:\n%s", p.Name, text[max(0, len(text)-6000):])
 	}
 }
--- a/lab/cluster/endpoint.go
+++ b/lab/cluster/endpoint.go
@@ -24,6 +24,10 @@
 	p := c.start(string(in.ID), address, c.binaries.StandIn, all...)
 	in.Address = p.Proxy.Address()
 	c.Endpoints[string(in.ID)] = p
+	c.Eventually("endpoint "+p.Name+" is up", func() bool {
+		report, err := TryReport(p)
+		return err == nil && report.Instance == in.ID
+	})
 	c.PutInstance(in)
 	return p
 }
