Give the role in a stream's first event

Cause: callers' libraries for the chat-completions form read the role from the first delta; ours had none. Ruled out: an event of its own for it (one more write for each stream). Change: the first event with content carries it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -206,6 +206,10 @@
 	b = append(b, `","object":"chat.completion.chunk","model":"`...)
 	b = append(b, c.p.model...)
 	b = append(b, `","choices":[{"index":0,"delta":{`...)
+	if content != nil && len(c.contents) == 1 {
+		// Callers' libraries take the role from the first event alone.
+		b = append(b, `"role":"assistant",`...)
+	}
 	if content != nil {
 		b = append(b, `"content":`...)
 		b = append(b, content...)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -274,6 +274,20 @@
 	assert.LessOrEqual(t, sent.Load(), int64(requests+requests/10+retryReserve))
 }
 
+// A stream has the role once, in its first event, and ends with the reason
+// and the mark.
+func TestStreamForm(t *testing.T) {
+	b := newBench(t, standIn().Handler())
+	_, text := b.send("POST", engine.PathChat, `{"stream":true,"max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`, nil)
+	events := strings.Split(strings.TrimSpace(text), "\n\n")
+	require.Len(t, events, 5)
+	assert.Contains(t, events[0], `"delta":{"role":"assistant","content":"`)
+	assert.Contains(t, events[1], `"delta":{"content":"`)
+	assert.Contains(t, events[2], `"delta":{"content":"`)
+	assert.Contains(t, events[3], `"delta":{},"finish_reason":"stop"`)
+	assert.Equal(t, "data: [DONE]", events[4])
+}
+
 // Answers that have no body by their method or status are passed on as such,
 // and the connection can be used again.
 func TestAnswersWithoutBody(t *testing.T) {
