Share the answering side of nbhttp; add serving types and the upstream client

They move to internal/httpserver, unchanged, and the gateway uses them.

internal/upstream stands beside net/http's Transport: a test shows that a request on a broken kept connection arrives once, that answers to other requests are skipped, and that a reset never looks like the end of a body.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/rs/xid"
 
 	"github.com/ridgehinge/ridgehinge/internal/claims"
+	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/pkg/admission"
@@ -21,7 +22,7 @@
 // Causes of a request's context to end.
 var (
 	// ErrGone means that the caller went away.
-	ErrGone     = errors.New("the caller has gone")
+	ErrGone     = httpserver.ErrGone
 	errDeadline = errors.New("the deadline has passed")
 	errStalled  = errors.New("the group has gone while it answered")
 )
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
-	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/samber/oops"
@@ -13,10 +11,6 @@
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 )
 
-// sweepInterval is how often open requests are looked at for callers that
-// have gone: nbhttp does not tell while a handler runs.
-const sweepInterval = 100 * time.Millisecond
-
 // ServerOptions of a Server.
 type ServerOptions struct {
 	Address string
@@ -33,22 +27,14 @@
 type Server struct {
 	engine  *nbhttp.Engine
 	gateway *Gateway
-	mu      sync.Mutex
-	open    map[*httpResponder]struct{}
-	stop    chan struct{}
-	done    chan struct{}
+	tracker *httpserver.Tracker
 }
 
-// closer is what nbio's connection offers beside net.Conn.
-type closer interface{ IsClosed() (bool, error) }
-
 // Serve starts listening.
 func Serve(o ServerOptions) (*Server, error) {
 	s := &Server{
 		gateway: o.Gateway,
-		open:    map[*httpResponder]struct{}{},
-		stop:    make(chan struct{}),
-		done:    make(chan struct{}),
+		tracker: httpserver.NewTracker(),
 	}
 	s.engine = httpserver.New(httpserver.Options{
 		Address:     o.Address,
@@ -57,16 +43,15 @@
 		Handler:     s.route(o.Handler),
 	})
 	if err := s.engine.Start(); err != nil {
+		s.tracker.Close()
 		return nil, oops.In("gateway").Wrapf(err, "listen on %s", o.Address)
 	}
-	go s.sweep()
 	return s, nil
 }
 
 // Close ends the server and its connections.
 func (s *Server) Close() {
-	close(s.stop)
-	<-s.done
+	s.tracker.Close()
 	s.engine.Stop()
 }
 
@@ -93,9 +78,9 @@
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	out := newHTTPResponder(w, cancel)
-	s.track(out, true)
-	defer s.track(out, false)
+	out := httpserver.NewResponder(w, cancel)
+	s.tracker.Add(out)
+	defer s.tracker.Remove(out)
 	s.gateway.Serve(ctx, &Request{
 		Method: r.Method,
 		Path:   r.URL.RequestURI(),
@@ -103,100 +88,3 @@
 		Body:   body,
 	}, out)
 }
-
-func (s *Server) track(out *httpResponder, open bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if open {
-		s.open[out] = struct{}{}
-		return
-	}
-	delete(s.open, out)
-}
-
-// sweep ends the requests whose connection has closed.
-func (s *Server) sweep() {
-	defer close(s.done)
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.stop:
-			return
-		case <-ticker.C:
-		}
-		s.mu.Lock()
-		for out := range s.open {
-			if out.closed() {
-				out.cancel(ErrGone)
-			}
-		}
-		s.mu.Unlock()
-	}
-}
-
-// httpResponder answers a caller over nbhttp.
-type httpResponder struct {
-	w      http.ResponseWriter
-	cancel context.CancelCauseFunc
-	conn   io.Closer
-	state  closer
-	sized  bool
-}
-
-func newHTTPResponder(w http.ResponseWriter, cancel context.CancelCauseFunc) *httpResponder {
-	out := &httpResponder{w: w, cancel: cancel}
-	response, ok := w.(*nbhttp.Response)
-	if !ok || response.Parser == nil || response.Parser.Conn == nil {
-		return out
-	}
-	out.conn = response.Parser.Conn
-	conn := response.Parser.Conn
-	if wrapped, ok := conn.(*nbhttp.Conn); ok {
-		conn = wrapped.Conn
-	}
-	out.state, _ = conn.(closer)
-	return out
-}
-
-func (r *httpResponder) closed() bool {
-	if r.state == nil {
-		return false
-	}
-	closed, _ := r.state.IsClosed()
-	return closed
-}
-
-func (r *httpResponder) Begin(status int, header http.Header) {
-	for name, values := range header {
-		r.w.Header()[name] = values
-	}
-	r.sized = header.Get("Content-Length") != ""
-	r.w.WriteHeader(status)
-}
-
-func (r *httpResponder) Write(p []byte) error {
-	if r.closed() {
-		return ErrGone
-	}
-	if _, err := r.w.Write(p); err != nil {
-		return err
-	}
-	if flusher, ok := r.w.(http.Flusher); ok && !r.sized {
-		flusher.Flush()
-	}
-	return nil
-}
-
-func (r *httpResponder) End() {}
-
-func (r *httpResponder) Cut() {
-	if flusher, ok := r.w.(http.Flusher); ok && !r.closed() {
-		// What there is goes out first: a caller that has a status knows more
-		// than one whose connection just ends.
-		flusher.Flush()
-	}
-	if r.conn != nil {
-		_ = r.conn.Close()
-	}
-}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,216 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// scripted listens and hands each request that it reads to a script, which
+// writes whatever bytes it likes. The number counts requests over all
+// connections.
+func scripted(t *testing.T, script func(c net.Conn, request *http.Request, number int)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	numbers := make(chan int, 100)
+	for i := range 100 {
+		numbers <- i
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					script(c, request, <-numbers)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func testClient() *Client {
+	return New(Options{DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTimeout: time.Minute})
+}
+
+func ask(c *Client, address, id string) (*Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	_ = cancel // The answer's body is read under this context.
+	return c.Send(ctx, Request{
+		Address: address,
+		Method:  http.MethodGet,
+		URI:     "/x",
+		Host:    "h",
+		Header:  http.Header{"Id": {id}},
+	}, func(h http.Header) bool { return h.Get("Id") == id })
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func TestConnectionsAreKeptOnlyWhenNothingIsInDoubt(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		text func(id string) string
+		kept bool
+	}{
+		{"whole", func(id string) string { return answer(id, "yes") }, true},
+		{"told to close", func(id string) string {
+			return "HTTP/1.1 200 OK\r\nConnection: close\r\nId: " + id + "\r\nContent-Length: 3\r\n\r\nyes"
+		}, false},
+		{"bytes after the answer", func(id string) string { return answer(id, "yes") + "HTTP/1.1 200 OK\r\n" }, false},
+		{"idle time is over at once", func(id string) string {
+			return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nId: " + id + "\r\nContent-Length: 3\r\n\r\nyes"
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address := scripted(t, func(c net.Conn, r *http.Request, _ int) { _, _ = io.WriteString(c, test.text(r.Header.Get("Id"))) })
+			client := testClient()
+			for _, id := range []string{"a", "b"} {
+				response, err := ask(client, address, id)
+				require.NoError(t, err)
+				body, err := io.ReadAll(response)
+				require.NoError(t, err)
+				require.Equal(t, "yes", string(body))
+				response.Close()
+			}
+			want := uint64(2)
+			if test.kept {
+				want = 1
+			}
+			require.Equal(t, want, client.Opened())
+		})
+	}
+}
+
+func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
+	address := scripted(t, func(c net.Conn, r *http.Request, _ int) {
+		_, _ = io.WriteString(c, answer("earlier", "not yours")+answer(r.Header.Get("Id"), "yours"))
+	})
+	response, err := ask(testClient(), address, "a")
+	require.NoError(t, err)
+	body, err := io.ReadAll(response)
+	require.NoError(t, err)
+	require.Equal(t, "yours", string(body))
+}
+
+func TestBrokenAnswersAreNeverWhole(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nyes",
+		"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n",
+	} {
+		address := scripted(t, func(c net.Conn, _ *http.Request, _ int) {
+			_, _ = io.WriteString(c, text)
+			_ = c.Close()
+		})
+		response, err := ask(testClient(), address, "a")
+		require.NoError(t, err)
+		_, err = io.ReadAll(response)
+		require.ErrorIs(t, err, ErrBroken)
+	}
+}
+
+// A body without a length ends with its connection; a reset is no end.
+func TestResetIsNotTheEndOfABodyWithoutLength(t *testing.T) {
+	address := scripted(t, func(c net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nyes")
+		time.Sleep(50 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	response, err := ask(testClient(), address, "a")
+	require.NoError(t, err)
+	_, err = io.ReadAll(response)
+	require.ErrorIs(t, err, ErrBroken)
+}
+
+func TestErrorsTellWhetherBytesLeft(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = ask(testClient(), address, "a")
+	require.ErrorIs(t, err, ErrNotSent)
+
+	address = scripted(t, func(c net.Conn, _ *http.Request, _ int) { _ = c.Close() })
+	_, err = ask(testClient(), address, "a")
+	require.ErrorIs(t, err, ErrUnknown)
+}
+
+// net/http's Transport sends a GET again by itself when a kept connection
+// breaks; an endpoint must see each request once.
+func TestNothingIsRepeatedOnABrokenKeptConnection(t *testing.T) {
+	arrived := make(chan struct{}, 10)
+	address := scripted(t, func(c net.Conn, r *http.Request, number int) {
+		arrived <- struct{}{}
+		if number == 0 {
+			_, _ = io.WriteString(c, answer("a", "yes"))
+			return
+		}
+		_ = c.Close()
+	})
+	client := testClient()
+	response, err := ask(client, address, "a")
+	require.NoError(t, err)
+	_, _ = io.ReadAll(response)
+	response.Close()
+	_, err = ask(client, address, "b")
+	require.ErrorIs(t, err, ErrUnknown)
+	require.Len(t, arrived, 2)
+}
+
+func TestCancelEndsAnAnswerAtOnce(t *testing.T) {
+	closed := make(chan struct{})
+	address := scripted(t, func(c net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nyes")
+		_, err := c.Read(make([]byte, 1))
+		if errors.Is(err, io.EOF) {
+			close(closed)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := testClient().Send(ctx, Request{Address: address, Method: http.MethodGet, URI: "/", Host: "h"},
+		func(http.Header) bool { return true })
+	require.NoError(t, err)
+	cancel()
+	_, err = io.ReadAll(response)
+	require.ErrorIs(t, err, ErrBroken)
+	response.Close()
+	<-closed
+}
+
+func TestKeepFor(t *testing.T) {
+	for _, test := range []struct {
+		header string
+		want   time.Duration
+	}{
+		{"", time.Minute},
+		{"timeout=5", 5*time.Second - keepMargin},
+		{"max=3, timeout=5", 5*time.Second - keepMargin},
+		{"timeout=0", 0},
+		{"timeout=x", time.Minute},
+	} {
+		require.Equal(t, test.want, keepFor(http.Header{"Keep-Alive": {test.header}}, time.Minute), test.header)
+	}
+}
--- /dev/null
+++ b/pkg/serving/serving.go
@@ -0,0 +1,288 @@
+// Package serving holds the plain types that describe what is served: the
+// configuration in force, the endpoints that run requests, and the replica
+// groups that model endpoints form.
+//
+// The types name nothing of any wire. Adapters translate into them, and the
+// parts that decide read them.
+package serving
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// EndpointID names one life of an endpoint; a restart gives a new one.
+type EndpointID string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// RouteKind tells how often a request of a route may run.
+type RouteKind uint8
+
+// The kinds of route.
+const (
+	// KindRepeatable requests may run more than once.
+	KindRepeatable RouteKind = iota
+	// KindOnce requests run once at most.
+	KindOnce
+	// KindStream requests answer with events; they run once at most unless
+	// the route lets streams be resumed.
+	KindStream
+)
+
+// Split sends a share of a route's requests to a service.
+type Split struct {
+	Service string
+	Weight  int
+}
+
+// Route maps a host and a path prefix to a service.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   RouteKind
+	// Splits has at least one entry.
+	Splits []Split
+	// Timeout is the longest that a request may be held.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to its first event, that earns
+	// full credit; GapObjective bounds the pauses between events.
+	Objective    time.Duration
+	GapObjective time.Duration
+	MaxAttempts  int
+	Priority     int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another endpoint.
+	Resumable bool
+}
+
+// Repeatable reports whether a request may be sent again after it may have
+// run.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindRepeatable || r.Kind == KindStream && r.Resumable
+}
+
+// Service returns the service for a hash of the request.
+func (r *Route) Service(hash uint64) string {
+	total := 0
+	for _, s := range r.Splits {
+		total += s.Weight
+	}
+	if total == 0 {
+		return r.Splits[0].Service
+	}
+	at := int(hash % uint64(total))
+	for _, s := range r.Splits {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Splits[len(r.Splits)-1].Service
+}
+
+// Model is one model that a service's endpoints can load.
+type Model struct {
+	Name string
+	// Size is the number of endpoints in a replica group.
+	Size int
+	// Fraction is the model's part of the expected work.
+	Fraction float64
+	// Pace multiplies all of the engine's times.
+	Pace float64
+	// LoadTime is from the weight store, WarmTime from the host's memory.
+	LoadTime time.Duration
+	WarmTime time.Duration
+}
+
+// Engine is the speed of a service's model engines.
+type Engine struct {
+	Slots        int
+	StepTime     time.Duration
+	PerSequence  time.Duration
+	PerThousand  time.Duration // for each thousand tokens of context
+	TokensPerSec float64       // prompt tokens read a second
+	PairsTime    time.Duration // for each million pairs of tokens
+	Chunk        int           // prompt tokens read in one pass
+	StepsPerPass int
+	MemoryTokens int
+	FarFactor    float64 // slowdown of a group that spans domains
+	LoadsPerSec  float64
+	LoadsAtOnce  int
+	Models       []Model
+}
+
+// Model returns a model by name.
+func (e *Engine) Model(name string) (Model, bool) {
+	for _, m := range e.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Service is a kind of endpoint.
+type Service struct {
+	Name           string
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Workspace is a customer with its keys.
+type Workspace struct {
+	Name string
+	// Priority takes precedence over the route's if HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	IdleTimeout time.Duration
+}
+
+// Configuration is one version of everything that operators set.
+type Configuration struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	// Workspaces is by key; nil means that no key is asked for.
+	Workspaces map[string]Workspace
+	Limits     Limits
+
+	byHost map[string][]*Route
+}
+
+// Index prepares the configuration for Match. It is called once, before the
+// configuration is shared.
+func (c *Configuration) Index() {
+	c.byHost = map[string][]*Route{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+// Match finds the route of a host and path: the one with the longest prefix.
+func (c *Configuration) Match(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// MemberState is how far an endpoint has come in its replica group.
+type MemberState uint8
+
+// The states of a member. Only a head opens and closes.
+const (
+	MemberNone MemberState = iota
+	MemberJoining
+	MemberReady
+	MemberOpen
+	MemberClosing
+	MemberBroken
+)
+
+var memberStates = [...]string{"none", "joining", "ready", "open", "closing", "broken"}
+
+// String returns the state in lower case, for logs.
+func (s MemberState) String() string { return memberStates[s] }
+
+// Membership is an endpoint's place in a replica group.
+type Membership struct {
+	Group string
+	Epoch uint64
+	Rank  int
+	State MemberState
+}
+
+// Endpoint is what is known about one life of an endpoint.
+type Endpoint struct {
+	ID         EndpointID
+	Service    string
+	Address    string
+	DataCentre DataCentre
+	// Domain is the fabric domain; a group across domains is slow.
+	Domain  string
+	Slots   int
+	Leaving bool
+	// Model is loaded; Staged models are on the endpoint's host.
+	Model      string
+	Staged     []string
+	Membership Membership
+}
+
+// Same reports whether two records of an endpoint say the same.
+func (e *Endpoint) Same(other *Endpoint) bool {
+	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address &&
+		e.DataCentre == other.DataCentre && e.Domain == other.Domain && e.Slots == other.Slots &&
+		e.Leaving == other.Leaving && e.Model == other.Model && e.Membership == other.Membership &&
+		slices.Equal(e.Staged, other.Staged)
+}
+
+// Report is what an endpoint said when it was asked.
+type Report struct {
+	Membership Membership
+	Model      string
+	Staged     []string
+	Domain     string
+	// Orders counts the orders that this life of the endpoint has taken.
+	Orders uint64
+	// Busy is set while an order is under way.
+	Busy    bool
+	Queued  int
+	Running int
+	// Pace is above one for an endpoint that is slow.
+	Pace float64
+}
+
+// OrderKind is what an order asks of an endpoint.
+type OrderKind uint8
+
+// The kinds of order.
+const (
+	// OrderJoin makes the endpoint a member of a group.
+	OrderJoin OrderKind = iota
+	// OrderOpen makes a ready head take requests.
+	OrderOpen
+	// OrderClose lets a head finish what it has and take nothing new.
+	OrderClose
+	// OrderLeave ends the membership at once.
+	OrderLeave
+	// OrderStage loads a model's weights into the host's memory.
+	OrderStage
+)
+
+var orderKinds = [...]string{"join", "open", "close", "leave", "stage"}
+
+// String returns the kind in lower case, for logs.
+func (k OrderKind) String() string { return orderKinds[k] }
+
+// Order is a fenced command to one endpoint.
+type Order struct {
+	Kind  OrderKind
+	Group string
+	Epoch uint64
+	Model string
+	// Members has the head first.
+	Members []EndpointID
+	// Fence is the lease epoch of the controller.
+	Fence uint64
+	// Expected is the number of orders that the endpoint must have taken.
+	Expected uint64
+}
