--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	SOAK_SEED=$(SEED) SOAK_MINUTES=$(MINUTES) $(GO) test -timeout 0 -count 1 -run TestSoak -v ./internal/soak/
 
 generate: ## make the generated code anew; needs protoc and its Go plugins
-	cd internal/peers/peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
+	for p in peer share; do (cd internal/peers/$${p}pb && protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative $$p.proto) || exit 1; done
 
 capacity: ## print the slopes behind docs/CAPACITY.md
 	$(GO) test -run xxx -bench 'Exchange|Publish|Plan|Poll|Wire' -benchtime 50x ./internal/control
--- a/cmd/ridgehinged/main.go
+++ b/cmd/ridgehinged/main.go
@@ -13,9 +13,11 @@
 	"github.com/google/subcommands"
 
 	"github.com/ridgehinge/ridgehinge/internal/dev"
+	"github.com/ridgehinge/ridgehinge/internal/entry"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/node"
 	"github.com/ridgehinge/ridgehinge/internal/settings"
+	"github.com/ridgehinge/ridgehinge/platform"
 )
 
 func main() {
@@ -59,11 +61,14 @@
 }
 
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if onPlatform(c.path) {
+		return c.servePlatform(ctx)
+	}
 	s, status := loadSettings(c.path)
 	if s == nil {
 		return status
 	}
-	logging.Setup(os.Stderr, s.LogLevel)
+	logging.Setup(os.Stdout, s.LogLevel)
 	n, err := node.Start(s)
 	if err != nil {
 		return complain(err)
@@ -73,6 +78,28 @@
 	return subcommands.ExitSuccess
 }
 
+// onPlatform reports whether a settings file is for the platform's interface.
+func onPlatform(path string) bool {
+	text, err := os.ReadFile(path)
+	return err == nil && entry.IsFor(text)
+}
+
+// servePlatform serves callers and endpoints by the platform's interface.
+func (c *serveCommand) servePlatform(ctx context.Context) subcommands.ExitStatus {
+	s, err := entry.Load(c.path)
+	if err != nil {
+		return complain(err)
+	}
+	logging.Setup(os.Stdout, s.LogLevel)
+	e, err := entry.Start(s, platform.Adapter())
+	if err != nil {
+		return complain(err)
+	}
+	<-ctx.Done()
+	e.Stop()
+	return subcommands.ExitSuccess
+}
+
 type checkCommand struct{ path string }
 
 func (*checkCommand) Name() string     { return "check" }
@@ -84,6 +111,14 @@
 }
 
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if onPlatform(c.path) {
+		s, err := entry.Load(c.path)
+		if err != nil {
+			return complain(err)
+		}
+		fmt.Printf("%s: the settings of %s in %s are right\n", c.path, s.Node, s.DataCentre)
+		return subcommands.ExitSuccess
+	}
 	s, status := loadSettings(c.path)
 	if s == nil {
 		return status
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,274 @@
+package directory
+
+import (
+	"bytes"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// Codec translates rows into the product's types.
+type Codec struct {
+	Configuration func(value []byte) (*serving.Configuration, error)
+	Endpoint      func(key string, value []byte) (serving.Endpoint, error)
+	// ConfigurationTable and ConfigurationKey name the row of the newest
+	// configuration, EndpointTable the table of the endpoints' own rows.
+	ConfigurationTable string
+	ConfigurationKey   string
+	EndpointTable      string
+}
+
+// removedFor is how long a removed endpoint's version is remembered, so that
+// an older row that comes late does not bring it back.
+const removedFor = 2 * time.Minute
+
+// endpointRecord is one endpoint's row and what was seen of it since.
+type endpointRecord struct {
+	row      table.Row
+	endpoint *serving.Endpoint
+	// observed is a membership that the controller of this data centre was
+	// told by the endpoint itself, newer than the row.
+	observed   *Observation
+	observedAt time.Time
+	// observedHere is set if this node's own controller was told; only such
+	// observations are told to peers, or they would circle for ever.
+	observedHere bool
+	removedAt    time.Time
+}
+
+// Observation is what an endpoint itself said, ahead of its row.
+type Observation struct {
+	ID         serving.EndpointID
+	Model      string
+	Membership serving.Membership
+	// Orders orders observations of one life.
+	Orders uint64
+}
+
+// observationFor is how long an observation counts against an older row:
+// longer than the list lags.
+const observationFor = 5 * time.Second
+
+// Directory collects rows and observations. It is safe for concurrent use.
+type Directory struct {
+	codec Codec
+	log   logging.Logger
+	view  atomic.Pointer[View]
+
+	mu               sync.Mutex
+	configuration    *serving.Configuration
+	configurationRow []byte
+	endpoints        map[serving.EndpointID]*endpointRecord
+	changed          chan struct{}
+}
+
+// New returns a directory that knows nothing yet.
+func New(codec Codec) *Directory {
+	d := &Directory{
+		codec:     codec,
+		log:       logging.For("directory"),
+		endpoints: map[serving.EndpointID]*endpointRecord{},
+		changed:   make(chan struct{}, 1),
+	}
+	d.view.Store(buildView(nil, nil))
+	return d
+}
+
+// View returns the newest view.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Configuration returns the newest configuration's version and row value.
+func (d *Directory) Configuration() (version uint64, value []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.configuration == nil {
+		return 0, nil
+	}
+	return d.configuration.Version, d.configurationRow
+}
+
+// TakeConfiguration takes a configuration from the store or a peer. An older
+// one than that in force is left aside, whoever brings it.
+func (d *Directory) TakeConfiguration(value []byte, source string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if bytes.Equal(value, d.configurationRow) {
+		return
+	}
+	c, err := d.codec.Configuration(value)
+	if err != nil {
+		d.log.Error("a configuration cannot be read; the last one stays in force", "source", source, "error", err)
+		return
+	}
+	if d.configuration != nil && c.Version <= d.configuration.Version {
+		return
+	}
+	d.configuration = c
+	d.configurationRow = bytes.Clone(value)
+	d.log.Info("a configuration is in force", "version", c.Version, "source", source, "routes", len(c.Routes))
+	d.publish()
+}
+
+// TakeEndpoints takes rows of the endpoint table. With whole set, the rows
+// are all there are as of a version, and others are gone.
+func (d *Directory) TakeEndpoints(rows []table.Row, whole bool, version uint64, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	listed := map[serving.EndpointID]bool{}
+	for _, row := range rows {
+		listed[serving.EndpointID(row.Key)] = !row.Removed
+		changed = d.takeRow(row, now) || changed
+	}
+	if whole {
+		for id, record := range d.endpoints {
+			if record.endpoint != nil && !listed[id] && record.row.Version <= version {
+				changed = d.takeRow(table.Row{Key: string(id), Version: version, Removed: true}, now) || changed
+			}
+		}
+	}
+	if changed {
+		d.publish()
+	}
+}
+
+// takeRow applies one row and reports whether traffic has to know.
+func (d *Directory) takeRow(row table.Row, now time.Time) bool {
+	id := serving.EndpointID(row.Key)
+	record := d.endpoints[id]
+	if record != nil && row.Version <= record.row.Version {
+		return false
+	}
+	if record == nil {
+		record = &endpointRecord{}
+		d.endpoints[id] = record
+	}
+	record.row = row
+	if row.Removed {
+		was := record.endpoint != nil
+		record.endpoint, record.row.Value, record.removedAt = nil, nil, now
+		if was {
+			d.log.Info("an endpoint is gone", "endpoint", row.Key, "version", row.Version)
+		}
+		return was
+	}
+	e, err := d.codec.Endpoint(row.Key, row.Value)
+	if err != nil {
+		d.log.Error("an endpoint's row cannot be read", "endpoint", row.Key, "error", err)
+		return false
+	}
+	if record.endpoint != nil && record.endpoint.Same(&e) {
+		return false
+	}
+	if record.endpoint == nil || record.endpoint.Leaving != e.Leaving || record.endpoint.Membership != e.Membership {
+		d.log.Info("an endpoint has changed", "endpoint", row.Key, "version", row.Version, "leaving", e.Leaving,
+			"model", e.Model, "domain", e.Domain, "group", e.Membership.Group, "epoch", e.Membership.Epoch, "state", e.Membership.State.String())
+	}
+	record.endpoint = &e
+	if record.observed != nil && newer(e.Membership, record.observed.Membership) {
+		record.observed = nil
+	}
+	return true
+}
+
+// newer reports whether a row's membership must be later than an observed
+// one: epochs only rise, and so do the states within one.
+func newer(row, observed serving.Membership) bool {
+	if row.Epoch != observed.Epoch {
+		return row.Epoch > observed.Epoch
+	}
+	return row.State > observed.State
+}
+
+// Observe takes what an endpoint itself said about its membership, to this
+// node's controller (here) or to that of a peer.
+func (d *Directory) Observe(o Observation, here bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	record := d.endpoints[o.ID]
+	if record == nil || record.endpoint == nil {
+		return
+	}
+	if record.observed != nil && o.Orders < record.observed.Orders {
+		return
+	}
+	record.observedAt = now
+	record.observedHere = here
+	if record.observed != nil && *record.observed == o {
+		return
+	}
+	record.observed = &o
+	d.publish()
+}
+
+// Observations returns those of this node that may be newer than the rows.
+func (d *Directory) Observations(now time.Time) []Observation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Observation
+	for _, record := range d.endpoints {
+		if record.observed != nil && record.observedHere && now.Sub(record.observedAt) < observationFor {
+			out = append(out, *record.observed)
+		}
+	}
+	return out
+}
+
+// Rows returns the endpoint rows that a peer may lack.
+func (d *Directory) Rows() []table.Row {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []table.Row
+	for _, record := range d.endpoints {
+		out = append(out, record.row)
+	}
+	return out
+}
+
+// Refresh drops what has expired and publishes what depends on time.
+func (d *Directory) Refresh(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for id, record := range d.endpoints {
+		if record.observed != nil && now.Sub(record.observedAt) >= observationFor {
+			record.observed = nil
+			changed = true
+		}
+		if record.endpoint == nil && now.Sub(record.removedAt) > removedFor {
+			delete(d.endpoints, id)
+		}
+	}
+	if changed {
+		d.publish()
+	}
+}
+
+// Changed receives after a new view was published.
+func (d *Directory) Changed() <-chan struct{} { return d.changed }
+
+func (d *Directory) publish() {
+	endpoints := make(map[serving.EndpointID]*serving.Endpoint, len(d.endpoints))
+	for id, record := range d.endpoints {
+		if record.endpoint == nil {
+			continue
+		}
+		e := record.endpoint
+		if record.observed != nil {
+			merged := *e
+			merged.Membership = record.observed.Membership
+			merged.Model = record.observed.Model
+			e = &merged
+		}
+		endpoints[id] = e
+	}
+	d.view.Store(buildView(d.configuration, endpoints))
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,268 @@
+// Package entry puts together an entry instance whose endpoints keep their
+// own state in the platform's store.
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rs/xid"
+	"github.com/samber/oops"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
+	"github.com/ridgehinge/ridgehinge/internal/httpserver"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/internal/upstream"
+)
+
+// Adapter is what an outside platform brings: its translations.
+type Adapter struct {
+	Wire  relay.Wire
+	Codec directory.Codec
+	// Store and Endpoints return clients that call through the HTTP client.
+	Store     func(address string, client *http.Client) table.Store
+	Endpoints func(client *http.Client) groupcontrol.Endpoints
+	// ReadyPath is asked by the platform's balancer.
+	ReadyPath string
+}
+
+const (
+	// memoryShare is the part of the memory limit at which the collector
+	// works harder: stacks and buffers of the kernel's count as well.
+	memoryShare = 0.75
+	// gcPercent is lower than Go's own: memory is priced, and small.
+	gcPercent = 100
+	// storeCallTimeout bounds a call of the store beyond its waiting.
+	storeCallTimeout = 1200 * time.Millisecond
+	housekeeping     = time.Second
+	smallRequests    = 16
+	smallBody        = 64 << 10
+)
+
+// Entry is a running entry instance.
+type Entry struct {
+	settings   *Settings
+	log        logging.Logger
+	metrics    *metrics.Metrics
+	directory  *directory.Directory
+	balancer   *relay.Balancer
+	relay      *relay.Relay
+	upstream   *upstream.Client
+	controller *groupcontrol.Controller
+	share      *sharing
+	store      table.Store
+	tracker    *httpserver.Tracker
+	servers    []*nbhttp.Engine
+	peerSide   *peers.Server
+	stopping   atomic.Bool
+	cancel     context.CancelFunc
+	// cancelControl ends the controller ahead of the rest.
+	cancelControl context.CancelFunc
+	controlDone   chan struct{}
+	running       sync.WaitGroup
+}
+
+// Start starts an entry instance.
+func Start(s *Settings, a Adapter) (*Entry, error) {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	links := upstream.Options{
+		Source:         s.source(),
+		DialTimeout:    700 * time.Millisecond,
+		SilenceTimeout: 2 * time.Second,
+		IdleTimeout:    4 * time.Second,
+	}
+	life := s.Node + "/" + xid.New().String()
+	e := &Entry{
+		settings:    s,
+		log:         logging.For("entry").With("node", s.Node),
+		metrics:     metrics.New(s.Node, string(s.DataCentre)),
+		directory:   directory.New(a.Codec),
+		balancer:    relay.NewBalancer(s.DataCentre),
+		upstream:    upstream.New(links),
+		store:       a.Store(s.Store, httpClient(links)),
+		tracker:     httpserver.NewTracker(),
+		controlDone: make(chan struct{}),
+	}
+	budget := relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
+	e.relay = relay.New(relay.Options{
+		DataCentre:  s.DataCentre,
+		Wire:        a.Wire,
+		Upstream:    e.upstream,
+		View:        e.directory.View,
+		Balancer:    e.balancer,
+		Budget:      budget,
+		Metrics:     e.metrics,
+		StallAfter:  s.StallAfter,
+		MaxRequests: s.MaxRequests,
+	})
+	e.share = newSharing(s, life, e.directory, e.balancer, budget, e.store, links)
+	e.controller = groupcontrol.New(groupcontrol.Options{
+		Node:          life,
+		DataCentre:    s.DataCentre,
+		DataCentres:   s.DataCentres,
+		LeaseTTL:      s.LeaseTTL,
+		CallTimeout:   400 * time.Millisecond,
+		Tick:          100 * time.Millisecond,
+		HeadGoneAfter: 1500 * time.Millisecond,
+		DrainWait:     2500 * time.Millisecond,
+	}, e.store, a.Endpoints(httpClient(links)), e.directory, e.share.suspects)
+	if err := e.listen(a); err != nil {
+		return nil, err
+	}
+	e.run()
+	e.log.Info("started", "callers", s.Callers, "ready", s.Ready, "peers", s.Peers, "metrics", s.Metrics, "store", s.Store)
+	return e, nil
+}
+
+// httpClient returns a client for calls that carry no caller's request.
+func httpClient(links upstream.Options) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         links.Dialer().DialContext,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     links.IdleTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+func (e *Entry) listen(a Adapter) error {
+	s := e.settings
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+a.ReadyPath, e.readyz)
+	figures := http.NewServeMux()
+	figures.Handle("GET /metrics", e.metrics.Handler())
+	for _, o := range []httpserver.Options{
+		{Address: s.Ready, MaxBody: smallBody, MaxRequests: smallRequests, Handler: ready},
+		{Address: s.Metrics, MaxBody: smallBody, MaxRequests: smallRequests, Handler: figures},
+		{Address: s.Callers, MaxBody: s.MaxBody, MaxRequests: 2 * s.MaxRequests, Handler: http.HandlerFunc(e.serve)},
+	} {
+		server := httpserver.New(o)
+		if err := server.Start(); err != nil {
+			return oops.In("entry").Wrapf(err, "listen on %s", o.Address)
+		}
+		e.servers = append(e.servers, server)
+	}
+	var err error
+	e.peerSide, err = peers.ListenShare(s.Peers, []byte(s.PeerKey), e.share)
+	return err
+}
+
+func (e *Entry) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	control, cancelControl := context.WithCancel(ctx)
+	e.cancelControl = cancelControl
+	watcher := &directory.Watcher{Store: e.store, Directory: e.directory, Options: directory.DefaultWatchOptions()}
+	e.running.Go(func() { watcher.Run(ctx) })
+	e.running.Go(func() { e.share.run(ctx) })
+	e.running.Go(func() {
+		defer close(e.controlDone)
+		e.controller.Run(control)
+	})
+	e.running.Go(func() { e.keepHouse(ctx) })
+}
+
+// keepHouse drops what is over, once a second.
+func (e *Entry) keepHouse(ctx context.Context) {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.directory.Refresh(now)
+			e.balancer.Forget(e.directory.View().Endpoints)
+			e.upstream.Prune(now)
+		}
+	}
+}
+
+// ready reports whether this node can serve: it knows a configuration and
+// endpoints, and is not stopping.
+func (e *Entry) ready() bool {
+	view := e.directory.View()
+	return view.Configuration != nil && len(view.Endpoints) > 0 && !e.stopping.Load()
+}
+
+func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !e.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serve hands a caller's request to the relay.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := readBody(r)
+	if err != nil {
+		http.Error(w, "the body cannot be read", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	out := httpserver.NewResponder(w, cancel)
+	e.tracker.Add(out)
+	defer e.tracker.Remove(out)
+	e.relay.Serve(ctx, &relay.Request{
+		Method: r.Method,
+		URI:    r.RequestURI,
+		Path:   r.URL.EscapedPath(),
+		Host:   r.Host,
+		Header: r.Header,
+		Body:   body,
+	}, out)
+}
+
+// readBody reads a request's body; nbhttp has it whole already.
+func readBody(r *http.Request) ([]byte, error) {
+	if r.Body == nil || r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
+		return nil, nil
+	}
+	return io.ReadAll(r.Body)
+}
+
+// Stop is a planned stop: readiness goes off, requests are taken a little
+// longer, and those in progress are finished within the bound.
+func (e *Entry) Stop() {
+	e.log.Info("stopping", "in_progress", e.relay.InProgress())
+	began := time.Now()
+	e.stopping.Store(true)
+	e.relay.Stop()
+	e.cancelControl()
+	<-e.controlDone
+	release, cancel := context.WithTimeout(context.Background(), time.Second)
+	e.controller.Release(release)
+	e.share.leave(release)
+	cancel()
+	time.Sleep(time.Until(began.Add(e.settings.StopNotice)))
+	for e.relay.InProgress() > 0 && time.Since(began) < e.settings.StopBound {
+		time.Sleep(20 * time.Millisecond)
+	}
+	e.log.Info("stopped", "in_progress", e.relay.InProgress(), "took", time.Since(began))
+	e.close()
+}
+
+func (e *Entry) close() {
+	e.cancel()
+	e.tracker.Close()
+	for _, server := range e.servers {
+		server.Stop()
+	}
+	e.peerSide.Close()
+	e.running.Wait()
+	e.upstream.Close()
+	e.metrics.Close()
+}
--- /dev/null
+++ b/internal/groupcontrol/controller.go
@@ -0,0 +1,387 @@
+package groupcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// Controller forms, repairs and ends the groups of one data centre while its
+// node holds the lease.
+type Controller struct {
+	options   Options
+	endpoints Endpoints
+	directory *directory.Directory
+	suspects  func() []serving.EndpointID
+	lease     *leaseKeeper
+	log       logging.Logger
+
+	mu sync.Mutex
+	// busy endpoints are in an operation.
+	busy map[serving.EndpointID]string
+	// dead endpoints did not answer lately; the time is when that was found.
+	dead map[serving.EndpointID]time.Time
+	// probed is when the members of a suspected group were last asked.
+	probed map[string]time.Time
+	// heads remembers the head of each group, for when it is not listed any
+	// more, and ended the groups whose head was seen to have left.
+	heads map[string]*serving.Endpoint
+	ended map[string]bool
+	// unopened is since when a group has been seen unopened or headless
+	// without an operation on it.
+	unopened map[string]time.Time
+	// staged is when each spare was last told to stage a model.
+	staged   map[serving.EndpointID]time.Time
+	epoch    uint64
+	formed   uint64
+	nextLoad time.Time
+	running  sync.WaitGroup
+}
+
+// New returns a controller that has not started. suspects returns the
+// endpoints that traffic finds silent or failing.
+func New(o Options, store table.Store, endpoints Endpoints, d *directory.Directory, suspects func() []serving.EndpointID) *Controller {
+	c := &Controller{
+		options:   o,
+		endpoints: endpoints,
+		directory: d,
+		suspects:  suspects,
+		lease:     newLeaseKeeper(store, o),
+		log:       logging.For("groups").With("data_centre", string(o.DataCentre)),
+	}
+	c.reset(0)
+	return c
+}
+
+// reset forgets what an earlier hold of the lease knew.
+func (c *Controller) reset(epoch uint64) {
+	c.epoch = epoch
+	c.formed = 0
+	c.busy = map[serving.EndpointID]string{}
+	c.dead = map[serving.EndpointID]time.Time{}
+	c.probed = map[string]time.Time{}
+	c.heads = map[string]*serving.Endpoint{}
+	c.ended = map[string]bool{}
+	c.unopened = map[string]time.Time{}
+	c.staged = map[serving.EndpointID]time.Time{}
+}
+
+// Holder returns the last known controller of the data centre.
+func (c *Controller) Holder() string { return c.lease.Holder() }
+
+// Run acts until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	leaseDone := make(chan struct{})
+	go func() {
+		defer close(leaseDone)
+		c.keepLease(ctx)
+	}()
+	ticker := time.NewTicker(c.options.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.running.Wait()
+			<-leaseDone
+			return
+		case <-ticker.C:
+			c.tick(ctx, time.Now())
+		}
+	}
+}
+
+func (c *Controller) keepLease(ctx context.Context) {
+	ticker := time.NewTicker(c.options.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.lease.step(ctx, time.Now())
+		}
+	}
+}
+
+// Release gives up the lease; the controller must have stopped.
+func (c *Controller) Release(ctx context.Context) { c.lease.release(ctx) }
+
+// tick looks at the view once and starts the operations that it asks for.
+func (c *Controller) tick(ctx context.Context, now time.Time) {
+	epoch, held := c.lease.Held(now)
+	if !held {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch != c.epoch {
+		c.reset(epoch)
+	}
+	view := c.directory.View()
+	if view.Configuration == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(view.Configuration.Services)) {
+		service := view.Configuration.Services[name]
+		if service.Engine != nil {
+			c.tickService(ctx, view, service, now)
+		}
+	}
+}
+
+// group is a formation of a group as the endpoints tell it.
+type group struct {
+	// key names the formation: the group's name and epoch.
+	key     string
+	name    string
+	epoch   uint64
+	head    *serving.Endpoint
+	members []*serving.Endpoint
+	model   serving.Model
+}
+
+func (c *Controller) tickService(ctx context.Context, view *directory.View, service serving.Service, now time.Time) {
+	s := situation{
+		service:      service.Name,
+		engine:       service.Engine,
+		working:      map[string]int{},
+		domainModels: map[string]map[string]bool{},
+	}
+	groups := map[string]*group{}
+	for _, e := range view.Endpoints {
+		if e.Service != service.Name || e.DataCentre != c.options.DataCentre {
+			continue
+		}
+		if e.Membership.Group == "" || c.isBusy(e.ID) {
+			c.addFree(&s, e, now)
+			continue
+		}
+		c.addMember(groups, service.Engine, e)
+	}
+	for _, key := range slices.Sorted(maps.Keys(groups)) {
+		c.lookAtGroup(ctx, &s, groups[key], now)
+	}
+	c.countOperations(&s)
+	formations, spares := plan(s)
+	for _, f := range formations {
+		c.startForm(ctx, f, service.Engine, now)
+	}
+	for _, st := range spares {
+		c.startStage(ctx, st, service.Engine, now)
+	}
+}
+
+func (c *Controller) isBusy(id serving.EndpointID) bool { return c.busy[id] != "" }
+
+// deadFor is how long an endpoint that did not answer is left out.
+const deadFor = 8 * time.Second
+
+func (c *Controller) isDead(id serving.EndpointID, now time.Time) bool {
+	at, ok := c.dead[id]
+	return ok && now.Sub(at) < deadFor
+}
+
+// addFree adds an endpoint that may be used for new groups.
+func (c *Controller) addFree(s *situation, e *serving.Endpoint, now time.Time) {
+	if e.Leaving || c.isBusy(e.ID) || c.isDead(e.ID, now) {
+		return
+	}
+	s.free = append(s.free, e)
+}
+
+func (c *Controller) addMember(groups map[string]*group, engine *serving.Engine, e *serving.Endpoint) {
+	key := fmt.Sprintf("%s/%d", e.Membership.Group, e.Membership.Epoch)
+	g := groups[key]
+	if g == nil {
+		g = &group{key: key, name: e.Membership.Group, epoch: e.Membership.Epoch}
+		g.model, _ = engine.Model(e.Model)
+		groups[key] = g
+	}
+	g.members = append(g.members, e)
+	if e.Membership.Rank == 0 {
+		g.head = e
+		g.model, _ = engine.Model(e.Model)
+	}
+}
+
+// lookAtGroup leaves a group that stands alone, and has one that does not
+// dissolved. The members of a group whose head has left are free.
+func (c *Controller) lookAtGroup(ctx context.Context, s *situation, g *group, now time.Time) {
+	if c.ended[g.key] {
+		c.freeAll(s, g, now)
+		return
+	}
+	if g.head == nil {
+		c.lookAtHeadless(ctx, s, g, now)
+		return
+	}
+	c.heads[g.key] = g.head
+	reason := c.faultOf(g, now)
+	if reason == "" {
+		c.countWorking(s, g)
+		c.probeSuspect(ctx, g, now)
+		return
+	}
+	c.startDissolve(ctx, g, reason)
+}
+
+func (c *Controller) freeAll(s *situation, g *group, now time.Time) {
+	for _, e := range g.members {
+		c.addFree(s, e, now)
+	}
+}
+
+// Reasons to dissolve a group.
+const (
+	reasonBroken   = "its head is broken"
+	reasonLost     = "a member is gone"
+	reasonSilent   = "a member does not answer"
+	reasonLeaving  = "a member is leaving"
+	reasonUnopened = "nobody opens it"
+	reasonHeadless = "its head is not listed"
+)
+
+// faultOf returns why a group cannot go on, or nothing.
+func (c *Controller) faultOf(g *group, now time.Time) string {
+	switch {
+	case g.head.Membership.State == serving.MemberBroken:
+		return reasonBroken
+	case len(g.members) < g.model.Size:
+		return reasonLost
+	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return c.isDead(e.ID, now) }):
+		return reasonSilent
+	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return e.Leaving }):
+		return reasonLeaving
+	case g.head.Membership.State < serving.MemberOpen && c.seenFor(g.key, now) > unopenedFor:
+		return reasonUnopened
+	}
+	return ""
+}
+
+// unopenedFor is how long a group that no operation of this controller forms
+// may stay unopened before it is formed anew.
+const unopenedFor = 700 * time.Millisecond
+
+// seenFor returns for how long a group has been seen unopened or headless.
+func (c *Controller) seenFor(key string, now time.Time) time.Duration {
+	since, ok := c.unopened[key]
+	if !ok {
+		c.unopened[key] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// lookAtHeadless deals with a group whose head is in no list any more. The
+// head may only be cut off from the store, and open still: it is told to
+// leave if it is known, and given time to be gone if not.
+func (c *Controller) lookAtHeadless(ctx context.Context, s *situation, g *group, now time.Time) {
+	if head := c.heads[g.key]; head != nil {
+		g.head = head
+		c.startDissolve(ctx, g, reasonHeadless)
+		return
+	}
+	if c.seenFor(g.key, now) > c.options.HeadGoneAfter {
+		c.freeAll(s, g, now)
+	}
+}
+
+func (c *Controller) countWorking(s *situation, g *group) {
+	s.working[g.model.Name] += g.model.Size
+	for _, e := range g.members {
+		if s.domainModels[e.Domain] == nil {
+			s.domainModels[e.Domain] = map[string]bool{}
+		}
+		s.domainModels[e.Domain][g.model.Name] = true
+	}
+}
+
+// countOperations counts the groups that are being formed.
+func (c *Controller) countOperations(s *situation) {
+	for _, what := range c.busy {
+		if _, ok := s.engine.Model(what); ok {
+			s.working[what]++
+		}
+	}
+}
+
+// probeEvery is the time between two probes of a suspected group.
+const probeEvery = 600 * time.Millisecond
+
+// probeSuspect asks the members of a group whose head traffic finds silent.
+func (c *Controller) probeSuspect(ctx context.Context, g *group, now time.Time) {
+	if !slices.Contains(c.suspects(), g.head.ID) || now.Sub(c.probed[g.key]) < probeEvery {
+		return
+	}
+	c.probed[g.key] = now
+	members := slices.Clone(g.members)
+	c.running.Go(func() {
+		for _, e := range members {
+			c.running.Go(func() { c.probe(ctx, e) })
+		}
+	})
+}
+
+// probe marks an endpoint dead if it does not answer twice.
+func (c *Controller) probe(ctx context.Context, e *serving.Endpoint) {
+	for range 2 {
+		report, err := c.report(ctx, e)
+		if err == nil {
+			c.observe(e, report)
+			return
+		}
+		if errors.Is(err, ErrOtherLife) {
+			break
+		}
+	}
+	c.markDead(e, "it did not answer twice")
+}
+
+func (c *Controller) markDead(e *serving.Endpoint, why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dead[e.ID] = time.Now()
+	c.log.Warn("an endpoint counts as dead", "endpoint", string(e.ID), "address", e.Address, "group", e.Membership.Group, "why", why)
+}
+
+// report asks an endpoint about itself.
+func (c *Controller) report(ctx context.Context, e *serving.Endpoint) (serving.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	return c.endpoints.Report(ctx, e.Address, e.ID)
+}
+
+// observe lets the directory know what an endpoint said, ahead of its row.
+func (c *Controller) observe(e *serving.Endpoint, r serving.Report) {
+	c.directory.Observe(directory.Observation{
+		ID:         e.ID,
+		Model:      r.Model,
+		Membership: r.Membership,
+		Orders:     r.Orders,
+	}, true, time.Now())
+}
+
+// order gives one order, if this node still holds the lease at this moment.
+func (c *Controller) order(ctx context.Context, e *serving.Endpoint, o serving.Order) (done bool, err error) {
+	epoch, held := c.lease.Held(time.Now())
+	if !held || epoch != o.Fence {
+		return false, errLeaseLost
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	done, err = c.endpoints.Order(ctx, e.Address, e.ID, o)
+	c.log.Info("gave an order", "order", o.Kind.String(), "endpoint", string(e.ID), "group", o.Group, "epoch", o.Epoch,
+		"model", o.Model, "fence", o.Fence, "expected", o.Expected, "done", done, "error", err)
+	return done, err
+}
+
+var errLeaseLost = errors.New("the lease is not held any more")
--- /dev/null
+++ b/internal/groupcontrol/groupcontrol.go
@@ -0,0 +1,62 @@
+// Package groupcontrol decides which endpoints of a data centre form which
+// replica groups, and has them do so.
+//
+// One node of a data centre holds the lease and acts (controller.go). A plan
+// is pure (plan.go); an operation (form.go, dissolve.go) carries one plan out
+// and ends. The endpoints themselves hold the state of the groups: a new
+// controller reads it from them and takes over groups that stand.
+//
+// Three things keep an order that is carried out late from doing harm. It
+// names the number of orders that its endpoint must have taken, so it is
+// refused once another has been. It carries the lease's epoch as its fence.
+// And a controller opens only groups whose members it had join itself, so no
+// order of an earlier controller to one of them can still be under way.
+package groupcontrol
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// Errors of Endpoints.
+var (
+	// ErrNoAnswer means that a call may have been carried out, or may be yet.
+	ErrNoAnswer = errors.New("the endpoint did not answer")
+	// ErrOtherLife means that another life of the endpoint has its address.
+	ErrOtherLife = errors.New("another life of the endpoint answered")
+	// ErrRefused means that an order does not fit the endpoint's state.
+	ErrRefused = errors.New("the order does not fit the endpoint's state")
+	// ErrFenced means that the endpoint has seen a newer controller or epoch.
+	ErrFenced = errors.New("the order is older than one that the endpoint has taken")
+)
+
+// Endpoints calls endpoints.
+type Endpoints interface {
+	// Report asks an endpoint about itself.
+	Report(ctx context.Context, address string, id serving.EndpointID) (serving.Report, error)
+	// Order gives an order; done says that it already holds.
+	Order(ctx context.Context, address string, id serving.EndpointID, o serving.Order) (done bool, err error)
+}
+
+// Options of a Controller.
+type Options struct {
+	Node       string
+	DataCentre serving.DataCentre
+	// DataCentres is how many data centres share the weight store.
+	DataCentres int
+	// LeaseTTL is how long the lease of a silent holder lasts.
+	LeaseTTL time.Duration
+	// CallTimeout bounds one report or order.
+	CallTimeout time.Duration
+	// Tick is the time between two looks at the view.
+	Tick time.Duration
+	// HeadGoneAfter is how long an unlisted head must have been unreachable
+	// before its members are used again.
+	HeadGoneAfter time.Duration
+	// DrainWait is the longest wait for the requests of a group with a
+	// leaving member.
+	DrainWait time.Duration
+}
--- /dev/null
+++ b/internal/groupcontrol/lease.go
@@ -0,0 +1,155 @@
+package groupcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/pkg/lease"
+)
+
+// leaseTable holds one row for each data centre, in a partition of its own.
+const (
+	leaseTable = "ridgehinge-lease"
+	leaseKey   = "controller"
+)
+
+// leaseKeeper keeps the lease machine going against the table.
+type leaseKeeper struct {
+	store     table.Store
+	partition string
+	timeout   time.Duration
+	log       logging.Logger
+
+	mu      sync.Mutex
+	machine *lease.Machine
+	held    bool
+}
+
+func newLeaseKeeper(store table.Store, o Options) *leaseKeeper {
+	return &leaseKeeper{
+		store:     store,
+		partition: string(o.DataCentre),
+		timeout:   o.LeaseTTL / 3,
+		log:       logging.For("lease"),
+		machine: lease.New(lease.Options{
+			Self:  o.Node,
+			TTL:   o.LeaseTTL,
+			Renew: o.LeaseTTL / 3,
+			Guard: o.LeaseTTL / 5,
+		}),
+	}
+}
+
+// Held reports whether this node may act, and under which epoch.
+func (k *leaseKeeper) Held(now time.Time) (epoch uint64, held bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	epoch, held = k.machine.Held(now)
+	if held != k.held {
+		k.held = held
+		holder, known := k.machine.Holder()
+		k.log.Info("this node's hold has changed", "data_centre", k.partition, "held", held, "holder", holder, "epoch", known)
+	}
+	return epoch, held
+}
+
+// Holder returns the last known holder.
+func (k *leaseKeeper) Holder() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	holder, _ := k.machine.Holder()
+	return holder
+}
+
+// step does what the machine asks for, if anything.
+func (k *leaseKeeper) step(ctx context.Context, now time.Time) {
+	k.mu.Lock()
+	action := k.machine.Next(now)
+	k.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	defer cancel()
+	switch action.Kind {
+	case lease.ActionRead:
+		k.read(ctx)
+	case lease.ActionAcquire, lease.ActionRenew:
+		k.write(ctx, now, action)
+	}
+}
+
+func (k *leaseKeeper) read(ctx context.Context) {
+	row, version, err := k.fetch(ctx)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.machine.Failed()
+		return
+	}
+	k.machine.Read(time.Now(), row, version)
+}
+
+// fetch reads the row; its version is zero while there is none.
+func (k *leaseKeeper) fetch(ctx context.Context) (row lease.Row, version uint64, err error) {
+	page, err := k.store.Read(ctx, leaseTable, k.partition)
+	if err != nil {
+		return row, 0, err
+	}
+	for _, r := range page.Rows {
+		if r.Key == leaseKey && json.Unmarshal(r.Value, &row) == nil {
+			version = r.Version
+		}
+	}
+	return row, version, nil
+}
+
+func (k *leaseKeeper) write(ctx context.Context, asked time.Time, action lease.Action) {
+	value, _ := json.Marshal(action.Row) // A plain struct always encodes.
+	row := table.Row{Table: leaseTable, Partition: k.partition, Key: leaseKey}
+	condition, written := row, row
+	condition.Version = action.Version
+	written.Value = value
+	version, err := k.store.Commit(ctx, table.Change{Conditions: []table.Row{condition}, Writes: []table.Row{written}})
+	switch {
+	case err == nil:
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.machine.Written(asked, action.Row, version, true)
+	case errors.Is(err, table.ErrUnavailable):
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.machine.Failed()
+	default:
+		k.settle(ctx, asked, action)
+	}
+}
+
+// settle finds out what became of a write that was not answered, or that met
+// a change: an earlier write of this very life may have been the change.
+func (k *leaseKeeper) settle(ctx context.Context, asked time.Time, action lease.Action) {
+	row, version, err := k.fetch(ctx)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err != nil || version == action.Version:
+		k.machine.Failed()
+	case row.Holder == action.Row.Holder && row.Epoch == action.Row.Epoch:
+		k.machine.Written(asked, row, version, true)
+	default:
+		k.machine.Written(asked, action.Row, 0, false)
+	}
+}
+
+// release gives the lease up, so that another node need not wait for its end.
+func (k *leaseKeeper) release(ctx context.Context) {
+	now := time.Now()
+	k.mu.Lock()
+	action, ok := k.machine.Release(now)
+	k.mu.Unlock()
+	if ok {
+		k.write(ctx, now, action)
+	}
+}
--- /dev/null
+++ b/internal/groupcontrol/operations.go
@@ -0,0 +1,343 @@
+package groupcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// operation is one plan that is being carried out, under one epoch.
+type operation struct {
+	*Controller
+	epoch   uint64
+	members []*serving.Endpoint
+}
+
+const (
+	// reportPause is the time between two looks at a member that is on its
+	// way.
+	reportPause = 120 * time.Millisecond
+	// orderTries bounds the orders of one kind to one endpoint.
+	orderTries = 6
+	// joinSlack is added to a model's load time before a member that is not
+	// ready is given up.
+	joinSlack = 8 * time.Second
+	// busyDissolving marks the members of a group that is being ended.
+	busyDissolving = "dissolving"
+)
+
+var (
+	errMemberLost = errors.New("a member is lost")
+	errTooLate    = errors.New("the endpoint did not get there in time")
+)
+
+// begin marks the members; the caller holds the lock.
+func (c *Controller) begin(members []*serving.Endpoint, what string) *operation {
+	for _, e := range members {
+		c.busy[e.ID] = what
+	}
+	return &operation{Controller: c, epoch: c.epoch, members: members}
+}
+
+func (o *operation) finish() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.Controller.epoch != o.epoch {
+		// A later hold of the lease has its own marks.
+		return
+	}
+	for _, e := range o.members {
+		delete(o.busy, e.ID)
+	}
+}
+
+// startForm begins to form a group; the caller holds the lock.
+func (c *Controller) startForm(ctx context.Context, f formation, engine *serving.Engine, now time.Time) {
+	op := c.begin(f.members, f.model.Name)
+	c.formed++
+	name := fmt.Sprintf("%s-%d-%d", c.options.DataCentre, c.epoch, c.formed)
+	epoch := c.epoch*epochsPerLease + c.formed
+	waits := make([]time.Duration, len(f.members))
+	for i, e := range f.members {
+		if startTime(e, f.model) >= f.model.LoadTime {
+			waits[i] = c.reserveLoad(engine, now)
+		}
+	}
+	c.log.Info("forms a group", "group", name, "epoch", epoch, "model", f.model.Name, "members", f.ids(), "domain", f.members[0].Domain)
+	c.running.Go(func() {
+		defer op.finish()
+		began := time.Now()
+		err := op.form(ctx, f, name, epoch, waits)
+		c.log.Info("ended forming a group", "group", name, "epoch", epoch, "took", time.Since(began), "error", err)
+	})
+}
+
+// epochsPerLease leaves room for the groups formed under one lease epoch.
+const epochsPerLease = 100_000
+
+// reserveLoad returns how long a load has to wait for its turn; the caller
+// holds the lock.
+func (c *Controller) reserveLoad(engine *serving.Engine, now time.Time) time.Duration {
+	if engine.LoadsPerSec <= 0 {
+		return 0
+	}
+	at := c.nextLoad
+	if at.Before(now) {
+		at = now
+	}
+	pause := time.Duration(float64(c.options.DataCentres) / engine.LoadsPerSec * float64(time.Second))
+	c.nextLoad = at.Add(pause)
+	return at.Sub(now)
+}
+
+// form has the members join, waits until each was seen ready under this very
+// name and epoch, and has the head open.
+func (o *operation) form(ctx context.Context, f formation, name string, epoch uint64, waits []time.Duration) error {
+	join := serving.Order{Kind: serving.OrderJoin, Group: name, Epoch: epoch, Model: f.model.Name, Members: f.ids(), Fence: o.epoch}
+	// A member that is lost ends the waiting for the others.
+	joining, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wg sync.WaitGroup
+	for i, e := range f.members {
+		wg.Go(func() {
+			if err := o.join(joining, e, join, waits[i], loadPatience*f.model.LoadTime+joinSlack); err != nil {
+				cancel(err)
+			}
+		})
+	}
+	wg.Wait()
+	if joining.Err() != nil {
+		return context.Cause(joining)
+	}
+	head := f.members[0]
+	open := serving.Order{Kind: serving.OrderOpen, Group: name, Epoch: epoch, Fence: o.epoch}
+	if err := o.have(ctx, head, open, opened(name, epoch)); err != nil {
+		return err
+	}
+	return o.await(ctx, head, joinSlack, opened(name, epoch))
+}
+
+// loadPatience is how many load times a member may take: loads that run at
+// once slow each other down.
+const loadPatience = 3
+
+// join has one member join and waits until it is ready.
+func (o *operation) join(ctx context.Context, e *serving.Endpoint, order serving.Order, wait, limit time.Duration) error {
+	if err := pause(ctx, wait); err != nil {
+		return err
+	}
+	if err := o.have(ctx, e, order, inGroup(order.Group, order.Epoch)); err != nil {
+		return err
+	}
+	return o.await(ctx, e, limit, ready(order.Group, order.Epoch))
+}
+
+// condition is what a report must show.
+type condition func(serving.Report) bool
+
+func inGroup(name string, epoch uint64) condition {
+	return func(r serving.Report) bool { return r.Membership.Group == name && r.Membership.Epoch == epoch }
+}
+
+func ready(name string, epoch uint64) condition {
+	return func(r serving.Report) bool {
+		return inGroup(name, epoch)(r) && (r.Membership.State == serving.MemberReady || r.Membership.State == serving.MemberOpen)
+	}
+}
+
+func opened(name string, epoch uint64) condition {
+	return func(r serving.Report) bool {
+		return inGroup(name, epoch)(r) && r.Membership.State == serving.MemberOpen
+	}
+}
+
+// left reports that an endpoint takes no requests for a group any more.
+func left(name string, epoch uint64) condition {
+	return func(r serving.Report) bool {
+		return !inGroup(name, epoch)(r) || r.Membership.State == serving.MemberBroken
+	}
+}
+
+// have gives an order until it was taken or its condition holds. Each time it
+// first asks what orders the endpoint has taken, so that an order without an
+// answer is settled before the next and is refused if it comes late.
+func (o *operation) have(ctx context.Context, e *serving.Endpoint, order serving.Order, holds condition) error {
+	misses := 0
+	for range orderTries {
+		report, err := o.report(ctx, e)
+		if errors.Is(err, ErrOtherLife) {
+			o.markDead(e, "another life has its address")
+			return errMemberLost
+		}
+		if err != nil {
+			if misses++; misses > 1 {
+				o.markDead(e, "it did not answer before an order")
+				return errMemberLost
+			}
+			continue
+		}
+		misses = 0
+		o.observe(e, report)
+		if holds(report) {
+			return nil
+		}
+		order.Expected = report.Orders
+		_, err = o.order(ctx, e, order)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, errLeaseLost), errors.Is(err, ErrFenced):
+			return err
+		case errors.Is(err, ErrOtherLife):
+			o.markDead(e, "another life has its address")
+			return errMemberLost
+		}
+		if err := pause(ctx, reportPause); err != nil {
+			return err
+		}
+	}
+	return errTooLate
+}
+
+// await looks at an endpoint until a condition holds.
+func (o *operation) await(ctx context.Context, e *serving.Endpoint, limit time.Duration, holds condition) error {
+	until := time.Now().Add(limit)
+	misses := 0
+	for time.Now().Before(until) {
+		report, err := o.report(ctx, e)
+		switch {
+		case errors.Is(err, ErrOtherLife):
+			o.markDead(e, "another life has its address")
+			return errMemberLost
+		case err != nil:
+			if misses++; misses > 2 {
+				o.markDead(e, "it fell silent on its way")
+				return errMemberLost
+			}
+		case holds(report):
+			o.observe(e, report)
+			return nil
+		default:
+			misses = 0
+		}
+		if err := pause(ctx, reportPause); err != nil {
+			return err
+		}
+	}
+	return errTooLate
+}
+
+// startDissolve begins to end a group; the caller holds the lock.
+func (c *Controller) startDissolve(ctx context.Context, g *group, reason string) {
+	op := c.begin(g.members, busyDissolving)
+	c.log.Info("dissolves a group", "group", g.name, "epoch", g.epoch, "reason", reason, "members", len(g.members))
+	leaving := reason == reasonLeaving
+	c.running.Go(func() {
+		defer op.finish()
+		began := time.Now()
+		err := op.dissolve(ctx, g, leaving)
+		if err == nil {
+			op.noteEnded(g)
+		}
+		c.log.Info("ended dissolving a group", "group", g.name, "epoch", g.epoch, "took", time.Since(began), "error", err)
+	})
+}
+
+func (o *operation) noteEnded(g *group) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.Controller.epoch == o.epoch {
+		o.ended[g.key] = true
+	}
+}
+
+// dissolve has the head leave. Until the head is seen to have left, or to be
+// broken or gone, no member may join another group.
+func (o *operation) dissolve(ctx context.Context, g *group, leaving bool) error {
+	if leaving {
+		o.drain(ctx, g)
+	}
+	leave := serving.Order{Kind: serving.OrderLeave, Group: g.name, Epoch: g.epoch, Fence: o.epoch}
+	unreachable := time.Time{}
+	for ctx.Err() == nil {
+		err := o.have(ctx, g.head, leave, left(g.name, g.epoch))
+		if err == nil {
+			return o.await(ctx, g.head, joinSlack, left(g.name, g.epoch))
+		}
+		if errors.Is(err, errLeaseLost) || errors.Is(err, ErrFenced) {
+			return err
+		}
+		if errors.Is(err, errMemberLost) {
+			if unreachable.IsZero() {
+				unreachable = time.Now()
+			}
+			if o.isGone(g.head) && time.Since(unreachable) > o.options.HeadGoneAfter {
+				return nil
+			}
+		}
+		if err := pause(ctx, reportPause); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// isGone reports whether an endpoint is not listed any more.
+func (o *operation) isGone(e *serving.Endpoint) bool {
+	return o.directory.View().Endpoints[e.ID] == nil
+}
+
+// drain waits, within a bound, until a head has nothing under way.
+func (o *operation) drain(ctx context.Context, g *group) {
+	until := time.Now().Add(o.options.DrainWait)
+	for time.Now().Before(until) {
+		report, err := o.report(ctx, g.head)
+		if err != nil || report.Running+report.Queued == 0 {
+			return
+		}
+		if pause(ctx, 2*reportPause) != nil {
+			return
+		}
+	}
+}
+
+// stageAgain is the time before a staging is tried again.
+const stageAgain = 30 * time.Second
+
+// startStage loads a model to a spare's host; the caller holds the lock.
+func (c *Controller) startStage(ctx context.Context, s staging, engine *serving.Engine, now time.Time) {
+	if at, ok := c.staged[s.endpoint.ID]; ok && now.Sub(at) < stageAgain {
+		return
+	}
+	c.staged[s.endpoint.ID] = now
+	wait := c.reserveLoad(engine, now)
+	order := serving.Order{Kind: serving.OrderStage, Model: s.model.Name, Fence: c.epoch}
+	op := &operation{Controller: c, epoch: c.epoch}
+	c.running.Go(func() {
+		if pause(ctx, wait) != nil {
+			return
+		}
+		err := op.have(ctx, s.endpoint, order, func(r serving.Report) bool { return slices.Contains(r.Staged, s.model.Name) })
+		c.log.Info("staged a model on a spare", "endpoint", string(s.endpoint.ID), "model", s.model.Name, "error", err)
+	})
+}
+
+// pause waits, unless the context ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
@@ -61,12 +62,17 @@
 
 // Listen starts a server on an IP address and port.
 func Listen(address string, key []byte, h Handler) (*Server, error) {
+	return start(address, key, func(mux drpc.Mux) error { return peerpb.DRPCRegisterPeers(mux, h) })
+}
+
+// start starts a server for the services that are registered.
+func start(address string, key []byte, register func(drpc.Mux) error) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, oops.In("peers").Wrap(err)
 	}
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterPeers(mux, h); err != nil {
+	if err := register(mux); err != nil {
 		_ = listener.Close()
 		return nil, oops.In("peers").Wrap(err)
 	}
@@ -207,17 +213,25 @@
 // Exchange swaps messages with the peer at an address. The caller runs at
 // most one exchange with a peer at a time.
 func (c *Client) Exchange(ctx context.Context, address string, m *Message) (*Message, error) {
+	return swap(ctx, c, address, m, func(conn *drpcconn.Conn) (*Message, error) {
+		return peerpb.NewDRPCPeersClient(conn).Exchange(ctx, m)
+	})
+}
+
+// swap runs one exchange on a kept connection.
+func swap[M proto.Message](ctx context.Context, c *Client, address string, m M, call func(*drpcconn.Conn) (M, error)) (M, error) {
+	var none M
 	conn := c.take(address)
 	if conn == nil || isClosed(conn) {
 		var err error
 		if conn, err = c.dial(ctx, address); err != nil {
-			return nil, err
+			return none, err
 		}
 	}
-	answer, err := peerpb.NewDRPCPeersClient(conn).Exchange(ctx, m)
+	answer, err := call(conn)
 	if err != nil {
 		_ = conn.Close()
-		return nil, turn(err)
+		return none, turn(err)
 	}
 	if proto.Size(m)+proto.Size(answer) > largeExchange {
 		// Both ends keep buffers of the largest message on a connection. The
--- /dev/null
+++ b/internal/peers/share.go
@@ -0,0 +1,32 @@
+package peers
+
+import (
+	"context"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
+)
+
+// ShareMessage is one side of a Share call.
+type ShareMessage = sharepb.ShareMessage
+
+// ShareHandler answers peers' Share calls.
+type ShareHandler interface {
+	// Share takes a peer's message and returns this node's.
+	Share(ctx context.Context, m *ShareMessage) (*ShareMessage, error)
+}
+
+// ListenShare starts a server for Share calls on an IP address and port.
+func ListenShare(address string, key []byte, h ShareHandler) (*Server, error) {
+	return start(address, key, func(mux drpc.Mux) error { return sharepb.DRPCRegisterSharing(mux, h) })
+}
+
+// Share swaps messages with the peer at an address. The caller runs at most
+// one call with a peer at a time.
+func (c *Client) Share(ctx context.Context, address string, m *ShareMessage) (*ShareMessage, error) {
+	return swap(ctx, c, address, m, func(conn *drpcconn.Conn) (*ShareMessage, error) {
+		return sharepb.NewDRPCSharingClient(conn).Share(ctx, m)
+	})
+}
--- /dev/null
+++ b/internal/relay/balancer.go
@@ -0,0 +1,280 @@
+package relay
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+const (
+	// remotePenalty is added to the predicted time of an endpoint in another
+	// data centre: bytes between data centres cost.
+	remotePenalty = 15 * time.Millisecond
+	// degradedPenalty keeps requests off a group with a leaving member while
+	// there is another.
+	degradedPenalty = time.Second
+	// suspectFor is how long an endpoint that failed or fell silent is
+	// passed over, unless it shows life.
+	suspectFor = 2 * time.Second
+)
+
+// Size is how much work a request asks of a model engine.
+type Size struct {
+	Prompt int
+	Answer int
+}
+
+// load is what is under way at one endpoint.
+type load struct {
+	running int
+	// unread is the prompt tokens of requests that have no first event yet;
+	// context is the tokens of all that run.
+	unread  int
+	context int
+	// peers is what the other nodes last told.
+	peers PeerLoad
+	// news is when the endpoint last showed life to this node.
+	news time.Time
+	// suspectUntil is set when it failed or fell silent.
+	suspectUntil time.Time
+}
+
+// PeerLoad is the work that other nodes have at one endpoint.
+type PeerLoad struct {
+	Running int
+	Unread  int
+}
+
+// Balancer knows what is under way at each endpoint and chooses among them.
+// It is safe for concurrent use.
+type Balancer struct {
+	home  serving.DataCentre
+	mu    sync.Mutex
+	loads map[serving.EndpointID]*load
+	// turn breaks ties, so that equal endpoints take turns.
+	turn int
+}
+
+// NewBalancer returns a balancer for a node in a data centre.
+func NewBalancer(home serving.DataCentre) *Balancer {
+	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}}
+}
+
+func (b *Balancer) load(id serving.EndpointID) *load {
+	l := b.loads[id]
+	if l == nil {
+		l = &load{}
+		b.loads[id] = l
+	}
+	return l
+}
+
+// Prediction is how a request would fare at an endpoint.
+type Prediction struct {
+	// First is the time to the first event, Gap the longest usual pause.
+	First time.Duration
+	Gap   time.Duration
+	// Running is the number of requests there.
+	Running int
+}
+
+// predict applies the engine's speed to what is under way at a head.
+//
+// One pass reads at most a chunk of prompt tokens and plays a number of steps
+// for all that write; a new request has its first token once the prompts
+// before it and its own are read.
+func predict(h *directory.Head, l *load, s Size) Prediction {
+	e := h.Engine
+	running := l.running + l.peers.Running
+	context := l.context
+	if l.running > 0 {
+		context = context * running / l.running
+	}
+	step := e.StepTime + time.Duration(running)*e.PerSequence + time.Duration(context)*e.PerThousand/1000
+	steps := time.Duration(e.StepsPerPass) * step
+	unread := l.unread + l.peers.Unread
+	chunk := max(1, e.Chunk)
+	reading := func(tokens int) time.Duration {
+		return time.Duration(float64(tokens) / max(1, e.TokensPerSec) * float64(time.Second))
+	}
+	passes := (unread + s.Prompt + chunk - 1) / chunk
+	first := steps/2 + reading(unread+s.Prompt) + time.Duration(passes)*steps
+	gap := steps + reading(min(chunk, unread+s.Prompt))
+	return Prediction{
+		First:   time.Duration(float64(first) * h.Pace),
+		Gap:     time.Duration(float64(gap) * h.Pace),
+		Running: running,
+	}
+}
+
+// ChooseHead picks the group at which a request has its first event soonest.
+// full is set if all of them were at their slots.
+func (b *Balancer) ChooseHead(heads []*directory.Head, s Size, failed []serving.EndpointID, now time.Time) (head *directory.Head, p Prediction, full bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var best time.Duration
+	for _, h := range heads {
+		l := b.load(h.ID)
+		if h.Incomplete || now.Before(l.suspectUntil) || slices.Contains(failed, h.ID) {
+			continue
+		}
+		candidate := predict(h, l, s)
+		if candidate.Running >= h.Slots {
+			full = true
+			continue
+		}
+		score := candidate.First
+		if h.DataCentre != b.home {
+			score += remotePenalty
+		}
+		if h.Degraded {
+			score += degradedPenalty
+		}
+		if head == nil || score < best {
+			head, p, best = h, candidate, score
+		}
+	}
+	return head, p, full && head == nil
+}
+
+// ChoosePlain picks the endpoint of a plain service with the least under way.
+func (b *Balancer) ChoosePlain(endpoints []*serving.Endpoint, failed []serving.EndpointID, now time.Time) (*serving.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+	var best *serving.Endpoint
+	bestScore := 0
+	for i := range endpoints {
+		e := endpoints[(i+b.turn)%len(endpoints)]
+		l := b.load(e.ID)
+		if slices.Contains(failed, e.ID) {
+			continue
+		}
+		score := 2 * (l.running + l.peers.Running)
+		if now.Before(l.suspectUntil) {
+			score += 1000
+		}
+		if e.DataCentre != b.home {
+			score++
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best, best != nil
+}
+
+// flight is one request at an endpoint.
+type flight struct {
+	balancer *Balancer
+	endpoint serving.EndpointID
+	size     Size
+	reading  bool
+}
+
+// begin counts a request that is sent to an endpoint.
+func (b *Balancer) begin(id serving.EndpointID, s Size, now time.Time) *flight {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(id)
+	if l.running == 0 {
+		// Silence counts from here: nothing was due before.
+		l.news = now
+	}
+	l.running++
+	l.unread += s.Prompt
+	l.context += s.Prompt
+	return &flight{balancer: b, endpoint: id, size: s, reading: true}
+}
+
+// event notes that the endpoint has sent something of the request.
+func (f *flight) event(now time.Time) {
+	f.balancer.mu.Lock()
+	defer f.balancer.mu.Unlock()
+	l := f.balancer.load(f.endpoint)
+	l.news = now
+	l.suspectUntil = time.Time{}
+	if f.reading {
+		f.reading = false
+		l.unread -= f.size.Prompt
+	}
+}
+
+// end takes the request off the endpoint's count.
+func (f *flight) end() {
+	f.balancer.mu.Lock()
+	defer f.balancer.mu.Unlock()
+	l := f.balancer.load(f.endpoint)
+	l.running--
+	l.context -= f.size.Prompt
+	if f.reading {
+		f.reading = false
+		l.unread -= f.size.Prompt
+	}
+}
+
+// silence returns how long nothing at all has come from the endpoint.
+func (f *flight) silence(now time.Time) time.Duration {
+	f.balancer.mu.Lock()
+	defer f.balancer.mu.Unlock()
+	return now.Sub(f.balancer.load(f.endpoint).news)
+}
+
+// Suspect has an endpoint passed over for a while.
+func (b *Balancer) Suspect(id serving.EndpointID, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(id).suspectUntil = now.Add(suspectFor)
+}
+
+// Suspects returns the endpoints that are passed over now.
+func (b *Balancer) Suspects(now time.Time) []serving.EndpointID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []serving.EndpointID
+	for id, l := range b.loads {
+		if now.Before(l.suspectUntil) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Own returns what this node has under way, to tell its peers.
+func (b *Balancer) Own() map[serving.EndpointID]PeerLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[serving.EndpointID]PeerLoad{}
+	for id, l := range b.loads {
+		if l.running > 0 {
+			out[id] = PeerLoad{Running: l.running, Unread: l.unread}
+		}
+	}
+	return out
+}
+
+// SetPeers takes the sum of what the other nodes told.
+func (b *Balancer) SetPeers(loads map[serving.EndpointID]PeerLoad) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, l := range b.loads {
+		l.peers = loads[id]
+	}
+	for id, p := range loads {
+		b.load(id).peers = p
+	}
+}
+
+// Forget drops the endpoints that are not listed and have nothing under way.
+func (b *Balancer) Forget(listed map[serving.EndpointID]*serving.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, l := range b.loads {
+		if listed[id] == nil && l.running == 0 {
+			delete(b.loads, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/events.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 256 << 10
+
+var (
+	errEventTooLarge = errors.New("an event of the stream is too large")
+	errEventOrder    = errors.New("an event of the stream is out of order")
+	errEventPart     = errors.New("the stream ended inside an event")
+)
+
+// event is one whole event of a stream, as its bytes came.
+type event struct {
+	raw []byte
+	// id is empty for an event without one.
+	id string
+}
+
+// eventReader reads whole events. The bytes of an event are valid until the
+// next is read.
+type eventReader struct {
+	reader *bufio.Reader
+	raw    []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10)}
+}
+
+// next returns the next event, or io.EOF after the last one.
+func (r *eventReader) next() (event, error) {
+	r.raw = r.raw[:0]
+	e := event{}
+	for {
+		start := len(r.raw)
+		if err := r.line(); err != nil {
+			if errors.Is(err, io.EOF) && len(r.raw) > 0 {
+				return e, errEventPart
+			}
+			return e, err
+		}
+		line := bytes.TrimRight(r.raw[start:], "\r\n")
+		if len(line) == 0 {
+			if start == 0 {
+				// A blank line before an event belongs to none.
+				r.raw = r.raw[:0]
+				continue
+			}
+			e.raw = r.raw
+			return e, nil
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// line appends one line with its end.
+func (r *eventReader) line() error {
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		r.raw = append(r.raw, part...)
+		if len(r.raw) > maxEvent {
+			return errEventTooLarge
+		}
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
+// follows reports whether an event's id may come after another: ids rise.
+func follows(id, last string) bool {
+	if id == "" || last == "" {
+		return true
+	}
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/internal/upstream"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// Options of a Relay.
+type Options struct {
+	DataCentre serving.DataCentre
+	Wire       Wire
+	Upstream   *upstream.Client
+	View       func() *directory.View
+	Balancer   *Balancer
+	Budget     *Budget
+	Metrics    *metrics.Metrics
+	// StallAfter is how long an endpoint may be silent on all of its
+	// requests before a resumable stream goes on elsewhere.
+	StallAfter time.Duration
+	// MaxRequests bounds the requests in progress.
+	MaxRequests int
+}
+
+// Responder answers one caller.
+type Responder interface {
+	// Begin sends the status and header; it is called once, and first.
+	Begin(status int, header http.Header)
+	// Write sends a part of the body.
+	Write(p []byte) error
+	// End says that the answer is whole.
+	End()
+	// Cut ends an answer that is not whole, so that the caller can tell.
+	Cut()
+}
+
+// Request is a caller's request, read whole.
+type Request struct {
+	Method string
+	// URI is the path with the query, as it came; Path is without the query.
+	URI    string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Relay has endpoints run callers' requests. It is safe for concurrent use.
+type Relay struct {
+	options    Options
+	log        logging.Logger
+	inProgress atomic.Int64
+	stopping   atomic.Bool
+
+	mu      sync.Mutex
+	classes map[classKey]*metrics.Class
+	// longest is the longest deadline seen on each route: a caller that
+	// comes back after a refusal has less left.
+	longest map[string]time.Duration
+}
+
+type classKey struct{ workspace, route string }
+
+// New returns a relay.
+func New(o Options) *Relay {
+	return &Relay{
+		options: o,
+		log:     logging.For("relay"),
+		classes: map[classKey]*metrics.Class{},
+		longest: map[string]time.Duration{},
+	}
+}
+
+// InProgress returns the number of requests under way.
+func (r *Relay) InProgress() int64 { return r.inProgress.Load() }
+
+// Stop has every answer ask its caller to close the connection.
+func (r *Relay) Stop() { r.stopping.Store(true) }
+
+// maxClasses bounds the metrics' labels.
+const maxClasses = 400
+
+// class returns the metrics of a workspace and a kind of request.
+func (r *Relay) class(workspace, kind string) *metrics.Class {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := classKey{workspace, kind}
+	c := r.classes[key]
+	if c == nil && len(r.classes) >= maxClasses {
+		key = classKey{"other", kind}
+		c = r.classes[key]
+	}
+	if c == nil {
+		c = r.options.Metrics.Class(key.workspace, key.route)
+		r.classes[key] = c
+	}
+	return c
+}
+
+// cause of a request's context to end.
+type contextCause string
+
+func (c contextCause) Error() string { return string(c) }
+
+const (
+	errDeadline contextCause = "the time for the answer is over"
+	errStalled  contextCause = "the endpoint has fallen silent"
+)
+
+// withLimit bounds a request's context.
+func withLimit(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadlineCause(ctx, at, errDeadline)
+}
