Form groups by what each domain needs; ask endpoints when they are due

Change: a domain's neediest model goes first and waits while the domain grows; spares are staged once a group is open; orders that an endpoint has taken are remembered, rows are read in place of reports where they do.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -19,6 +19,8 @@
 	Node        string
 	DataCentre  serving.DataCentre
 	DataCentres int
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart bool
 	// Callers, Ready, Peers and Metrics are the addresses to listen on.
 	Callers string
 	Ready   string
@@ -86,6 +88,7 @@
 	s.Node = node.Name("name")
 	s.DataCentre = serving.DataCentre(node.Name("data_centre"))
 	s.DataCentres = max(1, len(node.List("data_centres")))
+	s.FirstStart = node.Bool("first_start", false)
 	listen := f.Section("listen")
 	s.Callers = listen.Address("callers")
 	s.Ready = listen.Address("ready")
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -39,6 +39,10 @@
 	// unopened is since when a group has been seen unopened or headless
 	// without an operation on it.
 	unopened map[string]time.Time
+	// orders is how many orders each endpoint has taken, where that is known.
+	orders map[serving.EndpointID]uint64
+	// firstSeen is when each endpoint was first listed.
+	firstSeen map[serving.EndpointID]time.Time
 	// staged is when each spare was last told to stage a model.
 	staged   map[serving.EndpointID]time.Time
 	epoch    uint64
@@ -72,6 +76,8 @@
 	c.heads = map[string]*serving.Endpoint{}
 	c.ended = map[string]bool{}
 	c.unopened = map[string]time.Time{}
+	c.orders = map[serving.EndpointID]uint64{}
+	c.firstSeen = map[serving.EndpointID]time.Time{}
 	c.staged = map[serving.EndpointID]time.Time{}
 }
 
@@ -151,16 +157,25 @@
 
 func (c *Controller) tickService(ctx context.Context, view *directory.View, service serving.Service, now time.Time) {
 	s := situation{
-		service:      service.Name,
-		engine:       service.Engine,
-		working:      map[string]int{},
-		domainModels: map[string]map[string]bool{},
+		service: service.Name,
+		engine:  service.Engine,
+		working: map[string]map[string]int{},
+		growing: map[string]bool{},
 	}
 	groups := map[string]*group{}
 	for _, e := range view.Endpoints {
 		if e.Service != service.Name || e.DataCentre != c.options.DataCentre {
 			continue
 		}
+		if _, ok := c.firstSeen[e.ID]; !ok {
+			c.firstSeen[e.ID] = now
+		}
+		if now.Sub(c.firstSeen[e.ID]) < growingFor {
+			s.growing[e.Domain] = true
+		}
+		if e.Membership.State == serving.MemberOpen {
+			s.open = true
+		}
 		if e.Membership.Group == "" || c.isBusy(e.ID) {
 			c.addFree(&s, e, now)
 			continue
@@ -170,7 +185,7 @@
 	for _, key := range slices.Sorted(maps.Keys(groups)) {
 		c.lookAtGroup(ctx, &s, groups[key], now)
 	}
-	c.countOperations(&s)
+	c.countOperations(&s, view)
 	formations, spares := plan(s)
 	for _, f := range formations {
 		c.startForm(ctx, f, service.Engine, now)
@@ -180,6 +195,9 @@
 	}
 }
 
+// growingFor is how long after a new endpoint its domain may have more soon.
+const growingFor = 1500 * time.Millisecond
+
 func (c *Controller) isBusy(id serving.EndpointID) bool { return c.busy[id] != "" }
 
 // deadFor is how long an endpoint that did not answer is left out.
@@ -296,20 +314,17 @@
 }
 
 func (c *Controller) countWorking(s *situation, g *group) {
-	s.working[g.model.Name] += g.model.Size
 	for _, e := range g.members {
-		if s.domainModels[e.Domain] == nil {
-			s.domainModels[e.Domain] = map[string]bool{}
-		}
-		s.domainModels[e.Domain][g.model.Name] = true
+		s.count(e.Domain, g.model.Name, 1)
 	}
 }
 
 // countOperations counts the groups that are being formed.
-func (c *Controller) countOperations(s *situation) {
-	for _, what := range c.busy {
-		if _, ok := s.engine.Model(what); ok {
-			s.working[what]++
+func (c *Controller) countOperations(s *situation, view *directory.View) {
+	for id, what := range c.busy {
+		e := view.Endpoints[id]
+		if _, ok := s.engine.Model(what); ok && e != nil {
+			s.count(e.Domain, what, 1)
 		}
 	}
 }
@@ -334,9 +349,8 @@
 // probe marks an endpoint dead if it does not answer twice.
 func (c *Controller) probe(ctx context.Context, e *serving.Endpoint) {
 	for range 2 {
-		report, err := c.report(ctx, e)
+		_, err := c.report(ctx, e)
 		if err == nil {
-			c.observe(e, report)
 			return
 		}
 		if errors.Is(err, ErrOtherLife) {
@@ -357,7 +371,32 @@
 func (c *Controller) report(ctx context.Context, e *serving.Endpoint) (serving.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	return c.endpoints.Report(ctx, e.Address, e.ID)
+	report, err := c.endpoints.Report(ctx, e.Address, e.ID)
+	if err == nil {
+		c.observe(e, report)
+		c.noteOrders(e.ID, report.Orders)
+	}
+	return report, err
+}
+
+func (c *Controller) noteOrders(id serving.EndpointID, orders uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders[id] = orders
+}
+
+// knownOrders returns how many orders an endpoint has taken, if that is known.
+func (c *Controller) knownOrders(id serving.EndpointID) (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	orders, ok := c.orders[id]
+	return orders, ok
+}
+
+func (c *Controller) forgetOrders(id serving.EndpointID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.orders, id)
 }
 
 // observe lets the directory know what an endpoint said, ahead of its row.
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -47,6 +47,8 @@
 	DataCentre serving.DataCentre
 	// DataCentres is how many data centres share the weight store.
 	DataCentres int
+	// Unpaced reports whether loads need not be paced: nothing is served yet.
+	Unpaced func() bool
 	// LeaseTTL is how long the lease of a silent holder lasts.
 	LeaseTTL time.Duration
 	// CallTimeout bounds one report or order.
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -27,6 +27,10 @@
 	// joinSlack is added to a model's load time before a member that is not
 	// ready is given up.
 	joinSlack = 8 * time.Second
+	// joinMargin is added to a member's expected time before it is asked.
+	joinMargin = 30 * time.Millisecond
+	// formationTime is when a head is asked whether it has opened.
+	formationTime = 320 * time.Millisecond
 	// busyDissolving marks the members of a group that is being ended.
 	busyDissolving = "dissolving"
 )
@@ -83,7 +87,7 @@
 // reserveLoad returns how long a load has to wait for its turn; the caller
 // holds the lock.
 func (c *Controller) reserveLoad(engine *serving.Engine, now time.Time) time.Duration {
-	if engine.LoadsPerSec <= 0 {
+	if engine.LoadsPerSec <= 0 || c.options.Unpaced() {
 		return 0
 	}
 	at := c.nextLoad
@@ -105,7 +109,7 @@
 	var wg sync.WaitGroup
 	for i, e := range f.members {
 		wg.Go(func() {
-			if err := o.join(joining, e, join, waits[i], loadPatience*f.model.LoadTime+joinSlack); err != nil {
+			if err := o.join(joining, e, join, waits[i], startTime(e, f.model), loadPatience*f.model.LoadTime+joinSlack); err != nil {
 				cancel(err)
 			}
 		})
@@ -119,7 +123,7 @@
 	if err := o.have(ctx, head, open, opened(name, epoch)); err != nil {
 		return err
 	}
-	return o.await(ctx, head, joinSlack, opened(name, epoch))
+	return o.await(ctx, head, formationTime, joinSlack, opened(name, epoch))
 }
 
 // loadPatience is how many load times a member may take: loads that run at
@@ -127,14 +131,14 @@
 const loadPatience = 3
 
 // join has one member join and waits until it is ready.
-func (o *operation) join(ctx context.Context, e *serving.Endpoint, order serving.Order, wait, limit time.Duration) error {
+func (o *operation) join(ctx context.Context, e *serving.Endpoint, order serving.Order, wait, expected, limit time.Duration) error {
 	if err := pause(ctx, wait); err != nil {
 		return err
 	}
 	if err := o.have(ctx, e, order, inGroup(order.Group, order.Epoch)); err != nil {
 		return err
 	}
-	return o.await(ctx, e, limit, ready(order.Group, order.Epoch))
+	return o.await(ctx, e, expected+joinMargin, limit, ready(order.Group, order.Epoch))
 }
 
 // condition is what a report must show.
@@ -163,33 +167,29 @@
 	}
 }
 
-// have gives an order until it was taken or its condition holds. Each time it
-// first asks what orders the endpoint has taken, so that an order without an
-// answer is settled before the next and is refused if it comes late.
+// have gives an order until it was taken or its condition holds. An order
+// names the number of orders that the endpoint has taken, so that one without
+// an answer is settled before the next, and is refused if it comes late.
 func (o *operation) have(ctx context.Context, e *serving.Endpoint, order serving.Order, holds condition) error {
-	misses := 0
 	for range orderTries {
-		report, err := o.report(ctx, e)
-		if errors.Is(err, ErrOtherLife) {
-			o.markDead(e, "another life has its address")
-			return errMemberLost
-		}
-		if err != nil {
-			if misses++; misses > 1 {
-				o.markDead(e, "it did not answer before an order")
-				return errMemberLost
+		orders, known := o.knownOrders(e.ID)
+		if !known {
+			report, err := o.ask(ctx, e)
+			if err != nil {
+				return err
 			}
-			continue
-		}
-		misses = 0
-		o.observe(e, report)
-		if holds(report) {
-			return nil
+			if holds(report) {
+				return nil
+			}
+			orders = report.Orders
 		}
-		order.Expected = report.Orders
-		_, err = o.order(ctx, e, order)
+		order.Expected = orders
+		done, err := o.order(ctx, e, order)
 		switch {
 		case err == nil:
+			if !done {
+				o.noteOrders(e.ID, orders+1)
+			}
 			return nil
 		case errors.Is(err, errLeaseLost), errors.Is(err, ErrFenced):
 			return err
@@ -197,6 +197,7 @@
 			o.markDead(e, "another life has its address")
 			return errMemberLost
 		}
+		o.forgetOrders(e.ID)
 		if err := pause(ctx, reportPause); err != nil {
 			return err
 		}
@@ -204,28 +205,60 @@
 	return errTooLate
 }
 
-// await looks at an endpoint until a condition holds.
-func (o *operation) await(ctx context.Context, e *serving.Endpoint, limit time.Duration, holds condition) error {
-	until := time.Now().Add(limit)
-	misses := 0
-	for time.Now().Before(until) {
-		report, err := o.report(ctx, e)
+// ask has an endpoint report, and gives it up if it does not twice.
+func (o *operation) ask(ctx context.Context, e *serving.Endpoint) (serving.Report, error) {
+	var report serving.Report
+	var err error
+	for range 2 {
+		report, err = o.report(ctx, e)
 		switch {
+		case err == nil:
+			return report, nil
+		case ctx.Err() != nil:
+			return report, context.Cause(ctx)
 		case errors.Is(err, ErrOtherLife):
 			o.markDead(e, "another life has its address")
-			return errMemberLost
-		case err != nil:
-			if misses++; misses > 2 {
-				o.markDead(e, "it fell silent on its way")
-				return errMemberLost
-			}
-		case holds(report):
-			o.observe(e, report)
+			return report, errMemberLost
+		}
+	}
+	o.markDead(e, "it did not answer")
+	return report, errMemberLost
+}
+
+// Times between two questions to an endpoint that is on its way. Questions
+// are priced; the endpoint's row is read all the time and tells it as well,
+// a little later.
+const (
+	askSoon  = 250 * time.Millisecond
+	askLater = 2 * time.Second
+	// askSoonFor is how long after the expected time an endpoint is asked
+	// often.
+	askSoonFor = 1500 * time.Millisecond
+)
+
+// await waits until an endpoint's row or report meets a condition. It asks
+// first when the endpoint is expected to be there.
+func (o *operation) await(ctx context.Context, e *serving.Endpoint, expected, limit time.Duration, holds condition) error {
+	began := time.Now()
+	next := began.Add(expected)
+	for time.Since(began) < limit {
+		if row := o.directory.View().Endpoints[e.ID]; row != nil && holds(serving.Report{Membership: row.Membership, Model: row.Model}) {
 			return nil
-		default:
-			misses = 0
 		}
-		if err := pause(ctx, reportPause); err != nil {
+		if now := time.Now(); !now.Before(next) {
+			report, err := o.ask(ctx, e)
+			if err != nil {
+				return err
+			}
+			if holds(report) {
+				return nil
+			}
+			next = now.Add(askLater)
+			if now.Sub(began.Add(expected)) < askSoonFor {
+				next = now.Add(askSoon)
+			}
+		}
+		if err := pause(ctx, reportPause/2); err != nil {
 			return err
 		}
 	}
@@ -267,7 +300,7 @@
 	for ctx.Err() == nil {
 		err := o.have(ctx, g.head, leave, left(g.name, g.epoch))
 		if err == nil {
-			return o.await(ctx, g.head, joinSlack, left(g.name, g.epoch))
+			return o.await(ctx, g.head, 0, joinSlack, left(g.name, g.epoch))
 		}
 		if errors.Is(err, errLeaseLost) || errors.Is(err, ErrFenced) {
 			return err
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -38,11 +38,21 @@
 	engine  *serving.Engine
 	// free endpoints are in no group that stands, nor in an operation.
 	free []*serving.Endpoint
-	// working counts the endpoints of each model's groups that stand or are
-	// being formed.
-	working map[string]int
-	// domainModels has the models that each domain serves.
-	domainModels map[string]map[string]bool
+	// working counts, by domain and model, the endpoints of groups that stand
+	// or are being formed.
+	working map[string]map[string]int
+	// growing domains have had a new endpoint lately, and may have more soon.
+	growing map[string]bool
+	// open is set once a group of the data centre takes requests.
+	open bool
+}
+
+// count adds endpoints to what works in a domain.
+func (s *situation) count(domain, model string, n int) {
+	if s.working[domain] == nil {
+		s.working[domain] = map[string]int{}
+	}
+	s.working[domain][model] += n
 }
 
 // plan returns the groups to be formed now and the models to be staged on
@@ -52,63 +62,84 @@
 	for _, e := range s.free {
 		byDomain[e.Domain] = append(byDomain[e.Domain], e)
 	}
-	working := maps.Clone(s.working)
 	var formations []formation
 	for {
-		f, ok := s.best(byDomain, working)
+		f, ok := s.best(byDomain)
 		if !ok {
 			break
 		}
 		formations = append(formations, f)
-		working[f.model.Name] += len(f.members)
 		domain := f.members[0].Domain
+		s.count(domain, f.model.Name, len(f.members))
 		byDomain[domain] = slices.DeleteFunc(byDomain[domain], func(e *serving.Endpoint) bool {
 			return slices.Contains(f.members, e)
 		})
 	}
-	return formations, s.spares(byDomain, formations)
+	if !s.open {
+		// Loads for groups go first.
+		return formations, nil
+	}
+	return formations, s.spares(byDomain)
 }
 
-// fastEnough is how much more a model may have, relative to its fraction,
-// than the neediest and still go first because it can start at once.
-const fastEnough = 1.4
-
-// best returns the next group to form: for the neediest model, in the domain
-// where it starts soonest. A model that starts without a load goes before a
-// somewhat needier one that does not.
-func (s situation) best(byDomain map[string][]*serving.Endpoint, working map[string]int) (formation, bool) {
-	type candidate struct {
-		formation
-		need  float64
-		start time.Duration
-	}
-	var candidates []candidate
+// best returns the next group to form: the one that starts soonest among
+// those that each domain needs most.
+func (s *situation) best(byDomain map[string][]*serving.Endpoint) (formation, bool) {
+	var best formation
+	var bestStart time.Duration
+	found := false
 	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		for _, model := range s.engine.Models {
-			if len(byDomain[domain]) < model.Size {
-				continue
+		f, start, ok := s.bestOf(domain, byDomain[domain])
+		if ok && (!found || start < bestStart) {
+			best, bestStart, found = f, start, true
+		}
+	}
+	return best, found
+}
+
+// bestOf returns the group that a domain needs most and can form. A less
+// needy model is formed only when its members would not serve a needier one
+// sooner.
+func (s *situation) bestOf(domain string, free []*serving.Endpoint) (formation, time.Duration, bool) {
+	models := s.byNeed(domain)
+	for i, model := range models {
+		if len(free) < model.Size {
+			if s.growing[domain] {
+				break
 			}
-			members, start := choose(byDomain[domain], model)
-			need := float64(working[model.Name]+model.Size/2) / max(model.Fraction, 0.01)
-			candidates = append(candidates, candidate{formation{s.service, model, members}, need, start})
+			continue
+		}
+		members, start := choose(free, model)
+		if i > 0 && start >= model.LoadTime && slices.ContainsFunc(members, func(e *serving.Endpoint) bool {
+			return servesSooner(e, models[:i], model)
+		}) {
+			continue
 		}
+		return formation{s.service, model, members}, start, true
 	}
-	if len(candidates) == 0 {
-		return formation{}, false
+	return formation{}, 0, false
+}
+
+// byNeed sorts the models by how much of their part of a domain's work they
+// have.
+func (s *situation) byNeed(domain string) []serving.Model {
+	models := slices.Clone(s.engine.Models)
+	need := func(m serving.Model) float64 {
+		return float64(s.working[domain][m.Name]) / max(m.Fraction, 0.01)
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.need, b.need), cmp.Compare(a.start, b.start))
+	slices.SortStableFunc(models, func(a, b serving.Model) int {
+		return cmp.Or(cmp.Compare(need(a), need(b)), cmp.Compare(b.Fraction, a.Fraction), cmp.Compare(a.Name, b.Name))
 	})
-	first := candidates[0]
-	if first.start < first.model.LoadTime {
-		return first.formation, true
-	}
-	for _, c := range candidates[1:] {
-		if c.start < c.model.LoadTime && c.need < first.need*fastEnough {
-			return c.formation, true
-		}
+	return models
+}
+
+// servesSooner reports whether an endpoint could join a group of one of the
+// models without the load that another asks for.
+func servesSooner(e *serving.Endpoint, models []serving.Model, other serving.Model) bool {
+	if startTime(e, other) < other.LoadTime {
+		return false
 	}
-	return first.formation, true
+	return slices.ContainsFunc(models, func(m serving.Model) bool { return startTime(e, m) < m.LoadTime })
 }
 
 // rejoinTime is how long a member takes that had the model last.
@@ -138,27 +169,18 @@
 
 // spares chooses what to stage on the endpoints that no group needs: in each
 // domain the models that it serves, by turns, the largest first.
-func (s situation) spares(byDomain map[string][]*serving.Endpoint, formations []formation) []staging {
-	serves := map[string]map[string]bool{}
-	for domain, models := range s.domainModels {
-		serves[domain] = maps.Clone(models)
-	}
-	for _, f := range formations {
-		domain := f.members[0].Domain
-		if serves[domain] == nil {
-			serves[domain] = map[string]bool{}
-		}
-		serves[domain][f.model.Name] = true
-	}
+func (s *situation) spares(byDomain map[string][]*serving.Endpoint) []staging {
 	var out []staging
 	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		out = append(out, s.sparesOf(byDomain[domain], serves[domain])...)
+		if !s.growing[domain] {
+			out = append(out, s.sparesOf(byDomain[domain], s.working[domain])...)
+		}
 	}
 	return out
 }
 
 // sparesOf stages the models that a domain serves and no spare of it holds.
-func (s situation) sparesOf(free []*serving.Endpoint, serves map[string]bool) []staging {
+func (s *situation) sparesOf(free []*serving.Endpoint, serves map[string]int) []staging {
 	held := map[string]int{}
 	var empty []*serving.Endpoint
 	for _, e := range free {
@@ -183,7 +205,7 @@
 	for _, e := range empty {
 		best := -1
 		for i, m := range models {
-			if len(serves) > 0 && !serves[m.Name] {
+			if len(serves) > 0 && serves[m.Name] == 0 {
 				continue
 			}
 			if best < 0 || held[m.Name] < held[models[best].Name] {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,7 @@
 	log        logging.Logger
 	inProgress atomic.Int64
 	stopping   atomic.Bool
+	seen       atomic.Bool
 
 	mu      sync.Mutex
 	classes map[classKey]*metrics.Class
@@ -82,6 +83,9 @@
 // InProgress returns the number of requests under way.
 func (r *Relay) InProgress() int64 { return r.inProgress.Load() }
 
+// Seen reports whether any request has come yet.
+func (r *Relay) Seen() bool { return r.seen.Load() }
+
 // Stop has every answer ask its caller to close the connection.
 func (r *Relay) Stop() { r.stopping.Store(true) }
 
