Form first what starts without a load; find dead members sooner

Cause: a group that wanted a load of 16 s went before one that needed none, and took away spares and hosts that held other models; endpoints back after a restart, whose hosts still hold a model, were mixed with new ones. Ruled out: the lists' lag (rows of restarted endpoints tell what they hold).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -166,8 +166,9 @@
 	}
 	if record.endpoint == nil || record.endpoint.Leaving != e.Leaving || record.endpoint.Membership != e.Membership {
 		d.log.Info("an endpoint has changed", "endpoint", row.Key, "version", row.Version, "leaving", e.Leaving,
-			"model", e.Model, "domain", e.Domain, "group", e.Membership.Group, "epoch", e.Membership.Epoch, "state", e.Membership.State.String())
+			"model", e.Model, "staged", e.Staged, "domain", e.Domain, "group", e.Membership.Group, "epoch", e.Membership.Epoch, "state", e.Membership.State.String())
 	}
+	d.log.Debug("row", "value", string(row.Value))
 	record.endpoint = &e
 	if record.observed != nil && newer(e.Membership, record.observed.Membership) {
 		record.observed = nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,7 +114,7 @@
 		DataCentres:   s.DataCentres,
 		Unpaced:       func() bool { return s.FirstStart && !e.relay.Seen() },
 		LeaseTTL:      s.LeaseTTL,
-		CallTimeout:   300 * time.Millisecond,
+		CallTimeout:   250 * time.Millisecond,
 		Tick:          100 * time.Millisecond,
 		HeadGoneAfter: 1500 * time.Millisecond,
 		DrainWait:     2500 * time.Millisecond,
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -161,6 +161,8 @@
 		engine:  service.Engine,
 		working: map[string]map[string]int{},
 		growing: map[string]bool{},
+
+		unsettled: map[string]bool{},
 	}
 	groups := map[string]*group{}
 	for _, e := range view.Endpoints {
@@ -323,6 +325,9 @@
 func (c *Controller) countOperations(s *situation, view *directory.View) {
 	for id, what := range c.busy {
 		e := view.Endpoints[id]
+		if e != nil && what == busyDissolving {
+			s.unsettled[e.Domain] = true
+		}
 		if _, ok := s.engine.Model(what); ok && e != nil {
 			s.count(e.Domain, what, 1)
 		}
@@ -363,7 +368,12 @@
 func (c *Controller) markDead(e *serving.Endpoint, why string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.dead[e.ID] = time.Now()
+	now := time.Now()
+	known := c.isDead(e.ID, now)
+	c.dead[e.ID] = now
+	if known {
+		return
+	}
 	c.log.Warn("an endpoint counts as dead", "endpoint", string(e.ID), "address", e.Address, "group", e.Membership.Group, "why", why)
 }
 
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -43,6 +43,8 @@
 	working map[string]map[string]int
 	// growing domains have had a new endpoint lately, and may have more soon.
 	growing map[string]bool
+	// unsettled domains have a group that is being dissolved.
+	unsettled map[string]bool
 	// open is set once a group of the data centre takes requests.
 	open bool
 }
@@ -97,11 +99,23 @@
 	return best, found
 }
 
-// bestOf returns the group that a domain needs most and can form. A less
-// needy model is formed only when its members would not serve a needier one
-// sooner.
+// bestOf returns the group that a domain needs most and can form. What starts
+// without a load goes first, even if another model is needier: a load takes
+// many times as long, and costs the host what it held.
 func (s *situation) bestOf(domain string, free []*serving.Endpoint) (formation, time.Duration, bool) {
 	models := s.byNeed(domain)
+	for _, model := range models {
+		if len(free) < model.Size {
+			continue
+		}
+		if members, start := choose(free, model); start < model.LoadTime {
+			return formation{s.service, model, members}, start, true
+		}
+	}
+	if s.unsettled[domain] || s.growing[domain] && s.open {
+		// Endpoints that start sooner may be about to come.
+		return formation{}, 0, false
+	}
 	for i, model := range models {
 		if len(free) < model.Size {
 			if s.growing[domain] {
@@ -110,9 +124,7 @@
 			continue
 		}
 		members, start := choose(free, model)
-		if i > 0 && start >= model.LoadTime && slices.ContainsFunc(members, func(e *serving.Endpoint) bool {
-			return servesSooner(e, models[:i], model)
-		}) {
+		if i > 0 && slices.ContainsFunc(members, func(e *serving.Endpoint) bool { return servesSooner(e, models[:i], model) }) {
 			continue
 		}
 		return formation{s.service, model, members}, start, true
@@ -161,7 +173,12 @@
 func choose(free []*serving.Endpoint, m serving.Model) ([]*serving.Endpoint, time.Duration) {
 	sorted := slices.Clone(free)
 	slices.SortFunc(sorted, func(a, b *serving.Endpoint) int {
-		return cmp.Or(cmp.Compare(startTime(a, m), startTime(b, m)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			cmp.Compare(startTime(a, m), startTime(b, m)),
+			// A host that holds another model would lose it.
+			cmp.Compare(len(a.Staged), len(b.Staged)),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
 	members := sorted[:m.Size]
 	return members, startTime(members[m.Size-1], m)
