Have members leave before they join again; close idle connections before a stop; reload on a hang-up

TWO: the head of a group was reached neither by the controller nor by the store, counted as gone after 1.5 s, and was open still; its members joined another group. Ruled out: late orders (each order of the trace was answered or refused). Now every member leaves its group by an order of its own before it joins another; the head need not be waited for, since without its members it stands still.

LOST: a request was read on an idle connection while the process ended after SIGTERM. Idle connections are now closed under the lock under which data is parsed, and the process ends when none is left.

Exits: SIGHUP ended the process (code 129). It reloads the settings now.

--- a/cmd/ridgehinged/main.go
+++ b/cmd/ridgehinged/main.go
@@ -91,11 +91,22 @@
 		return complain(err)
 	}
 	logging.Setup(os.Stdout, s.LogLevel)
+	// From here on a hang-up does not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	e, err := entry.Start(s, platform.Adapter())
 	if err != nil {
 		return complain(err)
 	}
-	<-ctx.Done()
+	for {
+		select {
+		case <-hangups:
+			e.Reload(c.path)
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
 	e.Stop()
 	return subcommands.ExitSuccess
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rs/xid"
 	"github.com/samber/oops"
 
@@ -63,7 +62,7 @@
 	share      *sharing
 	store      table.Store
 	tracker    *httpserver.Tracker
-	servers    []*nbhttp.Engine
+	servers    []*httpserver.Server
 	peerSide   *peers.Server
 	stopping   atomic.Bool
 	cancel     context.CancelFunc
@@ -109,15 +108,14 @@
 	})
 	e.share = newSharing(s, life, e.directory, e.balancer, budget, e.store, links)
 	e.controller = groupcontrol.New(groupcontrol.Options{
-		Node:          life,
-		DataCentre:    s.DataCentre,
-		DataCentres:   s.DataCentres,
-		Unpaced:       func() bool { return s.FirstStart && !e.relay.Seen() },
-		LeaseTTL:      s.LeaseTTL,
-		CallTimeout:   250 * time.Millisecond,
-		Tick:          100 * time.Millisecond,
-		HeadGoneAfter: 1500 * time.Millisecond,
-		DrainWait:     2500 * time.Millisecond,
+		Node:        life,
+		DataCentre:  s.DataCentre,
+		DataCentres: s.DataCentres,
+		Unpaced:     func() bool { return s.FirstStart && !e.relay.Seen() },
+		LeaseTTL:    s.LeaseTTL,
+		CallTimeout: 250 * time.Millisecond,
+		Tick:        100 * time.Millisecond,
+		DrainWait:   2500 * time.Millisecond,
 	}, e.store, a.Endpoints(httpClient(links)), e.directory, e.share.suspects)
 	if err := e.listen(a); err != nil {
 		return nil, err
@@ -148,8 +146,8 @@
 		{Address: s.Metrics, MaxBody: smallBody, MaxRequests: smallRequests, Handler: figures},
 		{Address: s.Callers, MaxBody: s.MaxBody, MaxRequests: 2 * s.MaxRequests, Handler: http.HandlerFunc(e.serve)},
 	} {
-		server := httpserver.New(o)
-		if err := server.Start(); err != nil {
+		server, err := httpserver.Serve(o)
+		if err != nil {
 			return oops.In("entry").Wrapf(err, "listen on %s", o.Address)
 		}
 		e.servers = append(e.servers, server)
@@ -235,8 +233,22 @@
 	return io.ReadAll(r.Body)
 }
 
+// Reload reads the settings anew. What can change while the process runs is
+// taken over; settings that cannot be read leave all as it was.
+func (e *Entry) Reload(path string) {
+	s, err := Load(path)
+	if err != nil {
+		e.log.Error("the settings were not reloaded; the last ones stay in force", "file", path, "error", err)
+		return
+	}
+	logging.SetLevel(s.LogLevel)
+	e.share.addSeeds(s.Seeds)
+	e.log.Info("reloaded the settings", "file", path, "seeds", s.Seeds, "level", s.LogLevel.String())
+}
+
 // Stop is a planned stop: readiness goes off, requests are taken a little
-// longer, and those in progress are finished within the bound.
+// longer, idle connections are closed, and requests in progress are finished
+// within the bound.
 func (e *Entry) Stop() {
 	e.log.Info("stopping", "in_progress", e.relay.InProgress())
 	began := time.Now()
@@ -249,13 +261,18 @@
 	e.share.leave(release)
 	cancel()
 	time.Sleep(time.Until(began.Add(e.settings.StopNotice)))
-	for e.relay.InProgress() > 0 && time.Since(began) < e.settings.StopBound {
-		time.Sleep(20 * time.Millisecond)
+	callers := e.servers[len(e.servers)-1]
+	for callers.CloseIdle() > 0 && time.Since(began) < e.settings.StopBound {
+		time.Sleep(drainPause)
 	}
 	e.log.Info("stopped", "in_progress", e.relay.InProgress(), "took", time.Since(began))
 	e.close()
 }
 
+// drainPause is the time between two looks at the connections of a stopping
+// node.
+const drainPause = 20 * time.Millisecond
+
 func (e *Entry) close() {
 	e.cancel()
 	e.tracker.Close()
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -85,13 +85,20 @@
 		log:       logging.For("peers"),
 		peers:     map[string]*peer{},
 	}
-	for _, seed := range s.Seeds {
-		sh.meet(seed, "", "")
-	}
+	sh.addSeeds(s.Seeds)
 	return sh
 }
 
-// meet makes a node known; the caller holds the lock, or nobody else does.
+// addSeeds makes the addresses of the settings known.
+func (s *sharing) addSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, seed := range seeds {
+		s.meet(seed, "", "")
+	}
+}
+
+// meet makes a node known; the caller holds the lock.
 func (s *sharing) meet(address, id, dataCentre string) *peer {
 	if address == "" || address == s.settings.Peers {
 		return nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/samber/oops"
 
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
@@ -25,7 +24,7 @@
 
 // Server is the HTTP side towards callers.
 type Server struct {
-	engine  *nbhttp.Engine
+	server  *httpserver.Server
 	gateway *Gateway
 	tracker *httpserver.Tracker
 }
@@ -36,13 +35,14 @@
 		gateway: o.Gateway,
 		tracker: httpserver.NewTracker(),
 	}
-	s.engine = httpserver.New(httpserver.Options{
+	var err error
+	s.server, err = httpserver.Serve(httpserver.Options{
 		Address:     o.Address,
 		MaxBody:     o.MaxBody,
 		MaxRequests: o.MaxRequests,
 		Handler:     s.route(o.Handler),
 	})
-	if err := s.engine.Start(); err != nil {
+	if err != nil {
 		s.tracker.Close()
 		return nil, oops.In("gateway").Wrapf(err, "listen on %s", o.Address)
 	}
@@ -52,7 +52,7 @@
 // Close ends the server and its connections.
 func (s *Server) Close() {
 	s.tracker.Close()
-	s.engine.Stop()
+	s.server.Stop()
 }
 
 // route serves callers' paths here and leaves the others to the handler.
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -32,10 +32,6 @@
 	dead map[serving.EndpointID]time.Time
 	// probed is when the members of a suspected group were last asked.
 	probed map[string]time.Time
-	// heads remembers the head of each group, for when it is not listed any
-	// more, and ended the groups whose head was seen to have left.
-	heads map[string]*serving.Endpoint
-	ended map[string]bool
 	// unopened is since when a group has been seen unopened or headless
 	// without an operation on it.
 	unopened map[string]time.Time
@@ -73,8 +69,6 @@
 	c.busy = map[serving.EndpointID]string{}
 	c.dead = map[serving.EndpointID]time.Time{}
 	c.probed = map[string]time.Time{}
-	c.heads = map[string]*serving.Endpoint{}
-	c.ended = map[string]bool{}
 	c.unopened = map[string]time.Time{}
 	c.orders = map[serving.EndpointID]uint64{}
 	c.firstSeen = map[serving.EndpointID]time.Time{}
@@ -234,17 +228,12 @@
 }
 
 // lookAtGroup leaves a group that stands alone, and has one that does not
-// dissolved. The members of a group whose head has left are free.
+// dissolved.
 func (c *Controller) lookAtGroup(ctx context.Context, s *situation, g *group, now time.Time) {
-	if c.ended[g.key] {
-		c.freeAll(s, g, now)
+	if !slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return !c.isDead(e.ID, now) }) {
+		// There is nobody left to tell.
 		return
 	}
-	if g.head == nil {
-		c.lookAtHeadless(ctx, s, g, now)
-		return
-	}
-	c.heads[g.key] = g.head
 	reason := c.faultOf(g, now)
 	if reason == "" {
 		c.countWorking(s, g)
@@ -254,12 +243,6 @@
 	c.startDissolve(ctx, g, reason)
 }
 
-func (c *Controller) freeAll(s *situation, g *group, now time.Time) {
-	for _, e := range g.members {
-		c.addFree(s, e, now)
-	}
-}
-
 // Reasons to dissolve a group.
 const (
 	reasonBroken   = "its head is broken"
@@ -273,6 +256,11 @@
 // faultOf returns why a group cannot go on, or nothing.
 func (c *Controller) faultOf(g *group, now time.Time) string {
 	switch {
+	case g.head == nil:
+		if c.seenFor(g.key, now) < headlessFor {
+			return ""
+		}
+		return reasonHeadless
 	case g.head.Membership.State == serving.MemberBroken:
 		return reasonBroken
 	case len(g.members) < g.model.Size:
@@ -301,19 +289,9 @@
 	return now.Sub(since)
 }
 
-// lookAtHeadless deals with a group whose head is in no list any more. The
-// head may only be cut off from the store, and open still: it is told to
-// leave if it is known, and given time to be gone if not.
-func (c *Controller) lookAtHeadless(ctx context.Context, s *situation, g *group, now time.Time) {
-	if head := c.heads[g.key]; head != nil {
-		g.head = head
-		c.startDissolve(ctx, g, reasonHeadless)
-		return
-	}
-	if c.seenFor(g.key, now) > c.options.HeadGoneAfter {
-		c.freeAll(s, g, now)
-	}
-}
+// headlessFor is how long a group may be seen without a head: rows of its
+// members may come at different times.
+const headlessFor = 500 * time.Millisecond
 
 func (c *Controller) countWorking(s *situation, g *group) {
 	for _, e := range g.members {
@@ -339,7 +317,7 @@
 
 // probeSuspect asks the members of a group whose head traffic finds silent.
 func (c *Controller) probeSuspect(ctx context.Context, g *group, now time.Time) {
-	if !slices.Contains(c.suspects(), g.head.ID) || now.Sub(c.probed[g.key]) < probeEvery {
+	if g.head == nil || !slices.Contains(c.suspects(), g.head.ID) || now.Sub(c.probed[g.key]) < probeEvery {
 		return
 	}
 	c.probed[g.key] = now
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -55,9 +55,6 @@
 	CallTimeout time.Duration
 	// Tick is the time between two looks at the view.
 	Tick time.Duration
-	// HeadGoneAfter is how long an unlisted head must have been unreachable
-	// before its members are used again.
-	HeadGoneAfter time.Duration
 	// DrainWait is the longest wait for the requests of a group with a
 	// leaving member.
 	DrainWait time.Duration
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -16,6 +17,8 @@
 	*Controller
 	epoch   uint64
 	members []*serving.Endpoint
+	// what is the mark of its members in busy.
+	what string
 }
 
 const (
@@ -45,7 +48,7 @@
 	for _, e := range members {
 		c.busy[e.ID] = what
 	}
-	return &operation{Controller: c, epoch: c.epoch, members: members}
+	return &operation{Controller: c, epoch: c.epoch, members: members, what: what}
 }
 
 func (o *operation) finish() {
@@ -56,14 +59,16 @@
 		return
 	}
 	for _, e := range o.members {
-		delete(o.busy, e.ID)
+		if o.busy[e.ID] == o.what {
+			delete(o.busy, e.ID)
+		}
 	}
 }
 
 // startForm begins to form a group; the caller holds the lock.
 func (c *Controller) startForm(ctx context.Context, f formation, engine *serving.Engine, now time.Time) {
-	op := c.begin(f.members, f.model.Name)
 	c.formed++
+	op := c.begin(f.members, f.model.Name)
 	name := fmt.Sprintf("%s-%d-%d", c.options.DataCentre, c.epoch, c.formed)
 	epoch := c.epoch*epochsPerLease + c.formed
 	waits := make([]time.Duration, len(f.members))
@@ -160,11 +165,9 @@
 	}
 }
 
-// left reports that an endpoint takes no requests for a group any more.
+// left reports that an endpoint is not in a group any more.
 func left(name string, epoch uint64) condition {
-	return func(r serving.Report) bool {
-		return !inGroup(name, epoch)(r) || r.Membership.State == serving.MemberBroken
-	}
+	return func(r serving.Report) bool { return !inGroup(name, epoch)(r) }
 }
 
 // have gives an order until it was taken or its condition holds. An order
@@ -269,60 +272,55 @@
 func (c *Controller) startDissolve(ctx context.Context, g *group, reason string) {
 	op := c.begin(g.members, busyDissolving)
 	c.log.Info("dissolves a group", "group", g.name, "epoch", g.epoch, "reason", reason, "members", len(g.members))
-	leaving := reason == reasonLeaving
 	c.running.Go(func() {
 		defer op.finish()
 		began := time.Now()
-		err := op.dissolve(ctx, g, leaving)
-		if err == nil {
-			op.noteEnded(g)
+		if reason == reasonLeaving {
+			op.drain(ctx, g)
 		}
+		err := op.dissolve(ctx, g)
 		c.log.Info("ended dissolving a group", "group", g.name, "epoch", g.epoch, "took", time.Since(began), "error", err)
 	})
 }
 
-func (o *operation) noteEnded(g *group) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.Controller.epoch == o.epoch {
-		o.ended[g.key] = true
-	}
-}
-
-// dissolve has the head leave. Until the head is seen to have left, or to be
-// broken or gone, no member may join another group.
-func (o *operation) dissolve(ctx context.Context, g *group, leaving bool) error {
-	if leaving {
-		o.drain(ctx, g)
-	}
+// dissolve has each member leave. No endpoint joins another group before it
+// has left its own: its head may be open still, even if nobody here reaches
+// it and no list has it. Without its members an open head stands still.
+func (o *operation) dissolve(ctx context.Context, g *group) error {
 	leave := serving.Order{Kind: serving.OrderLeave, Group: g.name, Epoch: g.epoch, Fence: o.epoch}
-	unreachable := time.Time{}
-	for ctx.Err() == nil {
-		err := o.have(ctx, g.head, leave, left(g.name, g.epoch))
-		if err == nil {
-			return o.await(ctx, g.head, 0, joinSlack, left(g.name, g.epoch))
-		}
-		if errors.Is(err, errLeaseLost) || errors.Is(err, ErrFenced) {
-			return err
-		}
-		if errors.Is(err, errMemberLost) {
-			if unreachable.IsZero() {
-				unreachable = time.Now()
+	errs := make([]error, len(g.members))
+	var wg sync.WaitGroup
+	for i, e := range g.members {
+		wg.Go(func() {
+			if o.isLost(e) {
+				errs[i] = errMemberLost
+				return
 			}
-			if o.isGone(g.head) && time.Since(unreachable) > o.options.HeadGoneAfter {
-				return nil
+			if errs[i] = o.have(ctx, e, leave, left(g.name, g.epoch)); errs[i] == nil {
+				o.release(e)
 			}
-		}
-		if err := pause(ctx, reportPause); err != nil {
-			return err
-		}
+		})
 	}
-	return ctx.Err()
+	wg.Wait()
+	return errors.Join(errs...)
 }
 
-// isGone reports whether an endpoint is not listed any more.
-func (o *operation) isGone(e *serving.Endpoint) bool {
-	return o.directory.View().Endpoints[e.ID] == nil
+// isLost reports whether an endpoint counts as dead.
+func (o *operation) isLost(e *serving.Endpoint) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.isDead(e.ID, time.Now())
+}
+
+// release makes an endpoint that has left its group free at once.
+func (o *operation) release(e *serving.Endpoint) {
+	orders, _ := o.knownOrders(e.ID)
+	o.directory.Observe(directory.Observation{ID: e.ID, Model: e.Model, Orders: orders}, true, time.Now())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.Controller.epoch == o.epoch {
+		delete(o.busy, e.ID)
+	}
 }
 
 // drain waits, within a bound, until a head has nothing under way.
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -33,8 +33,8 @@
 	Handler     http.Handler
 }
 
-// New returns an engine that has not started.
-func New(o Options) *nbhttp.Engine {
+// newEngine returns an engine that has not started.
+func newEngine(o Options, s *Server) *nbhttp.Engine {
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network:                "tcp",
 		Addrs:                  []string{o.Address},
@@ -45,7 +45,7 @@
 		MessageHandlerPoolSize: o.MaxRequests,
 		KeepaliveTime:          keepAlive,
 	})
-	answerTooLarge(engine)
+	answerTooLarge(engine, s)
 	return engine
 }
 
@@ -64,16 +64,26 @@
 // poller's, with nothing but the kernel's epoll between them, which Go's
 // memory model does not know. The counter orders the two: without it the race
 // detector reports the fields that nbhttp sets while it accepts.
-func answerTooLarge(e *nbhttp.Engine) {
+func answerTooLarge(e *nbhttp.Engine, s *Server) {
 	var opened atomic.Int64
-	e.OnOpen(func(net.Conn) { opened.Add(1) })
+	e.OnOpen(func(c net.Conn) {
+		if raw, ok := c.(*nbio.Conn); ok {
+			s.opened(raw)
+		}
+		opened.Add(1)
+	})
+	e.OnClose(func(c net.Conn, _ error) {
+		if raw, ok := c.(*nbio.Conn); ok {
+			s.closed(raw)
+		}
+	})
 	e.OnData(func(c *nbio.Conn, data []byte) {
 		opened.Load()
 		parser, ok := c.Session().(nbhttp.ParserCloser)
 		if !ok {
 			return
 		}
-		err := parser.Parse(data)
+		err := s.parse(c, data, parser)
 		switch {
 		case err == nil:
 		case errors.Is(err, nbhttp.ErrTooLong):
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -9,9 +9,16 @@
 	nbiolog "github.com/lesismal/nbio/logging"
 )
 
+// current is the level in force.
+var current slog.LevelVar
+
+// SetLevel changes the level while the process runs.
+func SetLevel(level slog.Level) { current.Set(level) }
+
 // Setup makes slog write to w and routes nbio's own log into it.
 func Setup(w io.Writer, level slog.Level) {
-	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})
+	current.Set(level)
+	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: &current})
 	slog.SetDefault(slog.New(handler))
 	nbiolog.SetLogger(nbioLogger{For("nbio")})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/samber/oops"
 
 	"github.com/ridgehinge/ridgehinge/internal/claims"
@@ -49,7 +48,7 @@
 	loop      *control.Loop
 	peerSide  *peers.Server
 	callers   *gateway.Server
-	operators *nbhttp.Engine
+	operators *httpserver.Server
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 }
@@ -144,13 +143,13 @@
 		Table: n.platform,
 		Loop:  n.loop,
 	})
-	n.operators = httpserver.New(httpserver.Options{
+	n.operators, err = httpserver.Serve(httpserver.Options{
 		Address:     n.settings.Operator,
 		MaxBody:     n.settings.MaxBody,
 		MaxRequests: operatorRequests,
 		Handler:     api.Handler(),
 	})
-	if err := n.operators.Start(); err != nil {
+	if err != nil {
 		return oops.In("node").Wrapf(err, "listen on %s", n.settings.Operator)
 	}
 	n.callers, err = gateway.Serve(gateway.ServerOptions{
