--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -77,8 +77,10 @@
 	// First is the time to the first event, Gap the longest usual pause.
 	First time.Duration
 	Gap   time.Duration
-	// Running is the number of requests there.
+	// Running is the number of requests there, Unread their prompt tokens
+	// that are not read yet.
 	Running int
+	Unread  int
 }
 
 // predict applies the engine's speed to what is under way at a head.
@@ -107,6 +109,7 @@
 		First:   time.Duration(float64(first) * h.Pace),
 		Gap:     time.Duration(float64(gap) * h.Pace),
 		Running: running,
+		Unread:  unread,
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -32,7 +32,7 @@
 			c.logAttempt(t, "a broken stream", errEventOrder)
 			return resultBroken
 		}
-		if !c.passEvent(e, response.Header, now) {
+		if !c.passEvent(t, e, response.Header, now) {
 			c.outcome = outcomeGone
 			c.out.Cut()
 			return resultDone
@@ -41,11 +41,13 @@
 }
 
 // passEvent passes one event on; false means that the caller has gone.
-func (c *call) passEvent(e event, header http.Header, now time.Time) bool {
+func (c *call) passEvent(t target, e event, header http.Header, now time.Time) bool {
 	if !c.begun {
 		answer := c.options.Wire.Answer(header)
 		delete(answer, "Content-Length")
 		c.class.FirstToken.RecordDuration(now.Sub(c.start))
+		c.log.Debug("first event", "request", c.attrs.ID, "model", c.attrs.Model, "endpoint", string(t.ID), "predicted", t.predicted.First,
+			"running", t.predicted.Running, "unread", t.predicted.Unread, "prompt", c.attrs.PromptTokens, "took", now.Sub(c.start))
 		c.begin(http.StatusOK, answer)
 	}
 	if c.out.Write(e.raw) != nil {
