Stage what groups lack in place of forming them with a load

Cause: a group that had lost two members joined with one that wanted a load of 16 s; its members waited in the group meanwhile, and when one of them died nobody saw it until the load was done. Change: after the start no group forms with a load. The hosts of free endpoints are told to load what the neediest groups lack; a member that is not listed any more ends the forming at once.

--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -39,8 +39,8 @@
 	orders map[serving.EndpointID]uint64
 	// firstSeen is when each endpoint was first listed.
 	firstSeen map[serving.EndpointID]time.Time
-	// staged is when each spare was last told to stage a model.
-	staged   map[serving.EndpointID]time.Time
+	// staged is what each spare was last told to stage.
+	staged   map[serving.EndpointID]stagingOrder
 	epoch    uint64
 	formed   uint64
 	nextLoad time.Time
@@ -72,7 +72,7 @@
 	c.unopened = map[string]time.Time{}
 	c.orders = map[serving.EndpointID]uint64{}
 	c.firstSeen = map[serving.EndpointID]time.Time{}
-	c.staged = map[serving.EndpointID]time.Time{}
+	c.staged = map[serving.EndpointID]stagingOrder{}
 }
 
 // Holder returns the last known controller of the data centre.
@@ -155,8 +155,7 @@
 		engine:  service.Engine,
 		working: map[string]map[string]int{},
 		growing: map[string]bool{},
-
-		unsettled: map[string]bool{},
+		staging: c.stagingNow(now),
 	}
 	groups := map[string]*group{}
 	for _, e := range view.Endpoints {
@@ -303,15 +302,30 @@
 func (c *Controller) countOperations(s *situation, view *directory.View) {
 	for id, what := range c.busy {
 		e := view.Endpoints[id]
-		if e != nil && what == busyDissolving {
-			s.unsettled[e.Domain] = true
-		}
 		if _, ok := s.engine.Model(what); ok && e != nil {
 			s.count(e.Domain, what, 1)
 		}
 	}
 }
 
+// stagingOrder is a staging that was ordered.
+type stagingOrder struct {
+	model string
+	// until is when it is given up.
+	until time.Time
+}
+
+// stagingNow returns the models that are on their way to hosts.
+func (c *Controller) stagingNow(now time.Time) map[serving.EndpointID]string {
+	out := map[serving.EndpointID]string{}
+	for id, order := range c.staged {
+		if now.Before(order.until) {
+			out[id] = order.model
+		}
+	}
+	return out
+}
+
 // probeEvery is the time between two probes of a suspected group.
 const probeEvery = 600 * time.Millisecond
 
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -245,7 +245,12 @@
 	began := time.Now()
 	next := began.Add(expected)
 	for time.Since(began) < limit {
-		if row := o.directory.View().Endpoints[e.ID]; row != nil && holds(serving.Report{Membership: row.Membership, Model: row.Model}) {
+		row := o.directory.View().Endpoints[e.ID]
+		if row == nil {
+			o.markDead(e, "it is not listed any more")
+			return errMemberLost
+		}
+		if holds(serving.Report{Membership: row.Membership, Model: row.Model}) {
 			return nil
 		}
 		if now := time.Now(); !now.Before(next) {
@@ -337,15 +342,12 @@
 	}
 }
 
-// stageAgain is the time before a staging is tried again.
-const stageAgain = 30 * time.Second
-
 // startStage loads a model to a spare's host; the caller holds the lock.
 func (c *Controller) startStage(ctx context.Context, s staging, engine *serving.Engine, now time.Time) {
-	if at, ok := c.staged[s.endpoint.ID]; ok && now.Sub(at) < stageAgain {
+	if order := c.staged[s.endpoint.ID]; order.model == s.model.Name && now.Before(order.until) {
 		return
 	}
-	c.staged[s.endpoint.ID] = now
+	c.staged[s.endpoint.ID] = stagingOrder{s.model.Name, now.Add(loadPatience*s.model.LoadTime + joinSlack)}
 	wait := c.reserveLoad(engine, now)
 	order := serving.Order{Kind: serving.OrderStage, Model: s.model.Name, Fence: c.epoch}
 	op := &operation{Controller: c, epoch: c.epoch}
@@ -354,7 +356,7 @@
 			return
 		}
 		err := op.have(ctx, s.endpoint, order, func(r serving.Report) bool { return slices.Contains(r.Staged, s.model.Name) })
-		c.log.Info("staged a model on a spare", "endpoint", string(s.endpoint.ID), "model", s.model.Name, "error", err)
+		c.log.Info("told a spare to stage a model", "endpoint", string(s.endpoint.ID), "model", s.model.Name, "error", err)
 	})
 }
 
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -41,10 +41,10 @@
 	// working counts, by domain and model, the endpoints of groups that stand
 	// or are being formed.
 	working map[string]map[string]int
+	// staging has the models that are on their way to hosts.
+	staging map[serving.EndpointID]string
 	// growing domains have had a new endpoint lately, and may have more soon.
 	growing map[string]bool
-	// unsettled domains have a group that is being dissolved.
-	unsettled map[string]bool
 	// open is set once a group of the data centre takes requests.
 	open bool
 }
@@ -81,7 +81,7 @@
 		// Loads for groups go first.
 		return formations, nil
 	}
-	return formations, s.spares(byDomain)
+	return formations, s.stage(byDomain)
 }
 
 // best returns the next group to form: the one that starts soonest among
@@ -99,9 +99,10 @@
 	return best, found
 }
 
-// bestOf returns the group that a domain needs most and can form. What starts
-// without a load goes first, even if another model is needier: a load takes
-// many times as long, and costs the host what it held.
+// bestOf returns the group that a domain needs most and can form without a
+// load. Only before anything is served do groups form with loads: later a
+// load takes many times as long, and members that wait for one are no help
+// to others. What a group lacks is staged instead.
 func (s *situation) bestOf(domain string, free []*serving.Endpoint) (formation, time.Duration, bool) {
 	models := s.byNeed(domain)
 	for _, model := range models {
@@ -112,22 +113,17 @@
 			return formation{s.service, model, members}, start, true
 		}
 	}
-	if s.unsettled[domain] || s.growing[domain] && s.open {
-		// Endpoints that start sooner may be about to come.
+	if s.open {
 		return formation{}, 0, false
 	}
-	for i, model := range models {
-		if len(free) < model.Size {
-			if s.growing[domain] {
-				break
-			}
-			continue
+	for _, model := range models {
+		if len(free) >= model.Size {
+			members, start := choose(free, model)
+			return formation{s.service, model, members}, start, true
 		}
-		members, start := choose(free, model)
-		if i > 0 && slices.ContainsFunc(members, func(e *serving.Endpoint) bool { return servesSooner(e, models[:i], model) }) {
-			continue
+		if s.growing[domain] {
+			break
 		}
-		return formation{s.service, model, members}, start, true
 	}
 	return formation{}, 0, false
 }
@@ -145,15 +141,6 @@
 	return models
 }
 
-// servesSooner reports whether an endpoint could join a group of one of the
-// models without the load that another asks for.
-func servesSooner(e *serving.Endpoint, models []serving.Model, other serving.Model) bool {
-	if startTime(e, other) < other.LoadTime {
-		return false
-	}
-	return slices.ContainsFunc(models, func(m serving.Model) bool { return startTime(e, m) < m.LoadTime })
-}
-
 // rejoinTime is how long a member takes that had the model last.
 const rejoinTime = 200 * time.Millisecond
 
@@ -184,55 +171,83 @@
 	return members, startTime(members[m.Size-1], m)
 }
 
-// spares chooses what to stage on the endpoints that no group needs: in each
-// domain the models that it serves, by turns, the largest first.
-func (s *situation) spares(byDomain map[string][]*serving.Endpoint) []staging {
+// holds returns the model that an endpoint can start without a load, or that
+// is on its way to its host; empty if there is none.
+func (s *situation) holds(e *serving.Endpoint) string {
+	for _, m := range s.engine.Models {
+		if startTime(e, m) < m.LoadTime {
+			return m.Name
+		}
+	}
+	return s.staging[e.ID]
+}
+
+// stage chooses what to load to the hosts of free endpoints: first what the
+// neediest groups lack to be formed, then a spare for each model that the
+// domain serves.
+func (s *situation) stage(byDomain map[string][]*serving.Endpoint) []staging {
 	var out []staging
 	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		if !s.growing[domain] {
-			out = append(out, s.sparesOf(byDomain[domain], s.working[domain])...)
-		}
+		free := slices.Clone(byDomain[domain])
+		slices.SortFunc(free, func(a, b *serving.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+		out = append(out, s.stageDomain(domain, free)...)
 	}
 	return out
 }
 
-// sparesOf stages the models that a domain serves and no spare of it holds.
-func (s *situation) sparesOf(free []*serving.Endpoint, serves map[string]int) []staging {
-	held := map[string]int{}
-	var empty []*serving.Endpoint
-	for _, e := range free {
-		model := ""
-		for _, m := range s.engine.Models {
-			if startTime(e, m) < m.LoadTime {
-				model = m.Name
-			}
-		}
-		if model == "" {
-			empty = append(empty, e)
+func (s *situation) stageDomain(domain string, free []*serving.Endpoint) []staging {
+	var out []staging
+	models := s.byNeed(domain)
+	for _, model := range models {
+		have, rest := partition(free, func(e *serving.Endpoint) bool { return s.holds(e) == model.Name })
+		missing := model.Size - len(have)
+		if missing <= 0 || missing > len(rest) {
 			continue
 		}
-		held[model]++
+		// Hosts that hold nothing go first.
+		slices.SortStableFunc(rest, func(a, b *serving.Endpoint) int { return cmp.Compare(len(s.holds(a)), len(s.holds(b))) })
+		for _, e := range rest[:missing] {
+			out = append(out, staging{e, model})
+		}
+		free = rest[missing:]
+	}
+	return append(out, s.stageSpares(domain, free)...)
+}
+
+// stageSpares gives the empty hosts that are left the models that the domain
+// serves, by turns, the largest first.
+func (s *situation) stageSpares(domain string, free []*serving.Endpoint) []staging {
+	held := map[string]int{}
+	for _, e := range free {
+		held[s.holds(e)]++
 	}
-	slices.SortFunc(empty, func(a, b *serving.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	models := slices.Clone(s.engine.Models)
+	if serves := s.working[domain]; len(serves) > 0 {
+		models = slices.DeleteFunc(models, func(m serving.Model) bool { return serves[m.Name] == 0 })
+	}
 	slices.SortStableFunc(models, func(a, b serving.Model) int {
 		return cmp.Or(cmp.Compare(b.Size, a.Size), cmp.Compare(a.Name, b.Name))
 	})
 	var out []staging
-	for _, e := range empty {
-		best := -1
-		for i, m := range models {
-			if len(serves) > 0 && serves[m.Name] == 0 {
-				continue
-			}
-			if best < 0 || held[m.Name] < held[models[best].Name] {
-				best = i
-			}
-		}
-		if best >= 0 {
-			held[models[best].Name]++
-			out = append(out, staging{e, models[best]})
+	for _, e := range free {
+		if s.holds(e) != "" || len(models) == 0 {
+			continue
 		}
+		model := slices.MinFunc(models, func(a, b serving.Model) int { return cmp.Compare(held[a.Name], held[b.Name]) })
+		held[model.Name]++
+		out = append(out, staging{e, model})
 	}
 	return out
 }
+
+// partition splits a list by a test, in order.
+func partition(list []*serving.Endpoint, test func(*serving.Endpoint) bool) (yes, no []*serving.Endpoint) {
+	for _, e := range list {
+		if test(e) {
+			yes = append(yes, e)
+		} else {
+			no = append(no, e)
+		}
+	}
+	return yes, no
+}
