Run few loads at once, and form groups across domains of what needs none

More than the six loads that run at full speed were ordered at a time, so each took several times 16 s, and survivors of different domains waited apart. Ruled out: too few endpoints, the pace of orders. Change: a data centre runs its part of the loads at once, first those that complete a group soonest; endpoints that need no load form groups across domains, which end when one domain can do without.

--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -155,7 +156,7 @@
 		engine:  service.Engine,
 		working: map[string]map[string]int{},
 		growing: map[string]bool{},
-		staging: c.stagingNow(now),
+		staging: c.stagingNow(view, now),
 	}
 	groups := map[string]*group{}
 	for _, e := range view.Endpoints {
@@ -181,13 +182,31 @@
 		c.lookAtGroup(ctx, &s, groups[key], now)
 	}
 	c.countOperations(&s, view)
-	formations, spares := plan(s)
+	for _, g := range s.supersededFar() {
+		c.startDissolve(ctx, g, reasonFar)
+	}
+	formations, stagings := plan(s)
 	for _, f := range formations {
 		c.startForm(ctx, f, service.Engine, now)
 	}
-	for _, st := range spares {
-		c.startStage(ctx, st, service.Engine, now)
+	for _, st := range stagings {
+		if len(s.staging) >= c.loadsAtOnce(service.Engine) {
+			break
+		}
+		if s.staging[st.endpoint.ID] == "" {
+			s.staging[st.endpoint.ID] = st.model.Name
+			c.startStage(ctx, st, service.Engine, now)
+		}
+	}
+}
+
+// loadsAtOnce is how many loads this data centre runs at a time: more would
+// slow each other down, and those of the other data centres.
+func (c *Controller) loadsAtOnce(engine *serving.Engine) int {
+	if engine.LoadsAtOnce <= 0 || c.options.Unpaced() {
+		return math.MaxInt
 	}
+	return max(1, engine.LoadsAtOnce/c.options.DataCentres)
 }
 
 // growingFor is how long after a new endpoint its domain may have more soon.
@@ -236,6 +255,9 @@
 	reason := c.faultOf(g, now)
 	if reason == "" {
 		c.countWorking(s, g)
+		if slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return e.Domain != g.members[0].Domain }) {
+			s.far = append(s.far, g)
+		}
 		c.probeSuspect(ctx, g, now)
 		return
 	}
@@ -250,6 +272,7 @@
 	reasonLeaving  = "a member is leaving"
 	reasonUnopened = "nobody opens it"
 	reasonHeadless = "its head is not listed"
+	reasonFar      = "its members can form a group of one domain"
 )
 
 // faultOf returns why a group cannot go on, or nothing.
@@ -316,12 +339,15 @@
 }
 
 // stagingNow returns the models that are on their way to hosts.
-func (c *Controller) stagingNow(now time.Time) map[serving.EndpointID]string {
+func (c *Controller) stagingNow(view *directory.View, now time.Time) map[serving.EndpointID]string {
 	out := map[serving.EndpointID]string{}
 	for id, order := range c.staged {
-		if now.Before(order.until) {
-			out[id] = order.model
+		e := view.Endpoints[id]
+		if e == nil || !now.Before(order.until) || slices.Contains(e.Staged, order.model) {
+			delete(c.staged, id)
+			continue
 		}
+		out[id] = order.model
 	}
 	return out
 }
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -344,9 +344,6 @@
 
 // startStage loads a model to a spare's host; the caller holds the lock.
 func (c *Controller) startStage(ctx context.Context, s staging, engine *serving.Engine, now time.Time) {
-	if order := c.staged[s.endpoint.ID]; order.model == s.model.Name && now.Before(order.until) {
-		return
-	}
 	c.staged[s.endpoint.ID] = stagingOrder{s.model.Name, now.Add(loadPatience*s.model.LoadTime + joinSlack)}
 	wait := c.reserveLoad(engine, now)
 	order := serving.Order{Kind: serving.OrderStage, Model: s.model.Name, Fence: c.epoch}
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -26,12 +26,18 @@
 	return out
 }
 
-// staging is a model to be loaded to the host of a spare endpoint.
+// staging is a model to be loaded to the host of a free endpoint.
 type staging struct {
 	endpoint *serving.Endpoint
 	model    serving.Model
+	// lacking is how many endpoints its group lacks with this one; loads are
+	// few, and those go first that complete a group soonest.
+	lacking int
 }
 
+// spareLacking is the lacking of a spare, which completes no group.
+const spareLacking = 1000
+
 // situation is what a plan depends on, for one service of one data centre.
 type situation struct {
 	service string
@@ -43,6 +49,8 @@
 	working map[string]map[string]int
 	// staging has the models that are on their way to hosts.
 	staging map[serving.EndpointID]string
+	// far groups span domains.
+	far []*group
 	// growing domains have had a new endpoint lately, and may have more soon.
 	growing map[string]bool
 	// open is set once a group of the data centre takes requests.
@@ -81,9 +89,60 @@
 		// Loads for groups go first.
 		return formations, nil
 	}
+	formations = append(formations, s.acrossDomains(byDomain)...)
 	return formations, s.stage(byDomain)
 }
 
+// acrossDomains forms groups that span domains of endpoints that need no
+// load. Such a group is slow, and better than none while its members wait for
+// others of their domains.
+func (s *situation) acrossDomains(byDomain map[string][]*serving.Endpoint) []formation {
+	var out []formation
+	for _, model := range s.byNeed("") {
+		var warm []*serving.Endpoint
+		for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+			for _, e := range byDomain[domain] {
+				if startTime(e, model) < model.LoadTime && s.staging[e.ID] == "" {
+					warm = append(warm, e)
+				}
+			}
+		}
+		for len(warm) >= model.Size {
+			members := warm[:model.Size]
+			warm = warm[model.Size:]
+			out = append(out, formation{s.service, model, members})
+			for domain := range byDomain {
+				byDomain[domain] = slices.DeleteFunc(byDomain[domain], func(e *serving.Endpoint) bool { return slices.Contains(members, e) })
+			}
+		}
+	}
+	return out
+}
+
+// supersededFar returns the groups across domains whose members could form a
+// group of one domain with endpoints that are free.
+func (s *situation) supersededFar() []*group {
+	var out []*group
+	for _, g := range s.far {
+		counts := map[string]int{}
+		for _, e := range g.members {
+			counts[e.Domain]++
+		}
+		for _, e := range s.free {
+			if counts[e.Domain] > 0 && startTime(e, g.model) < g.model.LoadTime {
+				counts[e.Domain]++
+			}
+		}
+		for _, n := range counts {
+			if n >= g.model.Size {
+				out = append(out, g)
+				break
+			}
+		}
+	}
+	return out
+}
+
 // best returns the next group to form: the one that starts soonest among
 // those that each domain needs most.
 func (s *situation) best(byDomain map[string][]*serving.Endpoint) (formation, bool) {
@@ -128,12 +187,25 @@
 	return formation{}, 0, false
 }
 
+// workingAnywhere counts the endpoints of a model's groups in all domains.
+func (s *situation) workingAnywhere(model string) int {
+	n := 0
+	for _, models := range s.working {
+		n += models[model]
+	}
+	return n
+}
+
 // byNeed sorts the models by how much of their part of a domain's work they
-// have.
+// have, or of the data centre's for an empty domain.
 func (s *situation) byNeed(domain string) []serving.Model {
 	models := slices.Clone(s.engine.Models)
 	need := func(m serving.Model) float64 {
-		return float64(s.working[domain][m.Name]) / max(m.Fraction, 0.01)
+		n := s.working[domain][m.Name]
+		if domain == "" {
+			n = s.workingAnywhere(m.Name)
+		}
+		return float64(n) / max(m.Fraction, 0.01)
 	}
 	slices.SortStableFunc(models, func(a, b serving.Model) int {
 		return cmp.Or(cmp.Compare(need(a), need(b)), cmp.Compare(b.Fraction, a.Fraction), cmp.Compare(a.Name, b.Name))
@@ -192,6 +264,7 @@
 		slices.SortFunc(free, func(a, b *serving.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 		out = append(out, s.stageDomain(domain, free)...)
 	}
+	slices.SortStableFunc(out, func(a, b staging) int { return cmp.Compare(a.lacking, b.lacking) })
 	return out
 }
 
@@ -207,7 +280,7 @@
 		// Hosts that hold nothing go first.
 		slices.SortStableFunc(rest, func(a, b *serving.Endpoint) int { return cmp.Compare(len(s.holds(a)), len(s.holds(b))) })
 		for _, e := range rest[:missing] {
-			out = append(out, staging{e, model})
+			out = append(out, staging{e, model, missing})
 		}
 		free = rest[missing:]
 	}
@@ -235,7 +308,7 @@
 		}
 		model := slices.MinFunc(models, func(a, b serving.Model) int { return cmp.Compare(held[a.Name], held[b.Name]) })
 		held[model.Name]++
-		out = append(out, staging{e, model})
+		out = append(out, staging{e, model, spareLacking})
 	}
 	return out
 }
