Let broken streams wait for a group, and go first there

Change: a stream that was under way waits up to 1.5 s for another group, may wait there beyond its slots, and is let in ahead of those that wait.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -113,9 +113,14 @@
 	}
 }
 
+// overfull is the part of its slots up to which a head takes requests that
+// were under way elsewhere: they are let in ahead of those that wait there.
+const overfull = 1.5
+
 // ChooseHead picks the group at which a request has its first event soonest.
-// full is set if all of them were at their slots.
-func (b *Balancer) ChooseHead(heads []*directory.Head, s Size, failed []serving.EndpointID, now time.Time) (head *directory.Head, p Prediction, full bool) {
+// full is set if all of them were at their slots; a request that was under
+// way elsewhere may wait at a full one.
+func (b *Balancer) ChooseHead(heads []*directory.Head, s Size, failed []serving.EndpointID, underWay bool, now time.Time) (head *directory.Head, p Prediction, full bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best time.Duration
@@ -125,7 +130,11 @@
 			continue
 		}
 		candidate := predict(h, l, s)
-		if candidate.Running >= h.Slots {
+		slots := h.Slots
+		if underWay {
+			slots = int(overfull * float64(slots))
+		}
+		if candidate.Running >= slots {
 			full = true
 			continue
 		}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -143,13 +143,46 @@
 		return target{Endpoint: e}, false
 	}
 	heads := view.Heads[directory.Pool{Service: c.service, Model: c.attrs.Model}]
-	head, predicted, full := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, now)
+	head, predicted, full := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, c.sends > 0, now)
 	if head == nil {
 		return target{}, full
 	}
 	return target{head.Endpoint, predicted}, false
 }
 
+const (
+	// resumeWait is how long a stream that broke waits for another endpoint:
+	// a repair by a warm spare takes about as long, and its caller waits for
+	// two seconds between events at least.
+	resumeWait = 1500 * time.Millisecond
+	resumePoll = 50 * time.Millisecond
+)
+
+// await picks an endpoint. A stream that was under way at another endpoint
+// waits a little for one.
+func (c *call) await(ctx context.Context) (target, bool) {
+	t, full := c.choose(time.Now())
+	if t.Endpoint != nil || c.sends == 0 || c.route.Kind != serving.KindStream {
+		return t, full
+	}
+	limit := time.NewTimer(resumeWait)
+	defer limit.Stop()
+	ticker := time.NewTicker(resumePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return target{}, full
+		case <-limit.C:
+			return target{}, full
+		case now := <-ticker.C:
+			if t, full = c.choose(now); t.Endpoint != nil {
+				return t, full
+			}
+		}
+	}
+}
+
 func (c *call) size() Size {
 	return Size{Prompt: c.attrs.PromptTokens, Answer: c.attrs.AnswerTokens()}
 }
@@ -175,17 +208,20 @@
 			c.ended(ctx)
 			return
 		}
-		now := time.Now()
-		t, full := c.choose(now)
-		if t.Endpoint == nil {
-			c.giveUp(full, "no endpoint")
-			return
-		}
 		if c.sends >= c.route.MaxAttempts {
 			c.giveUp(false, "attempts used up")
 			return
 		}
-		if c.sends > 0 && !c.options.Budget.Repeat(c.service, now) {
+		t, full := c.await(ctx)
+		if t.Endpoint == nil && ctx.Err() != nil {
+			c.ended(ctx)
+			return
+		}
+		if t.Endpoint == nil {
+			c.giveUp(full, "no endpoint")
+			return
+		}
+		if c.sends > 0 && !c.options.Budget.Repeat(c.service, time.Now()) {
 			c.giveUp(false, "retry budget used up")
 			return
 		}
@@ -308,6 +344,7 @@
 			Left:      c.deadline.Sub(now) - wayBack,
 			Workspace: c.workspace,
 			LastEvent: c.lastEvent,
+			Urgent:    c.sends > 0,
 		}),
 		Body: c.in.Body,
 	}, func(h http.Header) bool { return c.options.Wire.Verdict(h).ID == c.attrs.ID })
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -62,6 +62,8 @@
 	Left      time.Duration
 	Workspace string
 	LastEvent string
+	// Urgent requests were under way elsewhere, and are let in first.
+	Urgent bool
 }
 
 // Verdict is what an endpoint's answer says about itself.
