Read the endpoint table once for each data centre, and the lease by word of mouth

Change: the controller reads the rows and tells its peers what has changed in substance, with the versions from and to which that is all; others read when they hear nothing new for 0.8 s. A holder that speaks counts as a change of the lease's row.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,7 +28,10 @@
 
 // endpointRecord is one endpoint's row and what was seen of it since.
 type endpointRecord struct {
-	row      table.Row
+	row table.Row
+	// changed is the version of the last row that differed in substance:
+	// most rows are heartbeats.
+	changed  uint64
 	endpoint *serving.Endpoint
 	// observed is a membership that the controller of this data centre was
 	// told by the endpoint itself, newer than the row.
@@ -63,7 +66,11 @@
 	configuration    *serving.Configuration
 	configurationRow []byte
 	endpoints        map[serving.EndpointID]*endpointRecord
-	changed          chan struct{}
+	// covered is the version up to which the endpoint table is known, and
+	// coveredAt when it last rose.
+	covered   uint64
+	coveredAt time.Time
+	changed   chan struct{}
 }
 
 // New returns a directory that knows nothing yet.
@@ -113,29 +120,65 @@
 	d.publish()
 }
 
-// TakeEndpoints takes rows of the endpoint table. With whole set, the rows
-// are all there are as of a version, and others are gone.
-func (d *Directory) TakeEndpoints(rows []table.Row, whole bool, version uint64, now time.Time) {
+// TakeTable takes a read of the whole endpoint table as of a version; what it
+// does not have is gone.
+func (d *Directory) TakeTable(rows []table.Row, version uint64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changed := false
 	listed := map[serving.EndpointID]bool{}
+	changed := d.takeRows(rows, now)
 	for _, row := range rows {
-		listed[serving.EndpointID(row.Key)] = !row.Removed
-		changed = d.takeRow(row, now) || changed
+		listed[serving.EndpointID(row.Key)] = true
 	}
-	if whole {
-		for id, record := range d.endpoints {
-			if record.endpoint != nil && !listed[id] && record.row.Version <= version {
-				changed = d.takeRow(table.Row{Key: string(id), Version: version, Removed: true}, now) || changed
-			}
+	for id, record := range d.endpoints {
+		if record.endpoint != nil && !listed[id] && record.row.Version <= version {
+			changed = d.takeRow(table.Row{Key: string(id), Version: version, Removed: true}, now) || changed
 		}
 	}
+	d.cover(version, now)
 	if changed {
 		d.publish()
 	}
 }
 
+// TakeChanges takes the endpoint rows that have changed after one version, up
+// to another.
+func (d *Directory) TakeChanges(rows []table.Row, since, version uint64, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := d.takeRows(rows, now)
+	if since <= d.covered {
+		d.cover(version, now)
+	}
+	if changed {
+		d.publish()
+	}
+}
+
+func (d *Directory) takeRows(rows []table.Row, now time.Time) bool {
+	changed := false
+	for _, row := range rows {
+		changed = d.takeRow(row, now) || changed
+	}
+	return changed
+}
+
+// cover notes that the table is known up to a version.
+func (d *Directory) cover(version uint64, now time.Time) {
+	if version > d.covered {
+		d.covered = version
+		d.coveredAt = now
+	}
+}
+
+// Covered returns the version up to which the endpoint table is known, and
+// when it last rose.
+func (d *Directory) Covered() (version uint64, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.covered, d.coveredAt
+}
+
 // takeRow applies one row and reports whether traffic has to know.
 func (d *Directory) takeRow(row table.Row, now time.Time) bool {
 	id := serving.EndpointID(row.Key)
@@ -150,6 +193,7 @@
 	record.row = row
 	if row.Removed {
 		was := record.endpoint != nil
+		record.changed = row.Version
 		record.endpoint, record.row.Value, record.removedAt = nil, nil, now
 		if was {
 			d.log.Info("an endpoint is gone", "endpoint", row.Key, "version", row.Version)
@@ -170,6 +214,7 @@
 	}
 	d.log.Debug("row", "value", string(row.Value))
 	record.endpoint = &e
+	record.changed = row.Version
 	if record.observed != nil && newer(e.Membership, record.observed.Membership) {
 		record.observed = nil
 	}
@@ -219,15 +264,18 @@
 	return out
 }
 
-// Rows returns the endpoint rows that a peer may lack.
-func (d *Directory) Rows() []table.Row {
+// Changes returns the endpoint rows that have changed in substance after a
+// version, and the version up to which these are all.
+func (d *Directory) Changes(since uint64) ([]table.Row, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []table.Row
 	for _, record := range d.endpoints {
-		out = append(out, record.row)
+		if record.changed > since {
+			out = append(out, record.row)
+		}
 	}
-	return out
+	return out, d.covered
 }
 
 // Refresh drops what has expired and publishes what depends on time.
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -15,6 +15,9 @@
 	// EndpointPause is the time between two reads of the endpoint table,
 	// whose rows change all the time.
 	EndpointPause time.Duration
+	// RelyOnPeers is how long after the last news of the endpoint table from
+	// peers a node does not read it.
+	RelyOnPeers time.Duration
 	// RetryPause is the time before a failed call is made again.
 	RetryPause time.Duration
 	// CallTimeout bounds one call beyond the time that it may wait.
@@ -26,6 +29,7 @@
 	return WatchOptions{
 		LongPoll:      10 * time.Second,
 		EndpointPause: 300 * time.Millisecond,
+		RelyOnPeers:   800 * time.Millisecond,
 		RetryPause:    250 * time.Millisecond,
 		CallTimeout:   time.Second,
 	}
@@ -36,6 +40,10 @@
 	Store     table.Store
 	Directory *Directory
 	Options   WatchOptions
+	// Reads reports whether this node reads the endpoint table for the
+	// others of its data centre. Others read it themselves only when they
+	// hear nothing new for RelyOnPeers.
+	Reads func() bool
 }
 
 // follower follows one table.
@@ -44,8 +52,12 @@
 	name  string
 	wait  time.Duration
 	pause time.Duration
-	// take applies rows; whole is set after a full read.
-	take func(rows []table.Row, whole bool, version uint64)
+	// take applies rows; since is zero after a read of the whole table.
+	take func(rows []table.Row, since, version uint64)
+	// known returns a version up to which the table is known from elsewhere,
+	// and skip whether a call can be left out; nil means neither.
+	known func() uint64
+	skip  func() bool
 	// version is zero until the table was read.
 	version uint64
 	// down is set while the store does not answer.
@@ -69,7 +81,7 @@
 		Watcher: w,
 		name:    codec.ConfigurationTable,
 		wait:    w.Options.LongPoll,
-		take: func(rows []table.Row, _ bool, _ uint64) {
+		take: func(rows []table.Row, _, _ uint64) {
 			for _, row := range rows {
 				if row.Key == codec.ConfigurationKey && !row.Removed {
 					w.Directory.TakeConfiguration(row.Value, "store")
@@ -84,8 +96,20 @@
 		Watcher: w,
 		name:    w.Directory.codec.EndpointTable,
 		pause:   w.Options.EndpointPause,
-		take: func(rows []table.Row, whole bool, version uint64) {
-			w.Directory.TakeEndpoints(rows, whole, version, time.Now())
+		known: func() uint64 {
+			version, _ := w.Directory.Covered()
+			return version
+		},
+		skip: func() bool {
+			_, at := w.Directory.Covered()
+			return w.Reads != nil && !w.Reads() && time.Since(at) < w.Options.RelyOnPeers
+		},
+		take: func(rows []table.Row, since, version uint64) {
+			if since == 0 {
+				w.Directory.TakeTable(rows, version, time.Now())
+				return
+			}
+			w.Directory.TakeChanges(rows, since, version, time.Now())
 		},
 	}
 }
@@ -133,14 +157,20 @@
 
 // step makes one call: a read of the whole table, or of what has changed.
 func (f *follower) step(ctx context.Context) error {
+	if f.skip != nil && f.skip() {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+f.Options.CallTimeout)
 	defer cancel()
+	if f.known != nil && f.version > 0 {
+		f.version = max(f.version, f.known())
+	}
 	if f.version == 0 {
 		page, err := f.Store.Read(ctx, f.name, "")
 		if err != nil {
 			return err
 		}
-		f.take(page.Rows, true, page.Version)
+		f.take(page.Rows, 0, page.Version)
 		f.version = page.Version
 		return nil
 	}
@@ -152,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	f.take(page.Rows, false, page.Version)
+	f.take(page.Rows, f.version, page.Version)
 	f.version = max(f.version, page.Version)
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,6 +117,7 @@
 		Tick:        100 * time.Millisecond,
 		DrainWait:   2500 * time.Millisecond,
 	}, e.store, a.Endpoints(httpClient(links)), e.directory, e.share.suspects)
+	e.share.controls = e.controller.Holds
 	if err := e.listen(a); err != nil {
 		return nil, err
 	}
@@ -162,7 +163,7 @@
 	e.cancel = cancel
 	control, cancelControl := context.WithCancel(ctx)
 	e.cancelControl = cancelControl
-	watcher := &directory.Watcher{Store: e.store, Directory: e.directory, Options: directory.DefaultWatchOptions()}
+	watcher := &directory.Watcher{Store: e.store, Directory: e.directory, Options: directory.DefaultWatchOptions(), Reads: e.controller.Holds}
 	e.running.Go(func() { watcher.Run(ctx) })
 	e.running.Go(func() { e.share.run(ctx) })
 	e.running.Go(func() {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -101,7 +101,7 @@
 	timing := f.Section("timing")
 	const least, most = 50 * time.Millisecond, time.Minute
 	s.StallAfter = timing.Duration("stall_after", 500*time.Millisecond, least, most)
-	s.LeaseTTL = timing.Duration("lease_ttl", 2500*time.Millisecond, 300*time.Millisecond, most)
+	s.LeaseTTL = timing.Duration("lease_ttl", 2*time.Second, 300*time.Millisecond, most)
 	s.StopNotice = timing.Duration("stop_notice", 3*time.Second, 0, most)
 	s.StopBound = timing.Duration("stop_bound", 7*time.Second, 0, time.Hour)
 	s.LogLevel = readLevel(f.Section("log"))
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -28,6 +28,9 @@
 	shareCall   = 800 * time.Millisecond
 	// loadTTL is how long a peer's figures count.
 	loadTTL = 2 * time.Second
+	// controllerTTL is how long the word of a controller spares the others
+	// a look at the lease.
+	controllerTTL = 700 * time.Millisecond
 	// forgetPeer is after how much silence a peer is not called any more.
 	forgetPeer = 30 * time.Second
 )
@@ -71,6 +74,18 @@
 	mu      sync.Mutex
 	peers   map[string]*peer // by address
 	leaving bool
+	// heardController is when the controller of this data centre last spoke.
+	heardController time.Time
+	// controls reports whether this node is that controller.
+	controls func() bool
+}
+
+// controllerLives reports whether the data centre's controller, another node,
+// spoke lately.
+func (s *sharing) controllerLives() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.heardController) < controllerTTL
 }
 
 func newSharing(s *Settings, life string, d *directory.Directory, b *relay.Balancer, budget *relay.Budget, store table.Store, links upstream.Options) *sharing {
@@ -195,8 +210,8 @@
 	if value := m.GetConfiguration(); len(value) > 0 {
 		s.directory.TakeConfiguration(value, "peer "+m.GetFrom().GetId())
 	}
-	if len(m.GetRows()) > 0 {
-		s.directory.TakeEndpoints(fromRows(m.GetRows()), false, 0, now)
+	if m.GetEndpointsVersion() > 0 {
+		s.directory.TakeChanges(fromRows(m.GetRows()), m.GetRowsSince(), m.GetEndpointsVersion(), now)
 	}
 	for _, o := range m.GetObservations() {
 		s.directory.Observe(fromObservation(o), false, now)
@@ -211,6 +226,9 @@
 		s.meet(known.GetAddress(), known.GetId(), known.GetDataCentre())
 	}
 	p.heard = now
+	if m.GetControls() && p.dataCentre == s.settings.DataCentre {
+		s.heardController = now
+	}
 	p.configuration = m.GetConfigurationVersion()
 	p.rows = m.GetEndpointsVersion()
 	p.loads = map[serving.EndpointID]relay.PeerLoad{}
@@ -280,11 +298,8 @@
 		m.Observations = append(m.Observations, toObservation(o))
 	}
 	version, value := s.directory.Configuration()
-	rows := s.directory.Rows()
 	m.ConfigurationVersion = version
-	for _, r := range rows {
-		m.EndpointsVersion = max(m.EndpointsVersion, r.Version)
-	}
+	m.Controls = s.controls()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.Leaving = s.leaving
@@ -294,8 +309,13 @@
 	if p.configuration < version {
 		m.Configuration = value
 	}
-	if p.rows < m.EndpointsVersion && now.Sub(p.heard) < loadTTL {
-		m.Rows = toRows(rows, p.rows)
+	rows, covered := s.directory.Changes(p.rows)
+	m.EndpointsVersion, m.RowsSince = covered, p.rows
+	if now.Sub(p.heard) < loadTTL {
+		m.Rows = toRows(rows)
+	} else {
+		// What the peer knows is not known: it may have started anew.
+		m.RowsSince = covered
 	}
 	for _, other := range s.peers {
 		if other.id != "" && other != p && now.Sub(other.heard) < loadTTL {
@@ -305,12 +325,10 @@
 	return m
 }
 
-func toRows(rows []table.Row, since uint64) []*sharepb.Row {
-	var out []*sharepb.Row
+func toRows(rows []table.Row) []*sharepb.Row {
+	out := make([]*sharepb.Row, 0, len(rows))
 	for _, r := range rows {
-		if r.Version > since {
-			out = append(out, &sharepb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
-		}
+		out = append(out, &sharepb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
 	}
 	return out
 }
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -76,6 +76,12 @@
 	c.staged = map[serving.EndpointID]stagingOrder{}
 }
 
+// Holds reports whether this node is the controller now.
+func (c *Controller) Holds() bool {
+	_, held := c.lease.Held(time.Now())
+	return held
+}
+
 // Holder returns the last known controller of the data centre.
 func (c *Controller) Holder() string { return c.lease.Holder() }
 
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -49,6 +49,9 @@
 	DataCentres int
 	// Unpaced reports whether loads need not be paced: nothing is served yet.
 	Unpaced func() bool
+	// HolderLives reports whether another node that holds the lease spoke
+	// lately; nil means that nobody would know.
+	HolderLives func() bool
 	// LeaseTTL is how long the lease of a silent holder lasts.
 	LeaseTTL time.Duration
 	// CallTimeout bounds one report or order.
--- a/internal/groupcontrol/lease.go
+++ b/internal/groupcontrol/lease.go
@@ -25,6 +25,9 @@
 	timeout   time.Duration
 	log       logging.Logger
 
+	// holderLives spares a look at the row while the holder speaks.
+	holderLives func() bool
+
 	mu      sync.Mutex
 	machine *lease.Machine
 	held    bool
@@ -35,7 +38,9 @@
 		store:     store,
 		partition: string(o.DataCentre),
 		timeout:   o.LeaseTTL / 3,
-		log:       logging.For("lease"),
+
+		holderLives: o.HolderLives,
+		log:         logging.For("lease"),
 		machine: lease.New(lease.Options{
 			Self:  o.Node,
 			TTL:   o.LeaseTTL,
@@ -75,6 +80,12 @@
 	defer cancel()
 	switch action.Kind {
 	case lease.ActionRead:
+		if k.holderLives != nil && k.holderLives() {
+			k.mu.Lock()
+			k.machine.Heard(now)
+			k.mu.Unlock()
+			return
+		}
 		k.read(ctx)
 	case lease.ActionAcquire, lease.ActionRenew:
 		k.write(ctx, now, action)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -134,6 +134,13 @@
 	// earlier life of this node may have written it.
 }
 
+// Heard says that the holder itself spoke, so that no look at the row was
+// needed: it counts like a change of the row.
+func (m *Machine) Heard(now time.Time) {
+	m.busy = false
+	m.changed = now
+}
+
 // Written takes the outcome of a write that was asked for at the time given.
 // The hold counts from the asking, not from the answer.
 func (m *Machine) Written(asked time.Time, row Row, version uint64, committed bool) {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -107,3 +107,19 @@
 	_, held = m.Held(at(2 * time.Second))
 	assert.False(t, held)
 }
+
+func TestAHolderThatSpeaksKeepsTheLeaseFromLapsing(t *testing.T) {
+	start := time.Unix(0, 0)
+	m := New(Options{Self: "b", TTL: time.Second, Renew: 100 * time.Millisecond, Guard: 100 * time.Millisecond})
+	require.Equal(t, ActionRead, m.Next(start).Kind)
+	m.Read(start, Row{Epoch: 1, Holder: "a"}, 7)
+	for i := 1; i <= 30; i++ {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		require.Equal(t, ActionRead, m.Next(now).Kind)
+		m.Heard(now)
+	}
+	last := start.Add(3 * time.Second)
+	require.Equal(t, ActionRead, m.Next(last.Add(900*time.Millisecond)).Kind)
+	m.Failed()
+	require.Equal(t, ActionAcquire, m.Next(last.Add(1100*time.Millisecond)).Kind)
+}
