Bound the log; test the relay on scripted endpoints

Errors are one text without a stack.

Tests of the relay play answers byte by byte: broken off, surplus, unsigned, encoded, without a length, not in the protocol; streams broken, standing still, resumed; callers that leave; budgets.

--- a/cmd/ridgehinged/main.go
+++ b/cmd/ridgehinged/main.go
@@ -90,7 +90,9 @@
 	if err != nil {
 		return complain(err)
 	}
-	logging.Setup(os.Stdout, s.LogLevel)
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close()
+	logging.Setup(out, s.LogLevel)
 	// From here on a hang-up does not end the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -41,11 +41,22 @@
 }
 
 func (l Logger) all(args []any) []any {
-	return append(append([]any(nil), l.args...), args...)
+	out := append(append([]any(nil), l.args...), args...)
+	for i, arg := range out {
+		if err, ok := arg.(error); ok {
+			// A line is for one fact; stacks are for a debugger.
+			out[i] = err.Error()
+		}
+	}
+	return out
 }
 
 // Debug writes a line for developers.
-func (l Logger) Debug(text string, args ...any) { slog.Debug(l.prefix+text, l.all(args)...) }
+func (l Logger) Debug(text string, args ...any) {
+	if current.Level() <= slog.LevelDebug {
+		slog.Debug(l.prefix+text, l.all(args)...)
+	}
+}
 
 // Info writes a line about a change that operators may want to know.
 func (l Logger) Info(text string, args ...any) { slog.Info(l.prefix+text, l.all(args)...) }
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,535 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/httpserver"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/internal/upstream"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+const patience = 30 * time.Second
+
+// testWire is a plain wire for tests.
+type testWire struct{}
+
+func (testWire) Attributes(h http.Header) (Attributes, error) {
+	if h.Get("Id") == "" {
+		return Attributes{}, BadRequest("Id", "give it")
+	}
+	left, _ := strconv.Atoi(h.Get("Left"))
+	prompt, _ := strconv.Atoi(h.Get("Prompt"))
+	return Attributes{
+		ID:           h.Get("Id"),
+		Key:          h.Get("Key"),
+		Left:         time.Duration(left) * time.Millisecond,
+		HasDeadline:  left > 0,
+		Model:        h.Get("Model"),
+		PromptTokens: prompt,
+		LastEvent:    h.Get("Last"),
+	}, nil
+}
+
+func (testWire) Outgoing(h http.Header, s Sending) http.Header {
+	out := h.Clone()
+	out.Del("Key")
+	out.Set("Workspace", s.Workspace)
+	out.Set("Left", strconv.FormatInt(s.Left.Milliseconds(), 10))
+	out.Set("To", string(s.Endpoint))
+	if s.LastEvent != "" {
+		out.Set("Last", s.LastEvent)
+	}
+	return out
+}
+
+func (testWire) Verdict(h http.Header) Verdict {
+	return Verdict{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", AtFault: serving.EndpointID(h.Get("At-Fault"))}
+}
+
+func (testWire) Answer(h http.Header) http.Header { return h.Clone() }
+
+func (testWire) OwnAnswer(id string, after time.Duration) http.Header {
+	h := http.Header{"Id": {id}}
+	if after > 0 {
+		h.Set("After", after.String())
+	}
+	return h
+}
+
+// recorder is a caller.
+type recorder struct {
+	status int
+	header http.Header
+	body   strings.Builder
+	ended  bool
+	cut    bool
+}
+
+func (r *recorder) Begin(status int, h http.Header) { r.status, r.header = status, h }
+func (r *recorder) Write(p []byte) error            { r.body.Write(p); return nil }
+func (r *recorder) End()                            { r.ended = true }
+func (r *recorder) Cut()                            { r.cut = true }
+
+// endpoint is a scripted endpoint: each request that it reads takes the next
+// script, which writes whatever bytes it likes; the last one stays.
+type endpoint struct {
+	address string
+	mu      sync.Mutex
+	seen    []*http.Request
+	scripts []script
+}
+
+type script func(c net.Conn, r *http.Request)
+
+func newEndpoint(t *testing.T, scripts ...script) *endpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	e := &endpoint{address: listener.Addr().String(), scripts: scripts}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		e.mu.Lock()
+		run := e.scripts[min(len(e.seen), len(e.scripts)-1)]
+		e.seen = append(e.seen, r)
+		e.mu.Unlock()
+		run(c, r)
+	}
+}
+
+func (e *endpoint) arrivals() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*http.Request(nil), e.seen...)
+}
+
+// head is the head of a signed answer to a request.
+func head(r *http.Request, status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nSigned: yes\r\n", status, r.Header.Get("Id"))
+}
+
+func sized(status int, body string) script {
+	return func(c net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head(r, status), len(body), body)
+	}
+}
+
+func raw(format string) script {
+	return func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(format, "ID", r.Header.Get("Id")))
+		_ = c.Close()
+	}
+}
+
+func notRun(c net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+}
+
+func hangUp(c net.Conn, _ *http.Request) { _ = c.Close() }
+
+// events streams the events from one id to another, and then runs the end.
+func events(from, to int, end func(c net.Conn)) script {
+	return func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, head(r, 200)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for id := from; id <= to; id++ {
+			text := eventText(id)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		}
+		end(c)
+	}
+}
+
+func eventText(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+func whole(c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") }
+
+func broken(c net.Conn) { _ = c.Close() }
+
+// brokenInside ends in the middle of an event.
+func brokenInside(c net.Conn) {
+	_, _ = io.WriteString(c, "6\r\nid: 9\n\r\n")
+	_ = c.Close()
+}
+
+// standstill says nothing more until its caller goes.
+func standstill(c net.Conn) { _, _ = c.Read(make([]byte, 1)) }
+
+// world is a relay before endpoints.
+type world struct {
+	relay *Relay
+	view  *directory.View
+}
+
+const (
+	hostPlain  = "plain"
+	hostOnce   = "once"
+	hostStream = "stream"
+	hostSingle = "single"
+)
+
+func newWorld(t *testing.T, plain, heads []*endpoint) *world {
+	t.Helper()
+	engine := &serving.Engine{Slots: 8, StepTime: time.Millisecond, TokensPerSec: 1e6, Chunk: 1000, StepsPerPass: 1}
+	split := func(service string) []serving.Split { return []serving.Split{{Service: service, Weight: 1}} }
+	c := &serving.Configuration{
+		Version: 4,
+		Routes: []serving.Route{
+			{Name: "plain", Host: hostPlain, Prefix: "/", Kind: serving.KindRepeatable, Splits: split("shop"), Timeout: patience, MaxAttempts: 2},
+			{Name: "once", Host: hostOnce, Prefix: "/", Kind: serving.KindOnce, Splits: split("shop"), Timeout: patience, MaxAttempts: 2},
+			{Name: "stream", Host: hostStream, Prefix: "/", Kind: serving.KindStream, Resumable: true, Splits: split("llm"), Timeout: patience, MaxAttempts: 2},
+			{Name: "single", Host: hostSingle, Prefix: "/", Kind: serving.KindStream, Splits: split("llm"), Timeout: patience, MaxAttempts: 2},
+		},
+		Services:   map[string]serving.Service{"shop": {Name: "shop"}, "llm": {Name: "llm", Engine: engine}},
+		Workspaces: map[string]serving.Workspace{"secret": {Name: "bakery"}},
+	}
+	c.Index()
+	w := &world{view: &directory.View{Configuration: c, Endpoints: map[serving.EndpointID]*serving.Endpoint{}, Plain: map[string][]*serving.Endpoint{}, Heads: map[directory.Pool][]*directory.Head{}}}
+	for i, e := range plain {
+		w.view.Plain["shop"] = append(w.view.Plain["shop"], w.endpoint(fmt.Sprintf("p%d", i), e))
+	}
+	pool := directory.Pool{Service: "llm", Model: "m"}
+	for i, e := range heads {
+		w.view.Heads[pool] = append(w.view.Heads[pool], &directory.Head{Endpoint: w.endpoint(fmt.Sprintf("h%d", i), e), Engine: engine, Pace: 1})
+	}
+	m := metrics.New("n", "north")
+	t.Cleanup(m.Close)
+	w.relay = New(Options{
+		DataCentre:  "north",
+		Wire:        testWire{},
+		Upstream:    upstream.New(upstream.Options{DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTimeout: time.Minute}),
+		View:        func() *directory.View { return w.view },
+		Balancer:    NewBalancer("north"),
+		Budget:      NewBudget(0.2, 1000, 10*time.Second, 1),
+		Metrics:     m,
+		StallAfter:  300 * time.Millisecond,
+		MaxRequests: 100,
+	})
+	return w
+}
+
+func (w *world) endpoint(id string, e *endpoint) *serving.Endpoint {
+	out := &serving.Endpoint{ID: serving.EndpointID(id), Address: e.address, DataCentre: "north", Slots: 8}
+	w.view.Endpoints[out.ID] = out
+	return out
+}
+
+func request(host string) *Request {
+	return &Request{
+		Method: http.MethodPost, URI: "/a?b=c", Path: "/a", Host: host, Body: []byte("body"),
+		Header: http.Header{"Id": {"r1"}, "Key": {"secret"}, "Left": {"20000"}, "Model": {"m"}, "Workspace": {"forged"}},
+	}
+}
+
+func (w *world) serve(in *Request) *recorder {
+	out := &recorder{}
+	w.relay.Serve(context.Background(), in, out)
+	return out
+}
+
+func TestAnswersOfPlainServices(t *testing.T) {
+	good := sized(200, "good")
+	for _, test := range []struct {
+		name   string
+		host   string
+		first  script
+		status int
+		body   string
+		signed bool
+		// arrivals is at both endpoints together.
+		arrivals int
+	}{
+		{"whole", hostPlain, good, 200, "good", true, 1},
+		{"whole, once", hostOnce, good, 200, "good", true, 1},
+		{"not run goes elsewhere", hostPlain, notRun, 200, "good", true, 2},
+		{"not run goes elsewhere, once", hostOnce, notRun, 200, "good", true, 2},
+		{"hung up is sent again", hostPlain, hangUp, 200, "good", true, 2},
+		{"hung up is unknown, once", hostOnce, hangUp, 502, "", false, 1},
+		{"broken off is sent again", hostPlain, raw("HTTP/1.1 200 X\r\nId: ID\r\nSigned: yes\r\nContent-Length: 9\r\n\r\ngoo"), 200, "good", true, 2},
+		{"broken off is unknown, once", hostOnce, raw("HTTP/1.1 200 X\r\nId: ID\r\nSigned: yes\r\nContent-Length: 9\r\n\r\ngoo"), 502, "", false, 1},
+		{"unsigned success is none", hostPlain, raw("HTTP/1.1 200 X\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"), 200, "good", true, 2},
+		{"unsigned success is none, once", hostOnce, raw("HTTP/1.1 200 X\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"), 502, "", false, 1},
+		{"another request's answer", hostOnce, raw("HTTP/1.1 200 X\r\nId: other\r\nSigned: yes\r\nContent-Length: 3\r\n\r\nbad"), 502, "", false, 1},
+		{"no answer in the protocol", hostOnce, raw("!!! nothing\r\n\r\n"), 502, "", false, 1},
+		{"an encoded body is not the endpoint's", hostOnce, raw("HTTP/1.1 200 X\r\nId: ID\r\nSigned: yes\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nbad"), 502, "", false, 1},
+		{"a failure is sent again", hostPlain, sized(500, "oh"), 200, "good", true, 2},
+		{"a failure keeps its status and signature, once", hostOnce, sized(500, "oh"), 500, "oh", true, 1},
+		{"a signed 503 has run and promises nothing", hostOnce, sized(503, "oh"), 502, "", false, 1},
+		{"a surplus answer comes first", hostOnce, raw("HTTP/1.1 200 X\r\nId: earlier\r\nSigned: yes\r\nContent-Length: 3\r\n\r\nbad" +
+			"HTTP/1.1 200 X\r\nId: ID\r\nSigned: yes\r\nContent-Length: 4\r\n\r\ngood"), 200, "good", true, 1},
+		{"without a length, ended", hostOnce, raw("HTTP/1.1 200 X\r\nId: ID\r\nSigned: yes\r\n\r\ngood"), 200, "good", true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			// Either may be the first to be chosen; both play the same script
+			// first, unless a second try has to succeed.
+			var mu sync.Mutex
+			count := 0
+			play := func(c net.Conn, r *http.Request) {
+				mu.Lock()
+				count++
+				first := count == 1
+				mu.Unlock()
+				if first {
+					test.first(c, r)
+					return
+				}
+				good(c, r)
+			}
+			a, b := newEndpoint(t, play), newEndpoint(t, play)
+			out := newWorld(t, []*endpoint{a, b}, nil).serve(request(test.host))
+			require.Equal(t, test.status, out.status)
+			require.True(t, out.ended)
+			require.Equal(t, test.signed, out.header.Get("Signed") != "")
+			if test.body != "" {
+				require.Equal(t, test.body, out.body.String())
+			}
+			arrivals := append(a.arrivals(), b.arrivals()...)
+			require.Len(t, arrivals, test.arrivals)
+			for _, r := range arrivals {
+				require.Equal(t, "/a?b=c", r.RequestURI)
+				require.Equal(t, "bakery", r.Header.Get("Workspace"))
+				require.Empty(t, r.Header.Get("Key"))
+				body, _ := io.ReadAll(r.Body)
+				require.Equal(t, "body", string(body))
+			}
+		})
+	}
+}
+
+func TestNothingRunsThatTheConfigurationDoesNotAllow(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*Request)
+		status int
+	}{
+		{"unknown host", func(r *Request) { r.Host = "nowhere" }, 404},
+		{"unknown key", func(r *Request) { r.Header.Set("Key", "guess") }, 401},
+		{"no key", func(r *Request) { r.Header.Del("Key") }, 401},
+		{"no id", func(r *Request) { r.Header.Del("Id") }, 400},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEndpoint(t, sized(200, "good"))
+			in := request(hostPlain)
+			test.change(in)
+			out := newWorld(t, []*endpoint{e}, nil).serve(in)
+			require.Equal(t, test.status, out.status)
+			require.Empty(t, e.arrivals())
+		})
+	}
+}
+
+func TestWithoutAConfigurationNothingIsSaidOfRoutes(t *testing.T) {
+	w := newWorld(t, nil, nil)
+	w.view = &directory.View{}
+	out := w.serve(request(hostPlain))
+	require.Equal(t, 503, out.status)
+	require.NotEmpty(t, out.header.Get("After"))
+}
+
+func wantEvents(from, to int) string {
+	var text strings.Builder
+	for id := from; id <= to; id++ {
+		text.WriteString(eventText(id))
+	}
+	return text.String()
+}
+
+func TestStreams(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		host   string
+		first  script
+		second script
+		status int
+		body   string
+		// complete is whether the answer looks whole to the caller.
+		complete bool
+		arrivals int
+		// last is the event after which the second try goes on.
+		last string
+	}{
+		{"whole", hostStream, events(1, 5, whole), nil, 200, wantEvents(1, 5), true, 1, ""},
+		{"resumed after a break", hostStream, events(1, 3, broken), events(4, 5, whole), 200, wantEvents(1, 5), true, 2, "3"},
+		{"resumed after a part of an event", hostStream, events(1, 3, brokenInside), events(4, 5, whole), 200, wantEvents(1, 5), true, 2, "3"},
+		{"resumed after a standstill", hostStream, events(1, 3, standstill), events(4, 5, whole), 200, wantEvents(1, 5), true, 2, "3"},
+		{"broken before its first event", hostStream, hangUp, events(1, 2, whole), 200, wantEvents(1, 2), true, 2, ""},
+		{"broken twice does not look whole", hostStream, events(1, 3, broken), events(4, 4, broken), 200, wantEvents(1, 4), false, 2, "3"},
+		{"an event twice is not passed on", hostStream, events(1, 3, broken), events(3, 5, whole), 200, wantEvents(1, 3), false, 2, "3"},
+		{"not run goes elsewhere", hostStream, notRun, events(1, 2, whole), 200, wantEvents(1, 2), true, 2, ""},
+		{"a broken one that may run once is left alone", hostSingle, events(1, 3, broken), events(4, 5, whole), 200, wantEvents(1, 3), false, 1, ""},
+		{"one that may run once, hung up", hostSingle, hangUp, events(1, 2, whole), 502, "", true, 1, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var mu sync.Mutex
+			count := 0
+			play := func(c net.Conn, r *http.Request) {
+				mu.Lock()
+				count++
+				number := count
+				mu.Unlock()
+				if number == 1 {
+					test.first(c, r)
+					return
+				}
+				test.second(c, r)
+			}
+			a, b := newEndpoint(t, play), newEndpoint(t, play)
+			out := newWorld(t, nil, []*endpoint{a, b}).serve(request(test.host))
+			require.Equal(t, test.status, out.status)
+			require.Equal(t, test.complete, out.ended)
+			require.Equal(t, !test.complete, out.cut)
+			if test.body != "" {
+				require.Equal(t, test.body, out.body.String())
+			}
+			arrivals := append(a.arrivals(), b.arrivals()...)
+			require.Len(t, arrivals, test.arrivals)
+			for _, r := range arrivals {
+				if r.Header.Get("Last") != "" {
+					require.Equal(t, test.last, r.Header.Get("Last"))
+					require.NotEmpty(t, test.last)
+				}
+			}
+		})
+	}
+}
+
+// A stream whose group died while all others were full or being repaired was
+// cut at once: found on scale-2 of tostared, seed 16.
+func TestABrokenStreamWaitsForAGroup(t *testing.T) {
+	a := newEndpoint(t, events(1, 3, broken))
+	b := newEndpoint(t, events(4, 5, whole))
+	w := newWorld(t, nil, []*endpoint{a, b})
+	pool := directory.Pool{Service: "llm", Model: "m"}
+	both := w.view.Heads[pool]
+	w.view.Heads[pool] = both[:1]
+	var mu sync.Mutex
+	w.relay.options.View = func() *directory.View {
+		mu.Lock()
+		defer mu.Unlock()
+		view := *w.view
+		return &view
+	}
+	go func() {
+		for len(a.arrivals()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		w.view = &directory.View{Configuration: w.view.Configuration, Heads: map[directory.Pool][]*directory.Head{pool: both}}
+	}()
+	out := w.serve(request(hostStream))
+	require.Equal(t, wantEvents(1, 5), out.body.String())
+	require.True(t, out.ended)
+}
+
+func TestACallerThatLeavesEndsTheRun(t *testing.T) {
+	gone := make(chan struct{})
+	e := newEndpoint(t, events(1, 1, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 1))
+		close(gone)
+	}))
+	w := newWorld(t, nil, []*endpoint{e})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	out := &recorder{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.relay.Serve(ctx, request(hostStream), out)
+	}()
+	for len(e.arrivals()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel(httpserver.ErrGone)
+	<-gone
+	<-done
+	require.True(t, out.cut)
+	require.Len(t, e.arrivals(), 1)
+}
+
+func TestADeadlineEndsARequestWithWhatIsKnown(t *testing.T) {
+	hang := func(c net.Conn, _ *http.Request) { standstill(c) }
+	for _, test := range []struct {
+		name   string
+		heads  []*endpoint
+		status int
+	}{
+		{"it may have run", []*endpoint{newEndpoint(t, hang)}, 504},
+		{"nobody could run it", nil, 503},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			in := request(hostSingle)
+			in.Header.Set("Left", "200")
+			out := newWorld(t, nil, test.heads).serve(in)
+			require.Equal(t, test.status, out.status)
+		})
+	}
+}
+
+func TestTheBudgetBoundsRepeats(t *testing.T) {
+	b := NewBudget(0.2, 20, 10*time.Second, 2)
+	now := time.Unix(1000, 0)
+	for range 100 {
+		b.Request("llm", now)
+	}
+	granted := 0
+	for range 100 {
+		if b.Repeat("llm", now) {
+			granted++
+		}
+	}
+	// 0.7 x (0.2 x 100 + 20 / 2)
+	require.Equal(t, 21, granted)
+	require.False(t, b.Repeat("llm", now.Add(9*time.Second)))
+	require.True(t, b.Repeat("llm", now.Add(12*time.Second)))
+	// More nodes share the slack; the number never falls.
+	b.SetNodes(10)
+	b.SetNodes(3)
+	require.Equal(t, 10, b.nodes)
+}
+
+func TestEventsAreReadWhole(t *testing.T) {
+	r := newEventReader(strings.NewReader("\n\nid: 1\ndata: a\n\n: comment\ndata: b\n\nid: 2\nda"))
+	e, err := r.next()
+	require.NoError(t, err)
+	require.Equal(t, "1", e.id)
+	require.Equal(t, "id: 1\ndata: a\n\n", string(e.raw))
+	e, err = r.next()
+	require.NoError(t, err)
+	require.Empty(t, e.id)
+	_, err = r.next()
+	require.ErrorIs(t, err, errEventPart)
+}
