--- a/cmd/ridgehinged/main.go
+++ b/cmd/ridgehinged/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -18,6 +19,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/node"
 	"github.com/ridgehinge/ridgehinge/internal/settings"
 	"github.com/ridgehinge/ridgehinge/platform"
+	"github.com/ridgehinge/ridgehinge/platform/emulator"
 )
 
 func main() {
@@ -141,16 +143,34 @@
 }
 
 type devCommand struct {
-	smoke   bool
-	verbose bool
+	smoke    bool
+	verbose  bool
+	platform bool
+}
+
+// whole is a small whole in one process.
+type whole interface {
+	Describe(io.Writer)
+	WaitReady() error
+	Smoke(io.Writer) error
+	Stop()
+}
+
+// start starts the whole of the chosen interface.
+func (c *devCommand) start() (whole, error) {
+	if c.platform {
+		return emulator.Start()
+	}
+	return dev.Start()
 }
 
 func (*devCommand) Name() string     { return "dev" }
 func (*devCommand) Synopsis() string { return "run a small whole in one process, with stand-ins" }
-func (*devCommand) Usage() string    { return "dev [-smoke] [-verbose]\n" }
+func (*devCommand) Usage() string    { return "dev [-smoke] [-verbose] [-platform]\n" }
 
 func (c *devCommand) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.smoke, "smoke", false, "send one request for each sample workspace and stop")
+	f.BoolVar(&c.platform, "platform", false, "use the interface of the users' platform")
 	f.BoolVar(&c.verbose, "verbose", false, "log everything")
 }
 
@@ -160,7 +180,7 @@
 		level = slog.LevelDebug
 	}
 	logging.Setup(os.Stderr, level)
-	whole, err := dev.Start()
+	whole, err := c.start()
 	if err != nil {
 		return complain(err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -234,6 +234,12 @@
 	return io.ReadAll(r.Body)
 }
 
+// ConfigurationVersion returns the version in force here, or zero.
+func (e *Entry) ConfigurationVersion() uint64 {
+	version, _ := e.directory.Configuration()
+	return version
+}
+
 // Reload reads the settings anew. What can change while the process runs is
 // taken over; settings that cannot be read leave all as it was.
 func (e *Entry) Reload(path string) {
--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -82,6 +82,10 @@
 type Fleet struct {
 	table *memtable.Table
 	model map[string]serving.Model
+	// encode writes an endpoint's row.
+	encode func(serving.Endpoint) []byte
+	// endpointTable is the table of the rows.
+	endpointTable string
 
 	mu        sync.Mutex
 	endpoints map[serving.EndpointID]*Endpoint
@@ -102,12 +106,25 @@
 
 // New returns a fleet without endpoints.
 func New(t *memtable.Table, models []serving.Model) *Fleet {
+	encode := func(e serving.Endpoint) []byte {
+		value, _ := json.Marshal(e) // Plain structs always encode.
+		return value
+	}
+	return NewEncoded(t, models, EndpointTable, encode)
+}
+
+// NewEncoded returns a fleet whose rows stand in a table, and in a form, of
+// the caller's choice.
+func NewEncoded(t *memtable.Table, models []serving.Model, endpointTable string, encode func(serving.Endpoint) []byte) *Fleet {
 	f := &Fleet{
-		table:     t,
-		model:     map[string]serving.Model{},
-		endpoints: map[serving.EndpointID]*Endpoint{},
-		ready:     map[readyKey]bool{},
-		late:      func() time.Duration { return 0 },
+		table: t,
+
+		endpointTable: endpointTable,
+		encode:        encode,
+		model:         map[string]serving.Model{},
+		endpoints:     map[serving.EndpointID]*Endpoint{},
+		ready:         map[readyKey]bool{},
+		late:          func() time.Duration { return 0 },
 	}
 	for _, m := range models {
 		f.model[m.Name] = m
@@ -160,7 +177,7 @@
 	e.unlisted = c == Dark || c == CutOff || c == Unlisted
 	e.Leaving = c == Leaving
 	if e.unlisted {
-		f.commit(table.Change{Removals: []table.Row{{Table: EndpointTable, Key: string(id)}}})
+		f.commit(table.Change{Removals: []table.Row{{Table: f.endpointTable, Key: string(id)}}})
 		return
 	}
 	f.write(e)
@@ -226,8 +243,7 @@
 	}
 	row := e.Endpoint
 	row.Membership = e.group.Membership
-	value, _ := json.Marshal(row) // Plain structs always encode.
-	f.commit(table.Change{Writes: []table.Row{{Table: EndpointTable, Key: string(e.ID), Value: value}}})
+	f.commit(table.Change{Writes: []table.Row{{Table: f.endpointTable, Key: string(e.ID), Value: f.encode(row)}}})
 }
 
 // commit writes to the table as its own endpoints do, whatever the faults
