--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -72,7 +72,7 @@
 	for _, s := range r.Splits {
 		total += s.Weight
 	}
-	if total == 0 {
+	if total <= 0 {
 		return r.Splits[0].Service
 	}
 	at := int(hash % uint64(total))
