Explain a request from logs: ridgehinge explain

A refusal now tells what was known: how many groups there were, and how many were full, suspected or incomplete, with the configuration's version. The test breaks a request in three ways and finds each cause in the logs alone.

--- a/cmd/ridgehinge/main.go
+++ b/cmd/ridgehinge/main.go
@@ -31,6 +31,7 @@
 	subcommands.Register(&templateCommand{flags: &flags}, "")
 	subcommands.Register(&statusCommand{flags: &flags}, "")
 	subcommands.Register(&requestCommand{}, "")
+	subcommands.Register(&explainCommand{}, "")
 	flag.Parse()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -117,25 +117,47 @@
 // were under way elsewhere: they are let in ahead of those that wait there.
 const overfull = 1.5
 
+// Choice is the outcome of a choice among groups, with why others were passed
+// over.
+type Choice struct {
+	// Head is nil if no group was left.
+	Head      *directory.Head
+	Predicted Prediction
+	Groups    int
+	// Incomplete lack a member; Suspected failed or fell silent lately; Tried
+	// have failed this very request; Full have no slot.
+	Incomplete int
+	Suspected  int
+	Tried      int
+	Full       int
+}
+
 // ChooseHead picks the group at which a request has its first event soonest.
-// full is set if all of them were at their slots; a request that was under
-// way elsewhere may wait at a full one.
-func (b *Balancer) ChooseHead(heads []*directory.Head, s Size, failed []serving.EndpointID, underWay bool, now time.Time) (head *directory.Head, p Prediction, full bool) {
+// A request that was under way elsewhere may wait at a full one.
+func (b *Balancer) ChooseHead(heads []*directory.Head, s Size, failed []serving.EndpointID, underWay bool, now time.Time) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c := Choice{Groups: len(heads)}
 	var best time.Duration
 	for _, h := range heads {
 		l := b.load(h.ID)
-		if h.Incomplete || now.Before(l.suspectUntil) || slices.Contains(failed, h.ID) {
-			continue
-		}
 		candidate := predict(h, l, s)
 		slots := h.Slots
 		if underWay {
 			slots = int(overfull * float64(slots))
 		}
-		if candidate.Running >= slots {
-			full = true
+		switch {
+		case h.Incomplete:
+			c.Incomplete++
+			continue
+		case slices.Contains(failed, h.ID):
+			c.Tried++
+			continue
+		case now.Before(l.suspectUntil):
+			c.Suspected++
+			continue
+		case candidate.Running >= slots:
+			c.Full++
 			continue
 		}
 		score := candidate.First
@@ -145,11 +167,11 @@
 		if h.Degraded {
 			score += degradedPenalty
 		}
-		if head == nil || score < best {
-			head, p, best = h, candidate, score
+		if c.Head == nil || score < best {
+			c.Head, c.Predicted, best = h, candidate, score
 		}
 	}
-	return head, p, full && head == nil
+	return c
 }
 
 // ChoosePlain picks the endpoint of a plain service with the least under way.
--- /dev/null
+++ b/internal/relay/explain_test.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"bytes"
+	"log/slog"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/explain"
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+)
+
+// log collects lines from many goroutines.
+type log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// The three kinds of failed request that docs/OPERATIONS.md leads through.
+func TestExplainNamesTheCauseOfAFailure(t *testing.T) {
+	before := slog.Default()
+	t.Cleanup(func() { slog.SetDefault(before) })
+	for _, test := range []struct {
+		name  string
+		host  string
+		plain []*endpoint
+		heads []*endpoint
+		want  []string
+	}{
+		{"a stream cut", hostStream, nil, []*endpoint{newEndpoint(t, events(1, 2, broken), events(3, 3, broken)), newEndpoint(t, events(3, 3, broken))},
+			[]string{"broken: attempts used up", "a broken stream at h"}},
+		{"a refusal", hostStream, nil, nil, []string{"refused: no group is open"}},
+		{"a request that may run once, answered 502", hostOnce, []*endpoint{newEndpoint(t, hangUp)}, nil,
+			[]string{"failed: it may not run twice", "no answer at p0"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			out := &log{}
+			logging.Setup(out, slog.LevelInfo)
+			newWorld(t, test.plain, test.heads).serve(request(test.host))
+			lines, err := explain.Read("node", &out.text)
+			require.NoError(t, err)
+			story := explain.Story(lines, "r1")
+			cause := explain.Cause(story, "r1")
+			for _, want := range test.want {
+				require.Contains(t, cause, want)
+			}
+			var printed bytes.Buffer
+			explain.Print(&printed, story, "r1")
+			require.Contains(t, printed.String(), "cause: "+cause)
+		})
+	}
+}
+
+func TestExplainShowsWhatWasBelievedOfTheEndpointsMet(t *testing.T) {
+	text := `time=2026-01-01T00:00:01.000Z level=WARN msg="groups: an endpoint counts as dead" endpoint=i-1 why="it did not answer twice"
+  2.5 edge-1 time=2026-01-01T00:00:02.000Z level=INFO msg="relay: an attempt failed" request=r1 endpoint=i-1 group=g1 what="no answer" error="the request may have run"
+time=2026-01-01T00:00:01.500Z level=INFO msg="groups: dissolves a group" group=g1 epoch=3
+time=2026-01-01T00:00:01.600Z level=INFO msg="groups: dissolves a group" group=g2 epoch=3
+not a line of a log
+time=2026-01-01T00:00:02.100Z level=INFO msg="relay: a request was not served" request=r1 outcome=failed cause="retry budget used up"
+time=2026-01-01T00:00:02.100Z level=INFO msg="relay: a request was not served" request=r2 outcome=failed cause=deadline
+`
+	lines, err := explain.Read("file", bytes.NewBufferString(text))
+	require.NoError(t, err)
+	require.Len(t, lines, 6)
+	story := explain.Story(lines, "r1")
+	var texts []string
+	for _, l := range story {
+		texts = append(texts, l.Source+" "+l.Text)
+	}
+	require.Equal(t, []string{
+		"file an endpoint counts as dead",
+		"file dissolves a group",
+		"2.5 edge-1 an attempt failed",
+		"file a request was not served",
+	}, texts)
+	require.Equal(t, "failed: retry budget used up; no answer at i-1 (the request may have run)", explain.Cause(story, "r1"))
+	require.Nil(t, explain.Story(lines, "r3"))
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -74,7 +74,7 @@
 	}
 	c.class = r.class(c.workspace, c.service)
 	if progress > int64(r.options.MaxRequests) {
-		c.refuse("this node has too many requests in progress", overloadReturn)
+		c.refuse(refusal{cause: "this node has too many requests in progress", after: overloadReturn})
 		return
 	}
 	ctx, cancel := withLimit(ctx, c.deadline)
@@ -100,7 +100,7 @@
 func (c *call) check() bool {
 	configuration := c.view.Configuration
 	if configuration == nil {
-		c.refuse("no configuration is known yet", unreadyReturn)
+		c.refuse(refusal{cause: "no configuration is known yet", after: unreadyReturn})
 		return false
 	}
 	c.route = configuration.Match(c.in.Host, c.in.Path)
@@ -131,23 +131,51 @@
 	predicted Prediction
 }
 
-// choose picks an endpoint; full says that all were busy.
-func (c *call) choose(now time.Time) (t target, full bool) {
+// refusal is why a request has no target, and when its caller may come back.
+type refusal struct {
+	cause string
+	after time.Duration
+	// choice is what was known of the groups.
+	choice Choice
+}
+
+// Causes of requests that are given up.
+const (
+	causeNoEndpoint = "no endpoint"
+	causeNoGroup    = "no group is open"
+	causeFull       = "all groups are full"
+	causeSuspected  = "the groups left are silent or incomplete"
+	causeAttempts   = "attempts used up"
+	causeBudget     = "retry budget used up"
+	causeOnce       = "it may not run twice"
+	causeDeadline   = "deadline"
+)
+
+// choose picks an endpoint, or tells why there is none.
+func (c *call) choose(now time.Time) (target, refusal) {
 	view := c.options.View()
 	service := view.Configuration.Services[c.service]
 	if service.Engine == nil {
 		e, ok := c.options.Balancer.ChoosePlain(view.Plain[c.service], c.failed, now)
 		if !ok {
-			return target{}, false
+			return target{}, refusal{cause: causeNoEndpoint, after: noTargetReturn}
 		}
-		return target{Endpoint: e}, false
+		return target{Endpoint: e}, refusal{}
 	}
 	heads := view.Heads[directory.Pool{Service: c.service, Model: c.attrs.Model}]
-	head, predicted, full := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, c.sends > 0, now)
-	if head == nil {
-		return target{}, full
+	choice := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, c.sends > 0, now)
+	if choice.Head != nil {
+		return target{choice.Head.Endpoint, choice.Predicted}, refusal{}
+	}
+	no := refusal{cause: causeSuspected, after: noTargetReturn, choice: choice}
+	switch {
+	case choice.Groups == 0:
+		no.cause = causeNoGroup
+	case choice.Full > 0:
+		no.cause = causeFull
+		no.after = overloadReturn
 	}
-	return target{head.Endpoint, predicted}, false
+	return target{}, no
 }
 
 const (
@@ -160,10 +188,10 @@
 
 // await picks an endpoint. A stream that was under way at another endpoint
 // waits a little for one.
-func (c *call) await(ctx context.Context) (target, bool) {
-	t, full := c.choose(time.Now())
+func (c *call) await(ctx context.Context) (target, refusal) {
+	t, no := c.choose(time.Now())
 	if t.Endpoint != nil || c.sends == 0 || c.route.Kind != serving.KindStream {
-		return t, full
+		return t, no
 	}
 	limit := time.NewTimer(resumeWait)
 	defer limit.Stop()
@@ -172,12 +200,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return target{}, full
+			return target{}, no
 		case <-limit.C:
-			return target{}, full
+			return target{}, no
 		case now := <-ticker.C:
-			if t, full = c.choose(now); t.Endpoint != nil {
-				return t, full
+			if t, no = c.choose(now); t.Endpoint != nil {
+				return t, no
 			}
 		}
 	}
@@ -209,20 +237,20 @@
 			return
 		}
 		if c.sends >= c.route.MaxAttempts {
-			c.giveUp(false, "attempts used up")
+			c.giveUp(refusal{cause: causeAttempts, after: noTargetReturn})
 			return
 		}
-		t, full := c.await(ctx)
+		t, no := c.await(ctx)
 		if t.Endpoint == nil && ctx.Err() != nil {
 			c.ended(ctx)
 			return
 		}
 		if t.Endpoint == nil {
-			c.giveUp(full, "no endpoint")
+			c.giveUp(no)
 			return
 		}
 		if c.sends > 0 && !c.options.Budget.Repeat(c.service, time.Now()) {
-			c.giveUp(false, "retry budget used up")
+			c.giveUp(refusal{cause: causeBudget, after: noTargetReturn})
 			return
 		}
 		switch c.attempt(ctx, t) {
@@ -230,7 +258,7 @@
 			return
 		case resultBroken, resultFailed:
 			if !c.route.Repeatable() {
-				c.giveUp(false, "it may not run twice")
+				c.giveUp(refusal{cause: causeOnce})
 				return
 			}
 		}
@@ -245,11 +273,11 @@
 		c.out.Cut()
 		return
 	}
-	c.giveUp(false, "deadline")
+	c.giveUp(refusal{cause: causeDeadline, after: noTargetReturn})
 }
 
 // giveUp gives the final answer of a request that no endpoint answered.
-func (c *call) giveUp(full bool, cause string) {
+func (c *call) giveUp(no refusal) {
 	switch {
 	case c.begun:
 		c.outcome = outcomeBroken
@@ -258,37 +286,34 @@
 		c.pass(c.failure)
 		return
 	case !c.mayHaveRun:
-		after := noTargetReturn
-		if full {
-			after = overloadReturn
-		}
-		c.refuse(cause, after)
+		c.refuse(no)
 		return
-	case cause == "deadline":
+	case no.cause == causeDeadline:
 		c.answer(http.StatusGatewayTimeout, "the answer did not come in time", 0)
 		c.outcome = outcomeFailed
 	default:
 		c.answer(http.StatusBadGateway, "the endpoint's answer broke off; the request may have run", 0)
 		c.outcome = outcomeFailed
 	}
-	c.logEnd(cause)
+	c.logEnd(no)
 }
 
-func (c *call) logEnd(cause string) {
+func (c *call) logEnd(no refusal) {
 	route := ""
 	if c.route != nil {
 		route = c.route.Name
 	}
 	c.log.Info("a request was not served", "request", c.attrs.ID, "route", route, "model", c.attrs.Model, "workspace", c.workspace,
-		"outcome", string(c.outcome), "cause", cause, "sends", c.sends, "may_have_run", c.mayHaveRun, "events", c.events,
-		"failed", c.failed, "took", time.Since(c.start))
+		"outcome", string(c.outcome), "cause", no.cause, "return_after", no.after, "sends", c.sends, "may_have_run", c.mayHaveRun, "events", c.events,
+		"failed", c.failed, "took", time.Since(c.start), "configuration", c.configurationVersion(),
+		"groups", no.choice.Groups, "full", no.choice.Full, "suspected", no.choice.Suspected, "incomplete", no.choice.Incomplete)
 }
 
 // refuse answers a request that has not run and never will.
-func (c *call) refuse(cause string, after time.Duration) {
+func (c *call) refuse(no refusal) {
 	c.outcome = outcomeRefused
-	c.answer(http.StatusServiceUnavailable, cause, after)
-	c.logEnd(cause)
+	c.answer(http.StatusServiceUnavailable, no.cause, no.after)
+	c.logEnd(no)
 }
 
 // invalid answers a request that the configuration does not allow.
