--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -268,6 +268,9 @@
 	e.share.leave(release)
 	cancel()
 	time.Sleep(time.Until(began.Add(e.settings.StopNotice)))
+	// Callers may still be led here, while few other nodes are ready. What
+	// they send now could be cut off by the end of the process.
+	e.relay.Drain()
 	callers := e.servers[len(e.servers)-1]
 	for callers.CloseIdle() > 0 && time.Since(began) < e.settings.StopBound {
 		time.Sleep(drainPause)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,7 @@
 	log        logging.Logger
 	inProgress atomic.Int64
 	stopping   atomic.Bool
+	draining   atomic.Bool
 	seen       atomic.Bool
 
 	mu      sync.Mutex
@@ -89,6 +90,9 @@
 // Stop has every answer ask its caller to close the connection.
 func (r *Relay) Stop() { r.stopping.Store(true) }
 
+// Drain has new requests refused: there is not enough time left for them.
+func (r *Relay) Drain() { r.draining.Store(true) }
+
 // maxClasses bounds the metrics' labels.
 const maxClasses = 400
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -359,6 +359,23 @@
 	require.NotEmpty(t, out.header.Get("After"))
 }
 
+// A stopping node took new requests until its process was ended: found on the
+// days mix 281870767537 and mix 139774342310 of sahayam-kochi (LOST).
+func TestAStoppingNodeRefusesWhatItCannotFinish(t *testing.T) {
+	e := newEndpoint(t, sized(200, "good"))
+	w := newWorld(t, []*endpoint{e}, nil)
+	w.relay.Stop()
+	out := w.serve(request(hostOnce))
+	require.Equal(t, 200, out.status)
+	require.Equal(t, "close", out.header.Get("Connection"))
+	w.relay.Drain()
+	out = w.serve(request(hostOnce))
+	require.Equal(t, 503, out.status)
+	require.Equal(t, "close", out.header.Get("Connection"))
+	require.NotEmpty(t, out.header.Get("After"))
+	require.Len(t, e.arrivals(), 1)
+}
+
 func wantEvents(from, to int) string {
 	var text strings.Builder
 	for id := from; id <= to; id++ {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -77,6 +77,10 @@
 		c.refuse(refusal{cause: "this node has too many requests in progress", after: overloadReturn})
 		return
 	}
+	if r.draining.Load() {
+		c.refuse(refusal{cause: "this node is stopping", after: stoppingReturn})
+		return
+	}
 	ctx, cancel := withLimit(ctx, c.deadline)
 	defer cancel()
 	c.lastEvent = c.attrs.LastEvent
@@ -90,6 +94,8 @@
 const (
 	// unreadyReturn is for a node that knows no configuration yet.
 	unreadyReturn = 500 * time.Millisecond
+	// stoppingReturn is for a node that stops: others serve.
+	stoppingReturn = 50 * time.Millisecond
 	// overloadReturn and noTargetReturn leave time for others to finish, or
 	// for a group to be repaired.
 	overloadReturn = 300 * time.Millisecond
