Talk through the controllers, so that messages grow with the nodes

Change: a node talks to its data centre's controller, controllers talk to each other and pass on the sums of what is under way; without a controller nodes talk to each other, more seldom the more they are.

--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -19,13 +19,33 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-// Intervals of the sharing between nodes.
+// Intervals of the sharing between nodes. Each node talks to the controller of
+// its data centre, and controllers talk to each other, so that the messages
+// grow with the nodes and not with their square. Without a controller nodes
+// talk to each other, more seldom the more they are.
 const (
-	shareTick   = 100 * time.Millisecond
-	shareNear   = 300 * time.Millisecond
-	shareFar    = 900 * time.Millisecond
+	shareTick = 50 * time.Millisecond
+	// shareController is the time between two calls of a controller, for up
+	// to nearNodes that call it; it grows to shareControllerMost.
+	shareController     = 150 * time.Millisecond
+	shareControllerMost = 600 * time.Millisecond
+	// shareFirst is for a node of which only the address is known.
+	shareFirst = 300 * time.Millisecond
+	// shareNear and shareFar are for others of this data centre and of other
+	// ones while no controller speaks, for up to nearNodes and farNodes.
+	shareNear = 500 * time.Millisecond
+	shareFar  = 1500 * time.Millisecond
+	nearNodes = 4
+	farNodes  = 6
+	// shareSilent is for nodes that should have called and have not.
+	shareSilent = 2 * time.Second
+	// shareSeldom keeps nodes acquainted that hear of each other otherwise.
+	shareSeldom = 10 * time.Second
 	shareFailed = 2 * time.Second
 	shareCall   = 800 * time.Millisecond
+	// acquaintEvery is the number of messages to a peer of which one names
+	// all known nodes.
+	acquaintEvery = 20
 	// loadTTL is how long a peer's figures count.
 	loadTTL = 2 * time.Second
 	// controllerTTL is how long the word of a controller spares the others
@@ -50,11 +70,18 @@
 	dataCentre serving.DataCentre
 	address    string
 	heard      time.Time
-	next       time.Time
-	busy       bool
-	lost       bool
+	// called is when it was last called, failed when it last did not answer.
+	called time.Time
+	failed time.Time
+	busy   bool
+	lost   bool
+	// messages counts those to it.
+	messages int
+	// controls is set for the controller of its data centre.
+	controls bool
 	// its last message, and the versions that it had then.
 	loads         map[serving.EndpointID]relay.PeerLoad
+	relayed       map[serving.EndpointID]relay.PeerLoad
 	suspects      []serving.EndpointID
 	configuration uint64
 	rows          uint64
@@ -99,6 +126,7 @@
 		client:    peers.NewClient([]byte(s.PeerKey), links.Source),
 		log:       logging.For("peers"),
 		peers:     map[string]*peer{},
+		controls:  func() bool { return false },
 	}
 	sh.addSeeds(s.Seeds)
 	return sh
@@ -156,28 +184,76 @@
 
 // due returns the peers to be called now.
 func (s *sharing) due(now time.Time) []*peer {
+	controls := s.controls()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []*peer
+	near, far := 0, 0
 	for address, p := range s.peers {
 		if now.Sub(p.heard) > forgetPeer {
 			delete(s.peers, address)
 			continue
 		}
-		if p.busy || now.Before(p.next) {
+		if p.dataCentre == s.settings.DataCentre {
+			near++
+		} else {
+			far++
+		}
+	}
+	var out []*peer
+	for _, p := range s.peers {
+		if p.busy || now.Sub(p.failed) < shareFailed || now.Sub(p.called) < s.interval(p, controls, near, far, now) {
 			continue
 		}
 		p.busy = true
-		interval := shareFar
-		if p.dataCentre == s.settings.DataCentre || p.id == "" {
-			interval = shareNear
-		}
-		p.next = now.Add(interval)
+		p.called = now
 		out = append(out, p)
 	}
 	return out
 }
 
+// interval is the time between two calls of a peer; the caller holds the
+// lock. near and far are the numbers of known nodes.
+func (s *sharing) interval(p *peer, controls bool, near, far int, now time.Time) time.Duration {
+	home := p.dataCentre == s.settings.DataCentre
+	live := p.controls && now.Sub(p.heard) < loadTTL
+	switch {
+	case p.id == "":
+		return shareFirst
+	case live && home != controls:
+		// The own controller, or that of another data centre.
+		return min(shareControllerMost, scaled(shareController, near, nearNodes))
+	case controls && home:
+		// It calls; if it does not, it may not know this node.
+		if now.Sub(p.heard) > shareSilent {
+			return shareSilent
+		}
+		return shareSeldom
+	case controls && s.controllerOf(p.dataCentre, now) == nil:
+		return scaled(shareNear, far, farNodes)
+	case controls, now.Sub(s.heardController) < loadTTL:
+		return shareSeldom
+	case home:
+		return scaled(shareNear, near, nearNodes)
+	}
+	return scaled(shareFar, far, farNodes)
+}
+
+// scaled lengthens an interval when there are more nodes than it is for.
+func scaled(interval time.Duration, nodes, usual int) time.Duration {
+	return interval * time.Duration(max(nodes, usual)) / time.Duration(usual)
+}
+
+// controllerOf returns the live controller of a data centre among the peers;
+// the caller holds the lock.
+func (s *sharing) controllerOf(dataCentre serving.DataCentre, now time.Time) *peer {
+	for _, p := range s.peers {
+		if p.controls && p.dataCentre == dataCentre && now.Sub(p.heard) < loadTTL {
+			return p
+		}
+	}
+	return nil
+}
+
 // call swaps messages with one peer.
 func (s *sharing) call(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, shareCall)
@@ -190,7 +266,7 @@
 	defer s.mu.Unlock()
 	p.busy = false
 	if err != nil {
-		p.next = time.Now().Add(shareFailed)
+		p.failed = time.Now()
 	}
 	if lost := err != nil; lost != p.lost && ctx.Err() != context.Canceled {
 		p.lost = lost
@@ -226,15 +302,14 @@
 		s.meet(known.GetAddress(), known.GetId(), known.GetDataCentre())
 	}
 	p.heard = now
-	if m.GetControls() && p.dataCentre == s.settings.DataCentre {
+	p.controls = m.GetControls()
+	if p.controls && p.dataCentre == s.settings.DataCentre {
 		s.heardController = now
 	}
 	p.configuration = m.GetConfigurationVersion()
 	p.rows = m.GetEndpointsVersion()
-	p.loads = map[serving.EndpointID]relay.PeerLoad{}
-	for _, l := range m.GetLoads() {
-		p.loads[serving.EndpointID(l.GetEndpoint())] = relay.PeerLoad{Running: int(l.GetRunning()), Unread: int(l.GetUnread())}
-	}
+	p.loads = fromLoads(m.GetLoads())
+	p.relayed = fromLoads(m.GetRelayed())
 	p.suspects = p.suspects[:0]
 	for _, id := range m.GetSuspects() {
 		p.suspects = append(p.suspects, serving.EndpointID(id))
@@ -247,28 +322,71 @@
 
 // sum tells the balancer and the budget what the peers told.
 func (s *sharing) sum(now time.Time) {
+	controls := s.controls()
 	s.mu.Lock()
-	total := map[serving.EndpointID]relay.PeerLoad{}
 	nodes := 1
 	for _, p := range s.peers {
 		if p.id != "" {
 			nodes++
 		}
-		if now.Sub(p.heard) > loadTTL {
-			continue
-		}
-		for id, l := range p.loads {
-			t := total[id]
-			t.Running += l.Running
-			t.Unread += l.Unread
-			total[id] = t
-		}
 	}
+	total := s.othersLoads(controls, nil, now)
 	s.mu.Unlock()
 	s.balancer.SetPeers(total)
 	s.budget.SetNodes(nodes)
 }
 
+// loadSum adds up loads.
+type loadSum map[serving.EndpointID]relay.PeerLoad
+
+func (t loadSum) add(loads map[serving.EndpointID]relay.PeerLoad) {
+	for id, l := range loads {
+		sum := t[id]
+		sum.Running += l.Running
+		sum.Unread += l.Unread
+		t[id] = sum
+	}
+}
+
+// othersLoads sums up what others than this node, and than one peer, have
+// under way; the caller holds the lock. A node that hears its controller
+// takes that one's word; a controller takes those of its data centre and the
+// words of the other controllers.
+func (s *sharing) othersLoads(controls bool, except *peer, now time.Time) loadSum {
+	total := loadSum{}
+	if own := s.controllerOf(s.settings.DataCentre, now); own != nil && !controls {
+		total.add(own.loads)
+		total.add(own.relayed)
+		return total
+	}
+	for _, p := range s.peers {
+		if p == except || now.Sub(p.heard) > loadTTL {
+			continue
+		}
+		if controls && p.dataCentre != s.settings.DataCentre {
+			if p.controls {
+				total.add(p.relayed)
+			} else if s.controllerOf(p.dataCentre, now) != nil {
+				continue
+			}
+		}
+		total.add(p.loads)
+	}
+	return total
+}
+
+// homeLoads sums up what the other nodes of this data centre have under way;
+// the caller holds the lock.
+func (s *sharing) homeLoads(now time.Time) loadSum {
+	total := loadSum{}
+	for _, p := range s.peers {
+		if p.dataCentre == s.settings.DataCentre && now.Sub(p.heard) <= loadTTL {
+			total.add(p.loads)
+		}
+	}
+	return total
+}
+
 // suspects returns what this node and its peers find silent or failing.
 func (s *sharing) suspects() []serving.EndpointID {
 	now := time.Now()
@@ -287,10 +405,7 @@
 func (s *sharing) message(p *peer) *peers.ShareMessage {
 	now := time.Now()
 	m := &peers.ShareMessage{From: &sharepb.Node{Id: s.life, DataCentre: string(s.settings.DataCentre), Address: s.settings.Peers}}
-	own := s.balancer.Own()
-	for _, id := range slices.Sorted(maps.Keys(own)) {
-		m.Loads = append(m.Loads, &sharepb.EndpointLoad{Endpoint: string(id), Running: uint32(own[id].Running), Unread: uint32(max(0, own[id].Unread))})
-	}
+	m.Loads = toLoads(s.balancer.Own())
 	for _, id := range s.balancer.Suspects(now) {
 		m.Suspects = append(m.Suspects, string(id))
 	}
@@ -309,22 +424,47 @@
 	if p.configuration < version {
 		m.Configuration = value
 	}
+	if m.Controls && p.dataCentre == s.settings.DataCentre {
+		m.Relayed = toLoads(s.othersLoads(true, p, now))
+	} else if m.Controls {
+		m.Relayed = toLoads(s.homeLoads(now))
+	}
 	rows, covered := s.directory.Changes(p.rows)
 	m.EndpointsVersion, m.RowsSince = covered, p.rows
-	if now.Sub(p.heard) < loadTTL {
+	if now.Sub(p.heard) < shareSeldom/2 {
 		m.Rows = toRows(rows)
 	} else {
 		// What the peer knows is not known: it may have started anew.
 		m.RowsSince = covered
 	}
+	p.messages++
+	if p.messages%acquaintEvery != 1 {
+		return m
+	}
 	for _, other := range s.peers {
-		if other.id != "" && other != p && now.Sub(other.heard) < loadTTL {
+		if other.id != "" && other != p && now.Sub(other.heard) < forgetPeer/2 {
 			m.Known = append(m.Known, &sharepb.Node{Id: other.id, DataCentre: string(other.dataCentre), Address: other.address})
 		}
 	}
 	return m
 }
 
+func toLoads(loads map[serving.EndpointID]relay.PeerLoad) []*sharepb.EndpointLoad {
+	out := make([]*sharepb.EndpointLoad, 0, len(loads))
+	for _, id := range slices.Sorted(maps.Keys(loads)) {
+		out = append(out, &sharepb.EndpointLoad{Endpoint: string(id), Running: uint32(loads[id].Running), Unread: uint32(max(0, loads[id].Unread))})
+	}
+	return out
+}
+
+func fromLoads(loads []*sharepb.EndpointLoad) map[serving.EndpointID]relay.PeerLoad {
+	out := make(map[serving.EndpointID]relay.PeerLoad, len(loads))
+	for _, l := range loads {
+		out[serving.EndpointID(l.GetEndpoint())] = relay.PeerLoad{Running: int(l.GetRunning()), Unread: int(l.GetUnread())}
+	}
+	return out
+}
+
 func toRows(rows []table.Row) []*sharepb.Row {
 	out := make([]*sharepb.Row, 0, len(rows))
 	for _, r := range rows {
