Do not count endpoints that turn a request down as attempts; know members at fault by address

The refusal named the member at fault by its address, which was taken for an id, so that nobody asked it. Ruled out by the logs: a want of groups (four were open). Change: attempts count endpoints that may have run the request, with two more that did not; At fault is found by id or address, and any suspected member has its group asked; the budget spends 0.85 of the allowance in place of 0.7.

--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -361,9 +361,14 @@
 // probeEvery is the time between two probes of a suspected group.
 const probeEvery = 600 * time.Millisecond
 
-// probeSuspect asks the members of a group whose head traffic finds silent.
+// probeSuspect asks the members of a group of which traffic finds one silent
+// or at fault.
 func (c *Controller) probeSuspect(ctx context.Context, g *group, now time.Time) {
-	if g.head == nil || !slices.Contains(c.suspects(), g.head.ID) || now.Sub(c.probed[g.key]) < probeEvery {
+	if now.Sub(c.probed[g.key]) < probeEvery {
+		return
+	}
+	suspects := c.suspects()
+	if !slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return slices.Contains(suspects, e.ID) }) {
 		return
 	}
 	c.probed[g.key] = now
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -30,7 +30,7 @@
 
 // budgetMargin keeps the sum of all nodes below the allowance: windows slide,
 // and buckets do not.
-const budgetMargin = 0.7
+const budgetMargin = 0.85
 
 // NewBudget returns a budget of ratio times the requests plus a slack, in
 // each window, for all nodes together.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -43,8 +43,10 @@
 	start     time.Time
 	// deadline is when the caller, or the route's bound, gives up.
 	deadline time.Time
-	// sends counts the endpoints that the request was sent to.
+	// sends counts the endpoints that the request was sent to, and turnedDown
+	// those of them that said that they did not run it.
 	sends      int
+	turnedDown int
 	mayHaveRun bool
 	failed     []serving.EndpointID
 	// begun is set once a part of the answer has left.
@@ -242,7 +244,7 @@
 			c.ended(ctx)
 			return
 		}
-		if c.sends >= c.route.MaxAttempts {
+		if c.attemptsUsed() {
 			c.giveUp(refusal{cause: causeAttempts, after: noTargetReturn})
 			return
 		}
@@ -272,6 +274,16 @@
 	}
 }
 
+// maxTurnedDown bounds the endpoints that may turn a request down beside its
+// route's attempts.
+const maxTurnedDown = 2
+
+// attemptsUsed reports whether the request may be sent no more. An endpoint
+// that did not run it does not count as an attempt, within a bound.
+func (c *call) attemptsUsed() bool {
+	return c.sends-min(c.turnedDown, maxTurnedDown) >= c.route.MaxAttempts
+}
+
 // ended answers a request whose context has ended.
 func (c *call) ended(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), httpserver.ErrGone) {
@@ -427,9 +439,10 @@
 
 // turnedAway notes why an endpoint did not run the request.
 func (c *call) turnedAway(t target, v Verdict, response *upstream.Response) result {
+	c.turnedDown++
 	at := time.Now()
-	if v.AtFault != "" {
-		c.options.Balancer.Suspect(v.AtFault, at)
+	if id := c.endpointNamed(v.AtFault); id != "" {
+		c.options.Balancer.Suspect(id, at)
 	}
 	if response.Status == http.StatusMisdirectedRequest {
 		// The head leads no group any more, or another life has its address.
@@ -440,6 +453,23 @@
 	return resultNotRun
 }
 
+// endpointNamed returns the endpoint with an id or an address.
+func (c *call) endpointNamed(name string) serving.EndpointID {
+	if name == "" {
+		return ""
+	}
+	endpoints := c.options.View().Endpoints
+	if endpoints[serving.EndpointID(name)] != nil {
+		return serving.EndpointID(name)
+	}
+	for id, e := range endpoints {
+		if e.Address == name {
+			return id
+		}
+	}
+	return ""
+}
+
 func (c *call) logAttempt(t target, what string, err error) {
 	c.log.Info("an attempt failed", "request", c.attrs.ID, "endpoint", string(t.ID), "address", t.Address, "group", t.Membership.Group,
 		"epoch", t.Membership.Epoch, "what", what, "error", err, "events", c.events, "after", time.Since(c.start))
@@ -452,7 +482,7 @@
 // requests, if the request may go on elsewhere. Silence alone is no ground to
 // end an answer for good.
 func (c *call) watch(cancel context.CancelCauseFunc, f *flight) (stop func()) {
-	if c.route.Kind != serving.KindStream || !c.route.Repeatable() || c.sends+1 >= c.route.MaxAttempts {
+	if c.route.Kind != serving.KindStream || !c.route.Repeatable() || c.sends+1-c.turnedDown >= c.route.MaxAttempts {
 		return func() {}
 	}
 	done := make(chan struct{})
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -73,8 +73,9 @@
 	Signed bool
 	// NotRun says that the request did not run there and never will.
 	NotRun bool
-	// AtFault names the endpoint that a refusal is about, if it says so.
-	AtFault serving.EndpointID
+	// AtFault names the endpoint that a refusal is about, if it says so, by
+	// its id or its address.
+	AtFault string
 }
 
 // RequestError is a mistake in a request, with its remedy.
