--- /dev/null
+++ b/internal/entry/counted.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// countedStore counts the calls of a store by kind and outcome.
+type countedStore struct {
+	table.Store
+	metrics *metrics.Metrics
+}
+
+func (s countedStore) count(kind string, err error) {
+	s.metrics.Inc("store_calls", map[string]string{"kind": kind, "outcome": outcomeOf(err)})
+}
+
+// outcomeOf names an error of a store or an endpoint.
+func outcomeOf(err error) string {
+	for known, name := range map[error]string{
+		table.ErrUnavailable:      "unavailable",
+		table.ErrConflict:         "conflict",
+		table.ErrHistoryGone:      "history_gone",
+		groupcontrol.ErrFenced:    "fenced",
+		groupcontrol.ErrRefused:   "refused",
+		groupcontrol.ErrOtherLife: "other_life",
+	} {
+		if errors.Is(err, known) {
+			return name
+		}
+	}
+	if err != nil {
+		return "no_answer"
+	}
+	return "ok"
+}
+
+// Read implements table.Store.
+func (s countedStore) Read(ctx context.Context, name, partition string) (table.Page, error) {
+	page, err := s.Store.Read(ctx, name, partition)
+	s.count("read", err)
+	return page, err
+}
+
+// Watch implements table.Store.
+func (s countedStore) Watch(ctx context.Context, name string, since uint64, wait time.Duration) (table.Page, error) {
+	page, err := s.Store.Watch(ctx, name, since, wait)
+	s.count("watch", err)
+	return page, err
+}
+
+// Commit implements table.Store.
+func (s countedStore) Commit(ctx context.Context, c table.Change) (uint64, error) {
+	version, err := s.Store.Commit(ctx, c)
+	s.count("commit", err)
+	return version, err
+}
+
+// countedEndpoints counts reports and orders by kind and outcome.
+type countedEndpoints struct {
+	groupcontrol.Endpoints
+	metrics *metrics.Metrics
+}
+
+// Report implements groupcontrol.Endpoints.
+func (e countedEndpoints) Report(ctx context.Context, address string, id serving.EndpointID) (serving.Report, error) {
+	report, err := e.Endpoints.Report(ctx, address, id)
+	e.metrics.Inc("endpoint_reports", map[string]string{"outcome": outcomeOf(err)})
+	return report, err
+}
+
+// Order implements groupcontrol.Endpoints.
+func (e countedEndpoints) Order(ctx context.Context, address string, id serving.EndpointID, o serving.Order) (bool, error) {
+	done, err := e.Endpoints.Order(ctx, address, id, o)
+	e.metrics.Inc("endpoint_orders", map[string]string{"kind": o.Kind.String(), "outcome": outcomeOf(err)})
+	return done, err
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,10 +90,10 @@
 		directory:   directory.New(a.Codec),
 		balancer:    relay.NewBalancer(s.DataCentre),
 		upstream:    upstream.New(links),
-		store:       a.Store(s.Store, httpClient(links)),
 		tracker:     httpserver.NewTracker(),
 		controlDone: make(chan struct{}),
 	}
+	e.store = countedStore{a.Store(s.Store, httpClient(links)), e.metrics}
 	budget := relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
 	e.relay = relay.New(relay.Options{
 		DataCentre:  s.DataCentre,
@@ -116,7 +116,7 @@
 		CallTimeout: 250 * time.Millisecond,
 		Tick:        100 * time.Millisecond,
 		DrainWait:   2500 * time.Millisecond,
-	}, e.store, a.Endpoints(httpClient(links)), e.directory, e.share.suspects)
+	}, e.store, countedEndpoints{a.Endpoints(httpClient(links)), e.metrics}, e.directory, e.share.suspects)
 	e.share.controls = e.controller.Holds
 	if err := e.listen(a); err != nil {
 		return nil, err
@@ -185,10 +185,38 @@
 			e.directory.Refresh(now)
 			e.balancer.Forget(e.directory.View().Endpoints)
 			e.upstream.Prune(now)
+			e.reportState()
 		}
 	}
 }
 
+// reportState tells the metrics what this node knows.
+func (e *Entry) reportState() {
+	view := e.directory.View()
+	heads, incomplete := 0, 0
+	for _, pool := range view.Heads {
+		for _, h := range pool {
+			heads++
+			if h.Incomplete {
+				incomplete++
+			}
+		}
+	}
+	controls := 0.0
+	if e.controller.Holds() {
+		controls = 1
+	}
+	e.metrics.Set("groups_open", float64(heads))
+	e.metrics.Set("groups_incomplete", float64(incomplete))
+	e.metrics.Set("endpoints_listed", float64(len(view.Endpoints)))
+	e.metrics.Set("endpoints_suspected", float64(len(e.share.suspects())))
+	e.metrics.Set("configuration_version", float64(e.ConfigurationVersion()))
+	e.metrics.Set("requests_in_progress", float64(e.relay.InProgress()))
+	e.metrics.Set("connections_opened", float64(e.upstream.Opened()))
+	e.metrics.Set("log_lines_dropped", float64(logging.Dropped()))
+	e.metrics.Set("controls", controls)
+}
+
 // ready reports whether this node can serve: it knows a configuration and
 // endpoints, and is not stopping.
 func (e *Entry) ready() bool {
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -65,8 +66,15 @@
 func (b *Bounded) drop() {
 	b.dropped++
 	b.total++
+	droppedLines.Add(1)
 }
 
+// droppedLines counts over all writers of the process.
+var droppedLines atomic.Uint64
+
+// Dropped returns how many lines this process has dropped.
+func Dropped() uint64 { return droppedLines.Load() }
+
 // Dropped returns how many lines were dropped so far.
 func (b *Bounded) Dropped() uint64 {
 	b.mu.Lock()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// Inc counts one more of something; the tags' values come from small sets.
+func (m *Metrics) Inc(name string, tags map[string]string) {
+	m.scope.Tagged(tags).Counter(name).Inc(1)
+}
+
+// Set tells the present value of something.
+func (m *Metrics) Set(name string, value float64) {
+	m.scope.Gauge(name).Update(value)
+}
+
 // Watch reports the bytes of one kind of control connection.
 func (m *Metrics) Watch(link string, counter *bytecount.Counter) {
 	m.mu.Lock()
