--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -114,6 +115,7 @@
 	if d.configuration != nil && c.Version <= d.configuration.Version {
 		return
 	}
+	invariant.Check(d.configuration == nil || c.Version > d.configuration.Version, invariant.Forward, "configuration %d", c.Version)
 	d.configuration = c
 	d.configurationRow = bytes.Clone(value)
 	d.log.Info("a configuration is in force", "version", c.Version, "source", source, "routes", len(c.Routes))
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -13,12 +13,16 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/standin/fleetstandin"
 	"github.com/ridgehinge/ridgehinge/internal/standin/memtable"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
+// Every promise that is asserted in the program ends the tests when broken.
+func init() { invariant.SetFatal(true) }
+
 // patience is far longer than anything here takes on an idle machine.
 const patience = 60 * time.Second
 
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -67,6 +69,9 @@
 
 // startForm begins to form a group; the caller holds the lock.
 func (c *Controller) startForm(ctx context.Context, f formation, engine *serving.Engine, now time.Time) {
+	for _, e := range f.members {
+		invariant.Check(e.Membership.Group == "", invariant.OneGroup, "endpoint %s is in %s", e.ID, e.Membership.Group)
+	}
 	c.formed++
 	op := c.begin(f.members, f.model.Name)
 	name := fmt.Sprintf("%s-%d-%d", c.options.DataCentre, c.epoch, c.formed)
@@ -112,17 +117,21 @@
 	joining, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var wg sync.WaitGroup
+	var ready atomic.Int64
 	for i, e := range f.members {
 		wg.Go(func() {
 			if err := o.join(joining, e, join, waits[i], startTime(e, f.model), loadPatience*f.model.LoadTime+joinSlack); err != nil {
 				cancel(err)
+				return
 			}
+			ready.Add(1)
 		})
 	}
 	wg.Wait()
 	if joining.Err() != nil {
 		return context.Cause(joining)
 	}
+	invariant.Check(int(ready.Load()) == f.model.Size, invariant.GroupWhole, "group %s has %d members ready", name, ready.Load())
 	head := f.members[0]
 	open := serving.Order{Kind: serving.OrderOpen, Group: name, Epoch: epoch, Fence: o.epoch}
 	if err := o.have(ctx, head, open, opened(name, epoch)); err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -17,11 +17,15 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
+// Every promise that is asserted in the program ends the tests when broken.
+func init() { invariant.SetFatal(true) }
+
 const patience = 30 * time.Second
 
 // testWire is a plain wire for tests.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -329,6 +330,7 @@
 
 // refuse answers a request that has not run and never will.
 func (c *call) refuse(no refusal) {
+	invariant.Check(!c.mayHaveRun, invariant.NotRun, "request %s, %s", c.attrs.ID, no.cause)
 	c.outcome = outcomeRefused
 	c.answer(http.StatusServiceUnavailable, no.cause, no.after)
 	c.logEnd(no)
@@ -373,6 +375,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	now := time.Now()
+	invariant.Check(c.route.Repeatable() || !c.mayHaveRun, invariant.AtMostOnce, "request %s at %s", c.attrs.ID, t.ID)
+	invariant.Check(!t.Leaving, invariant.NoNewWork, "request %s at %s", c.attrs.ID, t.ID)
 	flight := c.options.Balancer.begin(t.ID, c.size(), now)
 	defer flight.end()
 	stop := c.watch(cancel, flight)
