--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -29,7 +29,7 @@
 	return WatchOptions{
 		LongPoll:      10 * time.Second,
 		EndpointPause: 300 * time.Millisecond,
-		RelyOnPeers:   800 * time.Millisecond,
+		RelyOnPeers:   1200 * time.Millisecond,
 		RetryPause:    250 * time.Millisecond,
 		CallTimeout:   time.Second,
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,6 +112,7 @@
 		DataCentre:  s.DataCentre,
 		DataCentres: s.DataCentres,
 		Unpaced:     func() bool { return s.FirstStart && !e.relay.Seen() },
+		HolderLives: e.share.controllerLives,
 		LeaseTTL:    s.LeaseTTL,
 		CallTimeout: 250 * time.Millisecond,
 		Tick:        100 * time.Millisecond,
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -50,7 +50,7 @@
 	loadTTL = 2 * time.Second
 	// controllerTTL is how long the word of a controller spares the others
 	// a look at the lease.
-	controllerTTL = 700 * time.Millisecond
+	controllerTTL = 1300 * time.Millisecond
 	// forgetPeer is after how much silence a peer is not called any more.
 	forgetPeer = 30 * time.Second
 )
--- a/internal/groupcontrol/lease.go
+++ b/internal/groupcontrol/lease.go
@@ -12,9 +12,9 @@
 	"github.com/ridgehinge/ridgehinge/pkg/lease"
 )
 
-// leaseTable holds one row for each data centre, in a partition of its own.
+// LeaseTable holds one row for each data centre, in a partition of its own.
 const (
-	leaseTable = "ridgehinge-lease"
+	LeaseTable = "ridgehinge-lease"
 	leaseKey   = "controller"
 )
 
@@ -105,7 +105,7 @@
 
 // fetch reads the row; its version is zero while there is none.
 func (k *leaseKeeper) fetch(ctx context.Context) (row lease.Row, version uint64, err error) {
-	page, err := k.store.Read(ctx, leaseTable, k.partition)
+	page, err := k.store.Read(ctx, LeaseTable, k.partition)
 	if err != nil {
 		return row, 0, err
 	}
@@ -119,7 +119,7 @@
 
 func (k *leaseKeeper) write(ctx context.Context, asked time.Time, action lease.Action) {
 	value, _ := json.Marshal(action.Row) // A plain struct always encodes.
-	row := table.Row{Table: leaseTable, Partition: k.partition, Key: leaseKey}
+	row := table.Row{Table: LeaseTable, Partition: k.partition, Key: leaseKey}
 	condition, written := row, row
 	condition.Version = action.Version
 	written.Value = value
--- a/internal/standin/memtable/memtable.go
+++ b/internal/standin/memtable/memtable.go
@@ -40,11 +40,12 @@
 	faults    Faults
 	changed   chan struct{}
 	calls     int
+	reads     map[string]int
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: map[rowID]table.Row{}, changed: make(chan struct{})}
+	return &Table{rows: map[rowID]table.Row{}, changed: make(chan struct{}), reads: map[string]int{}}
 }
 
 // SetFaults switches the faults.
@@ -61,6 +62,13 @@
 	return t.calls
 }
 
+// Reads returns how often a table was read.
+func (t *Table) Reads(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads[name]
+}
+
 // ForgetHistory has watches from older versions begin again.
 func (t *Table) ForgetHistory() {
 	t.mu.Lock()
@@ -92,6 +100,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reads[name]++
 	page := table.Page{Version: t.version}
 	for id, row := range t.rows {
 		if id.table == name && id.partition == partition {
