Let an endpoint join only if it was in no group at the very number of orders that is named

A peer that had controlled before repeats what it observed for 5 s; when the row was newer, this node had dropped that observation, and took it again: the endpoint looked free. Rows that lag behind a take-over do the same. Change: a join goes only to an endpoint known to be in no group when it had taken the number of orders that the join names; older observations are not taken again; what an accepted order makes of an endpoint is observed at once. TestAControllerWithOldRowsTakesNobodyFromAnOpenGroup fails without the check (endpoints of open groups join others) and passes with it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -41,7 +41,10 @@
 	// observedHere is set if this node's own controller was told; only such
 	// observations are told to peers, or they would circle for ever.
 	observedHere bool
-	removedAt    time.Time
+	// orders is the highest number of orders of any observation: a peer may
+	// repeat an older one, and did, after this node had dropped it for a row.
+	orders    uint64
+	removedAt time.Time
 }
 
 // Observation is what an endpoint itself said, ahead of its row.
@@ -241,9 +244,10 @@
 	if record == nil || record.endpoint == nil {
 		return
 	}
-	if record.observed != nil && o.Orders < record.observed.Orders {
+	if o.Orders < record.orders {
 		return
 	}
+	record.orders = o.Orders
 	record.observedAt = now
 	record.observedHere = here
 	if record.observed != nil && *record.observed == o {
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -36,8 +36,11 @@
 	// unopened is since when a group has been seen unopened or headless
 	// without an operation on it.
 	unopened map[string]time.Time
-	// orders is how many orders each endpoint has taken, where that is known.
-	orders map[serving.EndpointID]uint64
+	// known is what each endpoint was at a number of orders, where that is
+	// known from the endpoint itself.
+	known map[serving.EndpointID]knownState
+	// taken endpoints said that they are in a group, against their row.
+	taken map[serving.EndpointID]time.Time
 	// firstSeen is when each endpoint was first listed.
 	firstSeen map[serving.EndpointID]time.Time
 	// staged is what each spare was last told to stage.
@@ -71,7 +74,8 @@
 	c.dead = map[serving.EndpointID]time.Time{}
 	c.probed = map[string]time.Time{}
 	c.unopened = map[string]time.Time{}
-	c.orders = map[serving.EndpointID]uint64{}
+	c.known = map[serving.EndpointID]knownState{}
+	c.taken = map[serving.EndpointID]time.Time{}
 	c.firstSeen = map[serving.EndpointID]time.Time{}
 	c.staged = map[serving.EndpointID]stagingOrder{}
 }
@@ -223,6 +227,10 @@
 // deadFor is how long an endpoint that did not answer is left out.
 const deadFor = 8 * time.Second
 
+// takenFor is how long an endpoint is left alone that is in a group although
+// its row says otherwise: rows lag less.
+const takenFor = time.Second
+
 func (c *Controller) isDead(id serving.EndpointID, now time.Time) bool {
 	at, ok := c.dead[id]
 	return ok && now.Sub(at) < deadFor
@@ -230,7 +238,7 @@
 
 // addFree adds an endpoint that may be used for new groups.
 func (c *Controller) addFree(s *situation, e *serving.Endpoint, now time.Time) {
-	if e.Leaving || c.isBusy(e.ID) || c.isDead(e.ID, now) {
+	if e.Leaving || c.isBusy(e.ID) || c.isDead(e.ID, now) || now.Sub(c.taken[e.ID]) < takenFor {
 		return
 	}
 	s.free = append(s.free, e)
@@ -413,29 +421,37 @@
 	report, err := c.endpoints.Report(ctx, e.Address, e.ID)
 	if err == nil {
 		c.observe(e, report)
-		c.noteOrders(e.ID, report.Orders)
+		c.noteState(e.ID, knownState{report.Orders, report.Membership})
 	}
 	return report, err
 }
 
-func (c *Controller) noteOrders(id serving.EndpointID, orders uint64) {
+// knownState is an endpoint's membership once it had taken a number of orders.
+// An order that names the number reaches the endpoint in that very state, or
+// is refused.
+type knownState struct {
+	orders     uint64
+	membership serving.Membership
+}
+
+func (c *Controller) noteState(id serving.EndpointID, state knownState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.orders[id] = orders
+	c.known[id] = state
 }
 
-// knownOrders returns how many orders an endpoint has taken, if that is known.
-func (c *Controller) knownOrders(id serving.EndpointID) (uint64, bool) {
+// stateOf returns an endpoint's last known state, if there is one.
+func (c *Controller) stateOf(id serving.EndpointID) (knownState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	orders, ok := c.orders[id]
-	return orders, ok
+	state, ok := c.known[id]
+	return state, ok
 }
 
-func (c *Controller) forgetOrders(id serving.EndpointID) {
+func (c *Controller) forgetState(id serving.EndpointID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.orders, id)
+	delete(c.known, id)
 }
 
 // observe lets the directory know what an endpoint said, ahead of its row.
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -72,9 +72,12 @@
 
 // controller starts a node's controller; stop ends it as a kill would, with
 // the lease still held.
-func (h *hall) controller(node string) (stop func()) {
+func (h *hall) controller(node string) (stop func()) { return h.controllerOver(node, h.table) }
+
+// controllerOver starts a controller that reads the rows of a store.
+func (h *hall) controllerOver(node string, store table.Store) (stop func()) {
 	d := directory.New(fleetstandin.Codec())
-	watcher := &directory.Watcher{Store: h.table, Directory: d, Options: directory.WatchOptions{
+	watcher := &directory.Watcher{Store: store, Directory: d, Options: directory.WatchOptions{
 		LongPoll:      50 * time.Millisecond,
 		EndpointPause: 3 * time.Millisecond,
 		RetryPause:    3 * time.Millisecond,
@@ -225,6 +228,43 @@
 	h.awaitOpen(1, 1)
 }
 
+// oldRows is a store whose endpoint rows stand still.
+type oldRows struct {
+	table.Store
+	page table.Page
+}
+
+func (s oldRows) Read(ctx context.Context, name, partition string) (table.Page, error) {
+	if name == fleetstandin.EndpointTable {
+		return s.page, nil
+	}
+	return s.Store.Read(ctx, name, partition)
+}
+
+func (s oldRows) Watch(ctx context.Context, name string, since uint64, wait time.Duration) (table.Page, error) {
+	if name == fleetstandin.EndpointTable {
+		return table.Page{Version: since}, nil
+	}
+	return s.Store.Watch(ctx, name, since, wait)
+}
+
+// Rows lag, and peers repeat what was: a controller that believes endpoints
+// of open groups free must not have them join. Found on trouble-1 of
+// sahayam-kochi, one play of five on the same code (TWO).
+func TestAControllerWithOldRowsTakesNobodyFromAnOpenGroup(t *testing.T) {
+	h := newHall(t, 9)
+	before, err := h.table.Read(context.Background(), fleetstandin.EndpointTable, "")
+	require.NoError(t, err)
+	stop := h.controller("n1")
+	h.awaitOpen(1, 1)
+	stop()
+	h.controllerOver("n2", oldRows{h.table, before})
+	taken := h.fleet.Reports()
+	require.Eventually(t, func() bool { return h.fleet.Reports() > taken+12 || len(h.fleet.Broken()) > 0 }, patience, 5*time.Millisecond)
+	h.unbroken()
+	require.Equal(t, map[string]int{"large": 1, "small": 1}, h.fleet.Open())
+}
+
 // Orders get no answer and are carried out late, endpoints die and are cut
 // off, controllers are killed and two run at once: whatever happens, no group
 // opens that was not whole, and no endpoint is in two.
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -42,6 +41,7 @@
 
 var (
 	errMemberLost = errors.New("a member is lost")
+	errInGroup    = errors.New("the endpoint is in another group")
 	errTooLate    = errors.New("the endpoint did not get there in time")
 )
 
@@ -182,9 +182,13 @@
 // have gives an order until it was taken or its condition holds. An order
 // names the number of orders that the endpoint has taken, so that one without
 // an answer is settled before the next, and is refused if it comes late.
+//
+// A join is given only to an endpoint that was in no other group at that very
+// number of orders. What rows and peers say of it may be old: a controller that
+// took over joined an endpoint whose row did not yet show its open group.
 func (o *operation) have(ctx context.Context, e *serving.Endpoint, order serving.Order, holds condition) error {
 	for range orderTries {
-		orders, known := o.knownOrders(e.ID)
+		state, known := o.stateOf(e.ID)
 		if !known {
 			report, err := o.ask(ctx, e)
 			if err != nil {
@@ -193,14 +197,18 @@
 			if holds(report) {
 				return nil
 			}
-			orders = report.Orders
+			state = knownState{report.Orders, report.Membership}
 		}
-		order.Expected = orders
+		if order.Kind == serving.OrderJoin && state.membership.Group != "" && state.membership.Group != order.Group {
+			o.noteTakenElsewhere(e, state)
+			return errInGroup
+		}
+		order.Expected = state.orders
 		done, err := o.order(ctx, e, order)
 		switch {
 		case err == nil:
 			if !done {
-				o.noteOrders(e.ID, orders+1)
+				o.noteTaken(e, order, state)
 			}
 			return nil
 		case errors.Is(err, errLeaseLost), errors.Is(err, ErrFenced):
@@ -209,7 +217,7 @@
 			o.markDead(e, "another life has its address")
 			return errMemberLost
 		}
-		o.forgetOrders(e.ID)
+		o.forgetState(e.ID)
 		if err := pause(ctx, reportPause); err != nil {
 			return err
 		}
@@ -217,6 +225,36 @@
 	return errTooLate
 }
 
+// noteTakenElsewhere leaves an endpoint alone for a while that is in a group
+// although its row says otherwise.
+func (o *operation) noteTakenElsewhere(e *serving.Endpoint, state knownState) {
+	o.log.Info("an endpoint is not free", "endpoint", string(e.ID), "group", state.membership.Group, "epoch", state.membership.Epoch, "orders", state.orders)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.known, e.ID)
+	o.taken[e.ID] = time.Now()
+}
+
+// noteTaken notes what an endpoint is after it took an order.
+func (o *operation) noteTaken(e *serving.Endpoint, order serving.Order, state knownState) {
+	state.orders++
+	switch order.Kind {
+	case serving.OrderJoin:
+		state.membership = serving.Membership{
+			Group: order.Group,
+			Epoch: order.Epoch,
+			Rank:  slices.Index(order.Members, e.ID),
+			State: serving.MemberJoining,
+		}
+	case serving.OrderLeave:
+		state.membership = serving.Membership{}
+	}
+	o.noteState(e.ID, state)
+	if order.Kind == serving.OrderJoin || order.Kind == serving.OrderLeave {
+		o.observe(e, serving.Report{Membership: state.membership, Model: e.Model, Orders: state.orders})
+	}
+}
+
 // ask has an endpoint report, and gives it up if it does not twice.
 func (o *operation) ask(ctx context.Context, e *serving.Endpoint) (serving.Report, error) {
 	var report serving.Report
@@ -328,8 +366,6 @@
 
 // release makes an endpoint that has left its group free at once.
 func (o *operation) release(e *serving.Endpoint) {
-	orders, _ := o.knownOrders(e.ID)
-	o.directory.Observe(directory.Observation{ID: e.ID, Model: e.Model, Orders: orders}, true, time.Now())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.Controller.epoch == o.epoch {
--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -95,6 +95,7 @@
 	late       func() time.Duration
 	loads      int
 	ordersSeen int
+	reports    int
 	broken     []string
 }
 
@@ -190,8 +191,7 @@
 	return slices.Clone(f.broken)
 }
 
-// Loads returns the number of loads from the weight store, Orders that of
-// orders.
+// Loads returns the number of loads from the weight store.
 func (f *Fleet) Loads() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -205,6 +205,13 @@
 	return f.ordersSeen
 }
 
+// Reports returns the number of reports that endpoints gave.
+func (f *Fleet) Reports() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reports
+}
+
 // Open returns the open groups whose members are all there, by model.
 func (f *Fleet) Open() map[string]int {
 	f.mu.Lock()
@@ -260,6 +267,7 @@
 		return serving.Report{}, errors.Join(groupcontrol.ErrNoAnswer, ctx.Err())
 	}
 	defer f.mu.Unlock()
+	f.reports++
 	return serving.Report{
 		Membership: e.group.Membership,
 		Model:      e.Model,
