Give a new controller time to see whole groups

Change: when one of the endpoints chosen turns out to be in a group, all of them are asked; for 1.5 s after a take-over members that are not seen are taken for rows that lag.

--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -44,8 +44,10 @@
 	// firstSeen is when each endpoint was first listed.
 	firstSeen map[serving.EndpointID]time.Time
 	// staged is what each spare was last told to stage.
-	staged   map[serving.EndpointID]stagingOrder
-	epoch    uint64
+	staged map[serving.EndpointID]stagingOrder
+	epoch  uint64
+	// since is when this hold of the lease began.
+	since    time.Time
 	formed   uint64
 	nextLoad time.Time
 	running  sync.WaitGroup
@@ -69,6 +71,7 @@
 // reset forgets what an earlier hold of the lease knew.
 func (c *Controller) reset(epoch uint64) {
 	c.epoch = epoch
+	c.since = time.Now()
 	c.formed = 0
 	c.busy = map[serving.EndpointID]string{}
 	c.dead = map[serving.EndpointID]time.Time{}
@@ -293,13 +296,13 @@
 func (c *Controller) faultOf(g *group, now time.Time) string {
 	switch {
 	case g.head == nil:
-		if c.seenFor(g.key, now) < headlessFor {
+		if c.seenFor(g.key, now) < headlessFor || now.Sub(c.since) < takeoverGrace {
 			return ""
 		}
 		return reasonHeadless
 	case g.head.Membership.State == serving.MemberBroken:
 		return reasonBroken
-	case len(g.members) < g.model.Size:
+	case len(g.members) < g.model.Size && now.Sub(c.since) > takeoverGrace:
 		return reasonLost
 	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return c.isDead(e.ID, now) }):
 		return reasonSilent
@@ -315,6 +318,10 @@
 // may stay unopened before it is formed anew.
 const unopenedFor = 700 * time.Millisecond
 
+// takeoverGrace is how long a new controller takes members that it does not
+// see for rows that lag.
+const takeoverGrace = 1500 * time.Millisecond
+
 // seenFor returns for how long a group has been seen unopened or headless.
 func (c *Controller) seenFor(key string, now time.Time) time.Duration {
 	since, ok := c.unopened[key]
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -128,6 +128,9 @@
 		})
 	}
 	wg.Wait()
+	if errors.Is(context.Cause(joining), errInGroup) {
+		o.askAll(ctx, f.members)
+	}
 	if joining.Err() != nil {
 		return context.Cause(joining)
 	}
@@ -225,6 +228,16 @@
 	return errTooLate
 }
 
+// askAll asks endpoints that were thought free, one of which is not: what is
+// believed of only a part of a group would look like a group that lost members.
+func (o *operation) askAll(ctx context.Context, members []*serving.Endpoint) {
+	var wg sync.WaitGroup
+	for _, e := range members {
+		wg.Go(func() { _, _ = o.report(ctx, e) })
+	}
+	wg.Wait()
+}
+
 // noteTakenElsewhere leaves an endpoint alone for a while that is in a group
 // although its row says otherwise.
 func (o *operation) noteTakenElsewhere(e *serving.Endpoint, state knownState) {
