Split the files that had grown large, by duty; one piece of code for callers that leave

Only moves, but for Tracker.Begin, which both entry instances' HTTP sides use in place of six lines that stood twice.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -240,11 +240,8 @@
 		http.Error(w, "the body cannot be read", http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	defer cancel(nil)
-	out := httpserver.NewResponder(w, cancel)
-	e.tracker.Add(out)
-	defer e.tracker.Remove(out)
+	ctx, out, done := e.tracker.Begin(w)
+	defer done()
 	e.relay.Serve(ctx, &relay.Request{
 		Method: r.Method,
 		URI:    r.RequestURI,
--- /dev/null
+++ b/internal/entry/sharemessage.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
+	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// take applies a peer's message.
+func (s *sharing) take(m *peers.ShareMessage, address string) *peer {
+	now := time.Now()
+	if value := m.GetConfiguration(); len(value) > 0 {
+		s.directory.TakeConfiguration(value, "peer "+m.GetFrom().GetId())
+	}
+	if m.GetEndpointsVersion() > 0 {
+		s.directory.TakeChanges(fromRows(m.GetRows()), m.GetRowsSince(), m.GetEndpointsVersion(), now)
+	}
+	for _, o := range m.GetObservations() {
+		s.directory.Observe(fromObservation(o), false, now)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.meet(address, m.GetFrom().GetId(), m.GetFrom().GetDataCentre())
+	if p == nil {
+		return nil
+	}
+	for _, known := range m.GetKnown() {
+		s.meet(known.GetAddress(), known.GetId(), known.GetDataCentre())
+	}
+	p.heard = now
+	p.controls = m.GetControls()
+	if p.controls && p.dataCentre == s.settings.DataCentre {
+		s.heardController = now
+	}
+	p.configuration = m.GetConfigurationVersion()
+	p.rows = m.GetEndpointsVersion()
+	p.loads = fromLoads(m.GetLoads())
+	p.relayed = fromLoads(m.GetRelayed())
+	p.suspects = p.suspects[:0]
+	for _, id := range m.GetSuspects() {
+		p.suspects = append(p.suspects, serving.EndpointID(id))
+	}
+	if m.GetLeaving() {
+		delete(s.peers, address)
+	}
+	return p
+}
+
+// message is this node's side of a swap with a peer, with what it lacks.
+func (s *sharing) message(p *peer) *peers.ShareMessage {
+	now := time.Now()
+	m := &peers.ShareMessage{From: &sharepb.Node{Id: s.life, DataCentre: string(s.settings.DataCentre), Address: s.settings.Peers}}
+	m.Loads = toLoads(s.balancer.Own())
+	for _, id := range s.balancer.Suspects(now) {
+		m.Suspects = append(m.Suspects, string(id))
+	}
+	for _, o := range s.directory.Observations(now) {
+		m.Observations = append(m.Observations, toObservation(o))
+	}
+	version, value := s.directory.Configuration()
+	m.ConfigurationVersion = version
+	m.Controls = s.controls()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.Leaving = s.leaving
+	if p == nil {
+		return m
+	}
+	if p.configuration < version {
+		m.Configuration = value
+	}
+	if m.Controls && p.dataCentre == s.settings.DataCentre {
+		m.Relayed = toLoads(s.othersLoads(true, p, now))
+	} else if m.Controls {
+		m.Relayed = toLoads(s.homeLoads(now))
+	}
+	rows, covered := s.directory.Changes(p.rows)
+	m.EndpointsVersion, m.RowsSince = covered, p.rows
+	if now.Sub(p.heard) < shareSeldom/2 {
+		m.Rows = toRows(rows)
+	} else {
+		// What the peer knows is not known: it may have started anew.
+		m.RowsSince = covered
+	}
+	p.messages++
+	if p.messages%acquaintEvery != 1 {
+		return m
+	}
+	for _, other := range s.peers {
+		if other.id != "" && other != p && now.Sub(other.heard) < forgetPeer/2 {
+			m.Known = append(m.Known, &sharepb.Node{Id: other.id, DataCentre: string(other.dataCentre), Address: other.address})
+		}
+	}
+	return m
+}
+
+func toLoads(loads map[serving.EndpointID]relay.PeerLoad) []*sharepb.EndpointLoad {
+	out := make([]*sharepb.EndpointLoad, 0, len(loads))
+	for _, id := range slices.Sorted(maps.Keys(loads)) {
+		out = append(out, &sharepb.EndpointLoad{Endpoint: string(id), Running: uint32(loads[id].Running), Unread: uint32(max(0, loads[id].Unread))})
+	}
+	return out
+}
+
+func fromLoads(loads []*sharepb.EndpointLoad) map[serving.EndpointID]relay.PeerLoad {
+	out := make(map[serving.EndpointID]relay.PeerLoad, len(loads))
+	for _, l := range loads {
+		out[serving.EndpointID(l.GetEndpoint())] = relay.PeerLoad{Running: int(l.GetRunning()), Unread: int(l.GetUnread())}
+	}
+	return out
+}
+
+func toRows(rows []table.Row) []*sharepb.Row {
+	out := make([]*sharepb.Row, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, &sharepb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+	}
+	return out
+}
+
+func fromRows(rows []*sharepb.Row) []table.Row {
+	out := make([]table.Row, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, table.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved()})
+	}
+	return out
+}
+
+func toObservation(o directory.Observation) *sharepb.Observation {
+	return &sharepb.Observation{
+		Endpoint: string(o.ID),
+		Model:    o.Model,
+		Group:    o.Membership.Group,
+		Epoch:    o.Membership.Epoch,
+		Rank:     uint32(o.Membership.Rank),
+		State:    uint32(o.Membership.State),
+		Orders:   o.Orders,
+	}
+}
+
+func fromObservation(o *sharepb.Observation) directory.Observation {
+	return directory.Observation{
+		ID:     serving.EndpointID(o.GetEndpoint()),
+		Model:  o.GetModel(),
+		Orders: o.GetOrders(),
+		Membership: serving.Membership{
+			Group: o.GetGroup(),
+			Epoch: o.GetEpoch(),
+			Rank:  int(o.GetRank()),
+			State: serving.MemberState(o.GetState()),
+		},
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"net/http"
 
@@ -76,11 +75,8 @@
 		http.Error(w, "the body cannot be read", http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	defer cancel(nil)
-	out := httpserver.NewResponder(w, cancel)
-	s.tracker.Add(out)
-	defer s.tracker.Remove(out)
+	ctx, out, done := s.tracker.Begin(w)
+	defer done()
 	s.gateway.Serve(ctx, &Request{
 		Method: r.Method,
 		Path:   r.URL.RequestURI(),
--- /dev/null
+++ b/internal/groupcontrol/groups.go
@@ -0,0 +1,173 @@
+package groupcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// group is a formation of a group as the endpoints tell it.
+type group struct {
+	// key names the formation: the group's name and epoch.
+	key     string
+	name    string
+	epoch   uint64
+	head    *serving.Endpoint
+	members []*serving.Endpoint
+	model   serving.Model
+}
+
+// deadFor is how long an endpoint that did not answer is left out.
+const deadFor = 8 * time.Second
+
+func (c *Controller) isDead(id serving.EndpointID, now time.Time) bool {
+	at, ok := c.dead[id]
+	return ok && now.Sub(at) < deadFor
+}
+
+func (c *Controller) addMember(groups map[string]*group, engine *serving.Engine, e *serving.Endpoint) {
+	key := fmt.Sprintf("%s/%d", e.Membership.Group, e.Membership.Epoch)
+	g := groups[key]
+	if g == nil {
+		g = &group{key: key, name: e.Membership.Group, epoch: e.Membership.Epoch}
+		g.model, _ = engine.Model(e.Model)
+		groups[key] = g
+	}
+	g.members = append(g.members, e)
+	if e.Membership.Rank == 0 {
+		g.head = e
+		g.model, _ = engine.Model(e.Model)
+	}
+}
+
+// lookAtGroup leaves a group that stands alone, and has one that does not
+// dissolved.
+func (c *Controller) lookAtGroup(ctx context.Context, s *situation, g *group, now time.Time) {
+	if !slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return !c.isDead(e.ID, now) }) {
+		// There is nobody left to tell.
+		return
+	}
+	reason := c.faultOf(g, now)
+	if reason == "" {
+		c.countWorking(s, g)
+		if slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return e.Domain != g.members[0].Domain }) {
+			s.far = append(s.far, g)
+		}
+		c.probeSuspect(ctx, g, now)
+		return
+	}
+	c.startDissolve(ctx, g, reason)
+}
+
+// Reasons to dissolve a group.
+const (
+	reasonBroken   = "its head is broken"
+	reasonLost     = "a member is gone"
+	reasonSilent   = "a member does not answer"
+	reasonLeaving  = "a member is leaving"
+	reasonUnopened = "nobody opens it"
+	reasonHeadless = "its head is not listed"
+	reasonFar      = "its members can form a group of one domain"
+)
+
+// faultOf returns why a group cannot go on, or nothing.
+func (c *Controller) faultOf(g *group, now time.Time) string {
+	switch {
+	case g.head == nil:
+		if c.seenFor(g.key, now) < headlessFor || now.Sub(c.since) < takeoverGrace {
+			return ""
+		}
+		return reasonHeadless
+	case g.head.Membership.State == serving.MemberBroken:
+		return reasonBroken
+	case len(g.members) < g.model.Size && now.Sub(c.since) > takeoverGrace:
+		return reasonLost
+	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return c.isDead(e.ID, now) }):
+		return reasonSilent
+	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return e.Leaving }):
+		return reasonLeaving
+	case g.head.Membership.State < serving.MemberOpen && c.seenFor(g.key, now) > unopenedFor:
+		return reasonUnopened
+	}
+	return ""
+}
+
+// unopenedFor is how long a group that no operation of this controller forms
+// may stay unopened before it is formed anew.
+const unopenedFor = 700 * time.Millisecond
+
+// takeoverGrace is how long a new controller takes members that it does not
+// see for rows that lag.
+const takeoverGrace = 1500 * time.Millisecond
+
+// seenFor returns for how long a group has been seen unopened or headless.
+func (c *Controller) seenFor(key string, now time.Time) time.Duration {
+	since, ok := c.unopened[key]
+	if !ok {
+		c.unopened[key] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// headlessFor is how long a group may be seen without a head: rows of its
+// members may come at different times.
+const headlessFor = 500 * time.Millisecond
+
+func (c *Controller) countWorking(s *situation, g *group) {
+	for _, e := range g.members {
+		s.count(e.Domain, g.model.Name, 1)
+	}
+}
+
+// probeEvery is the time between two probes of a suspected group.
+const probeEvery = 600 * time.Millisecond
+
+// probeSuspect asks the members of a group of which traffic finds one silent
+// or at fault.
+func (c *Controller) probeSuspect(ctx context.Context, g *group, now time.Time) {
+	if now.Sub(c.probed[g.key]) < probeEvery {
+		return
+	}
+	suspects := c.suspects()
+	if !slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return slices.Contains(suspects, e.ID) }) {
+		return
+	}
+	c.probed[g.key] = now
+	members := slices.Clone(g.members)
+	c.running.Go(func() {
+		for _, e := range members {
+			c.running.Go(func() { c.probe(ctx, e) })
+		}
+	})
+}
+
+// probe marks an endpoint dead if it does not answer twice.
+func (c *Controller) probe(ctx context.Context, e *serving.Endpoint) {
+	for range 2 {
+		_, err := c.report(ctx, e)
+		if err == nil {
+			return
+		}
+		if errors.Is(err, ErrOtherLife) {
+			break
+		}
+	}
+	c.markDead(e, "it did not answer twice")
+}
+
+func (c *Controller) markDead(e *serving.Endpoint, why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	known := c.isDead(e.ID, now)
+	c.dead[e.ID] = now
+	if known {
+		return
+	}
+	c.log.Warn("an endpoint counts as dead", "endpoint", string(e.ID), "address", e.Address, "group", e.Membership.Group, "why", why)
+}
--- /dev/null
+++ b/internal/groupcontrol/have.go
@@ -0,0 +1,201 @@
+package groupcontrol
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// condition is what a report must show.
+type condition func(serving.Report) bool
+
+func inGroup(name string, epoch uint64) condition {
+	return func(r serving.Report) bool { return r.Membership.Group == name && r.Membership.Epoch == epoch }
+}
+
+func ready(name string, epoch uint64) condition {
+	return func(r serving.Report) bool {
+		return inGroup(name, epoch)(r) && (r.Membership.State == serving.MemberReady || r.Membership.State == serving.MemberOpen)
+	}
+}
+
+func opened(name string, epoch uint64) condition {
+	return func(r serving.Report) bool {
+		return inGroup(name, epoch)(r) && r.Membership.State == serving.MemberOpen
+	}
+}
+
+// left reports that an endpoint is not in a group any more.
+func left(name string, epoch uint64) condition {
+	return func(r serving.Report) bool { return !inGroup(name, epoch)(r) }
+}
+
+// have gives an order until it was taken or its condition holds. An order
+// names the number of orders that the endpoint has taken, so that one without
+// an answer is settled before the next, and is refused if it comes late.
+//
+// A join is given only to an endpoint that was in no other group at that very
+// number of orders. What rows and peers say of it may be old: a controller that
+// took over joined an endpoint whose row did not yet show its open group.
+func (o *operation) have(ctx context.Context, e *serving.Endpoint, order serving.Order, holds condition) error {
+	for range orderTries {
+		state, known := o.stateOf(e.ID)
+		if !known {
+			report, err := o.ask(ctx, e)
+			if err != nil {
+				return err
+			}
+			if holds(report) {
+				return nil
+			}
+			state = knownState{report.Orders, report.Membership}
+		}
+		if order.Kind == serving.OrderJoin && state.membership.Group != "" && state.membership.Group != order.Group {
+			o.noteTakenElsewhere(e, state)
+			return errInGroup
+		}
+		order.Expected = state.orders
+		done, err := o.order(ctx, e, order)
+		switch {
+		case err == nil:
+			if !done {
+				o.noteTaken(e, order, state)
+			}
+			return nil
+		case errors.Is(err, errLeaseLost), errors.Is(err, ErrFenced):
+			return err
+		case errors.Is(err, ErrOtherLife):
+			o.markDead(e, "another life has its address")
+			return errMemberLost
+		}
+		o.forgetState(e.ID)
+		if err := pause(ctx, reportPause); err != nil {
+			return err
+		}
+	}
+	return errTooLate
+}
+
+// askAll asks endpoints that were thought free, one of which is not: what is
+// believed of only a part of a group would look like a group that lost members.
+func (o *operation) askAll(ctx context.Context, members []*serving.Endpoint) {
+	var wg sync.WaitGroup
+	for _, e := range members {
+		wg.Go(func() { _, _ = o.report(ctx, e) })
+	}
+	wg.Wait()
+}
+
+// noteTakenElsewhere leaves an endpoint alone for a while that is in a group
+// although its row says otherwise.
+func (o *operation) noteTakenElsewhere(e *serving.Endpoint, state knownState) {
+	o.log.Info("an endpoint is not free", "endpoint", string(e.ID), "group", state.membership.Group, "epoch", state.membership.Epoch, "orders", state.orders)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.known, e.ID)
+	o.taken[e.ID] = time.Now()
+}
+
+// noteTaken notes what an endpoint is after it took an order.
+func (o *operation) noteTaken(e *serving.Endpoint, order serving.Order, state knownState) {
+	state.orders++
+	switch order.Kind {
+	case serving.OrderJoin:
+		state.membership = serving.Membership{
+			Group: order.Group,
+			Epoch: order.Epoch,
+			Rank:  slices.Index(order.Members, e.ID),
+			State: serving.MemberJoining,
+		}
+	case serving.OrderLeave:
+		state.membership = serving.Membership{}
+	}
+	o.noteState(e.ID, state)
+	if order.Kind == serving.OrderJoin || order.Kind == serving.OrderLeave {
+		o.observe(e, serving.Report{Membership: state.membership, Model: e.Model, Orders: state.orders})
+	}
+}
+
+// ask has an endpoint report, and gives it up if it does not twice.
+func (o *operation) ask(ctx context.Context, e *serving.Endpoint) (serving.Report, error) {
+	var report serving.Report
+	var err error
+	for range 2 {
+		report, err = o.report(ctx, e)
+		switch {
+		case err == nil:
+			return report, nil
+		case ctx.Err() != nil:
+			return report, context.Cause(ctx)
+		case errors.Is(err, ErrOtherLife):
+			o.markDead(e, "another life has its address")
+			return report, errMemberLost
+		}
+	}
+	o.markDead(e, "it did not answer")
+	return report, errMemberLost
+}
+
+// Times between two questions to an endpoint that is on its way. Questions
+// are priced; the endpoint's row is read all the time and tells it as well,
+// a little later.
+const (
+	askSoon  = 250 * time.Millisecond
+	askLater = 2 * time.Second
+	// askSoonFor is how long after the expected time an endpoint is asked
+	// often.
+	askSoonFor = 1500 * time.Millisecond
+)
+
+// await waits until an endpoint's row or report meets a condition. It asks
+// first when the endpoint is expected to be there.
+func (o *operation) await(ctx context.Context, e *serving.Endpoint, expected, limit time.Duration, holds condition) error {
+	began := time.Now()
+	next := began.Add(expected)
+	for time.Since(began) < limit {
+		row := o.directory.View().Endpoints[e.ID]
+		if row == nil {
+			o.markDead(e, "it is not listed any more")
+			return errMemberLost
+		}
+		if holds(serving.Report{Membership: row.Membership, Model: row.Model}) {
+			return nil
+		}
+		if now := time.Now(); !now.Before(next) {
+			report, err := o.ask(ctx, e)
+			if err != nil {
+				return err
+			}
+			if holds(report) {
+				return nil
+			}
+			next = now.Add(askLater)
+			if now.Sub(began.Add(expected)) < askSoonFor {
+				next = now.Add(askSoon)
+			}
+		}
+		if err := pause(ctx, reportPause/2); err != nil {
+			return err
+		}
+	}
+	return errTooLate
+}
+
+// pause waits, unless the context ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/httpserver/responder.go
+++ b/internal/httpserver/responder.go
@@ -109,18 +109,20 @@
 	return t
 }
 
-// Add begins to watch a request.
-func (t *Tracker) Add(r *Responder) {
+// Begin begins to watch a request. The context ends, with ErrGone as its
+// cause, when the caller has gone; done is called when the request is answered.
+func (t *Tracker) Begin(w http.ResponseWriter) (ctx context.Context, r *Responder, done func()) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	r = NewResponder(w, cancel)
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.open[r] = struct{}{}
-}
-
-// Remove ends the watch of a request.
-func (t *Tracker) Remove(r *Responder) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.open, r)
+	t.mu.Unlock()
+	return ctx, r, func() {
+		t.mu.Lock()
+		delete(t.open, r)
+		t.mu.Unlock()
+		cancel(nil)
+	}
 }
 
 // Close ends the tracker.
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,166 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
+	"github.com/ridgehinge/ridgehinge/internal/upstream"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// result is how one try ended.
+type result uint8
+
+const (
+	// resultDone: the caller has its final answer, or has gone.
+	resultDone result = iota
+	// resultNotRun: the endpoint certainly did not run it.
+	resultNotRun
+	// resultBroken: it may have run, and the answer is not whole.
+	resultBroken
+	// resultFailed: it ran, and the endpoint says that it failed.
+	resultFailed
+)
+
+// attempt runs the request once on an endpoint.
+func (c *call) attempt(ctx context.Context, t target) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	now := time.Now()
+	invariant.Check(c.route.Repeatable() || !c.mayHaveRun, invariant.AtMostOnce, "request %s at %s", c.attrs.ID, t.ID)
+	invariant.Check(!t.Leaving, invariant.NoNewWork, "request %s at %s", c.attrs.ID, t.ID)
+	flight := c.options.Balancer.begin(t.ID, c.size(), now)
+	defer flight.end()
+	stop := c.watch(cancel, flight)
+	defer stop()
+	response, err := c.options.Upstream.Send(ctx, upstream.Request{
+		Address: t.Address,
+		Method:  c.in.Method,
+		URI:     c.in.URI,
+		Host:    c.in.Host,
+		Header: c.options.Wire.Outgoing(c.in.Header, Sending{
+			Endpoint:  t.ID,
+			Left:      c.deadline.Sub(now) - wayBack,
+			Workspace: c.workspace,
+			LastEvent: c.lastEvent,
+			Urgent:    c.sends > 0,
+		}),
+		Body: c.in.Body,
+	}, func(h http.Header) bool { return c.options.Wire.Verdict(h).ID == c.attrs.ID })
+	if errors.Is(err, upstream.ErrNotSent) {
+		c.options.Balancer.Suspect(t.ID, time.Now())
+		c.logAttempt(t, "not sent", err)
+		return c.orEnded(ctx, resultNotRun)
+	}
+	c.sends++
+	if err != nil {
+		c.mayHaveRun = true
+		c.logAttempt(t, "no answer", errors.Join(err, context.Cause(ctx)))
+		return c.orEnded(ctx, resultBroken)
+	}
+	defer response.Close()
+	return c.judge(ctx, t, flight, response)
+}
+
+// wayBack is taken off the time that an endpoint is given, for the answer's
+// way back.
+const wayBack = 10 * time.Millisecond
+
+// orEnded answers the request if its own time is over.
+func (c *call) orEnded(ctx context.Context, r result) result {
+	cause := context.Cause(ctx)
+	if cause == nil || errors.Is(cause, errStalled) {
+		return r
+	}
+	c.ended(ctx)
+	return resultDone
+}
+
+// judge reads an answer's head and passes the answer on if it is one.
+func (c *call) judge(ctx context.Context, t target, flight *flight, response *upstream.Response) result {
+	verdict := c.options.Wire.Verdict(response.Header)
+	if verdict.NotRun || response.Status == http.StatusMisdirectedRequest {
+		return c.turnedAway(t, verdict, response)
+	}
+	c.mayHaveRun = true
+	if !verdict.Signed || response.Header.Get("Content-Encoding") != "" {
+		c.logAttempt(t, "an answer that is not the endpoint's", fmt.Errorf("status %d", response.Status))
+		return resultBroken
+	}
+	if response.Status == http.StatusOK && c.route.Kind == serving.KindStream {
+		return c.passStream(ctx, t, flight, response)
+	}
+	return c.passWhole(ctx, t, flight, response)
+}
+
+// turnedAway notes why an endpoint did not run the request.
+func (c *call) turnedAway(t target, v Verdict, response *upstream.Response) result {
+	c.turnedDown++
+	at := time.Now()
+	if id := c.endpointNamed(v.AtFault); id != "" {
+		c.options.Balancer.Suspect(id, at)
+	}
+	if response.Status == http.StatusMisdirectedRequest {
+		// The head leads no group any more, or another life has its address.
+		c.options.Balancer.Suspect(t.ID, at)
+	}
+	drain(response)
+	c.logAttempt(t, "turned away", fmt.Errorf("status %d, at fault %q", response.Status, v.AtFault))
+	return resultNotRun
+}
+
+// endpointNamed returns the endpoint with an id or an address.
+func (c *call) endpointNamed(name string) serving.EndpointID {
+	if name == "" {
+		return ""
+	}
+	endpoints := c.options.View().Endpoints
+	if endpoints[serving.EndpointID(name)] != nil {
+		return serving.EndpointID(name)
+	}
+	for id, e := range endpoints {
+		if e.Address == name {
+			return id
+		}
+	}
+	return ""
+}
+
+func (c *call) logAttempt(t target, what string, err error) {
+	c.log.Info("an attempt failed", "request", c.attrs.ID, "endpoint", string(t.ID), "address", t.Address, "group", t.Membership.Group,
+		"epoch", t.Membership.Epoch, "what", what, "error", err, "events", c.events, "after", time.Since(c.start))
+}
+
+// stallCheck is how often an endpoint's silence is looked at.
+const stallCheck = 200 * time.Millisecond
+
+// watch ends a try at an endpoint that has fallen silent on all of its
+// requests, if the request may go on elsewhere. Silence alone is no ground to
+// end an answer for good.
+func (c *call) watch(cancel context.CancelCauseFunc, f *flight) (stop func()) {
+	if c.route.Kind != serving.KindStream || !c.route.Repeatable() || c.sends+1-c.turnedDown >= c.route.MaxAttempts {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(stallCheck)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				if f.silence(now) > c.options.StallAfter {
+					c.options.Balancer.Suspect(f.endpoint, now)
+					cancel(errStalled)
+					return
+				}
+			}
+		}
+	}()
+	return func() { close(done) }
+}
--- /dev/null
+++ b/internal/relay/choose.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// target is where a request goes.
+type target struct {
+	*serving.Endpoint
+	predicted Prediction
+}
+
+// refusal is why a request has no target, and when its caller may come back.
+type refusal struct {
+	cause string
+	after time.Duration
+	// choice is what was known of the groups.
+	choice Choice
+}
+
+// Causes of requests that are given up.
+const (
+	causeNoEndpoint = "no endpoint"
+	causeNoGroup    = "no group is open"
+	causeFull       = "all groups are full"
+	causeSuspected  = "the groups left are silent or incomplete"
+	causeAttempts   = "attempts used up"
+	causeBudget     = "retry budget used up"
+	causeOnce       = "it may not run twice"
+	causeDeadline   = "deadline"
+)
+
+// choose picks an endpoint, or tells why there is none.
+func (c *call) choose(now time.Time) (target, refusal) {
+	view := c.options.View()
+	service := view.Configuration.Services[c.service]
+	if service.Engine == nil {
+		e, ok := c.options.Balancer.ChoosePlain(view.Plain[c.service], c.failed, now)
+		if !ok {
+			return target{}, refusal{cause: causeNoEndpoint, after: noTargetReturn}
+		}
+		return target{Endpoint: e}, refusal{}
+	}
+	heads := view.Heads[directory.Pool{Service: c.service, Model: c.attrs.Model}]
+	choice := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, c.sends > 0, now)
+	if choice.Head != nil {
+		return target{choice.Head.Endpoint, choice.Predicted}, refusal{}
+	}
+	no := refusal{cause: causeSuspected, after: noTargetReturn, choice: choice}
+	switch {
+	case choice.Groups == 0:
+		no.cause = causeNoGroup
+	case choice.Full > 0:
+		no.cause = causeFull
+		no.after = overloadReturn
+	}
+	return target{}, no
+}
+
+const (
+	// resumeWait is how long a stream that broke waits for another endpoint:
+	// a repair by a warm spare takes about as long, and its caller waits for
+	// two seconds between events at least.
+	resumeWait = 1500 * time.Millisecond
+	resumePoll = 50 * time.Millisecond
+)
+
+// await picks an endpoint. A stream that was under way at another endpoint
+// waits a little for one.
+func (c *call) await(ctx context.Context) (target, refusal) {
+	t, no := c.choose(time.Now())
+	if t.Endpoint != nil || c.sends == 0 || c.route.Kind != serving.KindStream {
+		return t, no
+	}
+	limit := time.NewTimer(resumeWait)
+	defer limit.Stop()
+	ticker := time.NewTicker(resumePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return target{}, no
+		case <-limit.C:
+			return target{}, no
+		case now := <-ticker.C:
+			if t, no = c.choose(now); t.Endpoint != nil {
+				return t, no
+			}
+		}
+	}
+}
+
+func (c *call) size() Size {
+	return Size{Prompt: c.attrs.PromptTokens, Answer: c.attrs.AnswerTokens()}
+}
