--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -16,7 +16,10 @@
 	slack  float64
 	window time.Duration
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// start is the first time seen; windows count from it by the steady
+	// clock, since the time of day may jump.
+	start    time.Time
 	nodes    int
 	services map[string]*budgetWindow
 }
@@ -75,7 +78,10 @@
 // advance returns the service's window, moved on to now.
 func (b *Budget) advance(service string, now time.Time) *budgetWindow {
 	w := b.services[service]
-	bucket := now.UnixNano() / int64(b.window/budgetBuckets)
+	if b.start.IsZero() {
+		b.start = now
+	}
+	bucket := max(0, int64(now.Sub(b.start)/(b.window/budgetBuckets)))
 	if w == nil {
 		w = &budgetWindow{bucket: bucket}
 		b.services[service] = w
