--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -568,6 +568,16 @@
 	require.Equal(t, 10, b.nodes)
 }
 
+func TestTheBudgetBearsTimesOutOfOrder(t *testing.T) {
+	b := NewBudget(0, 100, 10*time.Second, 1)
+	now := time.Unix(1000, 0)
+	b.Request("llm", now)
+	// Goroutines read the clock before they take the lock.
+	b.Request("llm", now.Add(-time.Second))
+	require.True(t, b.Repeat("llm", now.Add(-2*time.Second)))
+	require.True(t, b.Repeat("llm", now.Add(time.Second)))
+}
+
 func TestEventsAreReadWhole(t *testing.T) {
 	r := newEventReader(strings.NewReader("\n\nid: 1\ndata: a\n\n: comment\ndata: b\n\nid: 2\nda"))
 	e, err := r.next()
