Tell a passed deadline also when only the connection has noticed it

The connection's deadline is the context's, and its timer may fire first; the try then counted as broken, and a stream was sent once more with no time left. Ruled out: the endpoint (it said nothing). Change: a try that ends after the request's deadline ends the request. The new test fails without it (502, resultBroken).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -70,13 +70,18 @@
 // way back.
 const wayBack = 10 * time.Millisecond
 
-// orEnded answers the request if its own time is over.
+// orEnded answers the request if its own time is over. A connection's deadline
+// is that of the request, and may be noticed before the context's.
 func (c *call) orEnded(ctx context.Context, r result) result {
 	cause := context.Cause(ctx)
-	if cause == nil || errors.Is(cause, errStalled) {
+	switch {
+	case cause == nil && time.Now().Before(c.deadline), errors.Is(cause, errStalled):
 		return r
+	case cause == nil:
+		c.giveUp(refusal{cause: causeDeadline, after: noTargetReturn})
+	default:
+		c.ended(ctx)
 	}
-	c.ended(ctx)
 	return resultDone
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -546,6 +546,21 @@
 	}
 }
 
+// A connection notices its deadline before the request's context does: the
+// answer was 502 then, and a stream was sent once more with no time left. Found
+// by CI beside busy processes.
+func TestADeadlineThatOnlyTheConnectionHasNoticed(t *testing.T) {
+	w := newWorld(t, nil, nil)
+	out := &recorder{}
+	route := w.view.Configuration.Match(hostOnce, "/")
+	c := &call{Relay: w.relay, out: out, view: w.view, route: route, in: request(hostOnce), start: time.Now(), deadline: time.Now(), mayHaveRun: true}
+	require.Equal(t, resultDone, c.orEnded(context.Background(), resultBroken))
+	require.Equal(t, 504, out.status)
+
+	c = &call{Relay: w.relay, out: &recorder{}, view: w.view, route: route, deadline: time.Now().Add(patience), mayHaveRun: true}
+	require.Equal(t, resultBroken, c.orEnded(context.Background(), resultBroken))
+}
+
 func TestTheBudgetBoundsRepeats(t *testing.T) {
 	b := NewBudget(0.2, 20, 10*time.Second, 2)
 	now := time.Unix(1000, 0)
