Drop what the change left dead

Cause: read in the whole change. Change: 25 lines taken out, none added; behaviour is as it was. Run: vet, staticcheck, the tests of relay, groupcontrol, upstream and platform.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -74,7 +74,6 @@
 	// coveredAt when it last rose.
 	covered   uint64
 	coveredAt time.Time
-	changed   chan struct{}
 }
 
 // New returns a directory that knows nothing yet.
@@ -83,7 +82,6 @@
 		codec:     codec,
 		log:       logging.For("directory"),
 		endpoints: map[serving.EndpointID]*endpointRecord{},
-		changed:   make(chan struct{}, 1),
 	}
 	d.view.Store(buildView(nil, nil))
 	return d
@@ -217,7 +215,6 @@
 		d.log.Info("an endpoint has changed", "endpoint", row.Key, "version", row.Version, "leaving", e.Leaving,
 			"model", e.Model, "staged", e.Staged, "domain", e.Domain, "group", e.Membership.Group, "epoch", e.Membership.Epoch, "state", e.Membership.State.String())
 	}
-	d.log.Debug("row", "value", string(row.Value))
 	record.endpoint = &e
 	record.changed = row.Version
 	if record.observed != nil && newer(e.Membership, record.observed.Membership) {
@@ -303,9 +300,6 @@
 	}
 }
 
-// Changed receives after a new view was published.
-func (d *Directory) Changed() <-chan struct{} { return d.changed }
-
 func (d *Directory) publish() {
 	endpoints := make(map[serving.EndpointID]*serving.Endpoint, len(d.endpoints))
 	for id, record := range d.endpoints {
@@ -322,8 +316,4 @@
 		endpoints[id] = e
 	}
 	d.view.Store(buildView(d.configuration, endpoints))
-	select {
-	case d.changed <- struct{}{}:
-	default:
-	}
 }
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -88,9 +88,6 @@
 	return held
 }
 
-// Holder returns the last known controller of the data centre.
-func (c *Controller) Holder() string { return c.lease.Holder() }
-
 // Run acts until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	leaseDone := make(chan struct{})
--- a/internal/groupcontrol/lease.go
+++ b/internal/groupcontrol/lease.go
@@ -63,14 +63,6 @@
 	return epoch, held
 }
 
-// Holder returns the last known holder.
-func (k *leaseKeeper) Holder() string {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	holder, _ := k.machine.Holder()
-	return holder
-}
-
 // step does what the machine asks for, if anything.
 func (k *leaseKeeper) step(ctx context.Context, now time.Time) {
 	k.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,9 +64,6 @@
 
 	mu      sync.Mutex
 	classes map[classKey]*metrics.Class
-	// longest is the longest deadline seen on each route: a caller that
-	// comes back after a refusal has less left.
-	longest map[string]time.Duration
 }
 
 type classKey struct{ workspace, route string }
@@ -77,7 +74,6 @@
 		options: o,
 		log:     logging.For("relay"),
 		classes: map[classKey]*metrics.Class{},
-		longest: map[string]time.Duration{},
 	}
 }
 
