Have no node call all others, and read the nodes' table instead of watching it

Cause: peers that nobody had a reason to call were called every ten seconds 'to stay acquainted'. Each registration also woke all watchers of the nodes' table. Change: news that comes through a controller needs no call; other calls begin two at a time, the longest waiting first. The table of nodes is read at the start and while no controller speaks. The configuration's long poll waits 20 s. Tests for all three; the test of silent neighbours found that a peer never called counted as due for ever.

--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -27,7 +27,7 @@
 // DefaultWatchOptions suit some ten nodes.
 func DefaultWatchOptions() WatchOptions {
 	return WatchOptions{
-		LongPoll:      10 * time.Second,
+		LongPoll:      20 * time.Second,
 		EndpointPause: 300 * time.Millisecond,
 		RelyOnPeers:   1200 * time.Millisecond,
 		RetryPause:    250 * time.Millisecond,
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,19 +37,28 @@
 	farNodes  = 6
 	// shareSilent is for nodes that should have called and have not.
 	shareSilent = 2 * time.Second
-	// shareSeldom keeps nodes acquainted that hear of each other otherwise.
-	shareSeldom = 10 * time.Second
+	// shareNever is for nodes whose news comes through a controller.
+	shareNever  = math.MaxInt64
 	shareFailed = 2 * time.Second
 	shareCall   = 800 * time.Millisecond
+	// callsPerTick bounds the calls that begin at once, beside those of
+	// controllers. Without it sixty nodes that had lost their controller, or
+	// were ten seconds old, called each other at the same moment, and none of
+	// them answered anybody for a second.
+	callsPerTick = 2
 	// acquaintEvery is the number of messages to a peer of which one names
 	// all known nodes.
 	acquaintEvery = 20
+	// sayAllAfter is the silence of a peer after which what it knows is not
+	// taken for known.
+	sayAllAfter = 5 * time.Second
 	// loadTTL is how long a peer's figures count.
 	loadTTL = 2 * time.Second
 	// controllerTTL is how long the word of a controller spares the others
 	// a look at the lease.
 	controllerTTL = 1300 * time.Millisecond
-	// forgetPeer is after how much silence a peer is not called any more.
+	// forgetPeer is after how much silence a peer that does not answer is
+	// forgotten.
 	forgetPeer = 30 * time.Second
 )
 
@@ -168,14 +180,15 @@
 	}
 }
 
-// due returns the peers to be called now.
+// due returns the peers to be called now: controllers, and a few others, first
+// those that were not called for longest.
 func (s *sharing) due(now time.Time) []*peer {
 	controls := s.controls()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	near, far := 0, 0
 	for address, p := range s.peers {
-		if now.Sub(p.heard) > forgetPeer {
+		if p.failed.After(p.heard) && now.Sub(p.heard) > forgetPeer {
 			delete(s.peers, address)
 			continue
 		}
@@ -185,27 +198,38 @@
 			far++
 		}
 	}
-	var out []*peer
+	var out, others []*peer
 	for _, p := range s.peers {
-		if p.busy || now.Sub(p.failed) < shareFailed || now.Sub(p.called) < s.interval(p, controls, near, far, now) {
+		interval := s.interval(p, controls, near, far, now)
+		if p.busy || interval == shareNever || now.Sub(p.failed) < shareFailed || now.Sub(p.called) < interval {
 			continue
 		}
+		if p.live(now) {
+			out = append(out, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	slices.SortFunc(others, func(a, b *peer) int { return cmp.Or(a.called.Compare(b.called), cmp.Compare(a.address, b.address)) })
+	out = append(out, others[:min(len(others), callsPerTick)]...)
+	for _, p := range out {
 		p.busy = true
 		p.called = now
-		out = append(out, p)
 	}
 	return out
 }
 
+// live reports whether a peer is a controller that spoke lately.
+func (p *peer) live(now time.Time) bool { return p.controls && now.Sub(p.heard) < loadTTL }
+
 // interval is the time between two calls of a peer; the caller holds the
 // lock. near and far are the numbers of known nodes.
 func (s *sharing) interval(p *peer, controls bool, near, far int, now time.Time) time.Duration {
 	home := p.dataCentre == s.settings.DataCentre
-	live := p.controls && now.Sub(p.heard) < loadTTL
 	switch {
 	case p.id == "":
 		return shareFirst
-	case live && home != controls:
+	case p.live(now) && home != controls:
 		// The own controller, or that of another data centre.
 		return min(shareControllerMost, scaled(shareController, near, nearNodes))
 	case controls && home:
@@ -213,11 +237,11 @@
 		if now.Sub(p.heard) > shareSilent {
 			return shareSilent
 		}
-		return shareSeldom
+		return shareNever
 	case controls && s.controllerOf(p.dataCentre, now) == nil:
 		return scaled(shareNear, far, farNodes)
 	case controls, now.Sub(s.heardController) < loadTTL:
-		return shareSeldom
+		return shareNever
 	case home:
 		return scaled(shareNear, near, nearNodes)
 	}
@@ -233,7 +257,7 @@
 // the caller holds the lock.
 func (s *sharing) controllerOf(dataCentre serving.DataCentre, now time.Time) *peer {
 	for _, p := range s.peers {
-		if p.controls && p.dataCentre == dataCentre && now.Sub(p.heard) < loadTTL {
+		if p.dataCentre == dataCentre && p.live(now) {
 			return p
 		}
 	}
--- /dev/null
+++ b/internal/entry/share_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// acquainted returns a node that knows sixty others of three data centres.
+func acquainted(now time.Time) *sharing {
+	s := &sharing{
+		settings: &Settings{Node: "n", DataCentre: "dc0", Peers: "10.0.0.100:1"},
+		peers:    map[string]*peer{},
+		controls: func() bool { return false },
+	}
+	for i := range 60 {
+		address := fmt.Sprintf("10.0.0.%d:1", i)
+		s.peers[address] = &peer{
+			id:         fmt.Sprintf("n%d", i),
+			address:    address,
+			dataCentre: serving.DataCentre(fmt.Sprintf("dc%d", i%3)),
+			heard:      now,
+		}
+	}
+	return s
+}
+
+// Sixty nodes called all others at the same moment, ten seconds after their
+// start, and none of them answered for a second. Found on quiet-1 of
+// sahayam-kochi-grown.
+func TestFewCallsBeginAtOnce(t *testing.T) {
+	now := time.Now()
+	s := acquainted(now)
+	called := map[string]bool{}
+	for range 30 {
+		due := s.due(now)
+		require.LessOrEqual(t, len(due), callsPerTick)
+		for _, p := range due {
+			called[p.id] = true
+			p.busy = false
+		}
+		now = now.Add(time.Millisecond)
+	}
+	require.Len(t, called, 60, "each has its turn")
+}
+
+func TestANodeThatHearsItsControllerCallsNobodyElse(t *testing.T) {
+	now := time.Now()
+	s := acquainted(now)
+	controller := s.peers["10.0.0.3:1"]
+	controller.controls = true
+	for range 200 {
+		controller.heard, s.heardController = now, now
+		for _, p := range s.due(now) {
+			require.Equal(t, controller, p)
+			p.busy = false
+		}
+		now = now.Add(shareTick)
+	}
+}
+
+func TestAPeerThatDoesNotAnswerIsForgottenAndASilentOneIsNot(t *testing.T) {
+	now := time.Now()
+	s := acquainted(now)
+	now = now.Add(forgetPeer + time.Second)
+	s.peers["10.0.0.1:1"].failed = now.Add(-time.Second)
+	s.due(now)
+	require.Len(t, s.peers, 59)
+	require.NotContains(t, s.peers, "10.0.0.1:1")
+}
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -83,7 +83,7 @@
 	}
 	rows, covered := s.directory.Changes(p.rows)
 	m.EndpointsVersion, m.RowsSince = covered, p.rows
-	if now.Sub(p.heard) < shareSeldom/2 {
+	if now.Sub(p.heard) < sayAllAfter {
 		m.Rows = toRows(rows)
 	} else {
 		// What the peer knows is not known: it may have started anew.
--- a/internal/entry/sharenodes.go
+++ b/internal/entry/sharenodes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/table"
@@ -18,53 +17,59 @@
 	Address    string `json:"address"`
 }
 
-// nodesPause is the time between two tries to reach the table of nodes.
-const nodesPause = time.Second
+const (
+	// nodesPause is the time between two tries to reach the table of nodes.
+	nodesPause = time.Second
+	// nodesAgain is the time between two reads of the table while no
+	// controller speaks; with one, nodes learn of each other from it.
+	nodesAgain = 5 * time.Second
+)
 
-// followNodes keeps this node's row and learns of the others.
+// followNodes keeps this node's row and learns of the others. The table is not
+// watched: each of sixty nodes that start together would wake up all others.
 func (s *sharing) followNodes(ctx context.Context) {
-	registered := false
-	version := uint64(0)
+	registered, read := false, false
 	for ctx.Err() == nil {
 		if !registered {
 			registered = s.register(ctx) == nil
 		}
-		rows, next, err := s.readNodes(ctx, version)
-		switch {
-		case errors.Is(err, table.ErrHistoryGone):
-			version = 0
-		case err == nil:
-			version = next
+		if registered && (!read || !s.hearsController()) {
+			read = s.readNodes(ctx) == nil || read
 		}
-		s.mu.Lock()
-		for _, r := range rows {
-			var row nodeRow
-			if !r.Removed && json.Unmarshal(r.Value, &row) == nil {
-				s.meet(row.Address, r.Key, row.DataCentre)
-			}
+		wait := nodesAgain
+		if !registered || !read {
+			wait = nodesPause
 		}
-		s.mu.Unlock()
-		if err != nil || !registered {
-			select {
-			case <-ctx.Done():
-			case <-time.After(nodesPause):
-			}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
 		}
 	}
 }
 
-// nodesWait is how long one watch of the table of nodes waits.
-const nodesWait = 15 * time.Second
+// hearsController reports whether this node, or one that speaks to it,
+// controls the data centre.
+func (s *sharing) hearsController() bool {
+	return s.controls() || s.controllerLives()
+}
 
-func (s *sharing) readNodes(ctx context.Context, since uint64) ([]table.Row, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, nodesWait+storeCallTimeout)
+// readNodes makes the nodes of the table known.
+func (s *sharing) readNodes(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	if since == 0 {
-		page, err := s.store.Read(ctx, nodeTable, "")
-		return page.Rows, page.Version, err
+	page, err := s.store.Read(ctx, nodeTable, "")
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range page.Rows {
+		var row nodeRow
+		if !r.Removed && json.Unmarshal(r.Value, &row) == nil {
+			s.meet(row.Address, r.Key, row.DataCentre)
+		}
 	}
-	page, err := s.store.Watch(ctx, nodeTable, since, nodesWait)
-	return page.Rows, max(since, page.Version), err
+	return nil
 }
 
 // row is this node's row; its key is its address, which it takes over from
