Serve on with members that are not listed, keep spares, and have spares start ahead

Cause: when a fifth of the endpoints is cut off from the store, their rows go though they serve, and each group with one of them was dissolved: with four members three of five groups, with sixteen nearly all. Spares that could start both models were used up at once for slow groups across domains. A spare took its warm time of 1.1 to 1.6 s while its group waited. Ruled out: heads without a row cannot be kept (they may take no new requests). Change: (1) an endpoint whose row went without notice is kept as lapsed; its group counts it, nodes send to its head, and the controller asks it every two seconds. (2) Groups across domains are formed only of a model that is needier than all others even with one more.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -48,6 +48,9 @@
 	// repeat an older one, and did, after this node had dropped it for a row.
 	orders    uint64
 	removedAt time.Time
+	// lapsed is what was known of the endpoint when its row went without a
+	// notice: it may be cut off from the store and serve on.
+	lapsed *serving.Endpoint
 }
 
 // Observation is what an endpoint itself said, ahead of its row.
@@ -86,7 +89,7 @@
 		log:       logging.For("directory"),
 		endpoints: map[serving.EndpointID]*endpointRecord{},
 	}
-	d.view.Store(buildView(nil, nil))
+	d.view.Store(buildView(nil, nil, nil))
 	return d
 }
 
@@ -199,6 +202,9 @@
 	record.row = row
 	if row.Removed {
 		was := record.endpoint != nil
+		if was && !record.endpoint.Leaving {
+			record.lapsed = record.merged()
+		}
 		record.changed = row.Version
 		record.endpoint, record.row.Value, record.removedAt = nil, nil, now
 		if was {
@@ -218,7 +224,7 @@
 		d.log.Info("an endpoint has changed", "endpoint", row.Key, "version", row.Version, "leaving", e.Leaving,
 			"model", e.Model, "staged", e.Staged, "domain", e.Domain, "group", e.Membership.Group, "epoch", e.Membership.Epoch, "state", e.Membership.State.String())
 	}
-	record.endpoint = &e
+	record.endpoint, record.lapsed = &e, nil
 	record.noteModel(e.Model)
 	record.changed = row.Version
 	if record.observed != nil && newer(e.Membership, record.observed.Membership) {
@@ -327,11 +333,14 @@
 
 func (d *Directory) publish() {
 	endpoints := make(map[serving.EndpointID]*serving.Endpoint, len(d.endpoints))
+	lapsed := map[serving.EndpointID]*serving.Endpoint{}
 	for id, record := range d.endpoints {
-		if record.endpoint == nil {
-			continue
+		switch {
+		case record.endpoint != nil:
+			endpoints[id] = record.merged()
+		case record.lapsed != nil:
+			lapsed[id] = record.lapsed
 		}
-		endpoints[id] = record.merged()
 	}
-	d.view.Store(buildView(d.configuration, endpoints))
+	d.view.Store(buildView(d.configuration, endpoints, lapsed))
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -15,6 +15,10 @@
 	// Configuration is nil until one is known.
 	Configuration *serving.Configuration
 	Endpoints     map[serving.EndpointID]*serving.Endpoint
+	// Lapsed endpoints are not listed any more and gave no notice: dead, or cut
+	// off from the store alone. They take no new requests, and their groups
+	// serve on until it shows that they are dead.
+	Lapsed map[serving.EndpointID]*serving.Endpoint
 	// Plain has the endpoints of plain services that take new requests.
 	Plain map[string][]*serving.Endpoint
 	// Heads has the heads of open groups, by service and model.
@@ -31,9 +35,8 @@
 	// Engine is the speed of one group at the model's pace.
 	Engine  *serving.Engine
 	Members []serving.EndpointID
-	// Incomplete is set when a member is not listed any more, Degraded when
-	// one is leaving: what runs goes on, and new requests go elsewhere if
-	// they can.
+	// Incomplete is set when a member is missing, Degraded when one is leaving:
+	// what runs goes on, and new requests go elsewhere if they can.
 	Incomplete bool
 	Degraded   bool
 	// Pace multiplies the engine's times: that of the model, slower across
@@ -42,10 +45,11 @@
 }
 
 // buildView sorts the endpoints for traffic.
-func buildView(c *serving.Configuration, endpoints map[serving.EndpointID]*serving.Endpoint) *View {
+func buildView(c *serving.Configuration, endpoints, lapsed map[serving.EndpointID]*serving.Endpoint) *View {
 	v := &View{
 		Configuration: c,
 		Endpoints:     endpoints,
+		Lapsed:        lapsed,
 		Plain:         map[string][]*serving.Endpoint{},
 		Heads:         map[Pool][]*Head{},
 	}
@@ -53,10 +57,12 @@
 		return v
 	}
 	groups := map[serving.Membership][]*serving.Endpoint{}
-	for _, e := range endpoints {
-		if e.Membership.Group != "" {
-			key := groupKey(e.Membership)
-			groups[key] = append(groups[key], e)
+	for _, some := range []map[serving.EndpointID]*serving.Endpoint{endpoints, lapsed} {
+		for _, e := range some {
+			if e.Membership.Group != "" {
+				key := groupKey(e.Membership)
+				groups[key] = append(groups[key], e)
+			}
 		}
 	}
 	for _, e := range endpoints {
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -192,6 +192,7 @@
 		}
 		c.addMember(groups, service.Engine, e)
 	}
+	c.addLapsed(view, groups, service, now)
 	for _, key := range slices.Sorted(maps.Keys(groups)) {
 		c.lookAtGroup(ctx, &s, groups[key], now)
 	}
@@ -206,6 +207,11 @@
 		c.startTakeover(ctx, t, now)
 	}
 	c.startStagings(ctx, &s, d.stagings, now)
+	for _, r := range d.rehearsals {
+		if s.staging[r.endpoint.ID] == "" {
+			c.startRehearsal(ctx, r)
+		}
+	}
 }
 
 // startTakeover ends groups and keeps their members for another.
--- a/internal/groupcontrol/groups.go
+++ b/internal/groupcontrol/groups.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -19,6 +20,9 @@
 	head    *serving.Endpoint
 	members []*serving.Endpoint
 	model   serving.Model
+	// lapsed members have no row any more; they answered when they were last
+	// asked, or were not asked yet.
+	lapsed []*serving.Endpoint
 	// age is for how long it has been seen without fault.
 	age time.Duration
 }
@@ -36,8 +40,13 @@
 	return ok && now.Sub(at) < deadFor
 }
 
+// groupKeyOf names the formation that a membership is of.
+func groupKeyOf(m serving.Membership) string {
+	return fmt.Sprintf("%s/%d", m.Group, m.Epoch)
+}
+
 func (c *Controller) addMember(groups map[string]*group, engine *serving.Engine, e *serving.Endpoint) {
-	key := fmt.Sprintf("%s/%d", e.Membership.Group, e.Membership.Epoch)
+	key := groupKeyOf(e.Membership)
 	g := groups[key]
 	if g == nil {
 		g = &group{key: key, name: e.Membership.Group, epoch: e.Membership.Epoch}
@@ -51,6 +60,31 @@
 	}
 }
 
+// addLapsed adds members whose rows have gone without a notice. If all of a
+// group's members that the store has lost were taken for dead, a fifth of the
+// endpoints cut off from the store would end nearly every group, while their
+// heads serve on.
+func (c *Controller) addLapsed(view *directory.View, groups map[string]*group, service serving.Service, now time.Time) {
+	for _, e := range view.Lapsed {
+		if e.Service != service.Name || e.DataCentre != c.options.DataCentre || e.Membership.Rank == 0 || c.isBusy(e.ID) || c.isDead(e.ID, now) {
+			continue
+		}
+		g := groups[groupKeyOf(e.Membership)]
+		if g == nil || g.head == nil || c.leftAlready(e) {
+			continue
+		}
+		g.members = append(g.members, e)
+		g.lapsed = append(g.lapsed, e)
+	}
+}
+
+// leftAlready reports whether a lapsed endpoint said that it is not in the group
+// that its last row tells.
+func (c *Controller) leftAlready(e *serving.Endpoint) bool {
+	state, known := c.known[e.ID]
+	return known && groupKeyOf(state.membership) != groupKeyOf(e.Membership)
+}
+
 // lookAtGroup leaves a group that stands alone, and has one that does not
 // dissolved.
 func (c *Controller) lookAtGroup(ctx context.Context, s *situation, g *group, now time.Time) {
@@ -147,26 +181,35 @@
 	}
 }
 
-// probeEvery is the time between two probes of a suspected group.
-const probeEvery = 600 * time.Millisecond
+// probeEvery is the time between two probes of a suspected group, lapsedEvery
+// that between two of members that are not listed any more.
+const (
+	probeEvery  = 600 * time.Millisecond
+	lapsedEvery = 2 * time.Second
+)
 
 // probeSuspect asks the members of a group of which traffic finds one silent
-// or at fault.
+// or at fault, and those that are not listed any more.
 func (c *Controller) probeSuspect(ctx context.Context, g *group, now time.Time) {
-	if now.Sub(c.probed[g.key]) < probeEvery {
+	since := now.Sub(c.probed[g.key])
+	if since < probeEvery {
 		return
 	}
 	suspects := c.suspects()
+	asked := g.members
 	if !slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return slices.Contains(suspects, e.ID) }) {
+		if since < lapsedEvery {
+			return
+		}
+		asked = g.lapsed
+	}
+	if len(asked) == 0 {
 		return
 	}
 	c.probed[g.key] = now
-	members := slices.Clone(g.members)
-	c.running.Go(func() {
-		for _, e := range members {
-			c.running.Go(func() { c.probe(ctx, e) })
-		}
-	})
+	for _, e := range asked {
+		c.running.Go(func() { c.probe(ctx, e) })
+	}
 }
 
 // probe marks an endpoint dead if it does not answer twice.
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -72,10 +72,8 @@
 	for _, e := range f.members {
 		invariant.Check(e.Membership.Group == "", invariant.OneGroup, "endpoint %s is in %s", e.ID, e.Membership.Group)
 	}
-	c.formed++
 	op := c.begin(f.members, f.model.Name)
-	name := fmt.Sprintf("%s-%d-%d", c.options.DataCentre, c.epoch, c.formed)
-	epoch := c.epoch*epochsPerLease + c.formed
+	name, epoch := c.nextGroup()
 	waits := make([]time.Duration, len(f.members))
 	for i, e := range f.members {
 		if startTime(e, f.model) >= f.model.LoadTime {
@@ -95,6 +93,31 @@
 	})
 }
 
+// nextGroup returns a name and an epoch that were never used; the caller holds
+// the lock.
+func (c *Controller) nextGroup() (name string, epoch uint64) {
+	c.formed++
+	return fmt.Sprintf("%s-%d-%d", c.options.DataCentre, c.epoch, c.formed), c.epoch*epochsPerLease + c.formed
+}
+
+// busyRehearsing marks an endpoint that joins a group of its own.
+const busyRehearsing = "rehearsing"
+
+// startRehearsal begins to have an endpoint start its model in a group of its
+// own, and leave it; the caller holds the lock.
+func (c *Controller) startRehearsal(ctx context.Context, r rehearsal) {
+	members := []*serving.Endpoint{r.endpoint}
+	op := c.begin(members, busyRehearsing)
+	name, epoch := c.nextGroup()
+	join := serving.Order{Kind: serving.OrderJoin, Group: name, Epoch: epoch, Model: r.model.Name, Members: []serving.EndpointID{r.endpoint.ID}, Fence: op.epoch}
+	c.running.Go(func() {
+		defer op.finish()
+		err := op.join(ctx, r.endpoint, join, 0, r.model.WarmTime, loadPatience*r.model.LoadTime+joinSlack)
+		_ = op.dissolve(ctx, &group{name: name, epoch: epoch, members: members})
+		c.log.Info("had a spare start its model", "endpoint", string(r.endpoint.ID), "model", r.model.Name, "group", name, "epoch", epoch, "error", err)
+	})
+}
+
 // epochsPerLease leaves room for the groups formed under one lease epoch.
 const epochsPerLease = 100_000
 
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -66,6 +66,7 @@
 	formations []formation
 	takeovers  []takeover
 	stagings   []staging
+	rehearsals []rehearsal
 }
 
 // freeByDomain has the free endpoints that a plan has not used yet.
@@ -95,6 +96,7 @@
 	}
 	d.formations = append(d.formations, s.acrossDomains(free)...)
 	d.stagings = s.stage(free)
+	d.rehearsals = s.rehearse(free)
 	return d
 }
 
@@ -170,16 +172,29 @@
 				}
 			}
 		}
-		for len(warm) >= model.Size {
+		for len(warm) >= model.Size && s.lacks(model) {
 			members := slices.Clone(warm[:model.Size])
 			warm = warm[model.Size:]
 			out = append(out, formation{s.service, model, members})
 			free.use(members)
+			s.count(members[0].Domain, model.Name, float64(model.Size)/max(1, s.engine.FarFactor))
 		}
 	}
 	return out
 }
 
+// lacks reports whether a model is needier than all others even with one more
+// group across domains. Else its members are worth more as spares.
+func (s *situation) lacks(model serving.Model) bool {
+	with := s.needWith(model, float64(model.Size)/max(1, s.engine.FarFactor))
+	for _, other := range s.engine.Models {
+		if other.Name != model.Name && s.need(other) < with {
+			return false
+		}
+	}
+	return true
+}
+
 // best returns the next group to form before anything is served: the one that
 // starts soonest among those that each domain is needed for most.
 func (s *situation) best(free freeByDomain) (formation, bool) {
--- a/internal/groupcontrol/staging.go
+++ b/internal/groupcontrol/staging.go
@@ -24,6 +24,46 @@
 	otherLacking = 2000
 )
 
+// rehearsal has a free endpoint join a group of its own, which is never opened,
+// so that it starts its model at once when a group lacks a member.
+type rehearsal struct {
+	endpoint *serving.Endpoint
+	model    serving.Model
+}
+
+// rehearse chooses the free endpoints that hold a model and have not been in a
+// group of it. Before this a spare took its warm time, 1.1 to 1.6 s, while the
+// rest of its group waited.
+func (s *situation) rehearse(free freeByDomain) []rehearsal {
+	var out []rehearsal
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		if s.reserved[domain] != "" {
+			continue
+		}
+		for _, e := range free[domain] {
+			if e.Model != "" || s.staging[e.ID] != "" {
+				continue
+			}
+			if model, ok := s.heldModel(e); ok {
+				out = append(out, rehearsal{e, model})
+			}
+		}
+	}
+	return out
+}
+
+// heldModel returns the model on an endpoint's host, that of the largest groups
+// if there are several.
+func (s *situation) heldModel(e *serving.Endpoint) (serving.Model, bool) {
+	var held serving.Model
+	for _, m := range s.engine.Models {
+		if slices.Contains(e.Staged, m.Name) && m.Size > held.Size {
+			held = m
+		}
+	}
+	return held, held.Size > 0
+}
+
 // holds returns the model that an endpoint can start without a load, or that
 // is on its way to its host; empty if there is none.
 func (s *situation) holds(e *serving.Endpoint) string {
@@ -45,7 +85,7 @@
 		slices.SortFunc(spare, func(a, b *serving.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 		out = append(out, s.stageDomain(domain, spare)...)
 	}
-	out = append(out, s.stageOthers()...)
+	out = append(out, s.stageOthers(free)...)
 	slices.SortStableFunc(out, func(a, b staging) int { return cmp.Compare(a.lacking, b.lacking) })
 	return out
 }
@@ -95,20 +135,26 @@
 	return out
 }
 
-// stageOthers has the members of groups hold another model than their own on
-// their hosts. A member starts the model of its last group at once, whatever its
+// stageOthers has endpoints that were in a group hold another model than their
+// own on their hosts. A member starts the model of its last group at once, whatever its
 // host holds; so it can go over to a group of either model without a load.
 // Before this, a group of sixteen that had lost two members while its domain had
 // one spare stayed away for half a minute.
-func (s *situation) stageOthers() []staging {
+func (s *situation) stageOthers(free freeByDomain) []staging {
 	var out []staging
-	for _, g := range s.groups {
-		for _, e := range g.members {
+	offer := func(endpoints []*serving.Endpoint) {
+		for _, e := range endpoints {
 			if model, ok := s.other(e); ok {
 				out = append(out, staging{e, model, otherLacking})
 			}
 		}
 	}
+	for _, g := range s.groups {
+		offer(g.members)
+	}
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		offer(free[domain])
+	}
 	slices.SortStableFunc(out, func(a, b staging) int {
 		return cmp.Or(cmp.Compare(b.model.Size, a.model.Size), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -200,6 +200,14 @@
 	return f.loads
 }
 
+// LastModel returns the model of an endpoint's last group, which it starts at
+// once.
+func (f *Fleet) LastModel(id serving.EndpointID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[id].last
+}
+
 // JoinLoads returns how many joins had to load their model.
 func (f *Fleet) JoinLoads() int {
 	f.mu.Lock()
