Tell and probe silent endpoints sooner, and measure silence by the prediction

Cause: from a member's death to the end of its group took 1.05 s: half a second of silence, up to 0.2 s until it was looked at, up to 0.6 s until the controller was told, 0.5 s for two probes in turn, 0.2 s for two ticks. Ruled out: shorter silence (a pass that reads several prompts takes 0.3 s). Change: a fresh suspicion is told to the controller at once; silence is looked at every 0.1 s; a second probe leaves 0.1 s after the first; an operation's end and a death wake the controller. An endpoint that is predicted to take long may be silent for three times that.

--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -96,6 +96,9 @@
 	client    *peers.Client
 	log       logging.Logger
 
+	// urgent has an entry when the controller should hear from this node now.
+	urgent chan struct{}
+
 	mu      sync.Mutex
 	peers   map[string]*peer // by address
 	leaving bool
@@ -125,7 +128,9 @@
 		log:       logging.For("peers"),
 		peers:     map[string]*peer{},
 		controls:  func() bool { return false },
+		urgent:    make(chan struct{}, 1),
 	}
+	b.OnSuspect(sh.hurry)
 	sh.addSeeds(s.Seeds)
 	return sh
 }
@@ -176,10 +181,37 @@
 				running.Go(func() { s.call(ctx, p) })
 			}
 			s.sum(now)
+		case <-s.urgent:
+			if p := s.ownController(time.Now()); p != nil {
+				running.Go(func() { s.call(ctx, p) })
+			}
 		}
 	}
 }
 
+// hurry has the controller of this data centre hear from this node at once:
+// what it is told of silent endpoints takes groups out of service.
+func (s *sharing) hurry() {
+	select {
+	case s.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// ownController returns the controller of this data centre to be called now, or
+// nil if it is this node, is not known or is being called.
+func (s *sharing) ownController(now time.Time) *peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.controllerOf(s.settings.DataCentre, now)
+	if p == nil || p.busy {
+		return nil
+	}
+	p.busy = true
+	p.called = now
+	return p
+}
+
 // due returns the peers to be called now: controllers, and a few others, first
 // those that were not called for longest.
 func (s *sharing) due(now time.Time) []*peer {
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -63,6 +65,26 @@
 	}
 }
 
+// What a node finds silent is told at once, and not with the next message.
+func TestASuspicionIsToldToTheControllerAtOnce(t *testing.T) {
+	now := time.Now()
+	s := acquainted(now)
+	s.urgent = make(chan struct{}, 1)
+	balancer := relay.NewBalancer("dc0", rand.NewPCG(1, 1))
+	balancer.OnSuspect(s.hurry)
+	balancer.Suspect("e", now)
+	require.Len(t, s.urgent, 1)
+	require.Nil(t, s.ownController(now), "no controller is known")
+	controller := s.peers["10.0.0.3:1"]
+	controller.controls = true
+	controller.called = now
+	require.Equal(t, controller, s.ownController(now))
+	require.Nil(t, s.ownController(now), "it is being called")
+	<-s.urgent
+	balancer.Suspect("e", now.Add(time.Second))
+	require.Empty(t, s.urgent, "it is told once")
+}
+
 func TestAPeerThatDoesNotAnswerIsForgottenAndASilentOneIsNot(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -24,6 +24,8 @@
 	suspects  func() []serving.EndpointID
 	lease     *leaseKeeper
 	log       logging.Logger
+	// wake has an entry when something happened that the plan depends on.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// busy endpoints are in an operation.
@@ -66,6 +68,7 @@
 		suspects:  suspects,
 		lease:     newLeaseKeeper(store, o),
 		log:       logging.For("groups").With("data_centre", string(o.DataCentre)),
+		wake:      make(chan struct{}, 1),
 	}
 	c.reset(0)
 	return c
@@ -111,10 +114,23 @@
 			return
 		case <-ticker.C:
 			c.tick(ctx, time.Now())
+		case <-c.wake:
+			// Others that end at the same time are seen together.
+			if pause(ctx, c.options.Tick/10) == nil {
+				c.tick(ctx, time.Now())
+			}
 		}
 	}
 }
 
+// hurry has the next tick come soon.
+func (c *Controller) hurry() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (c *Controller) keepLease(ctx context.Context) {
 	ticker := time.NewTicker(c.options.Tick)
 	defer ticker.Stop()
--- a/internal/groupcontrol/groups.go
+++ b/internal/groupcontrol/groups.go
@@ -212,15 +212,38 @@
 	}
 }
 
-// probe marks an endpoint dead if it does not answer twice.
+// probeAgain is the time after which an endpoint that has not answered a probe
+// yet is sent a second one.
+const probeAgain = 100 * time.Millisecond
+
+// probe marks an endpoint dead if it answers neither of two probes, which
+// overlap: groups that stand still wait for this.
 func (c *Controller) probe(ctx context.Context, e *serving.Endpoint) {
-	for range 2 {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan error, 2)
+	ask := func() {
 		_, err := c.report(ctx, e)
-		if err == nil {
-			return
-		}
-		if errors.Is(err, ErrOtherLife) {
-			break
+		answers <- err
+	}
+	go ask()
+	timer := time.NewTimer(probeAgain)
+	defer timer.Stop()
+	for asked, failed := 1, 0; failed < asked; {
+		select {
+		case <-timer.C:
+			asked++
+			go ask()
+		case err := <-answers:
+			if err == nil {
+				return
+			}
+			failed++
+			if asked < 2 && !errors.Is(err, ErrOtherLife) {
+				asked++
+				go ask()
+				timer.Stop()
+			}
 		}
 	}
 	c.markDead(e, "it did not answer twice")
@@ -235,5 +258,6 @@
 	if known {
 		return
 	}
+	c.hurry()
 	c.log.Warn("an endpoint counts as dead", "endpoint", string(e.ID), "address", e.Address, "group", e.Membership.Group, "why", why)
 }
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -65,6 +65,7 @@
 			delete(o.busy, e.ID)
 		}
 	}
+	o.hurry()
 }
 
 // startForm begins to form a group; the caller holds the lock.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -35,7 +35,7 @@
 	invariant.Check(!t.Leaving, invariant.NoNewWork, "request %s at %s", c.attrs.ID, t.ID)
 	flight := c.options.Balancer.begin(t.ID, c.size(), now)
 	defer flight.end()
-	stop := c.watch(cancel, flight)
+	stop := c.watch(cancel, flight, t.predicted)
 	defer stop()
 	response, err := c.options.Upstream.Send(ctx, upstream.Request{
 		Address: t.Address,
@@ -140,16 +140,27 @@
 		"epoch", t.Membership.Epoch, "what", what, "error", err, "events", c.events, "after", time.Since(c.start))
 }
 
-// stallCheck is how often an endpoint's silence is looked at.
-const stallCheck = 200 * time.Millisecond
+const (
+	// stallCheck is how often an endpoint's silence is looked at.
+	stallCheck = 100 * time.Millisecond
+	// stallSlack is how many times the predicted time an endpoint may take
+	// before its silence says anything: a full one is not a dead one.
+	stallSlack = 3
+)
+
+// stallAfter is how long an endpoint may be silent on all requests.
+func (c *call) stallAfter(predicted Prediction) time.Duration {
+	return max(c.options.StallAfter, stallSlack*max(predicted.First, predicted.Gap))
+}
 
 // watch ends a try at an endpoint that has fallen silent on all of its
 // requests, if the request may go on elsewhere. Silence alone is no ground to
 // end an answer for good.
-func (c *call) watch(cancel context.CancelCauseFunc, f *flight) (stop func()) {
+func (c *call) watch(cancel context.CancelCauseFunc, f *flight, predicted Prediction) (stop func()) {
 	if c.route.Kind != serving.KindStream || !c.route.Repeatable() || c.sends+1-c.turnedDown >= c.route.MaxAttempts {
 		return func() {}
 	}
+	limit := c.stallAfter(predicted)
 	done := make(chan struct{})
 	go func() {
 		ticker := time.NewTicker(stallCheck)
@@ -159,7 +170,7 @@
 			case <-done:
 				return
 			case now := <-ticker.C:
-				if f.silence(now) > c.options.StallAfter {
+				if f.silence(now) > limit {
 					c.options.Balancer.Suspect(f.endpoint, now)
 					cancel(errStalled)
 					return
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -62,6 +62,8 @@
 	random *rand.Rand
 	// power is drawPower, but for tests.
 	power float64
+	// suspected is called when an endpoint is newly passed over.
+	suspected func()
 	// candidates is kept between choices.
 	candidates []candidate
 }
@@ -69,7 +71,7 @@
 // NewBalancer returns a balancer for a node in a data centre. Nodes must draw
 // differently, so each gives its own source.
 func NewBalancer(home serving.DataCentre, source rand.Source) *Balancer {
-	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, random: rand.New(source), power: drawPower}
+	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, random: rand.New(source), power: drawPower, suspected: func() {}}
 }
 
 func (b *Balancer) load(id serving.EndpointID) *load {
@@ -308,10 +310,19 @@
 // Suspect has an endpoint passed over for a while.
 func (b *Balancer) Suspect(id serving.EndpointID, now time.Time) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load(id).suspectUntil = now.Add(suspectFor)
+	l := b.load(id)
+	fresh := now.After(l.suspectUntil)
+	l.suspectUntil = now.Add(suspectFor)
+	b.mu.Unlock()
+	if fresh {
+		b.suspected()
+	}
 }
 
+// OnSuspect has a function called when an endpoint is newly passed over. It is
+// set before the balancer is used, and must not wait.
+func (b *Balancer) OnSuspect(f func()) { b.suspected = f }
+
 // Suspects returns the endpoints that are passed over now.
 func (b *Balancer) Suspects(now time.Time) []serving.EndpointID {
 	b.mu.Lock()
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -37,3 +37,12 @@
 	require.Greater(t, chosen["0"], chosen["1"])
 	require.Less(t, chosen["5"], nodes/50, "a group that is overrun is left alone")
 }
+
+// An endpoint that is predicted to take long is not taken for a dead one after
+// the usual time.
+func TestSilenceIsMeasuredByThePrediction(t *testing.T) {
+	c := &call{Relay: &Relay{options: Options{StallAfter: 500 * time.Millisecond}}}
+	require.Equal(t, 500*time.Millisecond, c.stallAfter(Prediction{First: 80 * time.Millisecond, Gap: 60 * time.Millisecond}))
+	require.Equal(t, 1200*time.Millisecond, c.stallAfter(Prediction{First: 400 * time.Millisecond, Gap: 60 * time.Millisecond}))
+	require.Equal(t, 900*time.Millisecond, c.stallAfter(Prediction{First: 80 * time.Millisecond, Gap: 300 * time.Millisecond}))
+}
