Refuse what every group would start far too late, and have callers come back soon

Cause: with four of six groups left the large model's first events came at two to three times their objective, each request making those after it later; a refused caller was told 0.3 s, after which no answer could be in time. Ruled out: drawing by weight alone (it spreads, but takes all). Change: a group that is predicted to start a request after one and a half times its objective is passed over, and without another the request is refused at once; callers come back after 0.1 s. Broken streams are not refused so.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -28,6 +28,15 @@
 type Size struct {
 	Prompt int
 	Answer int
+	// Objective is the time to the first event that is aimed at.
+	Objective time.Duration
+}
+
+// late reports whether a first event is predicted to come so late that its
+// request does better to come back in a moment: what it would add to a group that
+// is behind makes those after it late as well.
+func (s Size) late(p Prediction) bool {
+	return s.Objective > 0 && p.First > s.Objective*3/2
 }
 
 // load is what is under way at one endpoint.
@@ -141,6 +150,8 @@
 	Suspected  int
 	Tried      int
 	Full       int
+	// Late are predicted to have the first event too late.
+	Late int
 }
 
 // ChooseHead draws a group, the likelier the sooner the request is predicted to
@@ -170,6 +181,8 @@
 			c.Suspected++
 		case predicted.Running >= slots:
 			c.Full++
+		case !underWay && s.late(predicted):
+			c.Late++
 		default:
 			candidates = append(candidates, candidate{h, predicted, b.score(h, predicted)})
 		}
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -46,3 +46,19 @@
 	require.Equal(t, 1200*time.Millisecond, c.stallAfter(Prediction{First: 400 * time.Millisecond, Gap: 60 * time.Millisecond}))
 	require.Equal(t, 900*time.Millisecond, c.stallAfter(Prediction{First: 80 * time.Millisecond, Gap: 300 * time.Millisecond}))
 }
+
+// A request that every group would start far too late is refused at once, and
+// one that was under way elsewhere is not.
+func TestARequestThatWouldStartFarTooLateIsRefused(t *testing.T) {
+	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
+	head := &directory.Head{Endpoint: &serving.Endpoint{ID: "h", DataCentre: "north", Slots: 30}, Engine: engine, Pace: 1}
+	b := NewBalancer("north", rand.NewPCG(1, 1))
+	size := Size{Prompt: 1400, Objective: 300 * time.Millisecond}
+	b.SetPeers(map[serving.EndpointID]PeerLoad{"h": {Running: 5, Unread: 8_000}})
+	require.NotNil(t, b.ChooseHead([]*directory.Head{head}, size, nil, false, time.Now()).Head)
+	b.SetPeers(map[serving.EndpointID]PeerLoad{"h": {Running: 15, Unread: 20_000}})
+	refused := b.ChooseHead([]*directory.Head{head}, size, nil, false, time.Now())
+	require.Nil(t, refused.Head)
+	require.Equal(t, 1, refused.Late)
+	require.NotNil(t, b.ChooseHead([]*directory.Head{head}, size, nil, true, time.Now()).Head)
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -54,7 +54,7 @@
 	switch {
 	case choice.Groups == 0:
 		no.cause = causeNoGroup
-	case choice.Full > 0:
+	case choice.Full+choice.Late > 0:
 		no.cause = causeFull
 		no.after = overloadReturn
 	}
@@ -95,5 +95,5 @@
 }
 
 func (c *call) size() Size {
-	return Size{Prompt: c.attrs.PromptTokens, Answer: c.attrs.AnswerTokens()}
+	return Size{Prompt: c.attrs.PromptTokens, Answer: c.attrs.AnswerTokens(), Objective: c.route.Objective}
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -98,9 +98,9 @@
 	unreadyReturn = 500 * time.Millisecond
 	// stoppingReturn is for a node that stops: others serve.
 	stoppingReturn = 50 * time.Millisecond
-	// overloadReturn and noTargetReturn leave time for others to finish, or
-	// for a group to be repaired.
-	overloadReturn = 300 * time.Millisecond
+	// overloadReturn leaves time for the prompts ahead to be read, and for an
+	// answer that is still in time; noTargetReturn for a group to be repaired.
+	overloadReturn = 100 * time.Millisecond
 	noTargetReturn = 300 * time.Millisecond
 )
 
@@ -220,7 +220,7 @@
 	c.log.Info("a request was not served", "request", c.attrs.ID, "route", route, "model", c.attrs.Model, "workspace", c.workspace,
 		"outcome", string(c.outcome), "cause", no.cause, "return_after", no.after, "sends", c.sends, "may_have_run", c.mayHaveRun, "events", c.events,
 		"failed", c.failed, "took", time.Since(c.start), "configuration", c.configurationVersion(),
-		"groups", no.choice.Groups, "full", no.choice.Full, "suspected", no.choice.Suspected, "incomplete", no.choice.Incomplete)
+		"groups", no.choice.Groups, "full", no.choice.Full, "late", no.choice.Late, "suspected", no.choice.Suspected, "incomplete", no.choice.Incomplete)
 }
 
 // refuse answers a request that has not run and never will.
