Leave observations aside that are older than what is known

A peer's message with 'ready' came after one with 'open', at the same number of orders, and counted as newer. In the same way a row that was written before its endpoint left a group brought it back into it. Ruled out: load (the node had answered 200 before). Change: within an epoch the states of a member only rise; an endpoint that has left keeps the epoch, and only rows of later epochs put it into a group.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -34,6 +34,8 @@
 	// most rows are heartbeats.
 	changed  uint64
 	endpoint *serving.Endpoint
+	// epoch is the highest of its groups.
+	epoch uint64
 	// lastModel is that of its last group in this life, which it starts at
 	// once; a row tells none while it is in no group.
 	lastModel string
@@ -226,6 +228,7 @@
 	}
 	record.endpoint, record.lapsed = &e, nil
 	record.noteModel(e.Model)
+	record.noteEpoch(e.Membership.Epoch)
 	record.changed = row.Version
 	if record.observed != nil && newer(e.Membership, record.observed.Membership) {
 		record.observed = nil
@@ -236,12 +239,22 @@
 // newer reports whether a row's membership must be later than an observed
 // one: epochs only rise, and so do the states within one.
 func newer(row, observed serving.Membership) bool {
-	if row.Epoch != observed.Epoch {
+	switch {
+	case row.Epoch != observed.Epoch:
 		return row.Epoch > observed.Epoch
+	case observed.Group == "":
+		// It has left; the row was written before.
+		return false
 	}
 	return row.State > observed.State
 }
 
+// repeats reports whether an observation is older than what is known: it was
+// taken in the same group earlier. A peer's message may come after a later one.
+func repeats(o, known serving.Membership) bool {
+	return o.Group != "" && o.Group == known.Group && o.Epoch == known.Epoch && o.State < known.State
+}
+
 // Observe takes what an endpoint itself said about its membership, to this
 // node's controller (here) or to that of a peer.
 func (d *Directory) Observe(o Observation, here bool, now time.Time) {
@@ -251,9 +264,14 @@
 	if record == nil || record.endpoint == nil {
 		return
 	}
-	if o.Orders < record.orders {
+	if o.Orders < record.orders || repeats(o.Membership, record.merged().Membership) {
 		return
 	}
+	record.noteEpoch(o.Membership.Epoch)
+	if o.Membership.Group == "" {
+		// Rows of the groups that it was in are older.
+		o.Membership.Epoch = record.epoch
+	}
 	record.orders = o.Orders
 	record.observedAt = now
 	record.observedHere = here
@@ -311,6 +329,8 @@
 	}
 }
 
+func (r *endpointRecord) noteEpoch(epoch uint64) { r.epoch = max(r.epoch, epoch) }
+
 func (r *endpointRecord) noteModel(model string) {
 	if model != "" {
 		r.lastModel = model
