--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math"
 	"slices"
@@ -170,66 +169,6 @@
 	}
 }
 
-func (c *Controller) tickService(ctx context.Context, view *directory.View, service serving.Service, now time.Time) {
-	s := situation{
-		service: service.Name,
-		engine:  service.Engine,
-		working: map[string]map[string]float64{},
-
-		elsewhere: map[string]float64{},
-		growing:   map[string]bool{},
-		staging:   c.stagingNow(view, now),
-	}
-	// Only what is started for the first time waits for loads.
-	s.open = !c.options.Unpaced()
-	groups := map[string]*group{}
-	for _, e := range view.Endpoints {
-		if e.Service != service.Name {
-			continue
-		}
-		if e.DataCentre != c.options.DataCentre {
-			if e.Membership.Group != "" {
-				s.elsewhere[e.Model]++
-			}
-			continue
-		}
-		if _, ok := c.firstSeen[e.ID]; !ok {
-			c.firstSeen[e.ID] = now
-		}
-		if now.Sub(c.firstSeen[e.ID]) < growingFor {
-			s.growing[e.Domain] = true
-		}
-		if e.Membership.State == serving.MemberOpen {
-			s.open = true
-		}
-		if e.Membership.Group == "" || c.isBusy(e.ID) {
-			c.addFree(&s, e, now)
-			continue
-		}
-		c.addMember(groups, service.Engine, e)
-	}
-	c.addLapsed(view, groups, service, now)
-	for _, key := range slices.Sorted(maps.Keys(groups)) {
-		c.lookAtGroup(ctx, &s, groups[key], now)
-	}
-	c.countOperations(&s, view)
-	s.reserved = c.reservedNow(now)
-	d := plan(s)
-	for _, f := range d.formations {
-		delete(c.reserved, f.members[0].Domain)
-		c.startForm(ctx, f, service.Engine, now)
-	}
-	for _, t := range d.takeovers {
-		c.startTakeover(ctx, t, now)
-	}
-	c.startStagings(ctx, &s, d.stagings, now)
-	for _, r := range d.rehearsals {
-		if s.staging[r.endpoint.ID] == "" {
-			c.startRehearsal(ctx, r)
-		}
-	}
-}
-
 // startTakeover ends groups and keeps their members for another.
 func (c *Controller) startTakeover(ctx context.Context, t takeover, now time.Time) {
 	c.reserved[t.domain] = reservation{t.model.Name, now.Add(reservedFor)}
@@ -238,29 +177,6 @@
 	}
 }
 
-// reservation keeps the free endpoints of a domain for a model.
-type reservation struct {
-	model string
-	until time.Time
-}
-
-// reservedFor is how long the members of groups that were ended for another may
-// take to leave.
-const reservedFor = 1500 * time.Millisecond
-
-// reservedNow returns the model that each domain's free endpoints are kept for.
-func (c *Controller) reservedNow(now time.Time) map[string]string {
-	out := map[string]string{}
-	for domain, r := range c.reserved {
-		if now.After(r.until) {
-			delete(c.reserved, domain)
-			continue
-		}
-		out[domain] = r.model
-	}
-	return out
-}
-
 // startStagings begins loads to hosts, as many as may run at once.
 func (c *Controller) startStagings(ctx context.Context, s *situation, stagings []staging, now time.Time) {
 	for _, st := range stagings {
@@ -299,123 +215,4 @@
 	return max(1, engine.LoadsAtOnce/c.options.DataCentres)
 }
 
-// growingFor is how long after a new endpoint its domain may have more soon.
-const growingFor = 1500 * time.Millisecond
-
 func (c *Controller) isBusy(id serving.EndpointID) bool { return c.busy[id] != "" }
-
-// takenFor is how long an endpoint is left alone that is in a group although
-// its row says otherwise: rows lag less.
-const takenFor = time.Second
-
-// addFree adds an endpoint that may be used for new groups.
-func (c *Controller) addFree(s *situation, e *serving.Endpoint, now time.Time) {
-	if e.Leaving || c.isDead(e.ID, now) || now.Sub(c.taken[e.ID]) < takenFor {
-		return
-	}
-	if c.busy[e.ID] == busyDissolving {
-		s.soon = append(s.soon, e)
-		return
-	}
-	if c.isBusy(e.ID) {
-		return
-	}
-	s.free = append(s.free, e)
-}
-
-// countOperations counts the groups that are being formed.
-func (c *Controller) countOperations(s *situation, view *directory.View) {
-	for id, what := range c.busy {
-		e := view.Endpoints[id]
-		if _, ok := s.engine.Model(what); ok && e != nil {
-			s.count(e.Domain, what, 1)
-		}
-	}
-}
-
-// stagingOrder is a staging that was ordered.
-type stagingOrder struct {
-	model string
-	// until is when it is given up.
-	until time.Time
-}
-
-// stagingNow returns the models that are on their way to hosts.
-func (c *Controller) stagingNow(view *directory.View, now time.Time) map[serving.EndpointID]string {
-	out := map[serving.EndpointID]string{}
-	for id, order := range c.staged {
-		e := view.Endpoints[id]
-		if e == nil || !now.Before(order.until) || slices.Contains(e.Staged, order.model) {
-			delete(c.staged, id)
-			continue
-		}
-		out[id] = order.model
-	}
-	return out
-}
-
-// report asks an endpoint about itself.
-func (c *Controller) report(ctx context.Context, e *serving.Endpoint) (serving.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
-	defer cancel()
-	report, err := c.endpoints.Report(ctx, e.Address, e.ID)
-	if err == nil {
-		c.observe(e, report)
-		c.noteState(e.ID, knownState{report.Orders, report.Membership})
-	}
-	return report, err
-}
-
-// knownState is an endpoint's membership once it had taken a number of orders.
-// An order that names the number reaches the endpoint in that very state, or
-// is refused.
-type knownState struct {
-	orders     uint64
-	membership serving.Membership
-}
-
-func (c *Controller) noteState(id serving.EndpointID, state knownState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.known[id] = state
-}
-
-// stateOf returns an endpoint's last known state, if there is one.
-func (c *Controller) stateOf(id serving.EndpointID) (knownState, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	state, ok := c.known[id]
-	return state, ok
-}
-
-func (c *Controller) forgetState(id serving.EndpointID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.known, id)
-}
-
-// observe lets the directory know what an endpoint said, ahead of its row.
-func (c *Controller) observe(e *serving.Endpoint, r serving.Report) {
-	c.directory.Observe(directory.Observation{
-		ID:         e.ID,
-		Model:      r.Model,
-		Membership: r.Membership,
-		Orders:     r.Orders,
-	}, true, time.Now())
-}
-
-// order gives one order, if this node still holds the lease at this moment.
-func (c *Controller) order(ctx context.Context, e *serving.Endpoint, o serving.Order) (done bool, err error) {
-	epoch, held := c.lease.Held(time.Now())
-	if !held || epoch != o.Fence {
-		return false, errLeaseLost
-	}
-	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
-	defer cancel()
-	done, err = c.endpoints.Order(ctx, e.Address, e.ID, o)
-	c.log.Info("gave an order", "order", o.Kind.String(), "endpoint", string(e.ID), "group", o.Group, "epoch", o.Epoch,
-		"model", o.Model, "fence", o.Fence, "expected", o.Expected, "done", done, "error", err)
-	return done, err
-}
-
-var errLeaseLost = errors.New("the lease is not held any more")
--- /dev/null
+++ b/internal/groupcontrol/situation.go
@@ -0,0 +1,147 @@
+package groupcontrol
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+func (c *Controller) tickService(ctx context.Context, view *directory.View, service serving.Service, now time.Time) {
+	s := situation{
+		service: service.Name,
+		engine:  service.Engine,
+		working: map[string]map[string]float64{},
+
+		elsewhere: map[string]float64{},
+		growing:   map[string]bool{},
+		staging:   c.stagingNow(view, now),
+	}
+	// Only what is started for the first time waits for loads.
+	s.open = !c.options.Unpaced()
+	groups := map[string]*group{}
+	for _, e := range view.Endpoints {
+		if e.Service != service.Name {
+			continue
+		}
+		if e.DataCentre != c.options.DataCentre {
+			if e.Membership.Group != "" {
+				s.elsewhere[e.Model]++
+			}
+			continue
+		}
+		if _, ok := c.firstSeen[e.ID]; !ok {
+			c.firstSeen[e.ID] = now
+		}
+		if now.Sub(c.firstSeen[e.ID]) < growingFor {
+			s.growing[e.Domain] = true
+		}
+		if e.Membership.State == serving.MemberOpen {
+			s.open = true
+		}
+		if e.Membership.Group == "" || c.isBusy(e.ID) {
+			c.addFree(&s, e, now)
+			continue
+		}
+		c.addMember(groups, service.Engine, e)
+	}
+	c.addLapsed(view, groups, service, now)
+	for _, key := range slices.Sorted(maps.Keys(groups)) {
+		c.lookAtGroup(ctx, &s, groups[key], now)
+	}
+	c.countOperations(&s, view)
+	s.reserved = c.reservedNow(now)
+	d := plan(s)
+	for _, f := range d.formations {
+		delete(c.reserved, f.members[0].Domain)
+		c.startForm(ctx, f, service.Engine, now)
+	}
+	for _, t := range d.takeovers {
+		c.startTakeover(ctx, t, now)
+	}
+	c.startStagings(ctx, &s, d.stagings, now)
+	for _, r := range d.rehearsals {
+		if s.staging[r.endpoint.ID] == "" {
+			c.startRehearsal(ctx, r)
+		}
+	}
+}
+
+// reservation keeps the free endpoints of a domain for a model.
+type reservation struct {
+	model string
+	until time.Time
+}
+
+// reservedFor is how long the members of groups that were ended for another may
+// take to leave.
+const reservedFor = 1500 * time.Millisecond
+
+// reservedNow returns the model that each domain's free endpoints are kept for.
+func (c *Controller) reservedNow(now time.Time) map[string]string {
+	out := map[string]string{}
+	for domain, r := range c.reserved {
+		if now.After(r.until) {
+			delete(c.reserved, domain)
+			continue
+		}
+		out[domain] = r.model
+	}
+	return out
+}
+
+// growingFor is how long after a new endpoint its domain may have more soon.
+const growingFor = 1500 * time.Millisecond
+
+// takenFor is how long an endpoint is left alone that is in a group although
+// its row says otherwise: rows lag less.
+const takenFor = time.Second
+
+// addFree adds an endpoint that may be used for new groups.
+func (c *Controller) addFree(s *situation, e *serving.Endpoint, now time.Time) {
+	if e.Leaving || c.isDead(e.ID, now) || now.Sub(c.taken[e.ID]) < takenFor {
+		return
+	}
+	if c.busy[e.ID] == busyDissolving {
+		s.soon = append(s.soon, e)
+		return
+	}
+	if c.isBusy(e.ID) {
+		return
+	}
+	s.free = append(s.free, e)
+}
+
+// countOperations counts the groups that are being formed.
+func (c *Controller) countOperations(s *situation, view *directory.View) {
+	for id, what := range c.busy {
+		e := view.Endpoints[id]
+		if _, ok := s.engine.Model(what); ok && e != nil {
+			s.count(e.Domain, what, 1)
+		}
+	}
+}
+
+// stagingOrder is a staging that was ordered.
+type stagingOrder struct {
+	model string
+	// until is when it is given up.
+	until time.Time
+}
+
+// stagingNow returns the models that are on their way to hosts.
+func (c *Controller) stagingNow(view *directory.View, now time.Time) map[serving.EndpointID]string {
+	out := map[serving.EndpointID]string{}
+	for id, order := range c.staged {
+		e := view.Endpoints[id]
+		if e == nil || !now.Before(order.until) || slices.Contains(e.Staged, order.model) {
+			delete(c.staged, id)
+			continue
+		}
+		out[id] = order.model
+	}
+	return out
+}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -1,43 +1,16 @@
 package relay
 
 import (
-	"cmp"
-	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-const (
-	// remotePenalty is added to the predicted time of an endpoint in another
-	// data centre: bytes between data centres cost.
-	remotePenalty = 15 * time.Millisecond
-	// degradedPenalty keeps requests off a group with a leaving member while
-	// there is another.
-	degradedPenalty = time.Second
-	// suspectFor is how long an endpoint that failed or fell silent is
-	// passed over, unless it shows life.
-	suspectFor = 2 * time.Second
-)
-
-// Size is how much work a request asks of a model engine.
-type Size struct {
-	Prompt int
-	Answer int
-	// Objective is the time to the first event that is aimed at.
-	Objective time.Duration
-}
-
-// late reports whether a first event is predicted to come so late that its
-// request does better to come back in a moment: what it would add to a group that
-// is behind makes those after it late as well.
-func (s Size) late(p Prediction) bool {
-	return s.Objective > 0 && p.First > s.Objective*3/2
-}
+// suspectFor is how long an endpoint that failed or fell silent is passed over,
+// unless it shows life.
+const suspectFor = 2 * time.Second
 
 // load is what is under way at one endpoint.
 type load struct {
@@ -56,32 +29,6 @@
 	dataCentre serving.DataCentre
 }
 
-// remote is what this node finds of another data centre.
-type remote struct {
-	// failures counts those of its endpoints since one of them showed life.
-	failures int
-	// until is when it is tried again.
-	until time.Time
-}
-
-const (
-	// cutAfter is the number of failures in a row after which another data
-	// centre counts as cut off. It is tried again with one request after
-	// cutRetry, and after twice that each time, up to cutRetryMost.
-	cutAfter     = 2
-	cutRetry     = 2 * time.Second
-	cutRetryMost = 8 * time.Second
-)
-
-// retry is the time until a data centre that seems cut off is tried again.
-func (r *remote) retry() time.Duration {
-	wait := cutRetry
-	for range r.failures - cutAfter {
-		wait = min(2*wait, cutRetryMost)
-	}
-	return wait
-}
-
 // PeerLoad is the work that other nodes have at one endpoint.
 type PeerLoad struct {
 	Running int
@@ -122,210 +69,6 @@
 	return l
 }
 
-// Prediction is how a request would fare at an endpoint.
-type Prediction struct {
-	// First is the time to the first event, Gap the longest usual pause.
-	First time.Duration
-	Gap   time.Duration
-	// Running is the number of requests there, Unread their prompt tokens
-	// that are not read yet.
-	Running int
-	Unread  int
-}
-
-// predict applies the engine's speed to what is under way at a head.
-//
-// One pass reads at most a chunk of prompt tokens and plays a number of steps
-// for all that write; a new request has its first token once the prompts
-// before it and its own are read.
-func predict(h *directory.Head, l *load, s Size) Prediction {
-	e := h.Engine
-	running := l.running + l.peers.Running
-	context := l.context
-	if l.running > 0 {
-		context = context * running / l.running
-	}
-	step := e.StepTime + time.Duration(running)*e.PerSequence + time.Duration(context)*e.PerThousand/1000
-	steps := time.Duration(e.StepsPerPass) * step
-	unread := l.unread + l.peers.Unread
-	chunk := max(1, e.Chunk)
-	reading := func(tokens int) time.Duration {
-		return time.Duration(float64(tokens) / max(1, e.TokensPerSec) * float64(time.Second))
-	}
-	passes := (unread + s.Prompt + chunk - 1) / chunk
-	first := steps/2 + reading(unread+s.Prompt) + time.Duration(passes)*steps
-	gap := steps + reading(min(chunk, unread+s.Prompt))
-	return Prediction{
-		First:   time.Duration(float64(first) * h.Pace),
-		Gap:     time.Duration(float64(gap) * h.Pace),
-		Running: running,
-		Unread:  unread,
-	}
-}
-
-// overfull is the part of its slots up to which a head takes requests that
-// were under way elsewhere: they are let in ahead of those that wait there.
-const overfull = 1.5
-
-// Choice is the outcome of a choice among groups, with why others were passed
-// over.
-type Choice struct {
-	// Head is nil if no group was left.
-	Head      *directory.Head
-	Predicted Prediction
-	Groups    int
-	// Incomplete lack a member; Suspected failed or fell silent lately; Tried
-	// have failed this very request; Full have no slot.
-	Incomplete int
-	Suspected  int
-	Tried      int
-	Full       int
-	// Late are predicted to have the first event too late.
-	Late int
-}
-
-// ChooseHead draws a group, the likelier the sooner the request is predicted to
-// have its first event there. What the other nodes have under way is known a
-// fraction of a second late, in which a group reads several prompts: if every
-// node sent to the best group by these figures, it would be overrun by the time
-// that the others learn of it. A request that was under way elsewhere may wait
-// at a full group.
-func (b *Balancer) ChooseHead(heads []*directory.Head, s Size, failed []serving.EndpointID, underWay bool, now time.Time) Choice {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c := Choice{Groups: len(heads)}
-	candidates := b.candidates[:0]
-	for _, h := range heads {
-		l := b.load(h.ID)
-		l.dataCentre = h.DataCentre
-		predicted := predict(h, l, s)
-		slots := h.Slots
-		if underWay {
-			slots = int(overfull * float64(slots))
-		}
-		switch {
-		case h.Incomplete:
-			c.Incomplete++
-		case slices.Contains(failed, h.ID):
-			c.Tried++
-		case now.Before(l.suspectUntil), b.isCutOff(h.DataCentre, now):
-			c.Suspected++
-		case predicted.Running >= slots:
-			c.Full++
-		case !underWay && s.late(predicted):
-			c.Late++
-		default:
-			candidates = append(candidates, candidate{h, predicted, b.score(h, predicted)})
-		}
-	}
-	b.candidates = candidates
-	if drawn := b.draw(candidates); drawn != nil {
-		c.Head, c.Predicted = drawn.head, drawn.predicted
-		b.noteTry(drawn.head.DataCentre, now)
-	}
-	return c
-}
-
-// isCutOff reports whether another data centre is not to be tried now. Without
-// this, each node lost half a second of a request to each group of a data centre
-// that was cut off, again and again.
-func (b *Balancer) isCutOff(dataCentre serving.DataCentre, now time.Time) bool {
-	r := b.remotes[dataCentre]
-	return r != nil && r.failures >= cutAfter && now.Before(r.until)
-}
-
-// noteTry has a data centre that seems cut off tried by one request only.
-func (b *Balancer) noteTry(dataCentre serving.DataCentre, now time.Time) {
-	if r := b.remotes[dataCentre]; r != nil && r.failures >= cutAfter {
-		r.until = now.Add(r.retry())
-	}
-}
-
-// noteFailure counts a failure of an endpoint of another data centre; the
-// caller holds the lock.
-func (b *Balancer) noteFailure(dataCentre serving.DataCentre, now time.Time) {
-	if dataCentre == "" || dataCentre == b.home {
-		return
-	}
-	r := b.remotes[dataCentre]
-	if r == nil {
-		r = &remote{}
-		b.remotes[dataCentre] = r
-	}
-	r.failures++
-	r.until = now.Add(r.retry())
-}
-
-// candidate is a group that a request may go to.
-type candidate struct {
-	head      *directory.Head
-	predicted Prediction
-	score     time.Duration
-}
-
-// score is the time that a group is ranked by.
-func (b *Balancer) score(h *directory.Head, predicted Prediction) time.Duration {
-	score := max(predicted.First, time.Millisecond)
-	if h.DataCentre != b.home {
-		score += remotePenalty
-	}
-	if h.Degraded {
-		score += degradedPenalty
-	}
-	return score
-}
-
-// drawPower sets how much likelier a sooner group is drawn: with a half of the
-// predicted time, 2^drawPower times.
-const drawPower = 2
-
-// draw picks one candidate at random, weighted by their scores.
-func (b *Balancer) draw(candidates []candidate) *candidate {
-	if len(candidates) == 0 {
-		return nil
-	}
-	best := slices.MinFunc(candidates, func(x, y candidate) int { return cmp.Compare(x.score, y.score) }).score
-	var drawn *candidate
-	total := 0.0
-	for i := range candidates {
-		// Each candidate replaces the one drawn so far with its part of the
-		// weights up to here.
-		weight := math.Pow(float64(best)/float64(candidates[i].score), b.power)
-		total += weight
-		if b.random.Float64()*total < weight {
-			drawn = &candidates[i]
-		}
-	}
-	return drawn
-}
-
-// ChoosePlain picks the endpoint of a plain service with the least under way.
-func (b *Balancer) ChoosePlain(endpoints []*serving.Endpoint, failed []serving.EndpointID, now time.Time) (*serving.Endpoint, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.turn++
-	var best *serving.Endpoint
-	bestScore := 0
-	for i := range endpoints {
-		e := endpoints[(i+b.turn)%len(endpoints)]
-		l := b.load(e.ID)
-		if slices.Contains(failed, e.ID) {
-			continue
-		}
-		score := 2 * (l.running + l.peers.Running)
-		if now.Before(l.suspectUntil) {
-			score += 1000
-		}
-		if e.DataCentre != b.home {
-			score++
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
-		}
-	}
-	return best, best != nil
-}
-
 // flight is one request at an endpoint.
 type flight struct {
 	balancer *Balancer
--- /dev/null
+++ b/internal/relay/cutoff.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// remote is what this node finds of another data centre.
+type remote struct {
+	// failures counts those of its endpoints since one of them showed life.
+	failures int
+	// until is when it is tried again.
+	until time.Time
+}
+
+const (
+	// cutAfter is the number of failures in a row after which another data
+	// centre counts as cut off. It is tried again with one request after
+	// cutRetry, and after twice that each time, for cutDoublings times.
+	cutAfter     = 2
+	cutRetry     = 2 * time.Second
+	cutDoublings = 2
+)
+
+// retry is the time until a data centre that seems cut off is tried again.
+func (r *remote) retry() time.Duration {
+	return cutRetry << min(max(0, r.failures-cutAfter), cutDoublings)
+}
+
+// isCutOff reports whether another data centre is not to be tried now. Without
+// this, each node lost half a second of a request to each group of a data centre
+// that was cut off, again and again.
+func (b *Balancer) isCutOff(dataCentre serving.DataCentre, now time.Time) bool {
+	r := b.remotes[dataCentre]
+	return r != nil && r.failures >= cutAfter && now.Before(r.until)
+}
+
+// noteTry has a data centre that seems cut off tried by one request only.
+func (b *Balancer) noteTry(dataCentre serving.DataCentre, now time.Time) {
+	if r := b.remotes[dataCentre]; r != nil && r.failures >= cutAfter {
+		r.until = now.Add(r.retry())
+	}
+}
+
+// noteFailure counts a failure of an endpoint of another data centre; the
+// caller holds the lock.
+func (b *Balancer) noteFailure(dataCentre serving.DataCentre, now time.Time) {
+	if dataCentre == "" || dataCentre == b.home {
+		return
+	}
+	r := b.remotes[dataCentre]
+	if r == nil {
+		r = &remote{}
+		b.remotes[dataCentre] = r
+	}
+	r.failures++
+	r.until = now.Add(r.retry())
+}
--- /dev/null
+++ b/internal/relay/draw.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+const (
+	// remotePenalty is added to the predicted time of an endpoint in another
+	// data centre: bytes between data centres cost.
+	remotePenalty = 15 * time.Millisecond
+	// degradedPenalty keeps requests off a group with a leaving member while
+	// there is another.
+	degradedPenalty = time.Second
+)
+
+// overfull is the part of its slots up to which a head takes requests that
+// were under way elsewhere: they are let in ahead of those that wait there.
+const overfull = 1.5
+
+// Choice is the outcome of a choice among groups, with why others were passed
+// over.
+type Choice struct {
+	// Head is nil if no group was left.
+	Head      *directory.Head
+	Predicted Prediction
+	Groups    int
+	// Incomplete lack a member; Suspected failed or fell silent lately; Tried
+	// have failed this very request; Full have no slot.
+	Incomplete int
+	Suspected  int
+	Tried      int
+	Full       int
+	// Late are predicted to have the first event too late.
+	Late int
+}
+
+// ChooseHead draws a group, the likelier the sooner the request is predicted to
+// have its first event there. What the other nodes have under way is known a
+// fraction of a second late, in which a group reads several prompts: if every
+// node sent to the best group by these figures, it would be overrun by the time
+// that the others learn of it. A request that was under way elsewhere may wait
+// at a full group.
+func (b *Balancer) ChooseHead(heads []*directory.Head, s Size, failed []serving.EndpointID, underWay bool, now time.Time) Choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := Choice{Groups: len(heads)}
+	candidates := b.candidates[:0]
+	for _, h := range heads {
+		l := b.load(h.ID)
+		l.dataCentre = h.DataCentre
+		predicted := predict(h, l, s)
+		slots := h.Slots
+		if underWay {
+			slots = int(overfull * float64(slots))
+		}
+		switch {
+		case h.Incomplete:
+			c.Incomplete++
+		case slices.Contains(failed, h.ID):
+			c.Tried++
+		case now.Before(l.suspectUntil), b.isCutOff(h.DataCentre, now):
+			c.Suspected++
+		case predicted.Running >= slots:
+			c.Full++
+		case !underWay && s.late(predicted):
+			c.Late++
+		default:
+			candidates = append(candidates, candidate{h, predicted, b.score(h, predicted)})
+		}
+	}
+	b.candidates = candidates
+	if drawn := b.draw(candidates); drawn != nil {
+		c.Head, c.Predicted = drawn.head, drawn.predicted
+		b.noteTry(drawn.head.DataCentre, now)
+	}
+	return c
+}
+
+// candidate is a group that a request may go to.
+type candidate struct {
+	head      *directory.Head
+	predicted Prediction
+	score     time.Duration
+}
+
+// score is the time that a group is ranked by.
+func (b *Balancer) score(h *directory.Head, predicted Prediction) time.Duration {
+	score := max(predicted.First, time.Millisecond)
+	if h.DataCentre != b.home {
+		score += remotePenalty
+	}
+	if h.Degraded {
+		score += degradedPenalty
+	}
+	return score
+}
+
+// drawPower sets how much likelier a sooner group is drawn: with a half of the
+// predicted time, 2^drawPower times.
+const drawPower = 2
+
+// draw picks one candidate at random, weighted by their scores.
+func (b *Balancer) draw(candidates []candidate) *candidate {
+	if len(candidates) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(candidates, func(x, y candidate) int { return cmp.Compare(x.score, y.score) }).score
+	var drawn *candidate
+	total := 0.0
+	for i := range candidates {
+		// Each candidate replaces the one drawn so far with its part of the
+		// weights up to here.
+		weight := math.Pow(float64(best)/float64(candidates[i].score), b.power)
+		total += weight
+		if b.random.Float64()*total < weight {
+			drawn = &candidates[i]
+		}
+	}
+	return drawn
+}
+
+// ChoosePlain picks the endpoint of a plain service with the least under way.
+func (b *Balancer) ChoosePlain(endpoints []*serving.Endpoint, failed []serving.EndpointID, now time.Time) (*serving.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+	var best *serving.Endpoint
+	bestScore := 0
+	for i := range endpoints {
+		e := endpoints[(i+b.turn)%len(endpoints)]
+		l := b.load(e.ID)
+		if slices.Contains(failed, e.ID) {
+			continue
+		}
+		score := 2 * (l.running + l.peers.Running)
+		if now.Before(l.suspectUntil) {
+			score += 1000
+		}
+		if e.DataCentre != b.home {
+			score++
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best, best != nil
+}
--- /dev/null
+++ b/internal/relay/predict.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+)
+
+// Size is how much work a request asks of a model engine.
+type Size struct {
+	Prompt int
+	Answer int
+	// Objective is the time to the first event that is aimed at.
+	Objective time.Duration
+}
+
+// late reports whether a first event is predicted to come so late that its
+// request does better to come back in a moment: what it would add to a group that
+// is behind makes those after it late as well.
+func (s Size) late(p Prediction) bool {
+	return s.Objective > 0 && p.First > s.Objective*3/2
+}
+
+// Prediction is how a request would fare at an endpoint.
+type Prediction struct {
+	// First is the time to the first event, Gap the longest usual pause.
+	First time.Duration
+	Gap   time.Duration
+	// Running is the number of requests there, Unread their prompt tokens
+	// that are not read yet.
+	Running int
+	Unread  int
+}
+
+// predict applies the engine's speed to what is under way at a head.
+//
+// One pass reads at most a chunk of prompt tokens and plays a number of steps
+// for all that write; a new request has its first token once the prompts
+// before it and its own are read.
+func predict(h *directory.Head, l *load, s Size) Prediction {
+	e := h.Engine
+	running := l.running + l.peers.Running
+	context := l.context
+	if l.running > 0 {
+		context = context * running / l.running
+	}
+	step := e.StepTime + time.Duration(running)*e.PerSequence + time.Duration(context)*e.PerThousand/1000
+	steps := time.Duration(e.StepsPerPass) * step
+	unread := l.unread + l.peers.Unread
+	chunk := max(1, e.Chunk)
+	reading := func(tokens int) time.Duration {
+		return time.Duration(float64(tokens) / max(1, e.TokensPerSec) * float64(time.Second))
+	}
+	passes := (unread + s.Prompt + chunk - 1) / chunk
+	first := steps/2 + reading(unread+s.Prompt) + time.Duration(passes)*steps
+	gap := steps + reading(min(chunk, unread+s.Prompt))
+	return Prediction{
+		First:   time.Duration(float64(first) * h.Pace),
+		Gap:     time.Duration(float64(gap) * h.Pace),
+		Running: running,
+		Unread:  unread,
+	}
+}
