--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -64,18 +63,10 @@
 
 // request sends a request and returns its answer, read as far as it goes.
 func (r *Run) request(client *http.Client, p *process, host, id string) (response *http.Response, body string, err error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+p.callers+"/a/b?c=d", bytes.NewReader([]byte("body of "+id)))
+	request, err := emulator.NewRequest(p.callers, host, id, requestTimeout, []byte("body of "+id))
 	if err != nil {
 		return nil, "", err
 	}
-	request.Host = host
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
-	request.Header.Set("Authorization", "Bearer "+emulator.Key)
-	if host == emulator.ModelHost {
-		request.Header.Set("X-Model-Id", emulator.Models[0].Name)
-		request.Header.Set("X-Token-Usage", "100,50")
-	}
 	if response, err = client.Do(request); err != nil {
 		return nil, "", err
 	}
@@ -88,7 +79,7 @@
 // success.
 func (r *Run) check(response *http.Response, id string) bool {
 	r.count(fmt.Sprint(response.StatusCode))
-	if echo := response.Header.Get("X-Attempt-Id"); response.StatusCode == http.StatusOK && echo != id {
+	if echo := emulator.Echo(response.Header); response.StatusCode == http.StatusOK && echo != id {
 		r.breakPromise("request %s got the answer of %q", id, echo)
 	}
 	switch response.StatusCode {
