--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -31,6 +31,9 @@
 	{Name: "small", Size: 3, Fraction: 0.43, Pace: 0.6, LoadTime: 400 * time.Millisecond, WarmTime: 210 * time.Millisecond},
 }
 
+// loadsPerSec is what the weight store allows.
+const loadsPerSec = 20
+
 // hall is one data centre with endpoints and controllers, all in memory.
 type hall struct {
 	t     *testing.T
@@ -38,6 +41,8 @@
 	fleet *fleetstandin.Fleet
 	// perDomain is the number of endpoints in a domain.
 	perDomain int
+	// paced is set where loads are short no more.
+	paced bool
 
 	mu       sync.Mutex
 	suspects []serving.EndpointID
@@ -49,7 +54,7 @@
 	h := &hall{t: t, table: memtable.New(), perDomain: perDomain}
 	h.fleet = fleetstandin.New(h.table, models)
 	c := serving.Configuration{Version: 1, Services: map[string]serving.Service{
-		"llm": {Name: "llm", Engine: &serving.Engine{Models: models, LoadsPerSec: 10_000}},
+		"llm": {Name: "llm", Engine: &serving.Engine{Models: models, LoadsPerSec: loadsPerSec}},
 	}}
 	value, err := json.Marshal(c)
 	require.NoError(t, err)
@@ -91,7 +96,7 @@
 		Node:        node,
 		DataCentre:  "north",
 		DataCentres: 1,
-		Unpaced:     func() bool { return true },
+		Unpaced:     func() bool { return !h.paced },
 		LeaseTTL:    300 * time.Millisecond,
 		CallTimeout: 40 * time.Millisecond,
 		Tick:        5 * time.Millisecond,
@@ -194,6 +199,23 @@
 	require.Equal(t, 10, h.fleet.JoinLoads())
 }
 
+// Loads from the weight store are paced, however many endpoints are empty
+// (CEILING). A slow machine only makes them fewer.
+func TestLoadsAreNoMoreThanTheWeightStoreAllows(t *testing.T) {
+	h := newHall(t, 36)
+	h.paced = true
+	began := time.Now()
+	h.controller("n1")
+	const allowance, slack = 1.1, 3
+	for h.fleet.Loads() < 36 {
+		loads := h.fleet.Loads()
+		require.LessOrEqual(t, float64(loads), loadsPerSec*allowance*time.Since(began).Seconds()+slack)
+		require.Less(t, time.Since(began), patience)
+		time.Sleep(5 * time.Millisecond)
+	}
+	h.unbroken()
+}
+
 // member returns the member of a rank in an open group of a size.
 func (h *hall) member(model string, rank int) serving.EndpointID {
 	want := models[0].Size
