Take ports for the emulator that no connection gets

The emulator asked the kernel for a port, closed it and used it later; another process's connection had it by then. Ruled out: two entry instances with the same port (each asks while the others are open). Change: ports outside the kernel's range, by the function that the other stand-ins use since the same was found there. The soak uses it as well.

--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -15,7 +15,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -25,6 +24,7 @@
 	"syscall"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/dev"
 	"github.com/ridgehinge/ridgehinge/lab/faultproxy"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 	"github.com/ridgehinge/ridgehinge/platform/emulator"
@@ -147,16 +147,15 @@
 	return p, addresses[2], p.start(r.options.Daemon)
 }
 
-// freeAddresses returns addresses that nothing listened on just now.
+// freeAddresses returns addresses that nobody listens on.
 func freeAddresses(ip string, n int) ([]string, error) {
 	var out []string
 	for range n {
-		listener, err := net.Listen("tcp", ip+":0")
+		address, err := dev.FreeAddress(ip)
 		if err != nil {
 			return nil, err
 		}
-		defer listener.Close()
-		out = append(out, listener.Addr().String())
+		out = append(out, address)
 	}
 	return out, nil
 }
