Give each mechanism a switch; count what is missed as demand; prefer the own data centre

Change: a request that was refused for want of groups, or began later than its objective, counts once more in its model's demand (missed_weight 1). The penalty of another data centre rises from 15 to 50 ms. Each mechanism has a switch in section policy, with its bounds checked.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,7 +93,7 @@
 		log:         logging.For("entry").With("node", s.Node),
 		metrics:     metrics.New(s.Node, string(s.DataCentre)),
 		directory:   directory.New(a.Codec),
-		balancer:    relay.NewBalancer(s.DataCentre, rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		balancer:    relay.NewBalancer(s.DataCentre, rand.NewPCG(rand.Uint64(), rand.Uint64()), s.Policy.Relay),
 		upstream:    upstream.New(links),
 		tracker:     httpserver.NewTracker(),
 		controlDone: make(chan struct{}),
@@ -103,16 +103,18 @@
 	demand := relay.NewDemand()
 	budget := relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
 	e.relay = relay.New(relay.Options{
-		DataCentre:  s.DataCentre,
-		Wire:        a.Wire,
-		Upstream:    e.upstream,
-		View:        e.directory.View,
-		Balancer:    e.balancer,
-		Demand:      demand,
-		Budget:      budget,
-		Metrics:     e.metrics,
-		StallAfter:  s.StallAfter,
-		MaxRequests: s.MaxRequests,
+		DataCentre: s.DataCentre,
+		Wire:       a.Wire,
+		Upstream:   e.upstream,
+		View:       e.directory.View,
+		Balancer:   e.balancer,
+		Demand:     demand,
+
+		MissedWeight: s.Policy.MissedWeight,
+		Budget:       budget,
+		Metrics:      e.metrics,
+		StallAfter:   s.StallAfter,
+		MaxRequests:  s.MaxRequests,
 	})
 	e.share = newSharing(s, life, e.directory, e.balancer, demand, budget, e.store, links)
 	e.controller = groupcontrol.New(groupcontrol.Options{
@@ -176,7 +178,7 @@
 	e.cancel = cancel
 	control, cancelControl := context.WithCancel(ctx)
 	e.cancelControl = cancelControl
-	watcher := &directory.Watcher{Store: e.store, Directory: e.directory, Options: directory.DefaultWatchOptions(), Reads: e.controller.Holds}
+	watcher := &directory.Watcher{Store: e.store, Directory: e.directory, Options: e.settings.Policy.watchOptions(), Reads: e.controller.Holds}
 	e.running.Go(func() { watcher.Run(ctx) })
 	e.running.Go(func() { e.share.run(ctx) })
 	e.running.Go(func() {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -12,6 +12,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/inicheck"
+	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -64,13 +65,38 @@
 	ReturnGrace time.Duration
 	// Groups decides which groups are worth forming.
 	Groups groupcontrol.Weights
+	// MissedWeight is what a request that was refused for want of groups, or began
+	// too late, adds to its model's demand, in parts of its work; zero turns it
+	// off.
+	MissedWeight float64
+	// Relay decides how requests are spread and turned away.
+	Relay relay.Weights
+	// EndpointPause is the time between two reads of the endpoint table by the
+	// node that reads it for its data centre; RelyOnPeers is how long the others
+	// wait for news of it before they read it themselves.
+	EndpointPause time.Duration
+	RelyOnPeers   time.Duration
+}
+
+// watchOptions are those of following the store's tables.
+func (p Policy) watchOptions() directory.WatchOptions {
+	o := directory.DefaultWatchOptions()
+	o.EndpointPause = p.EndpointPause
+	o.RelyOnPeers = p.RelyOnPeers
+	return o
 }
 
 // defaultLeaseOutage is longer than the outages of the users' bench, which take
 // up to nine seconds, and shorter than it takes operators to notice one.
 const defaultLeaseOutage = 30 * time.Second
 
+// defaultMissedWeight has a model of which every request is late count for twice
+// the work that is estimated (docs/DECISIONS.md).
+const defaultMissedWeight = 1.0
+
 func readPolicy(p *inicheck.Section) Policy {
+	const least, most = 10 * time.Millisecond, time.Minute
+	watch := directory.DefaultWatchOptions()
 	return Policy{
 		LeaseOutage: p.Duration("lease_outage", defaultLeaseOutage, 0, time.Hour),
 		ReturnGrace: p.Duration("return_grace", directory.DefaultReturnGrace, 0, time.Minute),
@@ -80,7 +106,21 @@
 			Change:       p.Float("change_cost", groupcontrol.DefaultWeights.Change, 0, 10),
 			TakeoverGain: p.Float("takeover_gain", groupcontrol.DefaultWeights.TakeoverGain, 0, 1),
 			Home:         p.Float("home_weight", groupcontrol.DefaultWeights.Home, 0, 1),
+
+			AcrossDomains: p.Bool("across_domains", groupcontrol.DefaultWeights.AcrossDomains),
+			WarmSpares:    p.Bool("warm_spares", groupcontrol.DefaultWeights.WarmSpares),
+			SecondModels:  p.Bool("second_models", groupcontrol.DefaultWeights.SecondModels),
+		},
+		MissedWeight: p.Float("missed_weight", defaultMissedWeight, 0, 10),
+		Relay: relay.Weights{
+			RemotePenalty:  p.Duration("remote_penalty", relay.DefaultWeights.RemotePenalty, 0, most),
+			DrawPower:      p.Float("draw_power", relay.DefaultWeights.DrawPower, 0, 100),
+			LateFactor:     p.Float("late_factor", relay.DefaultWeights.LateFactor, 0.1, 100),
+			OverloadReturn: p.Duration("overload_return", relay.DefaultWeights.OverloadReturn, least, most),
+			CutOff:         p.Bool("cut_off", relay.DefaultWeights.CutOff),
 		},
+		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, least, most),
+		RelyOnPeers:   p.Duration("rely_on_peers", watch.RelyOnPeers, least, most),
 	}
 }
 
--- /dev/null
+++ b/internal/entry/settings_test.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
+	"github.com/ridgehinge/ridgehinge/internal/relay"
+)
+
+// minimal are settings with what must be given.
+const minimal = `
+[interface]
+kind = platform
+[node]
+name = n
+data_centre = north
+data_centres = north,south
+[listen]
+callers = 127.0.0.1:1
+ready = 127.0.0.1:2
+peers = 127.0.0.1:3
+metrics = 127.0.0.1:4
+[peers]
+key = 0123456789abcdef
+[store]
+address = 127.0.0.1:5
+[policy]
+`
+
+func TestEachMechanismHasASwitch(t *testing.T) {
+	s, err := Parse("entry.ini", []byte(minimal))
+	require.NoError(t, err)
+	require.Equal(t, groupcontrol.DefaultWeights, s.Policy.Groups)
+	require.Equal(t, relay.DefaultWeights, s.Policy.Relay)
+	require.Equal(t, defaultLeaseOutage, s.Policy.LeaseOutage)
+
+	s, err = Parse("entry.ini", []byte(minimal+"lease_outage = 0s\nheadroom = 2\ncut_off = no\nendpoint_pause = 1s\n"))
+	require.NoError(t, err)
+	require.Zero(t, s.Policy.LeaseOutage)
+	require.InDelta(t, 2, s.Policy.Groups.Headroom, 0)
+	require.False(t, s.Policy.Relay.CutOff)
+	require.Equal(t, time.Second, s.Policy.watchOptions().EndpointPause)
+}
+
+func TestPoliciesOutOfRangeAreRefused(t *testing.T) {
+	for _, wrong := range []string{"headroom = 0.5", "headroom = many", "home_weight = 2", "takeover_gain = -1", "late_factor = 0", "overload_return = 0s", "across_domains = maybe", "lease_outage = 2h", "headrom = 2"} {
+		t.Run(wrong, func(t *testing.T) {
+			_, err := Parse("entry.ini", []byte(minimal+wrong))
+			require.ErrorContains(t, err, "policy")
+			require.ErrorContains(t, err, "entry.ini")
+		})
+	}
+}
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -70,7 +70,7 @@
 	now := time.Now()
 	s := acquainted(now)
 	s.urgent = make(chan struct{}, 1)
-	balancer := relay.NewBalancer("dc0", rand.NewPCG(1, 1))
+	balancer := relay.NewBalancer("dc0", rand.NewPCG(1, 1), relay.DefaultWeights)
 	balancer.OnSuspect(s.hurry)
 	balancer.Suspect("e", now)
 	require.Len(t, s.urgent, 1)
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -100,6 +100,7 @@
 		DataCentre:  "north",
 		DataCentres: 1,
 		Unpaced:     func() bool { return !h.paced },
+		Weights:     groupcontrol.DefaultWeights,
 		Demand:      func() map[directory.Pool]float64 { return nil },
 		LeaseTTL:    hallLease,
 		LeaseOutage: time.Minute,
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -102,9 +102,13 @@
 	}
 	for s.step(&d, free) {
 	}
-	d.formations = append(d.formations, s.acrossDomains(free)...)
+	if s.weights.AcrossDomains {
+		d.formations = append(d.formations, s.acrossDomains(free)...)
+	}
 	d.stagings = s.stage(free)
-	d.rehearsals = s.rehearse(free)
+	if s.weights.WarmSpares {
+		d.rehearsals = s.rehearse(free)
+	}
 	return d
 }
 
--- a/internal/groupcontrol/staging.go
+++ b/internal/groupcontrol/staging.go
@@ -85,7 +85,9 @@
 		slices.SortFunc(spare, func(a, b *serving.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 		out = append(out, s.stageDomain(domain, spare)...)
 	}
-	out = append(out, s.stageOthers(free)...)
+	if s.weights.SecondModels {
+		out = append(out, s.stageOthers(free)...)
+	}
 	slices.SortStableFunc(out, func(a, b staging) int { return cmp.Compare(a.lacking, b.lacking) })
 	return out
 }
--- a/internal/groupcontrol/value.go
+++ b/internal/groupcontrol/value.go
@@ -27,10 +27,18 @@
 	// can do together: it may be cut off from the others at any time, and
 	// controllers that all fill the same gap overshoot.
 	Home float64
+	// AcrossDomains allows groups that span domains, which are slow, where none
+	// within a domain can be formed.
+	AcrossDomains bool
+	// WarmSpares has spares start their model ahead of need.
+	WarmSpares bool
+	// SecondModels has the hosts of members hold another model than their own,
+	// so that members can change without a load.
+	SecondModels bool
 }
 
 // DefaultWeights were found by the rounds in docs/DECISIONS.md.
-var DefaultWeights = Weights{Demand: 0.85, Headroom: 1.6, Change: 0.7, TakeoverGain: 0.02, Home: 0.7}
+var DefaultWeights = Weights{Demand: 0.85, Headroom: 1.6, Change: 0.7, TakeoverGain: 0.02, Home: 0.7, AcrossDomains: true, WarmSpares: true, SecondModels: true}
 
 // leastDemand is the demand, in endpoints, below which what is observed says
 // nothing yet.
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -42,10 +42,9 @@
 	mu    sync.Mutex
 	loads map[serving.EndpointID]*load
 	// turn breaks ties, so that equal endpoints take turns.
-	turn   int
-	random *rand.Rand
-	// power is drawPower, but for tests.
-	power float64
+	turn    int
+	random  *rand.Rand
+	weights Weights
 	// suspected is called when an endpoint is newly passed over.
 	suspected func()
 	// remotes are the other data centres.
@@ -56,8 +55,8 @@
 
 // NewBalancer returns a balancer for a node in a data centre. Nodes must draw
 // differently, so each gives its own source.
-func NewBalancer(home serving.DataCentre, source rand.Source) *Balancer {
-	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remote{}, random: rand.New(source), power: drawPower, suspected: func() {}}
+func NewBalancer(home serving.DataCentre, source rand.Source, weights Weights) *Balancer {
+	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remote{}, random: rand.New(source), weights: weights, suspected: func() {}}
 }
 
 func (b *Balancer) load(id serving.EndpointID) *load {
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -29,7 +29,7 @@
 	told["5"] = PeerLoad{Running: 20, Unread: 20_000}
 	chosen := map[serving.EndpointID]int{}
 	for i := range nodes {
-		b := NewBalancer("north", rand.NewPCG(uint64(i), 1))
+		b := NewBalancer("north", rand.NewPCG(uint64(i), 1), DefaultWeights)
 		b.SetPeers(told)
 		chosen[b.ChooseHead(heads, Size{Prompt: 1400}, nil, false, time.Now()).Head.ID]++
 	}
@@ -52,7 +52,7 @@
 func TestARequestThatWouldStartFarTooLateIsRefused(t *testing.T) {
 	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
 	head := &directory.Head{Endpoint: &serving.Endpoint{ID: "h", DataCentre: "north", Slots: 30}, Engine: engine, Pace: 1}
-	b := NewBalancer("north", rand.NewPCG(1, 1))
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	size := Size{Prompt: 1400, Objective: 300 * time.Millisecond}
 	b.SetPeers(map[serving.EndpointID]PeerLoad{"h": {Running: 5, Unread: 8_000}})
 	require.NotNil(t, b.ChooseHead([]*directory.Head{head}, size, nil, false, time.Now()).Head)
@@ -75,7 +75,7 @@
 		}
 		heads = append(heads, &directory.Head{Endpoint: &serving.Endpoint{ID: serving.EndpointID(fmt.Sprint(i)), DataCentre: place, Slots: 30}, Engine: engine, Pace: 1})
 	}
-	b := NewBalancer("north", rand.NewPCG(1, 1))
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	now := time.Now()
 	choose := func() *directory.Head {
 		head := b.ChooseHead(heads, Size{Prompt: 100}, nil, false, now).Head
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -56,7 +56,7 @@
 		no.cause = causeNoGroup
 	case choice.Full+choice.Late > 0:
 		no.cause = causeFull
-		no.after = overloadReturn
+		no.after = c.options.Balancer.weights.OverloadReturn
 	}
 	return target{}, no
 }
--- a/internal/relay/cutoff.go
+++ b/internal/relay/cutoff.go
@@ -33,7 +33,7 @@
 // that was cut off, again and again.
 func (b *Balancer) isCutOff(dataCentre serving.DataCentre, now time.Time) bool {
 	r := b.remotes[dataCentre]
-	return r != nil && r.failures >= cutAfter && now.Before(r.until)
+	return b.weights.CutOff && r != nil && r.failures >= cutAfter && now.Before(r.until)
 }
 
 // noteTry has a data centre that seems cut off tried by one request only.
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -10,14 +10,39 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-const (
-	// remotePenalty is added to the predicted time of an endpoint in another
-	// data centre: bytes between data centres cost.
-	remotePenalty = 15 * time.Millisecond
-	// degradedPenalty keeps requests off a group with a leaving member while
-	// there is another.
-	degradedPenalty = time.Second
-)
+// Weights set how requests are spread and turned away.
+type Weights struct {
+	// RemotePenalty is added to the predicted time of an endpoint in another data
+	// centre: bytes between data centres cost.
+	RemotePenalty time.Duration
+	// DrawPower sets how much likelier a sooner group is drawn: with a half of
+	// the predicted time, 2^DrawPower times.
+	DrawPower float64
+	// LateFactor times its objective is the predicted time to the first event
+	// beyond which a request is turned away: what it would add to a group that is
+	// behind makes those after it late as well.
+	LateFactor float64
+	// OverloadReturn is after what time callers may come back that found all
+	// groups full: it leaves time for the prompts ahead to be read, and for an
+	// answer that is still in time.
+	OverloadReturn time.Duration
+	// CutOff has a data centre passed over of which several endpoints failed in
+	// a row.
+	CutOff bool
+}
+
+// DefaultWeights were found by the rounds in docs/DECISIONS.md.
+var DefaultWeights = Weights{
+	RemotePenalty:  50 * time.Millisecond,
+	DrawPower:      2,
+	LateFactor:     1.5,
+	OverloadReturn: 100 * time.Millisecond,
+	CutOff:         true,
+}
+
+// degradedPenalty keeps requests off a group with a leaving member while there
+// is another.
+const degradedPenalty = time.Second
 
 // overfull is the part of its slots up to which a head takes requests that
 // were under way elsewhere: they are let in ahead of those that wait there.
@@ -68,7 +93,7 @@
 			c.Suspected++
 		case predicted.Running >= slots:
 			c.Full++
-		case !underWay && s.late(predicted):
+		case !underWay && s.late(predicted, b.weights.LateFactor):
 			c.Late++
 		default:
 			candidates = append(candidates, candidate{h, predicted, b.score(h, predicted)})
@@ -93,7 +118,7 @@
 func (b *Balancer) score(h *directory.Head, predicted Prediction) time.Duration {
 	score := max(predicted.First, time.Millisecond)
 	if h.DataCentre != b.home {
-		score += remotePenalty
+		score += b.weights.RemotePenalty
 	}
 	if h.Degraded {
 		score += degradedPenalty
@@ -101,10 +126,6 @@
 	return score
 }
 
-// drawPower sets how much likelier a sooner group is drawn: with a half of the
-// predicted time, 2^drawPower times.
-const drawPower = 2
-
 // draw picks one candidate at random, weighted by their scores.
 func (b *Balancer) draw(candidates []candidate) *candidate {
 	if len(candidates) == 0 {
@@ -116,7 +137,7 @@
 	for i := range candidates {
 		// Each candidate replaces the one drawn so far with its part of the
 		// weights up to here.
-		weight := math.Pow(float64(best)/float64(candidates[i].score), b.power)
+		weight := math.Pow(float64(best)/float64(candidates[i].score), b.weights.DrawPower)
 		total += weight
 		if b.random.Float64()*total < weight {
 			drawn = &candidates[i]
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -15,10 +15,9 @@
 }
 
 // late reports whether a first event is predicted to come so late that its
-// request does better to come back in a moment: what it would add to a group that
-// is behind makes those after it late as well.
-func (s Size) late(p Prediction) bool {
-	return s.Objective > 0 && p.First > s.Objective*3/2
+// request does better to come back in a moment.
+func (s Size) late(p Prediction, factor float64) bool {
+	return s.Objective > 0 && float64(p.First) > factor*float64(s.Objective)
 }
 
 // Prediction is how a request would fare at an endpoint.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -232,8 +232,8 @@
 	}
 	m := metrics.New("n", "north")
 	t.Cleanup(m.Close)
-	balancer := NewBalancer("north", highest{})
-	balancer.power = math.Inf(1)
+	balancer := NewBalancer("north", highest{}, DefaultWeights)
+	balancer.weights.DrawPower = math.Inf(1)
 	w.relay = New(Options{
 		DataCentre:  "north",
 		Wire:        testWire{},
@@ -628,3 +628,23 @@
 	_, err = r.next()
 	require.ErrorIs(t, err, errEventPart)
 }
+
+// A request that finds all groups full counts for more than its work: the
+// estimate of work may be too low, and what callers get is not. Found on
+// trouble-1 of bpod-guild-grown, where the large model's first events took 0.9 s
+// while the small model's groups were a third full.
+func TestWhatIsMissedAddsToTheDemand(t *testing.T) {
+	pool := directory.Pool{Service: "llm", Model: "m"}
+	demandOf := func(missedWeight float64) float64 {
+		w := newWorld(t, nil, nil)
+		w.view.Configuration.Services["llm"].Engine.Models = []serving.Model{{Name: "m", Size: 1, Pace: 1}}
+		w.relay.options.MissedWeight = missedWeight
+		in := request(hostStream)
+		in.Header.Set("Prompt", "100000")
+		require.Equal(t, http.StatusServiceUnavailable, w.serve(in).status)
+		return w.relay.options.Demand.Rates(time.Now())[pool]
+	}
+	without := demandOf(0)
+	require.Positive(t, without)
+	require.InEpsilon(t, 2*without, demandOf(1), 0.1)
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -77,7 +77,7 @@
 	c.class = r.class(c.workspace, c.service)
 	c.noteDemand()
 	if progress > int64(r.options.MaxRequests) {
-		c.refuse(refusal{cause: "this node has too many requests in progress", after: overloadReturn})
+		c.refuse(refusal{cause: "this node has too many requests in progress", after: r.options.Balancer.weights.OverloadReturn})
 		return
 	}
 	if r.draining.Load() {
@@ -99,9 +99,7 @@
 	unreadyReturn = 500 * time.Millisecond
 	// stoppingReturn is for a node that stops: others serve.
 	stoppingReturn = 50 * time.Millisecond
-	// overloadReturn leaves time for the prompts ahead to be read, and for an
-	// answer that is still in time; noTargetReturn for a group to be repaired.
-	overloadReturn = 100 * time.Millisecond
+	// noTargetReturn leaves time for a group to be repaired.
 	noTargetReturn = 300 * time.Millisecond
 )
 
@@ -135,13 +133,20 @@
 }
 
 // noteDemand counts the work that the request asks for.
-func (c *call) noteDemand() {
+func (c *call) noteDemand() { c.addDemand(1, c.start) }
+
+// noteMissed counts the work once more of a request that its model's groups had
+// no time for: work is estimated, and what callers get is not.
+func (c *call) noteMissed(now time.Time) { c.addDemand(c.options.MissedWeight, now) }
+
+func (c *call) addDemand(weight float64, now time.Time) {
 	engine := c.view.Configuration.Services[c.service].Engine
 	if engine == nil {
 		return
 	}
 	if model, ok := engine.Model(c.attrs.Model); ok {
-		c.options.Demand.Add(directory.Pool{Service: c.service, Model: model.Name}, work(engine, model, c.size()), c.start)
+		asked := time.Duration(weight * float64(work(engine, model, c.size())))
+		c.options.Demand.Add(directory.Pool{Service: c.service, Model: model.Name}, asked, now)
 	}
 }
 
@@ -247,6 +252,9 @@
 func (c *call) refuse(no refusal) {
 	invariant.Check(!c.mayHaveRun, invariant.NotRun, "request %s, %s", c.attrs.ID, no.cause)
 	c.outcome = outcomeRefused
+	if no.cause == causeFull || no.cause == causeNoGroup {
+		c.noteMissed(time.Now())
+	}
 	c.answer(http.StatusServiceUnavailable, no.cause, no.after)
 	c.logEnd(no)
 }
