Reserve no domain for a group that is not worth forming

Cause, found by reading: a group that could be formed at once and is not worth it looked like one that waits for members on their way, so its domain was kept for it in every plan, and the other model formed nothing there. Change: a takeover waits only for members that are on their way. Measured: TestAGroupThatDoesNotPayReservesNothing fails without the change (no formation in place of one).

--- a/internal/groupcontrol/takeover.go
+++ b/internal/groupcontrol/takeover.go
@@ -44,6 +44,8 @@
 		groups, ok := s.victims(model, domain, free[domain])
 		switch {
 		case !ok:
+		case s.warmOf(model, domain, free[domain]) >= model.Size:
+			// It could be formed now, and is not worth it.
 		case len(groups) == 0:
 			return takeover{model, domain, nil}, takeoverWaits
 		case s.improves(model, groups) && (outcome == takeoverNone || len(groups) < len(best.groups)):
--- a/internal/groupcontrol/value_test.go
+++ b/internal/groupcontrol/value_test.go
@@ -70,3 +70,15 @@
 	require.Equal(t, staging{empty, large, 1}, d.stagings[0])
 	require.Equal(t, 16*time.Second, d.stagings[0].model.LoadTime)
 }
+
+// A group that could be formed now, and is not worth it, keeps no domain from
+// another model. The model that looks neediest here is served elsewhere; its
+// domain stayed reserved for it in every plan, and nothing was formed there.
+func TestAGroupThatDoesNotPayReservesNothing(t *testing.T) {
+	s := elsewhere(demanded(newSituation(rack{large: 2, small: 1, free: 16}), 6, 4), 0, 400)
+	s.weights.Home = 0
+	require.Equal(t, small.Name, s.byNeed()[0].Name)
+	d := plan(s)
+	require.Len(t, d.formations, 1)
+	require.Equal(t, large.Name, d.formations[0].model.Name)
+}
