--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -82,8 +82,8 @@
 	return o
 }
 
-// defaultLeaseOutage is longer than the outages of the users' bench, which take
-// up to nine seconds, and shorter than it takes operators to notice one.
+// defaultLeaseOutage is longer than the outages of the store that were met so far,
+// of up to nine seconds.
 const defaultLeaseOutage = 30 * time.Second
 
 func readPolicy(p *inicheck.Section) Policy {
--- a/internal/groupcontrol/have.go
+++ b/internal/groupcontrol/have.go
@@ -108,7 +108,7 @@
 //
 // A leave of a group that it is not in is done as well, and changes nothing: an
 // endpoint that was in another group was taken for free, and joined and left in
-// vain once a second. Found on inc-b866 of bpod-guild.
+// vain once a second.
 func (o *operation) noteTaken(e *serving.Endpoint, order serving.Order, state knownState) {
 	if order.Kind == serving.OrderLeave && state.membership.Group != "" && state.membership.Group != order.Group {
 		o.noteState(e.ID, state)
--- a/internal/groupcontrol/value.go
+++ b/internal/groupcontrol/value.go
@@ -119,7 +119,7 @@
 // it with many groups, and what they have time for with few. Its slope only
 // falls, so of two models that lack groups the one that lacks more comes first:
 // with a curve that is flat at both ends a plan gave up the model that was worse
-// off (0.65 worth in place of 0.77 on bpod-guild).
+// off (docs/DECISIONS.md, round F).
 func served(demand, groups float64) float64 {
 	if groups <= 0 {
 		return 0
@@ -135,9 +135,9 @@
 
 // changeCost is what is lost when endpoints change from a model to another: an
 // endpoint that was in a group of the other model needs a load to go back. The
-// change is that of the endpoints at work. On scale-2 of bpod-guild nine groups
-// of four were two after 25 seconds: each that lost a member left its others to
-// groups of two, which were half empty.
+// change is that of the endpoints at work. Without it nine groups of four were two
+// after 25 seconds: each that lost a member left its others to groups of two, which
+// were half empty.
 func (s *situation) changeCost(change map[string]float64, from serving.Model, endpoints int) float64 {
 	after := map[string]float64{from.Name: float64(from.Size)}
 	for name, n := range change {
