Let the lease alone say what a hold past it is

Cause: whether a node holds over was asked in three places, each with a part of the condition. A former holder that had read another's row and then found the store out counted as holding over, where only Held looked at the holder; on the next word of the controller it logged that it gave up a hold that it did not have. Change: Machine.HoldsOver has the whole condition, StepDown reports whether there was a hold, and the keeper and the controller ask nothing beside. Measured: TestAFormerHolderHoldsNothingOver, and the tests of pkg/lease, internal/entry and those of internal/groupcontrol on plans, leases and the store. Conclusion: who acts, and when, is as before; the needless log line is gone.

--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -93,10 +93,7 @@
 }
 
 // Holds reports whether this node is the controller now.
-func (c *Controller) Holds() bool {
-	_, held := c.lease.Held(time.Now())
-	return held
-}
+func (c *Controller) Holds() bool { return c.Epoch() != 0 }
 
 // HoldsOver reports whether this node acts past its lease, while the store does
 // not answer it.
--- a/internal/groupcontrol/lease.go
+++ b/internal/groupcontrol/lease.go
@@ -71,19 +71,16 @@
 func (k *leaseKeeper) holdsOver(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	_, held := k.machine.Held(now)
-	return held && k.machine.HoldsOver(now)
+	return k.machine.HoldsOver(now)
 }
 
 // stepDown ends a hold past the lease, with the reason for the log.
 func (k *leaseKeeper) stepDown(now time.Time, reason string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.machine.HoldsOver(now) {
-		return
+	if k.machine.StepDown(now) {
+		k.log.Info("gives up its hold past the lease", "data_centre", k.partition, "reason", reason)
 	}
-	k.machine.StepDown(now)
-	k.log.Info("gives up its hold past the lease", "data_centre", k.partition, "reason", reason)
 }
 
 // step does what the machine asks for, if anything.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -87,32 +87,32 @@
 
 // Held reports whether this node may act, and under which epoch.
 func (m *Machine) Held(now time.Time) (epoch uint64, held bool) {
-	if m.row.Holder != m.options.Self || m.row.Released || m.until.IsZero() {
-		return 0, false
+	if m.acquired() && now.Before(m.until) || m.HoldsOver(now) {
+		return m.row.Epoch, true
 	}
-	if !now.Before(m.until) && !m.HoldsOver(now) {
-		return 0, false
-	}
-	return m.row.Epoch, true
+	return 0, false
+}
+
+// acquired reports whether this life of the node wrote the row as it is.
+func (m *Machine) acquired() bool {
+	return m.row.Holder == m.options.Self && !m.row.Released && !m.until.IsZero()
 }
 
 // HoldsOver reports whether this node holds past its lease because the table
 // does not answer.
 func (m *Machine) HoldsOver(now time.Time) bool {
-	if m.until.IsZero() || now.Before(m.until) {
-		return false
-	}
-	return m.failing && now.Before(m.until.Add(m.options.Outage))
+	return m.acquired() && m.failing && !now.Before(m.until) && now.Before(m.until.Add(m.options.Outage))
 }
 
-// StepDown ends a hold past the lease: another node holds it, or an endpoint
-// has seen a later epoch.
-func (m *Machine) StepDown(now time.Time) {
+// StepDown ends a hold past the lease, since another node holds it or an endpoint
+// has seen a later epoch, and reports whether there was one.
+func (m *Machine) StepDown(now time.Time) bool {
 	if !m.HoldsOver(now) {
-		return
+		return false
 	}
 	m.until = time.Time{}
 	m.seen = false
+	return true
 }
 
 // Holder returns the last known holder and epoch.
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -209,3 +209,14 @@
 	_, held := m.Held(at(30 * time.Second))
 	assert.False(t, held)
 }
+
+// A former holder that read another's row, and then finds the table out, holds
+// nothing over.
+func TestAFormerHolderHoldsNothingOver(t *testing.T) {
+	m := acquired(t)
+	m.options.Outage = time.Minute
+	m.Read(at(6*time.Second), Row{Epoch: 2, Holder: "b"}, 2)
+	m.Failed()
+	assert.False(t, m.HoldsOver(at(7*time.Second)))
+	assert.False(t, m.StepDown(at(7*time.Second)))
+}
