Forget what an endpoint was trusted for once its row is back

Cause: the time until which an endpoint counts as listed after an outage stayed on its record when its row came back. Change: the time goes with the return of the row. Measured: TestTrustEndsWithTheReturnOfARow fails without the change and passes with it, as do the package's tests. Conclusion: nothing is trusted but rows that went in an outage.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -258,7 +258,7 @@
 		d.log.Info("an endpoint has changed", "endpoint", row.Key, "version", row.Version, "leaving", e.Leaving,
 			"model", e.Model, "staged", e.Staged, "domain", e.Domain, "group", e.Membership.Group, "epoch", e.Membership.Epoch, "state", e.Membership.State.String())
 	}
-	record.endpoint, record.lapsed = &e, nil
+	record.endpoint, record.lapsed, record.trustedUntil = &e, nil, time.Time{}
 	record.noteModel(e.Model)
 	record.noteEpoch(e.Membership.Epoch)
 	record.changed = row.Version
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -156,3 +156,21 @@
 	f.changed = true
 	require.Equal(t, 300*time.Millisecond, f.pauseAfter(nil))
 }
+
+// An endpoint came back after an outage, and its row goes again later on: what it
+// was trusted for then does not count now.
+func TestTrustEndsWithTheReturnOfARow(t *testing.T) {
+	d, _, _ := known(t)
+	d.SetReturnGrace(DefaultReturnGrace)
+	back := time.Now().Add(time.Minute)
+	d.TakeChanges([]table.Row{{Key: "e", Version: 100, Removed: true}}, 1, 100, back)
+	require.Contains(t, d.View().Endpoints, serving.EndpointID("e"))
+	value, err := json.Marshal(serving.Endpoint{ID: "e"})
+	require.NoError(t, err)
+	d.TakeChanges([]table.Row{{Key: "e", Value: value, Version: 101}}, 100, 101, back.Add(time.Second))
+	for i := range 10 {
+		d.TakeChanges(nil, 1, uint64(102+i), back.Add(time.Duration(2+i)*time.Second))
+	}
+	d.TakeChanges([]table.Row{{Key: "e", Version: 120, Removed: true}}, 111, 120, back.Add(12*time.Second))
+	require.Empty(t, d.View().Endpoints)
+}
