Groups: one function for how long something has been noted

Cause: three places kept since when something was seen, each with the same lines; the comment of logPlan said that its figures decided, and they are those after the plan; a test's comment said more than the test does. Change: timeSince serves groups that are unopened, groups that stand and endpoints that are new; the two comments say what is so. Measured: the package's tests pass, assertions as they were. Conclusion: behaviour as before.

--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -450,7 +450,7 @@
 	h.fleet.Set(lost, fleetstandin.Dark)
 	h.suspect(lost)
 	h.awaitOpen(1, 1)
-	// The new group outlasts the time that an observation counts against rows.
+	// It still stands once the store is back.
 	h.table.SetFaults(memtable.Faults{})
 	h.awaitOpen(1, 1)
 }
--- a/internal/groupcontrol/groups.go
+++ b/internal/groupcontrol/groups.go
@@ -94,7 +94,7 @@
 	}
 	reason := c.faultOf(g, now)
 	if reason == "" {
-		g.age = c.standsFor(g.key, now)
+		g.age = timeSince(c.standing, g.key, now)
 		s.stands(g)
 		c.probeSuspect(ctx, g, now)
 		return
@@ -120,7 +120,7 @@
 func (c *Controller) faultOf(g *group, now time.Time) string {
 	switch {
 	case g.head == nil:
-		if c.seenFor(g.key, now) < headlessFor || now.Sub(c.since) < takeoverGrace {
+		if timeSince(c.unopened, g.key, now) < headlessFor || now.Sub(c.since) < takeoverGrace {
 			return ""
 		}
 		return reasonHeadless
@@ -132,7 +132,7 @@
 		return reasonSilent
 	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return e.Leaving }):
 		return reasonLeaving
-	case g.head.Membership.State < serving.MemberOpen && c.seenFor(g.key, now) > unopenedFor:
+	case g.head.Membership.State < serving.MemberOpen && timeSince(c.unopened, g.key, now) > unopenedFor:
 		return reasonUnopened
 	}
 	return ""
@@ -146,11 +146,11 @@
 // see for rows that lag.
 const takeoverGrace = 1500 * time.Millisecond
 
-// seenFor returns for how long a group has been seen unopened or headless.
-func (c *Controller) seenFor(key string, now time.Time) time.Duration {
-	since, ok := c.unopened[key]
+// timeSince returns for how long a key has been noted, and notes it if it is new.
+func timeSince[K comparable](noted map[K]time.Time, key K, now time.Time) time.Duration {
+	since, ok := noted[key]
 	if !ok {
-		c.unopened[key] = now
+		noted[key] = now
 		return 0
 	}
 	return now.Sub(since)
@@ -160,16 +160,6 @@
 // members may come at different times.
 const headlessFor = 500 * time.Millisecond
 
-// standsFor returns for how long a group has been seen without fault.
-func (c *Controller) standsFor(key string, now time.Time) time.Duration {
-	since, ok := c.standing[key]
-	if !ok {
-		c.standing[key] = now
-		return 0
-	}
-	return now.Sub(since)
-}
-
 // stands notes a group that goes on.
 func (s *situation) stands(g *group) {
 	worth := s.worth(g)
--- a/internal/groupcontrol/situation.go
+++ b/internal/groupcontrol/situation.go
@@ -43,10 +43,7 @@
 			}
 			continue
 		}
-		if _, ok := c.firstSeen[e.ID]; !ok {
-			c.firstSeen[e.ID] = now
-		}
-		if now.Sub(c.firstSeen[e.ID]) < growingFor {
+		if timeSince(c.firstSeen, e.ID, now) < growingFor {
 			s.growing[e.Domain] = true
 		}
 		if e.Membership.State == serving.MemberOpen {
@@ -157,7 +154,8 @@
 	return out
 }
 
-// logPlan logs what a plan changes, with the figures that decided it.
+// logPlan logs what a plan changes, with the figures as they stand once its groups
+// count as formed or ended.
 func (c *Controller) logPlan(s *situation, d decision) {
 	if len(d.formations)+len(d.takeovers) == 0 {
 		return
