Make fewer calls of the store at the start, and count long prompts by passes

Calls: an empty store was read four times a second by each node; nodes watched the configuration before a relay had told them their rank; a table that peers had brought was read as a whole. Work: a prompt was charged its reading alone, though a pass reads a chunk and plays steps for all that write. What that is worth: not measured by itself yet.

--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -26,6 +26,9 @@
 	RetryPause  time.Duration
 	RetryMost   time.Duration
 	RetryReader time.Duration
+	// EmptyPause is the time between two reads of a store that nothing was written to
+	// yet: the first configuration comes seconds later.
+	EmptyPause time.Duration
 	// SkipPause is the time between two looks at whether a call that is left out is
 	// due after all.
 	SkipPause time.Duration
@@ -47,6 +50,7 @@
 		RetryPause:    250 * time.Millisecond,
 		RetryMost:     2 * time.Second,
 		RetryReader:   500 * time.Millisecond,
+		EmptyPause:    time.Second,
 		SkipPause:     100 * time.Millisecond,
 		ChangePause:   300 * time.Millisecond,
 		CallTimeout:   time.Second,
@@ -95,8 +99,10 @@
 	// and skip whether a call can be left out; nil means neither.
 	known func() uint64
 	skip  func() bool
-	// version is zero until the table was read.
+	// version is zero until the table was read; reread is set while it must be read
+	// as a whole, since the history after the version is gone.
 	version uint64
+	reread  bool
 	// down is set while the store does not answer; failures counts the calls that
 	// failed since it last did.
 	down     bool
@@ -193,7 +199,7 @@
 		return f.Options.SkipPause
 	case f.version == 0:
 		// Nothing was ever written to the store, so there is nothing to watch from.
-		return max(f.pause, f.Options.RetryPause)
+		return f.Options.EmptyPause
 	case f.wait > 0 && f.changed:
 		return f.Options.ChangePause
 	case f.wait > 0:
@@ -250,7 +256,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+f.Options.CallTimeout)
 	defer cancel()
-	if f.known != nil && f.version > 0 {
+	if f.known != nil && !f.reread {
+		// Peers that bring all rows spare a read of the whole table.
 		f.version = max(f.version, f.known())
 	}
 	if f.version == 0 {
@@ -259,12 +266,12 @@
 			return err
 		}
 		f.take(page.Rows, 0, page.Version)
-		f.version = page.Version
+		f.version, f.reread = page.Version, false
 		return nil
 	}
 	page, err := f.Store.Watch(ctx, f.name, f.version, f.wait)
 	if errors.Is(err, table.ErrHistoryGone) {
-		f.version = 0
+		f.version, f.reread = 0, true
 		return err
 	}
 	if err != nil {
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -124,6 +124,8 @@
 	// told it, and ranked is set once it did.
 	rank   int
 	ranked bool
+	// began is when this node started.
+	began time.Time
 	// nodes is how many nodes there are in all, as far as relays told.
 	nodes int
 	// ranks is the place of each other node of this data centre, by address.
@@ -168,6 +170,7 @@
 		log:       logging.For("peers"),
 		peers:     map[string]*peer{},
 		urgent:    make(chan struct{}, 1),
+		began:     time.Now(),
 	}
 	b.OnSuspect(sh.hurry)
 	sh.addSeeds(s.Seeds)
--- a/internal/entry/sharerelays.go
+++ b/internal/entry/sharerelays.go
@@ -354,6 +354,9 @@
 	silentPatience = 50 * time.Millisecond
 	// mostPatience bounds the wait: a node may be the only one that the store serves.
 	mostPatience = 8 * time.Second
+	// rankWait is how long after its start a node waits for its rank before it watches
+	// the configuration that it has just read.
+	rankWait = time.Second
 	// firstPlaces are the ranks that watch the configuration whether or not they
 	// hear their relay, so that its end delays no change.
 	firstPlaces = 2
@@ -381,19 +384,28 @@
 	word := s.wordOf(s.settings.DataCentre, now)
 	d := directory.Duty{
 		Endpoints:     s.readsEndpoints(controls, now),
-		Configuration: relays || !s.ranked || s.rank <= firstPlaces,
+		Configuration: s.watchesConfiguration(relays, now),
 	}
 	each := silentPatience
 	if word != nil {
 		each = placePatience
 	}
 	d.Patience = min(mostPatience, time.Duration(s.rank)*each)
-	if !d.Configuration {
+	if s.ranked && !d.Configuration {
 		d.Configuration = word == nil || now.Sub(word.storeSeen) > 2*s.pace(relays)+storeCalls+relaySlack+d.Patience
 	}
 	return d
 }
 
+// watchesConfiguration reports whether this node is one of those that watch the
+// configuration for its data centre; the caller holds the lock.
+func (s *sharing) watchesConfiguration(relays bool, now time.Time) bool {
+	if !s.ranked {
+		return now.Sub(s.began) > rankWait
+	}
+	return relays || s.rank <= firstPlaces
+}
+
 // readsEndpoints reports whether this node reads the endpoint table at the pace: one
 // controller does for all data centres that hear each other, of the live ones that of
 // the first by name; the caller holds the lock. Five that each read every 0.3 s made
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -74,12 +74,20 @@
 	return max(leastSeen, 1-math.Exp(-now.Sub(r.since).Seconds()/demandWindow.Seconds()))
 }
 
-// work is how long a request would keep a whole group busy whose batch is full:
-// its prompt is read alone, its answer shares each step with the others.
+// work is how long a request would keep a whole group busy whose batch is full. Its
+// prompt is read alone; beside that, a pass plays steps for all that write, and reads no
+// more than a chunk. So a request takes up its part of the passes by its prompt or by its
+// answer, whichever is more: groups for long prompts and short answers are full before
+// their slots are.
 func work(engine *serving.Engine, model serving.Model, s Size) time.Duration {
 	slots := float64(max(1, engine.Slots))
 	context := float64(s.Prompt+s.Answer/2) / 1000
 	token := engine.StepTime.Seconds()/slots + engine.PerSequence.Seconds() + context*engine.PerThousand.Seconds()
 	reading := float64(s.Prompt) / max(1, engine.TokensPerSec)
-	return time.Duration(model.Pace * (reading + float64(s.Answer)*token) * float64(time.Second))
+	writing := float64(s.Answer) * token
+	if engine.Chunk > 0 {
+		passes := float64(s.Prompt) / float64(engine.Chunk)
+		writing = max(writing, passes*float64(engine.StepsPerPass)*slots*token)
+	}
+	return time.Duration(model.Pace * (reading + writing) * float64(time.Second))
 }
