--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,6 +62,8 @@
 	stopping   atomic.Bool
 	draining   atomic.Bool
 	seen       atomic.Bool
+	// began is when this node started.
+	began time.Time
 
 	mu      sync.Mutex
 	classes map[classKey]*metrics.Class
@@ -73,6 +75,7 @@
 func New(o Options) *Relay {
 	return &Relay{
 		options: o,
+		began:   time.Now(),
 		log:     logging.For("relay"),
 		classes: map[classKey]*metrics.Class{},
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -274,6 +275,29 @@
 	return out
 }
 
+// A node that has just started refused what came before it had read the endpoints, and
+// the callers that came back were late.
+func TestARequestWaitsForWhatAStartingNodeReads(t *testing.T) {
+	w := newWorld(t, []*endpoint{newEndpoint(t, sized(200, "good"))}, nil)
+	known, looks := atomic.Bool{}, atomic.Int64{}
+	w.relay.options.View = func() *directory.View {
+		looks.Add(1)
+		if known.Load() {
+			return w.view
+		}
+		return &directory.View{Configuration: w.view.Configuration}
+	}
+	time.AfterFunc(startWait/4, func() { known.Store(true) })
+	require.Equal(t, 200, w.serve(request(hostPlain)).status)
+
+	known.Store(false)
+	require.Equal(t, 503, w.serve(request(hostPlain)).status, "the wait is bounded")
+	w.relay.began = time.Now().Add(-2 * startSpan)
+	looks.Store(0)
+	require.Equal(t, 503, w.serve(request(hostPlain)).status)
+	require.LessOrEqual(t, looks.Load(), int64(2), "what is not known long after the start is refused at once")
+}
+
 func TestAnswersOfPlainServices(t *testing.T) {
 	good := sized(200, "good")
 	for _, test := range []struct {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -71,6 +71,7 @@
 		c.invalid(http.StatusBadRequest, err.Error())
 		return
 	}
+	c.awaitView(ctx)
 	if !c.check() {
 		return
 	}
@@ -103,6 +104,32 @@
 	noTargetReturn = 300 * time.Millisecond
 )
 
+const (
+	// startWait is how long a request waits for what a node that has just started
+	// does not know yet: it reads the configuration and the endpoints in 0.1 s, and a
+	// caller that is told to come back is late for objectives of 250 ms. A node that
+	// has not read them within startSpan refuses at once.
+	startWait = 200 * time.Millisecond
+	startSpan = time.Second
+	startPoll = 5 * time.Millisecond
+)
+
+// awaitView waits a little for what a node that has just started does not know yet.
+func (c *call) awaitView(ctx context.Context) {
+	if c.start.Sub(c.began) > startSpan {
+		return
+	}
+	ticker := time.NewTicker(startPoll)
+	defer ticker.Stop()
+	for !isKnown(c.view) && ctx.Err() == nil && time.Since(c.start) < startWait {
+		<-ticker.C
+		c.view = c.options.View()
+	}
+}
+
+// isKnown reports whether a view has what requests are sent by.
+func isKnown(v *directory.View) bool { return v.Configuration != nil && len(v.Endpoints) > 0 }
+
 // check finds the route and the workspace, and says no where it must.
 func (c *call) check() bool {
 	configuration := c.view.Configuration
