Build a view when it is looked at, and sums when something came

Each observation, row and change built a view of 1,107 endpoints, and each node summed up its peers' loads twenty times a second. Change: the next look builds the view; sums are made when a message came, or each 0.25 s. Measured: a message of 219 observations 115 ms and 21 MB to 0.7 ms and 0.1 MB (BenchmarkObservations, before and after).

With it: nodes tell their relay what they find cut off or silent, and it tells the others what two of them find.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -78,6 +78,8 @@
 	codec Codec
 	log   logging.Logger
 	view  atomic.Pointer[View]
+	// stale is set when the view does not have all that is known.
+	stale atomic.Bool
 
 	mu               sync.Mutex
 	configuration    *serving.Configuration
@@ -164,8 +166,19 @@
 	return d
 }
 
-// View returns the newest view.
-func (d *Directory) View() *View { return d.view.Load() }
+// View returns the newest view. It is built here and not with each change: a message
+// that brought 219 observations cost as many views of 1,107 endpoints, of half a
+// millisecond each, and a node looks a few times a second.
+func (d *Directory) View() *View {
+	if d.stale.Load() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.stale.Swap(false) {
+			d.build()
+		}
+	}
+	return d.view.Load()
+}
 
 // Configuration returns the newest configuration's version and row value.
 func (d *Directory) Configuration() (version uint64, value []byte) {
@@ -463,7 +476,11 @@
 	return &merged
 }
 
-func (d *Directory) publish() {
+// publish has the next look see what has changed.
+func (d *Directory) publish() { d.stale.Store(true) }
+
+// build makes the view; the caller holds the lock.
+func (d *Directory) build() {
 	endpoints := make(map[serving.EndpointID]*serving.Endpoint, len(d.endpoints))
 	lapsed := map[serving.EndpointID]*serving.Endpoint{}
 	for id, record := range d.endpoints {
--- /dev/null
+++ b/internal/directory/view_test.go
@@ -0,0 +1,56 @@
+package directory
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// large returns a directory of 1,107 endpoints.
+func large(tb testing.TB) *Directory {
+	tb.Helper()
+	d := New(Codec{Endpoint: func(_ string, value []byte) (e serving.Endpoint, err error) {
+		return e, json.Unmarshal(value, &e)
+	}})
+	d.SetReports(func(serving.DataCentre) bool { return false })
+	var rows []table.Row
+	for i := range 1107 {
+		id := fmt.Sprintf("e%04d", i)
+		value, err := json.Marshal(serving.Endpoint{ID: serving.EndpointID(id), Service: "llm", Domain: fmt.Sprint(i / 73)})
+		require.NoError(tb, err)
+		rows = append(rows, table.Row{Key: id, Value: value, Version: uint64(i + 1)})
+	}
+	d.TakeTable(rows, 1107, time.Now())
+	d.configuration = &serving.Configuration{Version: 1, Services: map[string]serving.Service{"llm": {Name: "llm", Engine: &serving.Engine{}}}}
+	return d
+}
+
+// A message that brings many observations costs one view, at the next look.
+func TestManyChangesCostOneView(t *testing.T) {
+	d := large(t)
+	before := d.View()
+	for i := range 219 {
+		d.Observe(Observation{ID: serving.EndpointID(fmt.Sprintf("e%04d", i)), Membership: serving.Membership{Group: "g", Epoch: 1}, Orders: 1}, false, time.Now())
+		require.Same(t, before, d.view.Load(), "no view is built before the next look")
+	}
+	require.Equal(t, "g", d.View().Endpoints["e0218"].Membership.Group)
+	require.Same(t, d.View(), d.View())
+}
+
+// BenchmarkObservations is a message that brings 219 observations, and the look after it:
+// 115 ms and 21 MB with a view for each, 0.7 ms and 0.1 MB with one.
+func BenchmarkObservations(b *testing.B) {
+	d := large(b)
+	for epoch := range uint64(b.N) {
+		for i := range 219 {
+			d.Observe(Observation{ID: serving.EndpointID(fmt.Sprintf("e%04d", i)), Membership: serving.Membership{Group: "g", Epoch: epoch + 1}, Orders: epoch + 1}, false, time.Now())
+		}
+		_ = d.View()
+	}
+}
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -52,6 +52,9 @@
 	// controllerTTL is how long the word of a controller spares the others
 	// a look at the lease.
 	controllerTTL = 1300 * time.Millisecond
+	// sumPause is the time between two sums of what peers told while nothing comes
+	// from them: what they told expires.
+	sumPause = 250 * time.Millisecond
 	// forgetPeer is after how much silence a peer that does not answer is
 	// forgotten.
 	forgetPeer = 30 * time.Second
@@ -87,6 +90,8 @@
 	own           work
 	relayed       work
 	suspects      []serving.EndpointID
+	cutOff        []serving.DataCentre
+	hearsay       relay.Hearsay
 	configuration uint64
 	rows          uint64
 	// observations is the version of its observations that this node has, and
@@ -128,9 +133,15 @@
 	began time.Time
 	// nodes is how many nodes there are in all, as far as relays told.
 	nodes int
+	// gathered is what several nodes of this data centre find, as a relay heard it.
+	gathered relay.Hearsay
 	// ranks is the place of each other node of this data centre, by address.
 	ranks      map[string]int
 	controller controller
+	// news is set when a message came since the sums were last made, and summed is
+	// when that was.
+	news   bool
+	summed time.Time
 	// compressed is the configuration as it is sent.
 	compressed compressedConfiguration
 }
@@ -222,7 +233,9 @@
 			for _, p := range s.due(now) {
 				running.Go(func() { s.call(ctx, p) })
 			}
-			s.sum(now)
+			if s.hasNews(now) {
+				s.sum(now)
+			}
 		case <-s.urgent:
 			if p := s.ownRelay(time.Now()); p != nil {
 				running.Go(func() { s.call(ctx, p) })
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -124,6 +124,21 @@
 	}
 }
 
+// A relay tells what two nodes find, and not what one does.
+func TestARelayTellsWhatSeveralNodesFind(t *testing.T) {
+	now := time.Now()
+	s := acquainted(now)
+	s.peers["10.0.0.0:1"].suspects = []serving.EndpointID{"a", "b"}
+	s.peers["10.0.0.3:1"].suspects = []serving.EndpointID{"b"}
+	s.peers["10.0.0.6:1"].cutOff = []serving.DataCentre{"dc1"}
+	s.peers["10.0.0.1:1"].suspects = []serving.EndpointID{"a", "c"} // Of another data centre.
+	found := s.gather([]serving.EndpointID{"c"}, []serving.DataCentre{"dc1", "dc2"}, now)
+	m := &peers.ShareMessage{}
+	addHearsay(m, found)
+	want := relay.Hearsay{Suspects: map[serving.EndpointID]bool{"b": true}, CutOff: map[serving.DataCentre]bool{"dc1": true}}
+	require.Equal(t, want, toHearsay(m))
+}
+
 // What a node finds silent is told at once, and not with the next message.
 func TestASuspicionIsToldToTheControllerAtOnce(t *testing.T) {
 	now := time.Now()
--- a/internal/entry/shareloads.go
+++ b/internal/entry/shareloads.go
@@ -8,18 +8,37 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
+// hasNews reports whether the sums have to be made anew. Made each 50 ms, whatever came,
+// they took more processor time than anything else at nodes with few requests.
+func (s *sharing) hasNews(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.news || now.Sub(s.summed) >= sumPause
+}
+
 // sum tells the balancer and the budget what the peers told, and has a relay note
 // the places of the nodes that it tells.
 func (s *sharing) sum(now time.Time) {
 	controls := s.controls()
+	own, ownCutOff := s.balancer.Suspects(now), s.balancer.CutOff(now)
 	s.mu.Lock()
+	s.news, s.summed = false, now
 	relays := s.relaysHere(controls, now)
 	s.noteRanks(relays)
 	s.nodes = max(s.nodes, s.countNodes(relays, now))
 	nodes := s.nodes
 	total := s.othersWork(relays, nil, now)
+	if relays {
+		s.gathered = s.gather(own, ownCutOff, now)
+	} else if word := s.wordOf(s.settings.DataCentre, now); word != nil {
+		s.gathered = word.hearsay
+	} else {
+		s.gathered = relay.Hearsay{}
+	}
+	hearsay := s.gathered
 	s.mu.Unlock()
 	s.balancer.SetPeers(total.loads)
+	s.balancer.SetHearsay(hearsay)
 	s.budget.SetNodes(nodes)
 }
 
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -43,6 +43,7 @@
 		}
 	}
 	p.heard, p.spoke = now, true
+	s.news = true
 	s.takeRelayed(p, m, now)
 	if p.controls && p.dataCentre == s.settings.DataCentre {
 		s.controller.HeardController(p.epoch)
@@ -60,6 +61,11 @@
 	for _, id := range m.GetSuspects() {
 		p.suspects = append(p.suspects, serving.EndpointID(id))
 	}
+	p.cutOff = p.cutOff[:0]
+	for _, dc := range m.GetCutOff() {
+		p.cutOff = append(p.cutOff, serving.DataCentre(dc))
+	}
+	p.hearsay = toHearsay(m)
 	if m.GetLeaving() {
 		delete(s.peers, address)
 	}
@@ -89,6 +95,9 @@
 	for _, id := range s.balancer.Suspects(now) {
 		m.Suspects = append(m.Suspects, string(id))
 	}
+	for _, dc := range s.balancer.CutOff(now) {
+		m.CutOff = append(m.CutOff, string(dc))
+	}
 	version, value := s.directory.Configuration()
 	m.ConfigurationVersion = version
 	m.Epoch = s.controller.Epoch()
@@ -182,6 +191,7 @@
 	if p.dataCentre == s.settings.DataCentre {
 		m.Rank = uint32(s.ranks[p.address])
 		relayed = s.othersWork(true, p, now)
+		addHearsay(m, s.gathered)
 	}
 	m.Relayed, m.RelayedDemand = toLoads(relayed.loads), toDemand(relayed.demand)
 }
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -49,8 +49,12 @@
 	suspected func()
 	// remotes are the other data centres.
 	remotes map[serving.DataCentre]*remote
-	// candidates is kept between choices.
+	// told is what other nodes find.
+	told Hearsay
+	// candidates is kept between choices, doubtful are those that only others
+	// found fault with.
 	candidates []candidate
+	doubtful   []candidate
 }
 
 // NewBalancer returns a balancer for a node in a data centre. Nodes must draw
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -63,6 +63,30 @@
 	require.NotNil(t, b.ChooseHead([]*directory.Head{head}, size, nil, true, time.Now()).Head)
 }
 
+// What several other nodes find silent is passed over before this node has lost a request
+// to it, unless it shows life here, or nothing else is left.
+func TestWhatOthersFindSilentIsPassedOver(t *testing.T) {
+	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
+	head := func(id string, dc serving.DataCentre) *directory.Head {
+		return &directory.Head{Endpoint: &serving.Endpoint{ID: serving.EndpointID(id), DataCentre: dc, Slots: 30}, Engine: engine, Pace: 1}
+	}
+	sound, silent, remote := head("sound", "north"), head("silent", "north"), head("remote", "south")
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	b.SetHearsay(Hearsay{Suspects: map[serving.EndpointID]bool{"silent": true}, CutOff: map[serving.DataCentre]bool{"south": true}})
+	now := time.Now()
+	for range 100 {
+		require.Equal(t, sound, b.ChooseHead([]*directory.Head{silent, sound, remote}, Size{Prompt: 100}, nil, false, now).Head)
+	}
+	require.NotNil(t, b.ChooseHead([]*directory.Head{silent, remote}, Size{Prompt: 100}, nil, false, now).Head, "nothing else is left")
+	flight := b.begin("silent", Size{Prompt: 100}, now)
+	flight.event(now)
+	chosen := map[serving.EndpointID]bool{}
+	for range 100 {
+		chosen[b.ChooseHead([]*directory.Head{silent, sound}, Size{Prompt: 100}, nil, false, now).Head.ID] = true
+	}
+	require.Len(t, chosen, 2, "it has shown life here")
+}
+
 // A data centre of which two groups in a row are silent is tried with single
 // requests, ever more seldom, until one of its groups shows life.
 func TestADataCentreThatIsCutOffIsTriedSeldom(t *testing.T) {
--- a/internal/relay/cutoff.go
+++ b/internal/relay/cutoff.go
@@ -6,6 +6,49 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
+// Hearsay is what several other nodes of this data centre find.
+type Hearsay struct {
+	// CutOff data centres are not reached, Suspects are silent or failing.
+	CutOff   map[serving.DataCentre]bool
+	Suspects map[serving.EndpointID]bool
+}
+
+// ownNews is for how long what an endpoint or a data centre has shown this node itself
+// counts against what others find.
+const ownNews = 300 * time.Millisecond
+
+// SetHearsay takes what other nodes find. Each node lost half a second of two requests
+// to each group that had fallen silent and to each data centre that was cut off, and of
+// one more whenever it tried again: with 295 nodes 540 requests were late in the first
+// four seconds of a cut.
+func (b *Balancer) SetHearsay(h Hearsay) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told = h
+}
+
+// isDoubtful reports whether other nodes find an endpoint silent, or its data centre cut
+// off, and it has shown no life to this node lately.
+func (b *Balancer) isDoubtful(id serving.EndpointID, dataCentre serving.DataCentre, l *load, now time.Time) bool {
+	if now.Sub(l.news) < ownNews {
+		return false
+	}
+	return b.told.Suspects[id] || dataCentre != b.home && b.told.CutOff[dataCentre]
+}
+
+// CutOff returns the data centres that this node finds cut off.
+func (b *Balancer) CutOff(now time.Time) []serving.DataCentre {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []serving.DataCentre
+	for dc := range b.remotes {
+		if b.isCutOff(dc, now) {
+			out = append(out, dc)
+		}
+	}
+	return out
+}
+
 // remote is what this node finds of another data centre.
 type remote struct {
 	// failures counts those of its endpoints since one of them showed life.
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -75,7 +75,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := Choice{Groups: len(heads)}
-	candidates := b.candidates[:0]
+	candidates, doubtful := b.candidates[:0], b.doubtful[:0]
 	for _, h := range heads {
 		l := b.load(h.ID)
 		l.dataCentre = h.DataCentre
@@ -95,11 +95,17 @@
 			c.Full++
 		case !underWay && s.late(predicted, b.weights.LateFactor):
 			c.Late++
+		case b.isDoubtful(h.ID, h.DataCentre, l, now):
+			doubtful = append(doubtful, candidate{h, predicted, b.score(h, predicted)})
 		default:
 			candidates = append(candidates, candidate{h, predicted, b.score(h, predicted)})
 		}
 	}
-	b.candidates = candidates
+	b.candidates, b.doubtful = candidates, doubtful
+	if len(candidates) == 0 {
+		// What others find is no ground to turn a request away.
+		candidates = doubtful
+	}
 	if drawn := b.draw(candidates); drawn != nil {
 		c.Head, c.Predicted = drawn.head, drawn.predicted
 		b.noteTry(drawn.head.DataCentre, now)
