--- /dev/null
+++ b/internal/entry/share_bench_test.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// relaying returns the relay of a data centre of 59 nodes, one of five, each node with
+// work at four of a hundred heads.
+func relaying(now time.Time) *sharing {
+	s := &sharing{
+		settings:   &Settings{Node: "n", DataCentre: "dc0", Peers: "10.0.9.9:1"},
+		life:       "n/life",
+		directory:  directory.New(directory.Codec{}),
+		balancer:   relay.NewBalancer("dc0", rand.NewPCG(1, 1), relay.DefaultWeights),
+		demand:     relay.NewDemand(),
+		peers:      map[string]*peer{},
+		controller: controls{},
+	}
+	heads := func(first, n int) map[serving.EndpointID]relay.PeerLoad {
+		out := map[serving.EndpointID]relay.PeerLoad{}
+		for i := range n {
+			out[serving.EndpointID(fmt.Sprintf("i-%010d", (first+i)%100))] = relay.PeerLoad{Running: 1, Unread: 900}
+		}
+		return out
+	}
+	for i := range 62 {
+		dc := serving.DataCentre("dc0")
+		if i >= 58 {
+			dc = serving.DataCentre(fmt.Sprintf("dc%d", i-57))
+		}
+		address := fmt.Sprintf("10.0.0.%d:1", i)
+		p := &peer{id: fmt.Sprintf("n%d/life", i), address: address, dataCentre: dc, heard: now, spoke: true, rows: 1, own: work{loads: heads(4*i, 4)}}
+		if i >= 58 {
+			p.relays, p.controls, p.homeNodes, p.relayed = true, true, 59, work{loads: heads(0, 100)}
+		}
+		s.peers[address] = p
+	}
+	return s
+}
+
+// controls is a node that controls its data centre.
+type controls struct{ standby }
+
+func (controls) Epoch() uint64 { return 1 }
+
+// BenchmarkRelayMessage is what a relay of 59 nodes does for each of a hundred calls a
+// second.
+func BenchmarkRelayMessage(b *testing.B) {
+	s := relaying(time.Now())
+	p := s.peers["10.0.0.7:1"]
+	size := 0
+	for range b.N {
+		for _, other := range s.peers {
+			other.heard = time.Now()
+		}
+		size = proto.Size(s.message(p))
+	}
+	b.ReportMetric(float64(size), "bytes/message")
+}
--- a/internal/groupcontrol/lease.go
+++ b/internal/groupcontrol/lease.go
@@ -31,6 +31,8 @@
 	// rank is this node's place among those that look at the row.
 	rank  func() int
 	renew time.Duration
+	// began is when this node started.
+	began time.Time
 
 	mu      sync.Mutex
 	machine *lease.Machine
@@ -47,6 +49,7 @@
 		holderKnown: o.HolderKnown,
 		rank:        o.Rank,
 		renew:       o.LeaseTTL / 3,
+		began:       time.Now(),
 		log:         logging.For("lease"),
 		machine: lease.New(lease.Options{
 			Self:    o.Node,
@@ -116,10 +119,17 @@
 	lives := k.holderLives != nil && k.holderLives()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.machine.SetLook(time.Duration(place) * k.renew)
-	if _, held := k.machine.Held(now); lives && !held {
+	turn := time.Duration(place) * k.renew
+	k.machine.SetLook(turn)
+	_, held := k.machine.Held(now)
+	switch {
+	case held:
+	case lives:
 		k.machine.Heard(now)
 		return lease.Action{}
+	case now.Sub(k.began) < turn:
+		// It was told its place before it ever looked: those before it have looked.
+		return lease.Action{}
 	}
 	return k.machine.Next(now)
 }
--- /dev/null
+++ b/internal/groupcontrol/plan_bench_test.go
@@ -0,0 +1,27 @@
+package groupcontrol
+
+import (
+	"testing"
+)
+
+// BenchmarkPlan is a plan of a data centre of 219 endpoints in domains of 73. On the
+// machine of the figures in docs/CAPACITY.md: 0.14 to 0.17 ms and 6 KB, ten times a second.
+func BenchmarkPlan(b *testing.B) {
+	for _, bench := range []struct {
+		name string
+		lost rack
+	}{
+		{"at rest", rack{large: 2, small: 9, free: 5}},
+		{"after a loss", rack{large: 1, small: 9, free: 17}},
+	} {
+		b.Run(bench.name, func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				whole := rack{large: 2, small: 9, free: 5}
+				s := newSituation(whole, whole, bench.lost)
+				b.StartTimer()
+				plan(s)
+			}
+		})
+	}
+}
