Weigh the groups of many other data centres together as those of two

Change: the weights of remote groups together are bounded by those of two data centres as large as the own one. Nothing changes with three data centres.

--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -87,6 +87,29 @@
 	require.Len(t, chosen, 2, "it has shown life here")
 }
 
+// However many other data centres there are, what they weigh together does not grow.
+func TestTheOwnDataCentreCountsForMoreAmongMany(t *testing.T) {
+	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
+	share := func(dataCentres int) float64 {
+		var heads []*directory.Head
+		for i := range 6 * dataCentres {
+			dc := serving.DataCentre(fmt.Sprint(i % dataCentres))
+			heads = append(heads, &directory.Head{Endpoint: &serving.Endpoint{ID: serving.EndpointID(fmt.Sprint(i)), DataCentre: dc, Slots: 30}, Engine: engine, Pace: 1})
+		}
+		b := NewBalancer("0", rand.NewPCG(1, 1), DefaultWeights)
+		away := 0
+		const requests = 4000
+		for range requests {
+			if b.ChooseHead(heads, Size{Prompt: 700}, nil, false, time.Now()).Head.DataCentre != "0" {
+				away++
+			}
+		}
+		return float64(away) / requests
+	}
+	require.InDelta(t, share(3), share(7), 0.03)
+	require.Less(t, share(2), share(3))
+}
+
 // A data centre of which two groups in a row are silent is tried with single
 // requests, ever more seldom, until one of its groups shows life.
 func TestADataCentreThatIsCutOffIsTriedSeldom(t *testing.T) {
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -106,7 +106,7 @@
 		// What others find is no ground to turn a request away.
 		candidates = doubtful
 	}
-	if drawn := b.draw(candidates); drawn != nil {
+	if drawn := b.draw(candidates, b.remoteWeight(candidates)); drawn != nil {
 		c.Head, c.Predicted = drawn.head, drawn.predicted
 		b.noteTry(drawn.head.DataCentre, now)
 	}
@@ -132,8 +132,30 @@
 	return score
 }
 
-// draw picks one candidate at random, weighted by their scores.
-func (b *Balancer) draw(candidates []candidate) *candidate {
+// usualRemotes is the number of other data centres for which RemotePenalty was found.
+const usualRemotes = 2
+
+// remoteWeight is what the weights of groups of other data centres are multiplied with:
+// together they weigh no more than those of usualRemotes as large as the own one would.
+// With four others three of five requests left their data centre however little its own
+// groups had to do, and were lost when it was cut off.
+func (b *Balancer) remoteWeight(candidates []candidate) float64 {
+	home := 0
+	for _, c := range candidates {
+		if c.head.DataCentre == b.home {
+			home++
+		}
+	}
+	remote := len(candidates) - home
+	if home == 0 || remote == 0 {
+		return 1
+	}
+	return min(1, float64(usualRemotes*home)/float64(remote))
+}
+
+// draw picks one candidate at random, weighted by their scores, those of other data
+// centres by a factor more.
+func (b *Balancer) draw(candidates []candidate, remoteWeight float64) *candidate {
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -144,6 +166,9 @@
 		// Each candidate replaces the one drawn so far with its part of the
 		// weights up to here.
 		weight := math.Pow(float64(best)/float64(candidates[i].score), b.weights.DrawPower)
+		if candidates[i].head.DataCentre != b.home {
+			weight *= remoteWeight
+		}
 		total += weight
 		if b.random.Float64()*total < weight {
 			drawn = &candidates[i]
