Read the endpoints at the pace once the reading controller brings nothing

Cause, by reading: a controller that does not hear rows from the one that reads for all read each 1.2 s only, and nodes after it. Change: it reads at the pace after one pace of exchanges and 0.5 s; the first places in rank wait no longer than the relay. The test fails first.

--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -125,6 +125,8 @@
 	heardController time.Time
 	// storeSeen is when the store last answered this node.
 	storeSeen time.Time
+	// rowsHeard is when a peer last brought news of the endpoint table.
+	rowsHeard time.Time
 	// rank is this node's place among those of its data centre, as the relay
 	// told it, and ranked is set once it did.
 	rank   int
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -124,6 +124,27 @@
 	}
 }
 
+// One controller reads the endpoints for all, and all others do once its news stays away:
+// the store may turn just that one away. A request had reached an endpoint 4.5 s after it
+// had said that it leaves.
+func TestControllersReadThemselvesOnceNoRowsCome(t *testing.T) {
+	now := time.Now()
+	s := acquainted(now)
+	s.settings.DataCentre = "dc1"
+	reader := s.peers["10.0.0.3:1"]
+	reader.controls, reader.epoch = true, 1
+	s.rowsHeard = now
+	require.False(t, s.readsEndpoints(now.Add(400*time.Millisecond)))
+	for _, p := range s.peers {
+		p.heard = now.Add(2 * time.Second)
+	}
+	require.True(t, s.readsEndpoints(now.Add(2*time.Second)), "it is heard, and brings nothing")
+	s.rowsHeard = now.Add(2 * time.Second)
+	require.False(t, s.readsEndpoints(now.Add(2*time.Second)))
+	reader.controls = false
+	require.True(t, s.readsEndpoints(now.Add(2*time.Second)), "there is no other")
+}
+
 // A relay tells what two nodes find, and not what one does.
 func TestARelayTellsWhatSeveralNodesFind(t *testing.T) {
 	now := time.Now()
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -20,14 +20,19 @@
 	if packed := m.GetConfiguration(); len(packed) > 0 {
 		s.takeConfiguration(packed, m.GetFrom().GetId())
 	}
+	before, _ := s.directory.Covered()
 	if m.GetEndpointsVersion() > 0 {
 		s.directory.TakeChanges(fromRows(m.GetRows()), m.GetRowsSince(), m.GetEndpointsVersion(), now)
 	}
+	after, _ := s.directory.Covered()
 	for _, o := range m.GetObservations() {
 		s.directory.Observe(fromObservation(o), false, now)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if after > before {
+		s.rowsHeard = now
+	}
 	if known := s.peers[address]; known != nil && known.id != m.GetFrom().GetId() {
 		// A new life has nothing of what the last one was told.
 		known.observations, known.observationsSeen = 0, 0
--- a/internal/entry/sharerelays.go
+++ b/internal/entry/sharerelays.go
@@ -347,8 +347,8 @@
 }
 
 const (
-	// placePatience is how much longer each node waits than the one before it in
-	// rank for what its relay should bring, while it hears that one: then the store
+	// placePatience is how much longer each node after the firstPlaces waits than the
+	// one before it in rank for what its relay should bring, while it hears that one: then the store
 	// is most likely out for all. silentPatience holds while it hears no relay.
 	placePatience  = 250 * time.Millisecond
 	silentPatience = 50 * time.Millisecond
@@ -363,6 +363,9 @@
 	// storeCalls is the longest usual time between two calls of a relay to the store:
 	// a controller renews its lease in less.
 	storeCalls = 700 * time.Millisecond
+	// rowsSlack is how much longer than the pace of exchanges a controller waits for rows
+	// from the one that reads them: its pace of reading, and 0.2 s.
+	rowsSlack = 500 * time.Millisecond
 	// relaySlack is what an exchange with a relay may take beyond its pace.
 	relaySlack = 300 * time.Millisecond
 )
@@ -383,14 +386,14 @@
 	relays := s.relaysHere(controls, now)
 	word := s.wordOf(s.settings.DataCentre, now)
 	d := directory.Duty{
-		Endpoints:     s.readsEndpoints(controls, now),
+		Endpoints:     controls && s.readsEndpoints(now),
 		Configuration: s.watchesConfiguration(relays, now),
 	}
 	each := silentPatience
 	if word != nil {
 		each = placePatience
 	}
-	d.Patience = min(mostPatience, time.Duration(s.rank)*each)
+	d.Patience = min(mostPatience, time.Duration(max(0, s.rank-firstPlaces))*each)
 	if s.ranked && !d.Configuration {
 		d.Configuration = word == nil || now.Sub(word.storeSeen) > 2*s.pace(relays)+storeCalls+relaySlack+d.Patience
 	}
@@ -406,13 +409,15 @@
 	return relays || s.rank <= firstPlaces
 }
 
-// readsEndpoints reports whether this node reads the endpoint table at the pace: one
-// controller does for all data centres that hear each other, of the live ones that of
-// the first by name; the caller holds the lock. Five that each read every 0.3 s made
-// two thirds of all calls of a calm day.
-func (s *sharing) readsEndpoints(controls bool, now time.Time) bool {
-	if !controls {
-		return false
+// readsEndpoints reports whether this node, a controller, reads the endpoint table at the
+// pace: one does for all data centres that hear each other, of the live ones that of the
+// first by name; the caller holds the lock. Five that each read every 0.3 s made two thirds
+// of all calls of a calm day. Once its news stays away all others read at the pace: with
+// reads each 1.2 s instead a request reached an endpoint 4.5 s after that had said that it
+// leaves, while the store turned the reader away.
+func (s *sharing) readsEndpoints(now time.Time) bool {
+	if now.Sub(s.rowsHeard) > s.pace(true)+rowsSlack {
+		return true
 	}
 	for _, dc := range s.dataCentres() {
 		if dc >= s.settings.DataCentre {
