Log a notice to leave at each node

Cause: the request that reached an endpoint 4.45 s after its notice could not be traced: only the controller of the endpoint's data centre logged the notice, so nothing says since when the sender knew. Change: each node logs notices. Test extended.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -324,9 +324,11 @@
 	return true
 }
 
-// logChanged logs or counts a change of an endpoint; the caller holds the lock.
+// logChanged logs or counts a change of an endpoint; the caller holds the lock. Each node
+// logs a notice to leave, whoever decides on the endpoint: no request may go there from
+// then on, and only the node's own line tells since when it knew.
 func (d *Directory) logChanged(e *serving.Endpoint, row table.Row) {
-	if !d.logsEach(e.DataCentre) {
+	if !e.Leaving && !d.logsEach(e.DataCentre) {
 		d.unlogged.changed++
 		return
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -169,16 +169,16 @@
 		if i%100 == 0 {
 			dc = "own"
 		}
-		value, err := json.Marshal(serving.Endpoint{ID: serving.EndpointID(fmt.Sprint(i)), DataCentre: dc})
+		value, err := json.Marshal(serving.Endpoint{ID: serving.EndpointID(fmt.Sprint(i)), DataCentre: dc, Leaving: i == 33})
 		require.NoError(t, err)
 		d.TakeChanges([]table.Row{{Key: fmt.Sprint(i), Value: value, Version: uint64(i + 2)}}, 0, uint64(i+2), now)
 	}
 	d.Refresh(now.Add(2 * sumPause))
 	d.Refresh(now.Add(2*sumPause + time.Millisecond))
 	text := lines.String()
-	require.Equal(t, 2, strings.Count(text, "an endpoint has changed"))
+	require.Equal(t, 3, strings.Count(text, "an endpoint has changed"), "two of its own, and one that leaves")
 	require.Equal(t, 1, strings.Count(text, "endpoints have changed"))
-	require.Contains(t, text, "changed=198")
+	require.Contains(t, text, "changed=197")
 }
 
 // A store that nothing was written to yet has no version to watch from. Twenty nodes
