Have nodes wait for their controller when the whole system starts for the first time

Cause: each node read the endpoints twice at the first start, three calls each time at 1,107 endpoints, while nothing was served. Change: all but controllers wait up to 3 s for what those bring.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -206,6 +206,9 @@
 	require.True(t, w.endpoints().skip(), "those before it in rank go first")
 	duty = Duty{}
 	require.False(t, w.endpoints().skip())
+	duty = Duty{Endpoints: true, Configuration: true, Wait: true}
+	require.True(t, w.endpoints().skip(), "peers will bring it")
+	require.True(t, w.configuration().skip(), "peers will bring it")
 }
 
 func TestAStormOfVersionsIsNotFollowedOneByOne(t *testing.T) {
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -73,6 +73,8 @@
 	Endpoints bool
 	// Configuration is set for a node that watches the configuration.
 	Configuration bool
+	// Wait is set for a node that reads nothing yet: peers will bring it.
+	Wait bool
 	// Patience is how much longer than the first of its data centre this node waits
 	// before it reads what peers have not brought, and between failed calls: of sixty
 	// nodes of which each called in an outage of eight seconds one or two would do.
@@ -131,7 +133,8 @@
 		wait:    w.Options.LongPoll,
 		skip: func() bool {
 			version, _ := w.Directory.Configuration()
-			return version > 0 && !w.duty().Configuration
+			duty := w.duty()
+			return duty.Wait || version > 0 && !duty.Configuration
 		},
 		take: func(rows []table.Row, _, _ uint64) {
 			for _, row := range rows {
@@ -155,7 +158,7 @@
 		skip: func() bool {
 			_, at := w.Directory.Covered()
 			duty := w.duty()
-			return !duty.Endpoints && time.Since(at) < w.Options.RelyOnPeers+duty.Patience
+			return duty.Wait || !duty.Endpoints && time.Since(at) < w.Options.RelyOnPeers+duty.Patience
 		},
 		take: func(rows []table.Row, since, version uint64) {
 			if since == 0 {
--- a/internal/entry/sharerelays.go
+++ b/internal/entry/sharerelays.go
@@ -357,6 +357,10 @@
 	// rankWait is how long after its start a node waits for its rank before it watches
 	// the configuration that it has just read.
 	rankWait = time.Second
+	// firstWait is how long nodes wait for their controller to bring what it read when
+	// the whole system starts for the first time: nothing is served yet, and a read of
+	// 1,107 endpoints takes three calls of each node.
+	firstWait = 3 * time.Second
 	// firstPlaces are the ranks that watch the configuration whether or not they
 	// hear their relay, so that its end delays no change.
 	firstPlaces = 2
@@ -388,6 +392,7 @@
 	d := directory.Duty{
 		Endpoints:     controls && s.readsEndpoints(now),
 		Configuration: s.watchesConfiguration(relays, now),
+		Wait:          s.settings.FirstStart && !controls && now.Sub(s.began) < firstWait,
 	}
 	each := silentPatience
 	if word != nil {
