Tell a node that takes another for a relay who relays

Change: who is taken for a relay and is none names those that are; they are called first. The test fails without it.

--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -80,6 +80,8 @@
 	// that tells the others of each other.
 	controls bool
 	relays   bool
+	// toldRelay is when another node last named it as a relay.
+	toldRelay time.Time
 	// epoch is that under which it acts.
 	epoch uint64
 	// homeNodes is how many nodes of its data centre it relays for, storeSeen
@@ -278,5 +280,9 @@
 // Share implements peers.ShareHandler.
 func (s *sharing) Share(_ context.Context, m *peers.ShareMessage) (*peers.ShareMessage, error) {
 	p := s.take(m, m.GetFrom().GetAddress())
-	return s.message(p), nil
+	answer := s.message(p)
+	if p != nil && !answer.Relays {
+		s.nameRelays(answer, p)
+	}
+	return answer, nil
 }
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -90,6 +91,30 @@
 	require.Len(t, called, 24, "twenty of its own, and two relays of each other data centre")
 }
 
+// A node that takes another for a relay is told who relays, and calls that one. After the
+// lease had passed to the third in rank, the nodes of its data centre called the first two
+// for eleven seconds and heard of nobody's load.
+func TestANodeIsToldWhoRelays(t *testing.T) {
+	now := time.Now()
+	first := acquainted(now)
+	first.settings.Peers, first.life = "10.0.0.0:1", "n0"
+	delete(first.peers, "10.0.0.0:1")
+	third := first.peers["10.0.0.15:1"]
+	third.controls, third.relays = true, true
+
+	other := acquainted(now)
+	other.life = "n99"
+	require.Equal(t, "n0", other.relaysOf("dc0", false, now)[0].id, "it knows of no controller")
+	m := &peers.ShareMessage{From: other.peers["10.0.0.0:1"].named()}
+	first.nameRelays(m, &peer{id: "n99", address: "10.0.0.100:1", dataCentre: "dc0"})
+	other.directory = directory.New(directory.Codec{})
+	other.take(m, "10.0.0.0:1")
+	require.Equal(t, "n15", other.relaysOf("dc0", false, now)[0].id)
+
+	other.take(&peers.ShareMessage{From: third.named()}, third.address)
+	require.Equal(t, "n0", other.relaysOf("dc0", false, now)[0].id, "it says itself that it does not")
+}
+
 // The nodes with the most processor come first.
 func TestRelaysAreTheFastestNodes(t *testing.T) {
 	now := time.Now()
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -45,6 +45,9 @@
 	for _, named := range m.GetKnown() {
 		if known := s.meet(named.GetAddress(), named.GetId(), named.GetDataCentre()); known != nil {
 			known.cores = named.GetCores()
+			if named.GetRelays() {
+				known.toldRelay = now
+			}
 		}
 	}
 	p.heard, p.spoke = now, true
@@ -82,6 +85,9 @@
 func (s *sharing) takeRelayed(p *peer, m *peers.ShareMessage, now time.Time) {
 	p.controls = m.GetControls()
 	p.relays = m.GetRelays()
+	if !p.relays {
+		p.toldRelay = time.Time{}
+	}
 	p.epoch = m.GetEpoch()
 	p.homeNodes = int(m.GetHomeNodes())
 	p.storeSeen = now.Add(-time.Duration(m.GetStoreAgeMs()) * time.Millisecond)
@@ -143,19 +149,32 @@
 // addKnown names the relays of all data centres, and the next of the peer's own; the
 // caller holds the lock.
 func (s *sharing) addKnown(m *peers.ShareMessage, to *peer, now time.Time) {
-	var named []*peer
-	for _, dc := range s.dataCentres() {
-		named = append(named, s.relaysOf(dc, m.Controls, now)...)
-	}
-	ordered := s.ordered(to.dataCentre)
-	named = append(named, ordered[:min(len(ordered), namedNodes)]...)
+	m.Known = m.Known[:0]
 	seen := map[string]bool{to.address: true, s.settings.Peers: true}
-	for _, p := range named {
-		if !seen[p.address] {
-			seen[p.address] = true
-			m.Known = append(m.Known, p.named())
+	name := func(nodes []*peer, relay bool) {
+		for _, p := range nodes {
+			if !seen[p.address] {
+				seen[p.address] = true
+				node := p.named()
+				node.Relays = relay
+				m.Known = append(m.Known, node)
+			}
 		}
 	}
+	for _, dc := range s.dataCentres() {
+		name(s.relaysOf(dc, m.Controls, now), true)
+	}
+	ordered := s.ordered(to.dataCentre)
+	name(ordered[:min(len(ordered), namedNodes)], false)
+}
+
+// nameRelays tells a peer that called this node, which does not relay, who does: it
+// takes this node for a relay. After the lease had passed to the third in rank, the nodes
+// of its data centre called the first two for eleven seconds, and heard no loads.
+func (s *sharing) nameRelays(m *peers.ShareMessage, to *peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addKnown(m, to, time.Now())
 }
 
 // addObservations adds what the peer has not seen of this node's observations; the
--- a/internal/entry/sharerelays.go
+++ b/internal/entry/sharerelays.go
@@ -29,6 +29,9 @@
 	// namedNodes of the own data centre are named to each node, so that it knows
 	// whom to call when those before them have ended.
 	namedNodes = 5
+	// toldTTL is how long a node counts as a relay that another one named as such: it is
+	// called within that time, and says itself.
+	toldTTL = 5 * time.Second
 	// lookupPause is the time between two looks for the controllers of data
 	// centres of which no node is known: each costs a call of the store.
 	lookupPause = 5 * time.Second
@@ -79,9 +82,18 @@
 		return []*peer{p}
 	}
 	ordered := s.ordered(dataCentre)
+	slices.SortStableFunc(ordered, func(a, b *peer) int { return b.toldSince(now).Compare(a.toldSince(now)) })
 	return ordered[:min(len(ordered), standbyRelays)]
 }
 
+// toldSince is when another node last named a peer as a relay, zero if that is long ago.
+func (p *peer) toldSince(now time.Time) time.Time {
+	if now.Sub(p.toldRelay) < toldTTL {
+		return p.toldRelay
+	}
+	return time.Time{}
+}
+
 // controllerOf returns the live controller of a data centre among the peers,
 // of two that with the later epoch; the caller holds the lock.
 func (s *sharing) controllerOf(dataCentre serving.DataCentre, now time.Time) *peer {
