--- a/internal/groupcontrol/staging.go
+++ b/internal/groupcontrol/staging.go
@@ -32,7 +32,7 @@
 }
 
 // rehearse chooses the free endpoints that hold a model and have not been in a
-// group of it. Before this a spare took its warm time, 1.1 to 1.6 s, while the
+// group of it. Else a spare takes its warm time, 1.1 to 1.6 s, while the
 // rest of its group waited.
 func (s *situation) rehearse(free freeByDomain) []rehearsal {
 	var out []rehearsal
@@ -157,8 +157,8 @@
 // stageOthers has endpoints that were in a group hold another model than their
 // own on their hosts. A member starts the model of its last group at once, whatever its
 // host holds; so it can go over to a group of either model without a load.
-// Before this, a group of sixteen that had lost two members while its domain had
-// one spare stayed away for half a minute.
+// Else a group of sixteen that lost two members while its domain has one spare
+// stays away for half a minute.
 func (s *situation) stageOthers(free freeByDomain) []staging {
 	var out []staging
 	offer := func(endpoints []*serving.Endpoint) {
