Use one rule for what a smaller model may not take; name the right file

Cause: on reading the change again, staging repeated the check of freeFor for the largest model, and a comment named a file that does not exist. Change: notKept serves both.

--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -17,7 +17,7 @@
 
 // Times of the exchanges between nodes. Each node talks to the relay of its data
 // centre alone, and relays talk to each other, so that the messages grow with the
-// nodes and not with their square (hubs.go).
+// nodes and not with their square (sharerelays.go).
 const (
 	shareTick = 50 * time.Millisecond
 	// shareRelay is the time between two calls of a relay, for up to nearNodes
--- a/internal/entry/shareduty.go
+++ b/internal/entry/shareduty.go
@@ -9,8 +9,9 @@
 
 const (
 	// placePatience is how much longer each node after the firstPlaces waits than the
-	// one before it in rank for what its relay should bring, while it hears that one: then the store
-	// is most likely out for all. silentPatience holds while it hears no relay.
+	// one before it in rank for what its relay should bring, while it hears that one:
+	// then the store is most likely out for all. silentPatience holds while it hears no
+	// relay.
 	placePatience  = 250 * time.Millisecond
 	silentPatience = 50 * time.Millisecond
 	// mostPatience bounds the wait: a node may be the only one that the store serves.
--- a/internal/groupcontrol/spares.go
+++ b/internal/groupcontrol/spares.go
@@ -59,10 +59,16 @@
 
 // freeFor returns the free endpoints of a domain that a group of a model may use.
 func (s *situation) freeFor(model serving.Model, domain string, free []*serving.Endpoint) []*serving.Endpoint {
+	return s.notKept(model, free, s.spares(domain, free))
+}
+
+// notKept returns the free endpoints that a group of a model may use beside those kept
+// for the largest model, which may use all.
+func (s *situation) notKept(model serving.Model, free, kept []*serving.Endpoint) []*serving.Endpoint {
 	if model.Name == s.largest().Name {
 		return free
 	}
-	return without(free, s.spares(domain, free))
+	return without(free, kept)
 }
 
 // without returns the endpoints of a list that are not in another.
--- a/internal/groupcontrol/staging.go
+++ b/internal/groupcontrol/staging.go
@@ -96,11 +96,7 @@
 	kept := s.spares(domain, free)
 	out := s.stageKept(kept)
 	for _, model := range s.byPromise(free) {
-		usable := free
-		if model.Name != s.largest().Name {
-			usable = without(free, kept)
-		}
-		have, rest := partition(usable, func(e *serving.Endpoint) bool { return s.holds(e) == model.Name })
+		have, rest := partition(s.notKept(model, free, kept), func(e *serving.Endpoint) bool { return s.holds(e) == model.Name })
 		missing := model.Size - len(have)
 		if missing <= 0 || missing > len(rest) {
 			continue
