Choose endpoints the more seldom the more of their requests fail

Cause: a try that ended without an answer put no doubt on its endpoint.

Change: pkg/health counts what requests to each endpoint came to, forgotten with a time constant of 3 s and apart for each group that an endpoint leads. Nodes tell their relays, so that a head with few requests at each node is judged by those of all. Its weight in the draw is (1 - rate)^4; plain endpoints count as if they had more under way. Only a difference moves requests: where answers of all are lost, all stay as likely. A request that may run once goes to an endpoint with failures on a new connection, which a dead one refuses for certain.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -13,6 +13,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/inicheck"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -117,6 +118,7 @@
 			LateFactor:     p.Float("late_factor", relay.DefaultWeights.LateFactor, 0.1, 100),
 			OverloadReturn: p.Duration("overload_return", relay.DefaultWeights.OverloadReturn, least, most),
 			CutOff:         p.Bool("cut_off", relay.DefaultWeights.CutOff),
+			Failures:       readFailures(p),
 		},
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, least, most),
 		RelyOnPeers:   p.Duration("rely_on_peers", watch.RelyOnPeers, least, most),
@@ -124,6 +126,17 @@
 	}
 }
 
+// readFailures reads what an endpoint's failures do to the choice of it.
+func readFailures(p *inicheck.Section) health.Policy {
+	name := p.OneOf("failures", relay.DefaultWeights.Failures.String(), health.Names()...)
+	policy, err := health.Parse(name)
+	if err != nil {
+		// The section has noted the mistake already.
+		return relay.DefaultWeights.Failures
+	}
+	return policy
+}
+
 // Bounds and defaults.
 const (
 	minKey             = 16
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -11,6 +11,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -238,6 +239,23 @@
 func (standby) HoldsOver() bool        { return false }
 func (standby) HeardController(uint64) {}
 
+// Loads are told with the ages of events, and come back as they were.
+func TestLoadsAreToldWithAges(t *testing.T) {
+	now := time.Now().Round(time.Millisecond)
+	loads := map[serving.EndpointID]relay.PeerLoad{
+		"busy":   {Running: 3, Unread: 700, Event: now.Add(-40 * time.Millisecond), Epoch: 9, Tally: health.Tally{Served: 4, Failed: 0.5}},
+		"silent": {Running: 1},
+	}
+	// The receiver's clock may show any other time.
+	there := now.Add(3 * time.Hour)
+	told := fromLoads(toLoads(loads, now), there)
+	require.Equal(t, there.Add(-40*time.Millisecond), told["busy"].Event)
+	require.True(t, told["silent"].Event.IsZero())
+	busy := told["busy"]
+	busy.Event = loads["busy"].Event
+	require.Equal(t, loads["busy"], busy)
+}
+
 // The nodes of a data centre of 26 tell their relay ten times a second what they have
 // under way. At 0.6 s, as long as a request runs, full groups were sent requests that
 // others had places for: of five days with trouble 15 in 100 requests were late, and 8
--- a/internal/entry/shareloads.go
+++ b/internal/entry/shareloads.go
@@ -83,10 +83,7 @@
 // add adds the work of other nodes.
 func (w work) add(other work) {
 	for id, l := range other.loads {
-		sum := w.loads[id]
-		sum.Running += l.Running
-		sum.Unread += l.Unread
-		w.loads[id] = sum
+		w.loads[id] = w.loads[id].Plus(l)
 	}
 	for pool, groups := range other.demand {
 		w.demand[pool] += groups
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -11,6 +11,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -63,8 +64,8 @@
 	p.rows = m.GetEndpointsVersion()
 	p.observations = m.GetObservationsVersion()
 	p.observationsSeen = m.GetObservationsSeen()
-	p.own = work{fromLoads(m.GetLoads()), fromDemand(m.GetDemand())}
-	p.relayed = work{fromLoads(m.GetRelayed()), fromDemand(m.GetRelayedDemand())}
+	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand())}
+	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand())}
 	p.suspects = p.suspects[:0]
 	for _, id := range m.GetSuspects() {
 		p.suspects = append(p.suspects, serving.EndpointID(id))
@@ -101,7 +102,7 @@
 func (s *sharing) message(p *peer) *peers.ShareMessage {
 	now := time.Now()
 	m := &peers.ShareMessage{From: s.self().named()}
-	m.Loads = toLoads(s.balancer.Own())
+	m.Loads = toLoads(s.balancer.Own(now), now)
 	m.Demand = toDemand(s.demand.Rates(now))
 	for _, id := range s.balancer.Suspects(now) {
 		m.Suspects = append(m.Suspects, string(id))
@@ -224,21 +225,48 @@
 		relayed = s.othersWork(true, p, now)
 		addHearsay(m, s.gathered)
 	}
-	m.Relayed, m.RelayedDemand = toLoads(relayed.loads), toDemand(relayed.demand)
+	m.Relayed, m.RelayedDemand = toLoads(relayed.loads, now), toDemand(relayed.demand)
 }
 
-func toLoads(loads map[serving.EndpointID]relay.PeerLoad) []*sharepb.EndpointLoad {
+// eventTold is how long ago an endpoint's last event may be to be told.
+const eventTold = 10 * time.Second
+
+// toLoads tells times as ages: the clocks of two nodes differ.
+func toLoads(loads map[serving.EndpointID]relay.PeerLoad, now time.Time) []*sharepb.EndpointLoad {
 	out := make([]*sharepb.EndpointLoad, 0, len(loads))
 	for _, id := range slices.Sorted(maps.Keys(loads)) {
-		out = append(out, &sharepb.EndpointLoad{Endpoint: string(id), Running: uint32(loads[id].Running), Unread: uint32(max(0, loads[id].Unread))})
+		l := loads[id]
+		told := &sharepb.EndpointLoad{
+			Endpoint: string(id),
+			Running:  uint32(l.Running),
+			Unread:   uint32(max(0, l.Unread)),
+			Epoch:    l.Epoch,
+			Served:   float32(l.Tally.Served),
+			Failed:   float32(l.Tally.Failed),
+		}
+		if age := now.Sub(l.Event); age < eventTold {
+			ms := uint32(max(0, age.Milliseconds()))
+			told.EventAgeMs = &ms
+		}
+		out = append(out, told)
 	}
 	return out
 }
 
-func fromLoads(loads []*sharepb.EndpointLoad) map[serving.EndpointID]relay.PeerLoad {
+// fromLoads is the reverse of toLoads.
+func fromLoads(loads []*sharepb.EndpointLoad, now time.Time) map[serving.EndpointID]relay.PeerLoad {
 	out := make(map[serving.EndpointID]relay.PeerLoad, len(loads))
 	for _, l := range loads {
-		out[serving.EndpointID(l.GetEndpoint())] = relay.PeerLoad{Running: int(l.GetRunning()), Unread: int(l.GetUnread())}
+		load := relay.PeerLoad{
+			Running: int(l.GetRunning()),
+			Unread:  int(l.GetUnread()),
+			Epoch:   l.GetEpoch(),
+			Tally:   health.Tally{Served: float64(l.GetServed()), Failed: float64(l.GetFailed())},
+		}
+		if l.EventAgeMs != nil {
+			load.Event = now.Add(-time.Duration(l.GetEventAgeMs()) * time.Millisecond)
+		}
+		out[serving.EndpointID(l.GetEndpoint())] = load
 	}
 	return out
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -33,7 +33,7 @@
 	now := time.Now()
 	invariant.Check(c.route.Repeatable() || !c.mayHaveRun, invariant.AtMostOnce, "request %s at %s", c.attrs.ID, t.ID)
 	invariant.Check(!t.Leaving, invariant.NoNewWork, "request %s at %s", c.attrs.ID, t.ID)
-	flight := c.options.Balancer.begin(t.ID, c.size(), now)
+	flight := c.options.Balancer.begin(t.Endpoint, c.size(), now)
 	defer flight.end()
 	stop := c.watch(cancel, flight, t.predicted)
 	defer stop()
@@ -49,7 +49,8 @@
 			LastEvent: c.lastEvent,
 			Urgent:    c.sends > 0,
 		}),
-		Body: c.in.Body,
+		Body:  c.in.Body,
+		Fresh: !c.route.Repeatable() && c.options.Balancer.isFailing(t.Endpoint, now),
 	}, func(h http.Header) bool { return c.options.Wire.Verdict(h).ID == c.attrs.ID })
 	if errors.Is(err, upstream.ErrNotSent) {
 		c.options.Balancer.Suspect(t.ID, time.Now())
@@ -59,6 +60,7 @@
 	c.sends++
 	if err != nil {
 		c.mayHaveRun = true
+		c.blame(ctx, flight)
 		c.logAttempt(t, "no answer", errors.Join(err, context.Cause(ctx)))
 		return c.orEnded(ctx, resultBroken)
 	}
@@ -66,6 +68,15 @@
 	return c.judge(ctx, t, flight, response)
 }
 
+// blame counts a try that broke off against its endpoint, unless it was ended from
+// here: by the caller, by the deadline, or because the endpoint had fallen silent.
+func (c *call) blame(ctx context.Context, f *flight) {
+	now := time.Now()
+	if context.Cause(ctx) == nil && now.Before(c.deadline) {
+		f.note(true, now)
+	}
+}
+
 // wayBack is taken off the time that an endpoint is given, for the answer's
 // way back.
 const wayBack = 10 * time.Millisecond
@@ -93,6 +104,7 @@
 	}
 	c.mayHaveRun = true
 	if !verdict.Signed || response.Header.Get("Content-Encoding") != "" {
+		flight.note(true, time.Now())
 		c.logAttempt(t, "an answer that is not the endpoint's", fmt.Errorf("status %d", response.Status))
 		return resultBroken
 	}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -21,18 +22,57 @@
 	context int
 	// peers is what the other nodes last told.
 	peers PeerLoad
-	// news is when the endpoint last showed life to this node.
-	news time.Time
+	// news is when the endpoint last showed life to this node, or had nothing to do
+	// for it; event is when it last sent something.
+	news  time.Time
+	event time.Time
+	// epoch is that of the group that results are of: those of an earlier group say
+	// nothing of this one. Plain endpoints have none.
+	epoch   uint64
+	results health.Results
 	// suspectUntil is set when it failed or fell silent.
 	suspectUntil time.Time
 	// dataCentre is known once it was a candidate.
 	dataCentre serving.DataCentre
 }
 
-// PeerLoad is the work that other nodes have at one endpoint.
+// PeerLoad is the work that other nodes have at one endpoint, and what they find of it.
 type PeerLoad struct {
 	Running int
 	Unread  int
+	// Event is when it last sent any of them something, zero if it did not lately.
+	Event time.Time
+	// Tally is what requests to it came to, in the group of an epoch.
+	Epoch uint64
+	Tally health.Tally
+}
+
+// Plus adds what further nodes have and find. What they find of an earlier group is
+// left out.
+func (p PeerLoad) Plus(other PeerLoad) PeerLoad {
+	sum := PeerLoad{Running: p.Running + other.Running, Unread: p.Unread + other.Unread, Event: p.Event, Epoch: max(p.Epoch, other.Epoch)}
+	if other.Event.After(sum.Event) {
+		sum.Event = other.Event
+	}
+	for _, l := range []PeerLoad{p, other} {
+		if l.Epoch == sum.Epoch {
+			sum.Tally = sum.Tally.Plus(l.Tally)
+		}
+	}
+	return sum
+}
+
+// tally is what requests to an endpoint came to lately, at all nodes, in the group of
+// an epoch.
+func (l *load) tally(epoch uint64, now time.Time) health.Tally {
+	var sum health.Tally
+	if l.epoch == epoch {
+		sum = l.results.Tally(now)
+	}
+	if l.peers.Epoch == epoch {
+		sum = sum.Plus(l.peers.Tally)
+	}
+	return sum
 }
 
 // Balancer knows what is under way at each endpoint and chooses among them.
@@ -76,15 +116,16 @@
 type flight struct {
 	balancer *Balancer
 	endpoint serving.EndpointID
+	epoch    uint64
 	size     Size
 	reading  bool
 }
 
 // begin counts a request that is sent to an endpoint.
-func (b *Balancer) begin(id serving.EndpointID, s Size, now time.Time) *flight {
+func (b *Balancer) begin(e *serving.Endpoint, s Size, now time.Time) *flight {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.load(id)
+	l := b.load(e.ID)
 	if l.running == 0 {
 		// Silence counts from here: nothing was due before.
 		l.news = now
@@ -92,7 +133,7 @@
 	l.running++
 	l.unread += s.Prompt
 	l.context += s.Prompt
-	return &flight{balancer: b, endpoint: id, size: s, reading: true}
+	return &flight{balancer: b, endpoint: e.ID, epoch: e.Membership.Epoch, size: s, reading: true}
 }
 
 // event notes that the endpoint has sent something of the request.
@@ -100,7 +141,7 @@
 	f.balancer.mu.Lock()
 	defer f.balancer.mu.Unlock()
 	l := f.balancer.load(f.endpoint)
-	l.news = now
+	l.news, l.event = now, now
 	l.suspectUntil = time.Time{}
 	if r := f.balancer.remotes[l.dataCentre]; r != nil {
 		r.failures = 0
@@ -124,6 +165,23 @@
 	}
 }
 
+// note counts what the request came to.
+func (f *flight) note(failed bool, now time.Time) {
+	b := f.balancer
+	b.mu.Lock()
+	l := b.load(f.endpoint)
+	if f.epoch > l.epoch {
+		l.epoch, l.results = f.epoch, health.Results{}
+	}
+	if f.epoch == l.epoch {
+		l.results.Note(failed, now)
+	}
+	b.mu.Unlock()
+	if failed && b.weights.Failures == health.Suspect {
+		b.Suspect(f.endpoint, now)
+	}
+}
+
 // silence returns how long nothing at all has come from the endpoint.
 func (f *flight) silence(now time.Time) time.Duration {
 	f.balancer.mu.Lock()
@@ -131,6 +189,15 @@
 	return now.Sub(f.balancer.load(f.endpoint).news)
 }
 
+// isFailing reports whether any of the last requests to an endpoint failed. A request
+// that may run once goes there on a new connection: that a dead endpoint refuses it is
+// certain, while a kept connection only breaks.
+func (b *Balancer) isFailing(e *serving.Endpoint, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.weights.Failures == health.Compare && b.load(e.ID).tally(e.Membership.Epoch, now).Failed > leastTold
+}
+
 // Suspect has an endpoint passed over for a while.
 func (b *Balancer) Suspect(id serving.EndpointID, now time.Time) {
 	b.mu.Lock()
@@ -161,14 +228,18 @@
 	return out
 }
 
-// Own returns what this node has under way, to tell its peers.
-func (b *Balancer) Own() map[serving.EndpointID]PeerLoad {
+// leastTold is the weight, in requests, below which results are not worth telling.
+const leastTold = 0.3
+
+// Own returns what this node has under way and finds, to tell its peers.
+func (b *Balancer) Own(now time.Time) map[serving.EndpointID]PeerLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := map[serving.EndpointID]PeerLoad{}
 	for id, l := range b.loads {
-		if l.running > 0 {
-			out[id] = PeerLoad{Running: l.running, Unread: l.unread}
+		tally := l.results.Tally(now)
+		if l.running > 0 || tally.Served+tally.Failed > leastTold {
+			out[id] = PeerLoad{Running: l.running, Unread: l.unread, Event: l.event, Epoch: l.epoch, Tally: tally}
 		}
 	}
 	return out
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -78,7 +79,7 @@
 		require.Equal(t, sound, b.ChooseHead([]*directory.Head{silent, sound, remote}, Size{Prompt: 100}, nil, false, now).Head)
 	}
 	require.NotNil(t, b.ChooseHead([]*directory.Head{silent, remote}, Size{Prompt: 100}, nil, false, now).Head, "nothing else is left")
-	flight := b.begin("silent", Size{Prompt: 100}, now)
+	flight := b.begin(silent.Endpoint, Size{Prompt: 100}, now)
 	flight.event(now)
 	chosen := map[serving.EndpointID]bool{}
 	for range 100 {
@@ -154,7 +155,109 @@
 	now = now.Add(cutRetry + time.Millisecond)
 	tries, head = remoteTries(200)
 	require.Equal(t, 1, tries)
-	b.begin(head.ID, Size{}, now).event(now)
+	b.begin(head.Endpoint, Size{}, now).event(now)
 	tries, _ = remoteTries(200)
 	require.Greater(t, tries, 50)
 }
+
+// testHead returns the head of a group of an epoch.
+func testHead(id string, epoch uint64) *directory.Head {
+	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
+	e := &serving.Endpoint{ID: serving.EndpointID(id), DataCentre: "north", Slots: 30, Membership: serving.Membership{Group: "g" + id, Epoch: epoch}}
+	return &directory.Head{Endpoint: e, Engine: engine, Pace: 1}
+}
+
+// shareOf returns the part of the choices that fall on the first head.
+func shareOf(b *Balancer, heads []*directory.Head, now time.Time) float64 {
+	const choices = 2000
+	n := 0
+	for range choices {
+		if b.ChooseHead(heads, Size{Prompt: 100}, nil, false, now).Head == heads[0] {
+			n++
+		}
+	}
+	return float64(n) / choices
+}
+
+// An endpoint that says it is well and breaks every request off is left alone, and
+// tried again once its failures are old or it leads another group. Sixteen that did
+// so for six seconds cost 316 streams while a try without an answer put no doubt on
+// its endpoint.
+func TestEndpointsThatFailAreChosenSeldom(t *testing.T) {
+	weights := DefaultWeights
+	now := time.Now()
+	for _, c := range []struct {
+		policy    health.Policy
+		low, high float64
+	}{
+		{health.Ignore, 0.45, 0.55},
+		{health.Suspect, 0, 0},
+		{health.Compare, 0, 0.02},
+	} {
+		t.Run(c.policy.String(), func(t *testing.T) {
+			weights.Failures = c.policy
+			b := NewBalancer("north", rand.NewPCG(1, 1), weights)
+			heads := []*directory.Head{testHead("a", 1), testHead("b", 2)}
+			for range 6 {
+				f := b.begin(heads[0].Endpoint, Size{Prompt: 100}, now)
+				f.note(true, now)
+				f.end()
+			}
+			share := shareOf(b, heads, now)
+			require.GreaterOrEqual(t, share, c.low)
+			require.LessOrEqual(t, share, c.high)
+			require.InDelta(t, 0.5, shareOf(b, heads, now.Add(30*time.Second)), 0.05, "it is tried again")
+		})
+	}
+}
+
+// What requests came to in an earlier group of the same head says nothing of this one.
+func TestFailuresOfAnEarlierGroupDoNotCount(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	before := testHead("a", 1)
+	for range 6 {
+		f := b.begin(before.Endpoint, Size{}, now)
+		f.note(true, now)
+		f.end()
+	}
+	b.SetPeers(map[serving.EndpointID]PeerLoad{"a": {Epoch: 1, Tally: health.Tally{Failed: 20}}})
+	heads := []*directory.Head{testHead("a", 3), testHead("b", 2)}
+	require.InDelta(t, 0.5, shareOf(b, heads, now), 0.05)
+}
+
+// What other nodes met counts as what this one met.
+func TestFailuresThatOthersMetCount(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	heads := []*directory.Head{testHead("a", 1), testHead("b", 2)}
+	b.SetPeers(map[serving.EndpointID]PeerLoad{"a": {Epoch: 1, Tally: health.Tally{Failed: 9}}, "b": {Epoch: 2, Tally: health.Tally{Served: 9}}})
+	require.Less(t, shareOf(b, heads, now), 0.02)
+}
+
+// A plain endpoint that goes down and up by turns is left to the others.
+func TestPlainEndpointsThatFailAreLeftToTheOthers(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	endpoints := []*serving.Endpoint{{ID: "flapping", DataCentre: "north"}, {ID: "sound", DataCentre: "south"}}
+	f := b.begin(endpoints[0], Size{}, now)
+	f.note(true, now)
+	f.end()
+	for range 10 {
+		chosen, ok := b.ChoosePlain(endpoints, nil, now)
+		require.True(t, ok)
+		require.Equal(t, serving.EndpointID("sound"), chosen.ID)
+	}
+	only, ok := b.ChoosePlain(endpoints[:1], nil, now)
+	require.True(t, ok, "a doubt alone turns nothing away")
+	require.Equal(t, serving.EndpointID("flapping"), only.ID)
+}
+
+// Two nodes' words on an endpoint add up; what is of an earlier group is left out.
+func TestPeerLoadsAddUp(t *testing.T) {
+	now := time.Now()
+	sum := PeerLoad{Running: 1, Unread: 100, Event: now, Epoch: 4, Tally: health.Tally{Served: 2}}.
+		Plus(PeerLoad{Running: 2, Event: now.Add(-time.Second), Epoch: 3, Tally: health.Tally{Failed: 9}}).
+		Plus(PeerLoad{Epoch: 4, Tally: health.Tally{Failed: 1}})
+	require.Equal(t, PeerLoad{Running: 3, Unread: 100, Event: now, Epoch: 4, Tally: health.Tally{Served: 2, Failed: 1}}, sum)
+}
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -29,6 +30,8 @@
 	// CutOff has a data centre passed over of which several endpoints failed in
 	// a row.
 	CutOff bool
+	// Failures is what an endpoint's failures do to the choice of it.
+	Failures health.Policy
 }
 
 // DefaultWeights were found by the rounds in docs/DECISIONS.md.
@@ -38,6 +41,7 @@
 	LateFactor:     1.5,
 	OverloadReturn: 100 * time.Millisecond,
 	CutOff:         true,
+	Failures:       health.Compare,
 }
 
 // degradedPenalty keeps requests off a group with a leaving member while there
@@ -96,9 +100,9 @@
 		case !underWay && s.late(predicted, b.weights.LateFactor):
 			c.Late++
 		case b.isDoubtful(h.ID, h.DataCentre, l, now):
-			doubtful = append(doubtful, candidate{h, predicted, b.score(h, predicted)})
+			doubtful = append(doubtful, b.candidate(h, l, predicted, now))
 		default:
-			candidates = append(candidates, candidate{h, predicted, b.score(h, predicted)})
+			candidates = append(candidates, b.candidate(h, l, predicted, now))
 		}
 	}
 	b.candidates, b.doubtful = candidates, doubtful
@@ -118,6 +122,16 @@
 	head      *directory.Head
 	predicted Prediction
 	score     time.Duration
+	// health is the part of its weight that its failures leave it.
+	health float64
+}
+
+func (b *Balancer) candidate(h *directory.Head, l *load, predicted Prediction, now time.Time) candidate {
+	c := candidate{h, predicted, b.score(h, predicted), 1}
+	if b.weights.Failures == health.Compare {
+		c.health = health.Weight(l.tally(h.Membership.Epoch, now).Rate())
+	}
+	return c
 }
 
 // score is the time that a group is ranked by.
@@ -165,7 +179,7 @@
 	for i := range candidates {
 		// Each candidate replaces the one drawn so far with its part of the
 		// weights up to here.
-		weight := math.Pow(float64(best)/float64(candidates[i].score), b.weights.DrawPower)
+		weight := candidates[i].health * math.Pow(float64(best)/float64(candidates[i].score), b.weights.DrawPower)
 		if candidates[i].head.DataCentre != b.home {
 			weight *= remoteWeight
 		}
@@ -177,7 +191,17 @@
 	return drawn
 }
 
-// ChoosePlain picks the endpoint of a plain service with the least under way.
+const (
+	// suspectedScore is more than what any endpoint has under way.
+	suspectedScore = 1000
+	// failureScore is what an endpoint that fails all requests counts for; one that
+	// fails a twentieth more than another is as if it had three requests more.
+	failureScore = 120
+)
+
+// ChoosePlain picks the endpoint of a plain service with the least under way, and with
+// the least failures. An endpoint that goes down and up by turns, or fails a part of
+// what it is sent, is left to the others, which have places enough.
 func (b *Balancer) ChoosePlain(endpoints []*serving.Endpoint, failed []serving.EndpointID, now time.Time) (*serving.Endpoint, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -192,7 +216,10 @@
 		}
 		score := 2 * (l.running + l.peers.Running)
 		if now.Before(l.suspectUntil) {
-			score += 1000
+			score += suspectedScore
+		}
+		if b.weights.Failures == health.Compare {
+			score += int(failureScore * l.tally(e.Membership.Epoch, now).Rate())
 		}
 		if e.DataCentre != b.home {
 			score++
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -412,7 +412,7 @@
 	heads := w.view.Heads[directory.Pool{Service: "llm", Model: "m"}]
 	heads[1].DataCentre, heads[2].DataCentre = "south", "south"
 	for range 3 {
-		w.relay.options.Balancer.begin(heads[2].ID, Size{Prompt: 100}, time.Now())
+		w.relay.options.Balancer.begin(heads[2].Endpoint, Size{Prompt: 100}, time.Now())
 	}
 	out := w.serve(request(hostStream))
 	require.Equal(t, wantEvents(1, 5), out.body.String())
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -36,6 +36,7 @@
 	body, err := io.ReadAll(io.LimitReader(response, maxWhole))
 	f.event(time.Now())
 	if err != nil {
+		c.blame(ctx, f)
 		c.logAttempt(t, "a broken answer", errors.Join(err, context.Cause(ctx)))
 		return c.orEnded(ctx, resultBroken)
 	}
@@ -43,6 +44,7 @@
 	if len(body) == maxWhole {
 		return c.passLarge(answer, response)
 	}
+	f.note(response.Status >= http.StatusInternalServerError, time.Now())
 	if response.Status < http.StatusInternalServerError && !isPromise(response.Status) {
 		c.pass(answer)
 		return resultDone
--- /dev/null
+++ b/pkg/health/health.go
@@ -0,0 +1,104 @@
+// Package health judges endpoints by what requests to them came to: by the part
+// that failed.
+//
+// It is pure: times come in with each call. Its inputs are results of requests, those
+// of this node and those that others told; its outputs are a failure rate and a weight,
+// both between 0 and 1. It returns no errors.
+package health
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// window is the time constant over which results are forgotten. A head gets some
+// twenty requests a second from all nodes together, a plain endpoint about as many:
+// enough to tell a tenth that fails from none, and an endpoint that has come back
+// is trusted again after about ten seconds.
+const window = 3 * time.Second
+
+// Tally is what requests came to lately, older ones counting for less.
+type Tally struct {
+	Served float64
+	Failed float64
+}
+
+// Plus adds up the tallies of several nodes.
+func (t Tally) Plus(other Tally) Tally {
+	return Tally{t.Served + other.Served, t.Failed + other.Failed}
+}
+
+// doubt is the number of requests that a rate needs to be half believed: one that
+// failed alone says little, since answers are lost at sound endpoints as well.
+const doubt = 1
+
+// Rate is the part of the requests that failed, lower while there are few.
+func (t Tally) Rate() float64 { return t.Failed / (t.Served + t.Failed + doubt) }
+
+// Results counts what requests to one endpoint came to. The zero value has none.
+type Results struct {
+	tally Tally
+	at    time.Time
+}
+
+// Note counts one request.
+func (r *Results) Note(failed bool, now time.Time) {
+	r.tally = r.Tally(now)
+	r.at = now
+	if failed {
+		r.tally.Failed++
+		return
+	}
+	r.tally.Served++
+}
+
+// Tally returns the counts as of now.
+func (r *Results) Tally(now time.Time) Tally {
+	since := max(0, now.Sub(r.at))
+	if r.at.IsZero() || since > 10*window {
+		return Tally{}
+	}
+	left := math.Exp(-since.Seconds() / window.Seconds())
+	return Tally{r.tally.Served * left, r.tally.Failed * left}
+}
+
+// Policy is what failures do to the endpoint that they came from.
+type Policy uint8
+
+// The policies.
+const (
+	// Ignore: nothing.
+	Ignore Policy = iota
+	// Suspect: one failure has it passed over for a while.
+	Suspect
+	// Compare: it is chosen the more seldom the more of its requests fail, beside
+	// the others of its kind.
+	Compare
+)
+
+var policies = [...]string{"ignore", "suspect", "compare"}
+
+// String returns the name that settings use.
+func (p Policy) String() string { return policies[p] }
+
+// Names returns the names of all policies.
+func Names() []string { return policies[:] }
+
+// Parse returns the policy of a name.
+func Parse(name string) (Policy, error) {
+	for i, known := range policies {
+		if known == name {
+			return Policy(i), nil
+		}
+	}
+	return Ignore, fmt.Errorf("policy %q: want one of %v", name, policies)
+}
+
+// weightPower makes an endpoint that fails a tenth of its requests two thirds as
+// likely as one that fails none, and one that fails half a sixteenth.
+const weightPower = 4
+
+// Weight is how likely an endpoint with a failure rate is chosen, against one
+// without failures.
+func Weight(rate float64) float64 { return math.Pow(1-min(1, max(0, rate)), weightPower) }
