Let events that a head gives anybody show that its group works

Requests that waited half a second at full heads had these suspected, their members were asked, those cut off did not answer and counted as dead, and twelve groups ended although their heads had given first events 0.02 to 0.2 s before.

Change: nodes tell how long ago each head gave them an event. A head that gives others events is not silent to a request that waits there (health.Evidence), and a group whose head gave any node an event in the last 0.4 s stands, whatever its members tell control: without one of them nothing moves.

Ruled out: to ask the members a third time, who cannot be reached by then either.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/lease"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 // Adapter is what an outside platform brings: its translations.
@@ -132,6 +133,7 @@
 		FirstLook:   s.firstLook(),
 		EarlierLife: func(holder string) bool { return holder != life && strings.HasPrefix(holder, s.Node+lifeMark) },
 		Demand:      e.share.totalDemand,
+		LastEvent:   e.lastEvent(),
 		Weights:     s.Policy.Groups,
 		LeaseTTL:    s.LeaseTTL,
 		LeaseOutage: s.Policy.LeaseOutage,
@@ -149,6 +151,14 @@
 	return e, nil
 }
 
+// lastEvent returns what tells the controller which heads give events, or nil.
+func (e *Entry) lastEvent() func(serving.EndpointID) time.Time {
+	if !e.settings.Policy.Relay.SharedEvents {
+		return nil
+	}
+	return e.balancer.LastEvent
+}
+
 // httpClient returns a client for calls that carry no caller's request.
 func httpClient(links upstream.Options) *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -119,6 +119,7 @@
 			OverloadReturn: p.Duration("overload_return", relay.DefaultWeights.OverloadReturn, least, most),
 			CutOff:         p.Bool("cut_off", relay.DefaultWeights.CutOff),
 			Failures:       readFailures(p),
+			SharedEvents:   p.Bool("shared_events", relay.DefaultWeights.SharedEvents),
 		},
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, least, most),
 		RelyOnPeers:   p.Duration("rely_on_peers", watch.RelyOnPeers, least, most),
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -69,6 +69,9 @@
 	// Demand returns the work that callers ask for of each model over all data
 	// centres, in groups that would be busy with it all the time.
 	Demand func() map[directory.Pool]float64
+	// LastEvent returns when an endpoint last sent any node something of a request,
+	// zero if none is known; nil means that nobody knows.
+	LastEvent func(serving.EndpointID) time.Time
 	// Weights are those of the plan.
 	Weights Weights
 	// LeaseTTL is how long the lease of a silent holder lasts.
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,9 @@
 	// paced is set where loads are short no more.
 	paced bool
 
+	// lastEvent tells the controllers when a head last gave anybody an event.
+	lastEvent func(serving.EndpointID) time.Time
+
 	mu       sync.Mutex
 	suspects []serving.EndpointID
 }
@@ -102,6 +106,7 @@
 		Unpaced:     func() bool { return !h.paced },
 		Weights:     groupcontrol.DefaultWeights,
 		Demand:      func() map[directory.Pool]float64 { return nil },
+		LastEvent:   h.lastEvent,
 		LeaseTTL:    hallLease,
 		LeaseOutage: time.Minute,
 		CallTimeout: 40 * time.Millisecond,
@@ -354,6 +359,32 @@
 	h.unbroken()
 }
 
+// A member that neither control nor the store reaches does its work as long as its
+// head gives events, which it cannot without any of its members. The group ends once
+// the head is silent as well.
+func TestAGroupThatGivesEventsStands(t *testing.T) {
+	h := newHall(t, 9)
+	var silent atomic.Bool
+	h.lastEvent = func(serving.EndpointID) time.Time {
+		if silent.Load() {
+			return time.Time{}
+		}
+		return time.Now()
+	}
+	h.controller("n1")
+	h.awaitOpen(1, 1)
+	h.awaitStaged()
+	head, member := h.member("large", 0), h.member("large", 2)
+	group := h.fleet.Group(member).Group
+	h.fleet.Set(member, fleetstandin.CutOff)
+	h.suspect(member)
+	time.Sleep(time.Second)
+	require.Equal(t, group, h.fleet.Group(head).Group, "it stands")
+	silent.Store(true)
+	require.Eventually(t, func() bool { return h.fleet.Group(head).Group != group }, patience, 5*time.Millisecond)
+	h.unbroken()
+}
+
 // laggingRows is a store whose endpoint rows come late.
 type laggingRows struct {
 	table.Store
--- a/internal/groupcontrol/groups.go
+++ b/internal/groupcontrol/groups.go
@@ -126,9 +126,9 @@
 		return reasonHeadless
 	case g.head.Membership.State == serving.MemberBroken:
 		return reasonBroken
-	case len(g.members) < g.model.Size && now.Sub(c.since) > takeoverGrace:
+	case len(g.members) < g.model.Size && now.Sub(c.since) > takeoverGrace && !c.works(g, now):
 		return reasonLost
-	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return c.isDead(e.ID, now) }):
+	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return c.isDead(e.ID, now) }) && !c.works(g, now):
 		return reasonSilent
 	case slices.ContainsFunc(g.members, func(e *serving.Endpoint) bool { return e.Leaving }):
 		return reasonLeaving
@@ -138,6 +138,21 @@
 	return ""
 }
 
+// eventFresh is how long an event of a group's head shows that all its members live: a
+// busy head sends one every few milliseconds, and nodes tell of it a fraction of a
+// second later.
+const eventFresh = 400 * time.Millisecond
+
+// works reports whether a group gives its callers events now, which it cannot without
+// any of its members, whatever these tell control. Of twenty members that only control
+// and the store could not reach for five seconds, twelve were found dead, and their
+// groups ended while their heads gave events: a third of what callers asked for in
+// these seconds was late.
+func (c *Controller) works(g *group, now time.Time) bool {
+	return c.options.LastEvent != nil && g.head != nil && g.head.Membership.State == serving.MemberOpen &&
+		now.Sub(c.options.LastEvent(g.head.ID)) < eventFresh
+}
+
 // unopenedFor is how long a group that no operation of this controller forms
 // may stay unopened before it is formed anew.
 const unopenedFor = 700 * time.Millisecond
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -186,7 +186,12 @@
 func (f *flight) silence(now time.Time) time.Duration {
 	f.balancer.mu.Lock()
 	defer f.balancer.mu.Unlock()
-	return now.Sub(f.balancer.load(f.endpoint).news)
+	l := f.balancer.load(f.endpoint)
+	evidence := health.Evidence{Own: l.news, Waiting: f.reading}
+	if f.balancer.weights.SharedEvents {
+		evidence.Others = l.peers.Event
+	}
+	return evidence.SilentFor(now)
 }
 
 // isFailing reports whether any of the last requests to an endpoint failed. A request
@@ -198,6 +203,21 @@
 	return b.weights.Failures == health.Compare && b.load(e.ID).tally(e.Membership.Epoch, now).Failed > leastTold
 }
 
+// LastEvent returns when an endpoint last sent any node something, as far as this
+// one knows; zero if it does not.
+func (b *Balancer) LastEvent(id serving.EndpointID) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.loads[id]
+	switch {
+	case l == nil:
+		return time.Time{}
+	case l.peers.Event.After(l.event):
+		return l.peers.Event
+	}
+	return l.event
+}
+
 // Suspect has an endpoint passed over for a while.
 func (b *Balancer) Suspect(id serving.EndpointID, now time.Time) {
 	b.mu.Lock()
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -253,6 +253,21 @@
 	require.Equal(t, serving.EndpointID("flapping"), only.ID)
 }
 
+// A request that waits half a second at a full head which gives others their events
+// does not have the head taken for dead.
+func TestAHeadThatGivesOthersEventsIsNotSilent(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	f := b.begin(testHead("a", 1).Endpoint, Size{Prompt: 100}, now)
+	later := now.Add(700 * time.Millisecond)
+	require.Equal(t, 700*time.Millisecond, f.silence(later))
+	b.SetPeers(map[serving.EndpointID]PeerLoad{"a": {Running: 9, Event: later.Add(-30 * time.Millisecond)}})
+	require.Equal(t, 30*time.Millisecond, f.silence(later))
+	require.Equal(t, later.Add(-30*time.Millisecond), b.LastEvent("a"))
+	f.event(later)
+	require.Equal(t, 600*time.Millisecond, f.silence(later.Add(600*time.Millisecond)), "a stream that had begun stops")
+}
+
 // Two nodes' words on an endpoint add up; what is of an earlier group is left out.
 func TestPeerLoadsAddUp(t *testing.T) {
 	now := time.Now()
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -32,6 +32,8 @@
 	CutOff bool
 	// Failures is what an endpoint's failures do to the choice of it.
 	Failures health.Policy
+	// SharedEvents has events that an endpoint gives other nodes show that it lives.
+	SharedEvents bool
 }
 
 // DefaultWeights were found by the rounds in docs/DECISIONS.md.
@@ -42,6 +44,7 @@
 	OverloadReturn: 100 * time.Millisecond,
 	CutOff:         true,
 	Failures:       health.Compare,
+	SharedEvents:   true,
 }
 
 // degradedPenalty keeps requests off a group with a leaving member while there
--- a/pkg/health/health.go
+++ b/pkg/health/health.go
@@ -1,9 +1,10 @@
 // Package health judges endpoints by what requests to them came to: by the part
-// that failed.
+// that failed, and by how long they have been silent.
 //
-// It is pure: times come in with each call. Its inputs are results of requests, those
-// of this node and those that others told; its outputs are a failure rate and a weight,
-// both between 0 and 1. It returns no errors.
+// It is pure: times come in with each call. Its inputs are results of requests and
+// times of events, those of this node and those that others told; its outputs are a
+// failure rate between 0 and 1, a weight between 0 and 1, and a duration. It returns
+// no errors. Figures are decayed counts, in requests.
 package health
 
 import (
@@ -102,3 +103,33 @@
 // Weight is how likely an endpoint with a failure rate is chosen, against one
 // without failures.
 func Weight(rate float64) float64 { return math.Pow(1-min(1, max(0, rate)), weightPower) }
+
+// Evidence is what one request at an endpoint knows of its life.
+type Evidence struct {
+	// Own is when the endpoint last gave this node an event of any request, or
+	// when the first of those under way was sent.
+	Own time.Time
+	// Others is when it last gave any other node one, as far as they told; zero
+	// if they told nothing.
+	Others time.Time
+	// Waiting is set while this request has no event yet, and waits in the
+	// endpoint's queue for all that this node can know.
+	Waiting bool
+}
+
+// waitPatience is the silence towards this node after which the events that others
+// get do not count: its own way to the endpoint is then the likelier cause. Callers
+// give a stream up after two seconds and more.
+const waitPatience = 1500 * time.Millisecond
+
+// SilentFor is how long the endpoint has been silent. An endpoint that gives others
+// their events is alive, and lets this request wait: without this, requests that
+// waited half a second at full groups had these taken for dead and left alone, and the
+// rest were full in turn.
+func (e Evidence) SilentFor(now time.Time) time.Duration {
+	own := now.Sub(e.Own)
+	if !e.Waiting || e.Others.IsZero() || own > waitPatience {
+		return own
+	}
+	return min(own, now.Sub(e.Others))
+}
--- a/pkg/health/health_test.go
+++ b/pkg/health/health_test.go
@@ -70,6 +70,23 @@
 	require.Equal(t, 1.0, Weight(-1))
 }
 
+func TestSilence(t *testing.T) {
+	ago := func(d time.Duration) time.Time { return start.Add(-d) }
+	for _, c := range []struct {
+		name string
+		e    Evidence
+		want time.Duration
+	}{
+		{"nobody else is heard of", Evidence{Own: ago(600 * time.Millisecond), Waiting: true}, 600 * time.Millisecond},
+		{"it gives others their events", Evidence{Own: ago(600 * time.Millisecond), Others: ago(50 * time.Millisecond), Waiting: true}, 50 * time.Millisecond},
+		{"a stream that had begun stops", Evidence{Own: ago(600 * time.Millisecond), Others: ago(50 * time.Millisecond)}, 600 * time.Millisecond},
+		{"only this node gets nothing", Evidence{Own: ago(2 * time.Second), Others: ago(50 * time.Millisecond), Waiting: true}, 2 * time.Second},
+		{"this node heard it last", Evidence{Own: ago(20 * time.Millisecond), Others: ago(time.Second), Waiting: true}, 20 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, c.e.SilentFor(start)) })
+	}
+}
+
 func TestPolicyNames(t *testing.T) {
 	for _, name := range Names() {
 		p, err := Parse(name)
