Revert "Try: close a group before a takeover ends it"

Change: groups that end for another are ended at once, as before. Conclusion: what a takeover cuts is the smaller loss.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -140,8 +140,6 @@
 		CallTimeout: 250 * time.Millisecond,
 		Tick:        100 * time.Millisecond,
 		DrainWait:   2500 * time.Millisecond,
-
-		TakeoverWait: s.Policy.TakeoverWait,
 	}, e.store, countedEndpoints{a.Endpoints(httpClient(links)), e.metrics}, e.directory, e.share.suspects)
 	e.share.controller = e.controller
 	e.directory.SetReports(e.share.reports)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -80,8 +80,6 @@
 	// ShareNodes is up to how many nodes call a relay as often as they can; more call
 	// it more seldom.
 	ShareNodes int
-	// TakeoverWait is how long a group that ends for another may finish what it has.
-	TakeoverWait time.Duration
 }
 
 // watchOptions are those of following the store's tables.
@@ -126,7 +124,6 @@
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, least, most),
 		RelyOnPeers:   p.Duration("rely_on_peers", watch.RelyOnPeers, least, most),
 		ShareNodes:    p.Int("share_nodes", defaultShareNodes, 1, 10_000),
-		TakeoverWait:  p.Duration("takeover_wait", 1200*time.Millisecond, 0, most),
 	}
 }
 
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -191,7 +191,7 @@
 
 // startTakeover ends groups and keeps their members for another.
 func (c *Controller) startTakeover(ctx context.Context, t takeover, now time.Time) {
-	c.reserved[t.domain] = reservation{t.model.Name, now.Add(reservedFor + c.options.TakeoverWait)}
+	c.reserved[t.domain] = reservation{t.model.Name, now.Add(reservedFor)}
 	if t.crosses() {
 		c.takenOver = now
 	}
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -87,7 +87,4 @@
 	// DrainWait is the longest wait for the requests of a group with a
 	// leaving member.
 	DrainWait time.Duration
-	// TakeoverWait is the longest wait for the requests of a group that ends so that
-	// others get its members; zero cuts them off.
-	TakeoverWait time.Duration
 }
--- a/internal/groupcontrol/have.go
+++ b/internal/groupcontrol/have.go
@@ -29,11 +29,6 @@
 	}
 }
 
-// closed reports that a head takes no new requests of a group.
-func closed(name string, epoch uint64) condition {
-	return func(r serving.Report) bool { return !opened(name, epoch)(r) }
-}
-
 // left reports that an endpoint is not in a group any more.
 func left(name string, epoch uint64) condition {
 	return func(r serving.Report) bool { return !inGroup(name, epoch)(r) }
@@ -129,8 +124,6 @@
 			Rank:  slices.Index(order.Members, e.ID),
 			State: serving.MemberJoining,
 		}
-	case serving.OrderClose:
-		state.membership.State = serving.MemberClosing
 	case serving.OrderLeave:
 		state.membership = serving.Membership{}
 	}
@@ -139,8 +132,7 @@
 		model = order.Model
 	}
 	o.noteState(e.ID, state)
-	switch order.Kind {
-	case serving.OrderJoin, serving.OrderClose, serving.OrderLeave:
+	if order.Kind == serving.OrderJoin || order.Kind == serving.OrderLeave {
 		o.observe(e, serving.Report{Membership: state.membership, Model: model, Orders: state.orders})
 	}
 }
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -193,11 +193,8 @@
 	c.running.Go(func() {
 		defer op.finish()
 		began := time.Now()
-		switch reason {
-		case reasonLeaving:
-			op.drain(ctx, g, c.options.DrainWait)
-		case reasonTakeover:
-			op.close(ctx, g)
+		if reason == reasonLeaving {
+			op.drain(ctx, g)
 		}
 		err := op.dissolve(ctx, g)
 		c.log.Info("ended dissolving a group", "group", g.name, "epoch", g.epoch, "took", time.Since(began), "error", err)
@@ -242,24 +239,9 @@
 	}
 }
 
-// close has a head take nothing new, and lets it finish what it has within a bound.
-// Streams that a takeover cuts go on at another group, but late: they pause for longer
-// than callers are to wait for the next event.
-func (o *operation) close(ctx context.Context, g *group) {
-	if o.options.TakeoverWait <= 0 {
-		return
-	}
-	order := serving.Order{Kind: serving.OrderClose, Group: g.name, Epoch: g.epoch, Fence: o.epoch}
-	if err := o.have(ctx, g.head, order, closed(g.name, g.epoch)); err != nil {
-		o.log.Info("a group is ended without being closed", "group", g.name, "epoch", g.epoch, "error", err)
-		return
-	}
-	o.drain(ctx, g, o.options.TakeoverWait)
-}
-
 // drain waits, within a bound, until a head has nothing under way.
-func (o *operation) drain(ctx context.Context, g *group, most time.Duration) {
-	until := time.Now().Add(most)
+func (o *operation) drain(ctx context.Context, g *group) {
+	until := time.Now().Add(o.options.DrainWait)
 	for time.Now().Before(until) {
 		report, err := o.report(ctx, g.head)
 		if err != nil || report.Running+report.Queued == 0 {
