End connections that fall silent for good, and try no other old one after them

Cause: by reading: the dialer turned keep-alive probes off, so a long poll of the store on a connection that had fallen silent waited its whole seven seconds and missed the configuration meanwhile; the next call could take another connection of the same time; peers and the product's own clients set no bound but that of the dial. A stream whose connection had fallen silent was given up by its caller, since its head gave others their events and so did not count as silent.

Change: internal/link is the one place that bounds connections, dialed and accepted: unacknowledged bytes and idle connections that answer no probe end after timing.silence (2 s). After a failed call the store's and the endpoints' clients use no older connection (link.Doubtful); a kept connection to an endpoint that gave no answer takes the other kept ones with it; second tries go on new connections. A stream that gets nothing for 1.5 s goes on elsewhere, without a doubt on its head. The soak's proxy has the fault.

Ruled out: a shorter bound on idle connections: the kernel counts in seconds, and one lost probe would end a sound connection.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,6 +22,7 @@
 	"github.com/samber/oops"
 
 	"github.com/ridgehinge/ridgehinge/internal/bytecount"
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 )
 
@@ -43,7 +44,6 @@
 	maxStatus   = 16 << 10
 	idlePerHost = 256
 	idleTimeout = 90 * time.Second
-	dialTimeout = time.Second
 )
 
 // Client talks to any number of endpoints. It is safe for concurrent use.
@@ -63,7 +63,7 @@
 // New returns a client; it opens no connection yet. Connections leave from
 // the source address, unless that is nil.
 func New(source net.Addr) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, LocalAddr: source}
+	dialer := link.New(source).Dialer()
 	counts := &bytecount.Counter{}
 	traffic := &http.Transport{
 		DialContext:         dialer.DialContext,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
@@ -49,6 +50,9 @@
 	// storeCallTimeout bounds a call of the store beyond its waiting.
 	storeCallTimeout = 1200 * time.Millisecond
 	housekeeping     = time.Second
+	// idleTimeout is how long an unused connection is kept whose other end does not
+	// say how long it keeps it.
+	idleTimeout = 4 * time.Second
 	// refreshPause is how late what the directory trusts for a time may go.
 	refreshPause = 200 * time.Millisecond
 	// lifeMark stands between a node's name and the mark of one life of it.
@@ -85,12 +89,7 @@
 func Start(s *Settings, a Adapter) (*Entry, error) {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	links := upstream.Options{
-		Source:         s.source(),
-		DialTimeout:    700 * time.Millisecond,
-		SilenceTimeout: 2 * time.Second,
-		IdleTimeout:    4 * time.Second,
-	}
+	links := link.Bounds{Source: s.source(), Dial: link.DefaultDial, Silence: s.Silence}
 	life := s.Node + lifeMark + xid.New().String()
 	e := &Entry{
 		settings:    s,
@@ -98,7 +97,7 @@
 		metrics:     metrics.New(s.Node, string(s.DataCentre)),
 		directory:   directory.New(a.Codec),
 		balancer:    relay.NewBalancer(s.DataCentre, rand.NewPCG(rand.Uint64(), rand.Uint64()), s.Policy.Relay),
-		upstream:    upstream.New(links),
+		upstream:    upstream.New(upstream.Options{Link: links, IdleTimeout: idleTimeout}),
 		tracker:     httpserver.NewTracker(),
 		controlDone: make(chan struct{}),
 	}
@@ -143,7 +142,7 @@
 	}, e.store, countedEndpoints{a.Endpoints(httpClient(links)), e.metrics}, e.directory, e.share.suspects)
 	e.share.controller = e.controller
 	e.directory.SetReports(e.share.reports)
-	if err := e.listen(a); err != nil {
+	if err := e.listen(a, links); err != nil {
 		return nil, err
 	}
 	e.run()
@@ -160,16 +159,16 @@
 }
 
 // httpClient returns a client for calls that carry no caller's request.
-func httpClient(links upstream.Options) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+func httpClient(links link.Bounds) *http.Client {
+	return &http.Client{Transport: link.Doubtful(&http.Transport{
 		DialContext:         links.Dialer().DialContext,
 		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     links.IdleTimeout,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}}
+	})}
 }
 
-func (e *Entry) listen(a Adapter) error {
+func (e *Entry) listen(a Adapter, links link.Bounds) error {
 	s := e.settings
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+a.ReadyPath, e.readyz)
@@ -180,6 +179,7 @@
 		{Address: s.Metrics, MaxBody: smallBody, MaxRequests: smallRequests, Handler: figures},
 		{Address: s.Callers, MaxBody: s.MaxBody, MaxRequests: 2 * s.MaxRequests, Handler: http.HandlerFunc(e.serve)},
 	} {
+		o.Link = links
 		server, err := httpserver.Serve(o)
 		if err != nil {
 			return oops.In("entry").Wrapf(err, "listen on %s", o.Address)
@@ -187,7 +187,7 @@
 		e.servers = append(e.servers, server)
 	}
 	var err error
-	e.peerSide, err = peers.ListenShare(s.Peers, []byte(s.PeerKey), e.share)
+	e.peerSide, err = peers.ListenShare(s.Peers, []byte(s.PeerKey), links, e.share)
 	return err
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -12,6 +12,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/inicheck"
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -50,7 +51,9 @@
 	// Nodes is how many nodes share the slack until more are heard of.
 	Nodes      int
 	StallAfter time.Duration
-	LeaseTTL   time.Duration
+	// Silence is how long a connection may say nothing before it counts as broken.
+	Silence  time.Duration
+	LeaseTTL time.Duration
 	// StopNotice is how long a stopping node goes on taking requests,
 	// StopBound bounds the whole stop.
 	StopNotice time.Duration
@@ -195,6 +198,7 @@
 	timing := f.Section("timing")
 	const least, most = 50 * time.Millisecond, time.Minute
 	s.StallAfter = timing.Duration("stall_after", 500*time.Millisecond, least, most)
+	s.Silence = timing.Duration("silence", link.DefaultSilence, time.Second, most)
 	s.LeaseTTL = timing.Duration("lease_ttl", 2*time.Second, 300*time.Millisecond, most)
 	s.StopNotice = timing.Duration("stop_notice", 3*time.Second, 0, most)
 	s.StopBound = timing.Duration("stop_bound", 7*time.Second, 0, time.Hour)
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/internal/table"
-	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -174,7 +174,7 @@
 	return time.Since(s.heardController) < controllerTTL
 }
 
-func newSharing(s *Settings, life string, d *directory.Directory, b *relay.Balancer, demand *relay.Demand, budget *relay.Budget, store table.Store, links upstream.Options) *sharing {
+func newSharing(s *Settings, life string, d *directory.Directory, b *relay.Balancer, demand *relay.Demand, budget *relay.Budget, store table.Store, links link.Bounds) *sharing {
 	sh := &sharing{
 		settings:  s,
 		life:      life,
@@ -183,7 +183,7 @@
 		demand:    demand,
 		budget:    budget,
 		store:     store,
-		client:    peers.NewClient([]byte(s.PeerKey), links.Source),
+		client:    peers.NewClient([]byte(s.PeerKey), links),
 		log:       logging.For("peers"),
 		peers:     map[string]*peer{},
 		urgent:    make(chan struct{}, 1),
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -11,6 +11,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/ridgehinge/ridgehinge/internal/link"
 )
 
 const (
@@ -31,6 +33,8 @@
 	// MaxRequests bounds the handlers that run at once.
 	MaxRequests int
 	Handler     http.Handler
+	// Link bounds the connections.
+	Link link.Bounds
 }
 
 // newEngine returns an engine that has not started.
@@ -44,6 +48,7 @@
 		MaxWriteBufferSize:     maxWriteBuffer,
 		MessageHandlerPoolSize: o.MaxRequests,
 		KeepaliveTime:          keepAlive,
+		Listen:                 o.Link.Listen,
 	})
 	answerTooLarge(engine, s)
 	return engine
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/gateway"
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 	"github.com/ridgehinge/ridgehinge/internal/invariant"
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/operatorapi"
@@ -79,7 +80,7 @@
 		log:      logging.For("node").With("node", s.Node),
 		platform: platform.New(platform.Options{Address: s.Platform, Timeout: s.PlatformTimeout, Source: source}),
 		engine:   engine.New(source),
-		peers:    peers.NewClient([]byte(s.PeerKey), source),
+		peers:    peers.NewClient([]byte(s.PeerKey), link.New(source)),
 		metrics:  metrics.New(s.Node, string(s.DataCentre)),
 	}
 	n.claims = claims.New(claims.Options{
@@ -133,7 +134,7 @@
 
 func (n *Node) listen() error {
 	var err error
-	n.peerSide, err = peers.Listen(n.settings.Peers, []byte(n.settings.PeerKey), peerHandler{n.loop, n.gateway})
+	n.peerSide, err = peers.Listen(n.settings.Peers, []byte(n.settings.PeerKey), link.New(n.settings.Source()), peerHandler{n.loop, n.gateway})
 	if err != nil {
 		return err
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -10,7 +10,6 @@
 	"errors"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
@@ -22,14 +21,13 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/ridgehinge/ridgehinge/internal/bytecount"
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
 )
 
 // ErrUnreachable means that a peer gave no answer.
 var ErrUnreachable = errors.New("peer unreachable")
 
-const dialTimeout = time.Second
-
 // MaxMessage bounds one message; a forwarded body must fit.
 const MaxMessage = 16 << 20
 
@@ -61,13 +59,13 @@
 }
 
 // Listen starts a server on an IP address and port.
-func Listen(address string, key []byte, h Handler) (*Server, error) {
-	return start(address, key, func(mux drpc.Mux) error { return peerpb.DRPCRegisterPeers(mux, h) })
+func Listen(address string, key []byte, bounds link.Bounds, h Handler) (*Server, error) {
+	return start(address, key, bounds, func(mux drpc.Mux) error { return peerpb.DRPCRegisterPeers(mux, h) })
 }
 
 // start starts a server for the services that are registered.
-func start(address string, key []byte, register func(drpc.Mux) error) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+func start(address string, key []byte, bounds link.Bounds, register func(drpc.Mux) error) (*Server, error) {
+	listener, err := bounds.Listen("tcp", address)
 	if err != nil {
 		return nil, oops.In("peers").Wrap(err)
 	}
@@ -147,16 +145,15 @@
 // Client calls peers.
 type Client struct {
 	key    []byte
-	source net.Addr
+	link   link.Bounds
 	counts *bytecount.Counter
 	mu     sync.Mutex
 	conns  map[string]*drpcconn.Conn
 }
 
-// NewClient returns a client; it opens no connection yet. Connections leave
-// from the source address, unless that is nil.
-func NewClient(key []byte, source net.Addr) *Client {
-	return &Client{key: key, source: source, counts: &bytecount.Counter{}, conns: map[string]*drpcconn.Conn{}}
+// NewClient returns a client; it opens no connection yet.
+func NewClient(key []byte, bounds link.Bounds) *Client {
+	return &Client{key: key, link: bounds, counts: &bytecount.Counter{}, conns: map[string]*drpcconn.Conn{}}
 }
 
 // Bytes returns the counter of the opened connections.
@@ -173,8 +170,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: c.source}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.link.Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, turn(err)
 	}
--- a/internal/peers/share.go
+++ b/internal/peers/share.go
@@ -6,6 +6,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 )
 
@@ -19,8 +20,8 @@
 }
 
 // ListenShare starts a server for Share calls on an IP address and port.
-func ListenShare(address string, key []byte, h ShareHandler) (*Server, error) {
-	return start(address, key, func(mux drpc.Mux) error { return sharepb.DRPCRegisterSharing(mux, h) })
+func ListenShare(address string, key []byte, bounds link.Bounds, h ShareHandler) (*Server, error) {
+	return start(address, key, bounds, func(mux drpc.Mux) error { return sharepb.DRPCRegisterSharing(mux, h) })
 }
 
 // Share swaps messages with the peer at an address. The caller runs at most
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,7 @@
 	"github.com/samber/oops"
 
 	"github.com/ridgehinge/ridgehinge/internal/bytecount"
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 )
 
@@ -57,10 +58,10 @@
 
 // New returns a client; it opens no connection yet.
 func New(options Options) *Client {
-	dialer := &net.Dialer{LocalAddr: options.Source}
+	dialer := link.New(options.Source).Dialer()
 	counts := &bytecount.Counter{}
 	transport := &http.Transport{DialContext: counts.DialContext(dialer), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
-	return &Client{options: options, http: &http.Client{Transport: transport, Timeout: options.Timeout}, bytes: counts}
+	return &Client{options: options, http: &http.Client{Transport: link.Doubtful(transport), Timeout: options.Timeout}, bytes: counts}
 }
 
 // Bytes returns the counter of the client's connections.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,7 +50,7 @@
 			Urgent:    c.sends > 0,
 		}),
 		Body:  c.in.Body,
-		Fresh: !c.route.Repeatable() && c.options.Balancer.isFailing(t.Endpoint, now),
+		Fresh: c.sends > 0 || !c.route.Repeatable() && c.options.Balancer.isFailing(t.Endpoint, now),
 	}, func(h http.Header) bool { return c.options.Wire.Verdict(h).ID == c.attrs.ID })
 	if errors.Is(err, upstream.ErrNotSent) {
 		c.options.Balancer.Suspect(t.ID, time.Now())
@@ -160,6 +160,11 @@
 	stallSlack = 3
 )
 
+// quietPatience is how long a stream may get nothing from an endpoint that gives others
+// their events, before it goes on elsewhere: its own connection may have fallen silent for
+// good without a reset. Callers give a stream up after two seconds and more.
+const quietPatience = 1500 * time.Millisecond
+
 // stallAfter is how long an endpoint may be silent on all requests.
 func (c *call) stallAfter(predicted Prediction) time.Duration {
 	return max(c.options.StallAfter, stallSlack*max(predicted.First, predicted.Gap))
@@ -187,6 +192,10 @@
 					cancel(errStalled)
 					return
 				}
+				if f.quiet(now) > max(limit, quietPatience) {
+					cancel(errStalled)
+					return
+				}
 			}
 		}
 	}()
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -119,6 +119,9 @@
 	epoch    uint64
 	size     Size
 	reading  bool
+	// last is when the endpoint last sent something of this request, or when it was
+	// sent.
+	last time.Time
 }
 
 // begin counts a request that is sent to an endpoint.
@@ -133,7 +136,7 @@
 	l.running++
 	l.unread += s.Prompt
 	l.context += s.Prompt
-	return &flight{balancer: b, endpoint: e.ID, epoch: e.Membership.Epoch, size: s, reading: true}
+	return &flight{balancer: b, endpoint: e.ID, epoch: e.Membership.Epoch, size: s, reading: true, last: now}
 }
 
 // event notes that the endpoint has sent something of the request.
@@ -141,6 +144,7 @@
 	f.balancer.mu.Lock()
 	defer f.balancer.mu.Unlock()
 	l := f.balancer.load(f.endpoint)
+	f.last = now
 	l.news, l.event = now, now
 	l.suspectUntil = time.Time{}
 	if r := f.balancer.remotes[l.dataCentre]; r != nil {
@@ -194,6 +198,13 @@
 	return evidence.SilentFor(now)
 }
 
+// quiet returns how long nothing has come of this very request.
+func (f *flight) quiet(now time.Time) time.Duration {
+	f.balancer.mu.Lock()
+	defer f.balancer.mu.Unlock()
+	return now.Sub(f.last)
+}
+
 // isFailing reports whether any of the last requests to an endpoint failed. A request
 // that may run once goes there on a new connection: that a dead endpoint refuses it is
 // certain, while a kept connection only breaks.
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -276,3 +276,20 @@
 		Plus(PeerLoad{Epoch: 4, Tally: health.Tally{Failed: 1}})
 	require.Equal(t, PeerLoad{Running: 3, Unread: 100, Event: now, Epoch: 4, Tally: health.Tally{Served: 2, Failed: 1}}, sum)
 }
+
+// A stream whose own connection has fallen silent for good, while its head gives others
+// their events, goes on elsewhere before its caller gives it up.
+func TestAStreamOnASilentConnectionIsNoticed(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	head := testHead("a", 1).Endpoint
+	silent, sound := b.begin(head, Size{Prompt: 100}, now), b.begin(head, Size{Prompt: 100}, now)
+	silent.event(now)
+	for at := now; at.Before(now.Add(2 * time.Second)); at = at.Add(20 * time.Millisecond) {
+		sound.event(at)
+	}
+	later := now.Add(2 * time.Second)
+	require.Less(t, silent.silence(later), 100*time.Millisecond, "the head lives")
+	require.Equal(t, 2*time.Second, silent.quiet(later))
+	require.Less(t, quietPatience, 2*time.Second)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,7 +21,8 @@
 	"time"
 
 	"github.com/samber/oops"
-	"golang.org/x/sys/unix"
+
+	"github.com/ridgehinge/ridgehinge/internal/link"
 )
 
 // Errors of this layer.
@@ -50,13 +51,8 @@
 
 // Options of a Client.
 type Options struct {
-	// Source is the address that connections leave from, or nil.
-	Source net.Addr
-	// DialTimeout bounds the opening of a connection.
-	DialTimeout time.Duration
-	// SilenceTimeout is how long sent bytes may stay unacknowledged before a
-	// connection counts as broken.
-	SilenceTimeout time.Duration
+	// Link bounds the connections.
+	Link link.Bounds
 	// IdleTimeout is how long an unused connection is kept when the endpoint
 	// does not say.
 	IdleTimeout time.Duration
@@ -85,7 +81,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Fresh asks for a new connection.
+	// Fresh asks for a new connection: a kept one may have fallen silent, and breaks
+	// where a new one is refused for certain.
 	Fresh bool
 }
 
@@ -97,23 +94,6 @@
 	until time.Time
 }
 
-// Dialer returns a dialer with the options' bounds, for other clients that
-// call across the same links.
-func (o Options) Dialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout:   o.DialTimeout,
-		LocalAddr: o.Source,
-		KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// A cut link says nothing: without this bound a write into it
-				// hangs for minutes.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.SilenceTimeout.Milliseconds()))
-			})
-		},
-	}
-}
-
 // Opened returns the number of connections opened so far.
 func (c *Client) Opened() uint64 {
 	c.mu.Lock()
@@ -204,7 +184,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := c.options.Dialer().DialContext(ctx, "tcp", address)
+	raw, err := c.options.Link.Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -223,6 +203,7 @@
 	if !q.Fresh {
 		k = c.take(q.Address)
 	}
+	kept := k != nil
 	if k == nil {
 		var err error
 		if k, err = c.dial(ctx, q.Address); err != nil {
@@ -235,13 +216,13 @@
 	wrote, err := k.write(q)
 	if err != nil {
 		stop()
-		_ = k.Close()
+		c.broken(q.Address, k, kept)
 		return nil, err
 	}
 	answer, err := k.readHead(q.Method, own)
 	if err != nil {
 		stop()
-		_ = k.Close()
+		c.broken(q.Address, k, kept)
 		return nil, fail(ErrUnknown, err)
 	}
 	return &Response{
@@ -258,6 +239,22 @@
 	}, nil
 }
 
+// broken closes a connection that gave no answer. If it was a kept one, the others that
+// are kept to the endpoint go with it: whatever has become of it, a restart or a silence
+// without a reset, has most likely become of them.
+func (c *Client) broken(address string, k *conn, kept bool) {
+	_ = k.Close()
+	if !kept {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, other := range c.idle[address] {
+		_ = other.Close()
+	}
+	delete(c.idle, address)
+}
+
 func fail(kind, cause error) error {
 	return oops.In("upstream").Wrap(fmt.Errorf("%w: %w", kind, cause))
 }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -19,6 +19,7 @@
 	for range r.options.Steps {
 		fault := r.draw()
 		running.Go(fault)
+		r.drawSilence()
 		time.Sleep(r.options.StepPause)
 	}
 	running.Wait()
@@ -71,6 +72,18 @@
 	}
 }
 
+// silenceEvery is the number of faults beside one of which the open connections through
+// a proxy fall silent for good.
+const silenceEvery = 5
+
+// drawSilence has the open connections through a proxy fall silent, now and then.
+func (r *Run) drawSilence() {
+	proxy := r.proxies[r.silences.IntN(len(r.proxies))]
+	if r.silences.IntN(silenceEvery) == 0 {
+		proxy.Silence(faultproxy.Any)
+	}
+}
+
 // restart starts a process again, unless another fault has done so.
 func (r *Run) restart(p *process) {
 	if !p.ended() {
--- a/pkg/health/health.go
+++ b/pkg/health/health.go
@@ -117,18 +117,13 @@
 	Waiting bool
 }
 
-// waitPatience is the silence towards this node after which the events that others
-// get do not count: its own way to the endpoint is then the likelier cause. Callers
-// give a stream up after two seconds and more.
-const waitPatience = 1500 * time.Millisecond
-
 // SilentFor is how long the endpoint has been silent. An endpoint that gives others
 // their events is alive, and lets this request wait: without this, requests that
 // waited half a second at full groups had these taken for dead and left alone, and the
 // rest were full in turn.
 func (e Evidence) SilentFor(now time.Time) time.Duration {
 	own := now.Sub(e.Own)
-	if !e.Waiting || e.Others.IsZero() || own > waitPatience {
+	if !e.Waiting || e.Others.IsZero() {
 		return own
 	}
 	return min(own, now.Sub(e.Others))
