Refuse at once what only a data centre that is cut off could serve

Change: the choice among plain endpoints passes data centres over that are cut off, as that among groups does, but for single tries.

Ruled out: to serve them: no endpoint is within reach.

Measured: by its test, which fails without it (the first choice after two failures returned the endpoint).

Conclusion: kept, for the callers.

--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -293,3 +293,22 @@
 	require.Equal(t, 2*time.Second, silent.quiet(later))
 	require.Less(t, quietPatience, 2*time.Second)
 }
+
+// Requests of a plain service whose last endpoint is in a data centre that is cut off are
+// refused at once, but for single tries.
+func TestNoPlainRequestIsHeldForADataCentreThatIsCutOff(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	remote := []*serving.Endpoint{{ID: "p", DataCentre: "south"}}
+	for range cutAfter {
+		chosen, ok := b.ChoosePlain(remote, nil, now)
+		require.True(t, ok)
+		b.Suspect(chosen.ID, now)
+	}
+	_, ok := b.ChoosePlain(remote, nil, now.Add(time.Second))
+	require.False(t, ok)
+	_, ok = b.ChoosePlain(remote, nil, now.Add(cutRetry+time.Second))
+	require.True(t, ok, "one request tries it")
+	_, ok = b.ChoosePlain(remote, nil, now.Add(cutRetry+time.Second))
+	require.False(t, ok)
+}
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -204,7 +204,9 @@
 
 // ChoosePlain picks the endpoint of a plain service with the least under way, and with
 // the least failures. An endpoint that goes down and up by turns, or fails a part of
-// what it is sent, is left to the others, which have places enough.
+// what it is sent, is left to the others, which have places enough. One of a data centre
+// that is cut off is none: a request would be held until its dial is given up, 0.7 s of
+// the 0.6 or 0.8 that it has, and refused then.
 func (b *Balancer) ChoosePlain(endpoints []*serving.Endpoint, failed []serving.EndpointID, now time.Time) (*serving.Endpoint, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -214,7 +216,8 @@
 	for i := range endpoints {
 		e := endpoints[(i+b.turn)%len(endpoints)]
 		l := b.load(e.ID)
-		if slices.Contains(failed, e.ID) {
+		l.dataCentre = e.DataCentre
+		if slices.Contains(failed, e.ID) || b.isCutOff(e.DataCentre, now) {
 			continue
 		}
 		score := 2 * (l.running + l.peers.Running)
@@ -231,5 +234,9 @@
 			best, bestScore = e, score
 		}
 	}
-	return best, best != nil
+	if best == nil {
+		return nil, false
+	}
+	b.noteTry(best.DataCentre, now)
+	return best, true
 }
