Revert "Try: learn what predictions of the first event are off by"

Conclusion: what the wire does not tell is the same for all groups, and the choice needs their differences.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -122,7 +122,6 @@
 			OverloadReturn: p.Duration("overload_return", relay.DefaultWeights.OverloadReturn, least, most),
 			CutOff:         p.Bool("cut_off", relay.DefaultWeights.CutOff),
 			Failures:       readFailures(p),
-			Offsets:        p.Bool("offsets", relay.DefaultWeights.Offsets),
 			SharedEvents:   p.Bool("shared_events", relay.DefaultWeights.SharedEvents),
 		},
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, least, most),
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/ridgehinge/ridgehinge/internal/directory"
-	"github.com/ridgehinge/ridgehinge/pkg/forecast"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -64,27 +62,6 @@
 	return sum
 }
 
-// offset is what predictions for the groups of a model are off by; the caller holds the
-// lock.
-func (b *Balancer) offset(heads []*directory.Head) time.Duration {
-	if !b.weights.Offsets || len(heads) == 0 || b.offsets[heads[0].Model.Name] == nil {
-		return 0
-	}
-	return b.offsets[heads[0].Model.Name].Value()
-}
-
-// learn notes how long the first event of a request took that was predicted.
-func (b *Balancer) learn(model string, p Prediction, took time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	o := b.offsets[model]
-	if o == nil {
-		o = &forecast.Offset{}
-		b.offsets[model] = o
-	}
-	o.Note(took - (p.First - p.Offset))
-}
-
 // tally is what requests to an endpoint came to lately, at all nodes, in the group of
 // an epoch.
 func (l *load) tally(epoch uint64, now time.Time) health.Tally {
@@ -114,8 +91,6 @@
 	remotes map[serving.DataCentre]*remote
 	// told is what other nodes find.
 	told Hearsay
-	// offsets are what the predictions of each model's groups are off by.
-	offsets map[string]*forecast.Offset
 	// candidates is kept between choices, doubtful are those that only others
 	// found fault with.
 	candidates []candidate
@@ -125,7 +100,7 @@
 // NewBalancer returns a balancer for a node in a data centre. Nodes must draw
 // differently, so each gives its own source.
 func NewBalancer(home serving.DataCentre, source rand.Source, weights Weights) *Balancer {
-	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remote{}, offsets: map[string]*forecast.Offset{}, random: rand.New(source), weights: weights, suspected: func() {}}
+	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remote{}, random: rand.New(source), weights: weights, suspected: func() {}}
 }
 
 func (b *Balancer) load(id serving.EndpointID) *load {
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -32,8 +32,6 @@
 	CutOff bool
 	// Failures is what an endpoint's failures do to the choice of it.
 	Failures health.Policy
-	// Offsets has what predictions are off by learned, and added to them.
-	Offsets bool
 	// SharedEvents has events that an endpoint gives other nodes show that it lives.
 	SharedEvents bool
 }
@@ -46,7 +44,6 @@
 	OverloadReturn: 100 * time.Millisecond,
 	CutOff:         true,
 	Failures:       health.Compare,
-	Offsets:        true,
 	SharedEvents:   true,
 }
 
@@ -86,13 +83,10 @@
 	defer b.mu.Unlock()
 	c := Choice{Groups: len(heads)}
 	candidates, doubtful := b.candidates[:0], b.doubtful[:0]
-	offset := b.offset(heads)
 	for _, h := range heads {
 		l := b.load(h.ID)
 		l.dataCentre = h.DataCentre
 		predicted := predict(h, l, s)
-		predicted.First += offset
-		predicted.Offset = offset
 		slots := h.Slots
 		if underWay {
 			slots = int(overfull * float64(slots))
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -25,8 +25,6 @@
 	// First is the time to the first event, Gap the longest usual pause.
 	First time.Duration
 	Gap   time.Duration
-	// Offset is the part of First that was learned from earlier requests.
-	Offset time.Duration
 	// Running is the number of requests there, Unread their prompt tokens
 	// that are not read yet.
 	Running int
