--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -109,7 +109,6 @@
 			Change:       p.Float("change_cost", groupcontrol.DefaultWeights.Change, 0, 10),
 			TakeoverGain: p.Float("takeover_gain", groupcontrol.DefaultWeights.TakeoverGain, 0, 1),
 			Spares:       p.Float("spares", groupcontrol.DefaultWeights.Spares, 0, 0.5),
-			Bend:         p.Float("bend", groupcontrol.DefaultWeights.Bend, 1, 20),
 			Home:         p.Float("home_weight", groupcontrol.DefaultWeights.Home, 0, 1),
 
 			AcrossDomains: p.Bool("across_domains", groupcontrol.DefaultWeights.AcrossDomains),
--- a/internal/groupcontrol/value.go
+++ b/internal/groupcontrol/value.go
@@ -26,11 +26,6 @@
 	// Spares is the part of a domain's endpoints that are kept free for the model of
 	// the largest groups.
 	Spares float64
-	// Bend sets how sharply a model's groups go from having time for what is asked of
-	// them to not. With 3 a model at 0.7 of its groups' time was worth as much more as
-	// one at 0.4, so in a burst of one model the other kept twice the groups that it
-	// had work for: of that day 10 in 100 requests were late, and 7 with 6.
-	Bend float64
 	// Home is the weight of what a data centre can do by itself, against what all
 	// can do together: it may be cut off from the others at any time, and
 	// controllers that all fill the same gap overshoot.
@@ -46,7 +41,7 @@
 }
 
 // DefaultWeights were found by the rounds in docs/DECISIONS.md.
-var DefaultWeights = Weights{Demand: 0.95, Headroom: 1.5, Change: 0.7, TakeoverGain: 0.02, Spares: 0.06, Bend: 6, Home: 0.7, AcrossDomains: true, WarmSpares: true, SecondModels: true}
+var DefaultWeights = Weights{Demand: 0.85, Headroom: 1.6, Change: 0.7, TakeoverGain: 0.02, Spares: 0.06, Home: 0.7, AcrossDomains: true, WarmSpares: true, SecondModels: true}
 
 // leastDemand is the demand, in endpoints, below which what is observed says
 // nothing yet.
@@ -93,16 +88,10 @@
 	return s.shareOf(m) * total / float64(m.Size)
 }
 
-// guessedBend is that of a demand that was not observed: endpoints by the shares that
-// the configuration expects, so that none waits for a model that has enough.
-const guessedBend = 3
-
-func (s *situation) bend() float64 {
-	if s.observed() < leastDemand {
-		return guessedBend
-	}
-	return s.weights.Bend
-}
+// fullPower sets how sharply the bend is between groups that lack work and
+// groups that lack time. Groups are seldom loaded alike, so some are full long
+// before all are.
+const fullPower = 3
 
 // value is the part of the work that is served in time, by estimate, after a
 // change of the endpoints at work on each model here.
@@ -112,8 +101,8 @@
 		demand := s.demandOf(m)
 		here := max(0, s.groupsOf(m)+change[m.Name]/float64(m.Size))
 		everywhere := here + s.elsewhere[m.Name]/float64(m.Size)
-		together := served(demand, everywhere, s.bend())
-		alone := served(demand/float64(max(1, s.dataCentres)), here, s.bend())
+		together := served(demand, everywhere)
+		alone := served(demand/float64(max(1, s.dataCentres)), here)
 		value += s.shareOf(m) * ((1-s.weights.Home)*together + s.weights.Home*alone)
 	}
 	return value
@@ -134,12 +123,12 @@
 // falls, so of two models that lack groups the one that lacks more comes first:
 // with a curve that is flat at both ends a plan gave up the model that was worse
 // off (docs/DECISIONS.md, round F).
-func served(demand, groups, bend float64) float64 {
+func served(demand, groups float64) float64 {
 	if groups <= 0 {
 		return 0
 	}
 	full := groups / demand
-	return full / math.Pow(1+math.Pow(full, bend), 1/bend)
+	return full / math.Pow(1+math.Pow(full, fullPower), 1.0/fullPower)
 }
 
 // gainOf is what a change is worth.
--- a/internal/groupcontrol/value_test.go
+++ b/internal/groupcontrol/value_test.go
@@ -15,7 +15,7 @@
 	const demand = 5
 	last := 1.0
 	for groups := range 30 {
-		gain := served(demand, float64(groups+1), DefaultWeights.Bend) - served(demand, float64(groups), DefaultWeights.Bend)
+		gain := served(demand, float64(groups+1)) - served(demand, float64(groups))
 		require.Greater(t, gain, 0.0)
 		require.LessOrEqual(t, gain, last)
 		last = gain
