Have relays call those of other data centres half as often as their own nodes call them

Change: twice the time between two calls across data centres; both sides call, so that each hears the other as often as a node of its own.

Ruled out: to leave the loads of other data centres out: requests go there.

--- a/internal/entry/sharerelays.go
+++ b/internal/entry/sharerelays.go
@@ -25,6 +25,10 @@
 	// namedNodes of the own data centre are named to each node, so that it knows
 	// whom to call when those before them have ended.
 	namedNodes = 5
+	// acrossPause is how many times longer relays wait before they call those of other
+	// data centres, which call them as often: bytes between data centres cost, and
+	// fewer requests go there.
+	acrossPause = 2
 	// toldTTL is how long a node counts as a relay that another one named as such: it is
 	// called within that time, and says itself.
 	toldTTL = 5 * time.Second
@@ -223,6 +227,8 @@
 		return shareFirst
 	case !p.usable():
 		return shareFailed
+	case partner && p.dataCentre != s.settings.DataCentre:
+		return acrossPause * pace
 	case partner:
 		return pace
 	case relays && p.dataCentre == s.settings.DataCentre && now.Sub(p.heard) > shareSilent:
