Choose groups by the pace that their events keep

Change: each node adds up how long the pauses between events took, and how long they were reckoned to take (health.Pace), and tells its relay; a group's predicted time counts that many times (policy.observed_pace). It is forgotten as failures are, and with the group.

Ruled out: to ask heads for reports, which tell it as well: each costs a probe.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -122,6 +122,7 @@
 			OverloadReturn: p.Duration("overload_return", relay.DefaultWeights.OverloadReturn, least, most),
 			CutOff:         p.Bool("cut_off", relay.DefaultWeights.CutOff),
 			Failures:       readFailures(p),
+			ObservedPace:   p.Bool("observed_pace", relay.DefaultWeights.ObservedPace),
 			SharedEvents:   p.Bool("shared_events", relay.DefaultWeights.SharedEvents),
 		},
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, least, most),
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -243,7 +243,7 @@
 func TestLoadsAreToldWithAges(t *testing.T) {
 	now := time.Now().Round(time.Millisecond)
 	loads := map[serving.EndpointID]relay.PeerLoad{
-		"busy":   {Running: 3, Unread: 700, Event: now.Add(-40 * time.Millisecond), Epoch: 9, Tally: health.Tally{Served: 4, Failed: 0.5}},
+		"busy":   {Running: 3, Unread: 700, Event: now.Add(-40 * time.Millisecond), Epoch: 9, Tally: health.Tally{Served: 4, Failed: 0.5}, Pace: health.Pace{Took: 2, Reckoned: 0.5}},
 		"silent": {Running: 1},
 	}
 	// The receiver's clock may show any other time.
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -243,6 +243,8 @@
 			Epoch:    l.Epoch,
 			Served:   float32(l.Tally.Served),
 			Failed:   float32(l.Tally.Failed),
+			Took:     float32(l.Pace.Took),
+			Reckoned: float32(l.Pace.Reckoned),
 		}
 		if age := now.Sub(l.Event); age < eventTold {
 			ms := uint32(max(0, age.Milliseconds()))
@@ -262,6 +264,7 @@
 			Unread:  int(l.GetUnread()),
 			Epoch:   l.GetEpoch(),
 			Tally:   health.Tally{Served: float64(l.GetServed()), Failed: float64(l.GetFailed())},
+			Pace:    health.Pace{Took: float64(l.GetTook()), Reckoned: float64(l.GetReckoned())},
 		}
 		if l.EventAgeMs != nil {
 			load.Event = now.Add(-time.Duration(l.GetEventAgeMs()) * time.Millisecond)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -34,6 +34,7 @@
 	invariant.Check(c.route.Repeatable() || !c.mayHaveRun, invariant.AtMostOnce, "request %s at %s", c.attrs.ID, t.ID)
 	invariant.Check(!t.Leaving, invariant.NoNewWork, "request %s at %s", c.attrs.ID, t.ID)
 	flight := c.options.Balancer.begin(t.Endpoint, c.size(), now)
+	flight.head = t.head
 	defer flight.end()
 	stop := c.watch(cancel, flight, t.predicted)
 	defer stop()
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -30,6 +31,7 @@
 	// nothing of this one. Plain endpoints have none.
 	epoch   uint64
 	results health.Results
+	paces   health.Paces
 	// suspectUntil is set when it failed or fell silent.
 	suspectUntil time.Time
 	// dataCentre is known once it was a candidate.
@@ -45,6 +47,8 @@
 	// Tally is what requests to it came to, in the group of an epoch.
 	Epoch uint64
 	Tally health.Tally
+	// Pace is that of its events.
+	Pace health.Pace
 }
 
 // Plus adds what further nodes have and find. What they find of an earlier group is
@@ -57,6 +61,7 @@
 	for _, l := range []PeerLoad{p, other} {
 		if l.Epoch == sum.Epoch {
 			sum.Tally = sum.Tally.Plus(l.Tally)
+			sum.Pace = sum.Pace.Plus(l.Pace)
 		}
 	}
 	return sum
@@ -112,6 +117,27 @@
 	return l
 }
 
+// pace is how an endpoint kept its pace lately, at all nodes, in the group of an epoch.
+func (l *load) pace(epoch uint64, now time.Time) health.Pace {
+	var sum health.Pace
+	if l.epoch == epoch {
+		sum = l.paces.Pace(now)
+	}
+	if l.peers.Epoch == epoch {
+		sum = sum.Plus(l.peers.Pace)
+	}
+	return sum
+}
+
+// leads notes the epoch of the group that an endpoint leads, and reports whether it is
+// not an earlier one; what was found of the group before is forgotten.
+func (l *load) leads(epoch uint64) bool {
+	if epoch > l.epoch {
+		l.epoch, l.results, l.paces = epoch, health.Results{}, health.Paces{}
+	}
+	return epoch == l.epoch
+}
+
 // flight is one request at an endpoint.
 type flight struct {
 	balancer *Balancer
@@ -122,6 +148,8 @@
 	// last is when the endpoint last sent something of this request, or when it was
 	// sent.
 	last time.Time
+	// head is the group's, nil at a plain endpoint.
+	head *directory.Head
 }
 
 // begin counts a request that is sent to an endpoint.
@@ -139,11 +167,18 @@
 	return &flight{balancer: b, endpoint: e.ID, epoch: e.Membership.Epoch, size: s, reading: true, last: now}
 }
 
+// mostPause bounds a pause that counts for an endpoint's pace: a longer one is a stall,
+// and has its own remedy.
+const mostPause = time.Second
+
 // event notes that the endpoint has sent something of the request.
 func (f *flight) event(now time.Time) {
 	f.balancer.mu.Lock()
 	defer f.balancer.mu.Unlock()
 	l := f.balancer.load(f.endpoint)
+	if !f.reading && f.head != nil && l.leads(f.epoch) {
+		l.paces.Note(min(mostPause, now.Sub(f.last)), passTime(f.head, l), now)
+	}
 	f.last = now
 	l.news, l.event = now, now
 	l.suspectUntil = time.Time{}
@@ -174,10 +209,7 @@
 	b := f.balancer
 	b.mu.Lock()
 	l := b.load(f.endpoint)
-	if f.epoch > l.epoch {
-		l.epoch, l.results = f.epoch, health.Results{}
-	}
-	if f.epoch == l.epoch {
+	if l.leads(f.epoch) {
 		l.results.Note(failed, now)
 	}
 	b.mu.Unlock()
@@ -270,7 +302,7 @@
 	for id, l := range b.loads {
 		tally := l.results.Tally(now)
 		if l.running > 0 || tally.Served+tally.Failed > leastTold {
-			out[id] = PeerLoad{Running: l.running, Unread: l.unread, Event: l.event, Epoch: l.epoch, Tally: tally}
+			out[id] = PeerLoad{Running: l.running, Unread: l.unread, Event: l.event, Epoch: l.epoch, Tally: tally, Pace: l.paces.Pace(now)}
 		}
 	}
 	return out
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -312,3 +312,22 @@
 	_, ok = b.ChoosePlain(remote, nil, now.Add(cutRetry+time.Second))
 	require.False(t, ok)
 }
+
+// A group with a member that runs ten times slower sends its events ten times slower,
+// which no row tells; it is left alone until it keeps its pace again.
+func TestSlowGroupsAreChosenSeldom(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	heads := []*directory.Head{testHead("a", 1), testHead("b", 2)}
+	f := b.begin(heads[0].Endpoint, Size{Prompt: 100}, now)
+	f.head = heads[0]
+	for range 20 {
+		now = now.Add(400 * time.Millisecond)
+		f.event(now)
+	}
+	f.end()
+	require.Less(t, shareOf(b, heads, now), 0.1)
+	require.InDelta(t, 0.5, shareOf(b, heads, now.Add(30*time.Second)), 0.05)
+	b.weights.ObservedPace = false
+	require.InDelta(t, 0.5, shareOf(b, heads, now), 0.05)
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -12,6 +12,8 @@
 type target struct {
 	*serving.Endpoint
 	predicted Prediction
+	// head is the group's, nil for a plain endpoint.
+	head *directory.Head
 }
 
 // refusal is why a request has no target, and when its caller may come back.
@@ -48,7 +50,7 @@
 	heads := view.Heads[directory.Pool{Service: c.service, Model: c.attrs.Model}]
 	choice := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, c.sends > 0, now)
 	if choice.Head != nil {
-		return target{choice.Head.Endpoint, choice.Predicted}, refusal{}
+		return target{choice.Head.Endpoint, choice.Predicted, choice.Head}, refusal{}
 	}
 	no := refusal{cause: causeSuspected, after: noTargetReturn, choice: choice}
 	switch {
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -32,6 +32,9 @@
 	CutOff bool
 	// Failures is what an endpoint's failures do to the choice of it.
 	Failures health.Policy
+	// ObservedPace has groups chosen by the pace of their events, beside the engine's
+	// speed: one with a slow member is slow, which no row tells.
+	ObservedPace bool
 	// SharedEvents has events that an endpoint gives other nodes show that it lives.
 	SharedEvents bool
 }
@@ -44,6 +47,7 @@
 	OverloadReturn: 100 * time.Millisecond,
 	CutOff:         true,
 	Failures:       health.Compare,
+	ObservedPace:   true,
 	SharedEvents:   true,
 }
 
@@ -130,16 +134,20 @@
 }
 
 func (b *Balancer) candidate(h *directory.Head, l *load, predicted Prediction, now time.Time) candidate {
-	c := candidate{h, predicted, b.score(h, predicted), 1}
+	slow := 1.0
+	if b.weights.ObservedPace {
+		slow = l.pace(h.Membership.Epoch, now).Factor()
+	}
+	c := candidate{h, predicted, b.score(h, predicted, slow), 1}
 	if b.weights.Failures == health.Compare {
 		c.health = health.Weight(l.tally(h.Membership.Epoch, now).Rate())
 	}
 	return c
 }
 
-// score is the time that a group is ranked by.
-func (b *Balancer) score(h *directory.Head, predicted Prediction) time.Duration {
-	score := max(predicted.First, time.Millisecond)
+// score is the time that a group is ranked by, some times slower than reckoned.
+func (b *Balancer) score(h *directory.Head, predicted Prediction, slow float64) time.Duration {
+	score := max(time.Duration(slow*float64(predicted.First)), time.Millisecond)
 	if h.DataCentre != b.home {
 		score += b.weights.RemotePenalty
 	}
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 // Size is how much work a request asks of a model engine.
@@ -31,6 +32,23 @@
 	Unread  int
 }
 
+// stepsOfPass is how long the steps of one pass take by what is under way, at the pace
+// of the engine.
+func stepsOfPass(e *serving.Engine, l *load) time.Duration {
+	running := l.running + l.peers.Running
+	context := l.context
+	if l.running > 0 {
+		context = context * running / l.running
+	}
+	step := e.StepTime + time.Duration(running)*e.PerSequence + time.Duration(context)*e.PerThousand/1000
+	return time.Duration(e.StepsPerPass) * step
+}
+
+// passTime is the time between two events of a stream at a head that reads no prompts.
+func passTime(h *directory.Head, l *load) time.Duration {
+	return time.Duration(float64(stepsOfPass(h.Engine, l)) * h.Pace)
+}
+
 // predict applies the engine's speed to what is under way at a head.
 //
 // One pass reads at most a chunk of prompt tokens and plays a number of steps
@@ -39,12 +57,7 @@
 func predict(h *directory.Head, l *load, s Size) Prediction {
 	e := h.Engine
 	running := l.running + l.peers.Running
-	context := l.context
-	if l.running > 0 {
-		context = context * running / l.running
-	}
-	step := e.StepTime + time.Duration(running)*e.PerSequence + time.Duration(context)*e.PerThousand/1000
-	steps := time.Duration(e.StepsPerPass) * step
+	steps := stepsOfPass(e, l)
 	unread := l.unread + l.peers.Unread
 	chunk := max(1, e.Chunk)
 	reading := func(tokens int) time.Duration {
--- a/pkg/health/health.go
+++ b/pkg/health/health.go
@@ -1,9 +1,10 @@
 // Package health judges endpoints by what requests to them came to: by the part
-// that failed, and by how long they have been silent.
+// that failed, by their pace, and by how long they have been silent.
 //
 // It is pure: times come in with each call. Its inputs are results of requests and
 // times of events, those of this node and those that others told; its outputs are a
-// failure rate between 0 and 1, a weight between 0 and 1, and a duration. It returns
+// failure rate between 0 and 1, a weight between 0 and 1, a factor of slowness, and a
+// duration. It returns
 // no errors. Figures are decayed counts, in requests.
 package health
 
@@ -56,14 +57,19 @@
 
 // Tally returns the counts as of now.
 func (r *Results) Tally(now time.Time) Tally {
-	since := max(0, now.Sub(r.at))
-	if r.at.IsZero() || since > 10*window {
-		return Tally{}
-	}
-	left := math.Exp(-since.Seconds() / window.Seconds())
+	left := remembered(r.at, now)
 	return Tally{r.tally.Served * left, r.tally.Failed * left}
 }
 
+// remembered is the part that is left of what was noted at a time.
+func remembered(at, now time.Time) float64 {
+	since := max(0, now.Sub(at))
+	if at.IsZero() || since > 10*window {
+		return 0
+	}
+	return math.Exp(-since.Seconds() / window.Seconds())
+}
+
 // Policy is what failures do to the endpoint that they came from.
 type Policy uint8
 
@@ -104,6 +110,47 @@
 // without failures.
 func Weight(rate float64) float64 { return math.Pow(1-min(1, max(0, rate)), weightPower) }
 
+// Pace is how long an endpoint took lately for what it sent, and how long that was
+// reckoned to take, both in seconds, older ones counting for less.
+type Pace struct {
+	Took     float64
+	Reckoned float64
+}
+
+// Plus adds up the paces that several nodes observed.
+func (p Pace) Plus(other Pace) Pace { return Pace{p.Took + other.Took, p.Reckoned + other.Reckoned} }
+
+const (
+	// paceDoubt is the time, in seconds, that an endpoint counts as having kept its
+	// pace before anything is known of it: some ten events of a stream.
+	paceDoubt = 0.3
+	// mostSlow bounds the factor; slower ones are left alone as well.
+	mostSlow = 20
+)
+
+// Factor is how many times slower than reckoned the endpoint is, at least one.
+func (p Pace) Factor() float64 {
+	return min(mostSlow, max(1, (p.Took+paceDoubt)/(p.Reckoned+paceDoubt)))
+}
+
+// Paces observes the pace of one endpoint. The zero value has observed nothing.
+type Paces struct {
+	pace Pace
+	at   time.Time
+}
+
+// Note counts one pause between two events of a stream.
+func (p *Paces) Note(took, reckoned time.Duration, now time.Time) {
+	p.pace = p.Pace(now).Plus(Pace{took.Seconds(), reckoned.Seconds()})
+	p.at = now
+}
+
+// Pace returns what was observed as of now.
+func (p *Paces) Pace(now time.Time) Pace {
+	left := remembered(p.at, now)
+	return Pace{p.pace.Took * left, p.pace.Reckoned * left}
+}
+
 // Evidence is what one request at an endpoint knows of its life.
 type Evidence struct {
 	// Own is when the endpoint last gave this node an event of any request, or
--- a/pkg/health/health_test.go
+++ b/pkg/health/health_test.go
@@ -70,6 +70,22 @@
 	require.Equal(t, 1.0, Weight(-1))
 }
 
+// A head with a slow member is known for it after one stream, and for a moment only.
+func TestSlowEndpointsAreKnown(t *testing.T) {
+	var slow, sound Paces
+	now := start
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		slow.Note(200*time.Millisecond, 20*time.Millisecond, now)
+		sound.Note(22*time.Millisecond, 20*time.Millisecond, now)
+	}
+	require.Greater(t, slow.Pace(now).Factor(), 4.0)
+	require.Less(t, sound.Pace(now).Factor(), 1.1)
+	require.Less(t, slow.Pace(now.Add(4*window)).Factor(), 1.5)
+	require.Equal(t, 1.0, Pace{Took: 0.1, Reckoned: 5}.Factor())
+	require.Equal(t, float64(mostSlow), Pace{Took: 1000, Reckoned: 1}.Factor())
+}
+
 func TestSilence(t *testing.T) {
 	ago := func(d time.Duration) time.Time { return start.Add(-d) }
 	for _, c := range []struct {
