Revert "Try: pass groups over that would not finish an answer in time"

Change: groups are chosen by their first event alone, as before. Conclusion: it may come back once the plan follows a burst.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -123,7 +123,6 @@
 			CutOff:         p.Bool("cut_off", relay.DefaultWeights.CutOff),
 			Failures:       readFailures(p),
 			ObservedPace:   p.Bool("observed_pace", relay.DefaultWeights.ObservedPace),
-			WholeAnswers:   p.Bool("whole_answers", relay.DefaultWeights.WholeAnswers),
 			SharedEvents:   p.Bool("shared_events", relay.DefaultWeights.SharedEvents),
 		},
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, least, most),
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -331,25 +331,3 @@
 	b.weights.ObservedPace = false
 	require.InDelta(t, 0.5, shareOf(b, heads, now), 0.05)
 }
-
-// A long answer goes to a group that finishes it in time, and a short one to either; where
-// no other is left, the slow one gets it all the same.
-func TestLongAnswersGoWhereTheyEndInTime(t *testing.T) {
-	now := time.Now()
-	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
-	slow, sound := testHead("a", 1), testHead("b", 2)
-	slow.Pace = 2.5
-	heads := []*directory.Head{slow, sound}
-	choose := func(s Size, heads []*directory.Head) float64 {
-		n := 0
-		for range 500 {
-			if b.ChooseHead(heads, s, nil, false, now).Head == slow {
-				n++
-			}
-		}
-		return float64(n) / 500
-	}
-	require.Less(t, choose(Size{Prompt: 100, Answer: 420, Left: 6 * time.Second}, heads), 0.03)
-	require.Greater(t, choose(Size{Prompt: 100, Answer: 70, Left: 6 * time.Second}, heads), 0.05)
-	require.Equal(t, 1.0, choose(Size{Prompt: 100, Answer: 420, Left: 6 * time.Second}, heads[:1]))
-}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -97,5 +97,5 @@
 }
 
 func (c *call) size() Size {
-	return Size{Prompt: c.attrs.PromptTokens, Answer: c.attrs.AnswerTokens(), Objective: c.route.Objective, Left: time.Until(c.deadline)}
+	return Size{Prompt: c.attrs.PromptTokens, Answer: c.attrs.AnswerTokens(), Objective: c.route.Objective}
 }
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -35,9 +35,6 @@
 	// ObservedPace has groups chosen by the pace of their events, beside the engine's
 	// speed: one with a slow member is slow, which no row tells.
 	ObservedPace bool
-	// WholeAnswers has groups passed over that would not finish an answer in time,
-	// while there are others.
-	WholeAnswers bool
 	// SharedEvents has events that an endpoint gives other nodes show that it lives.
 	SharedEvents bool
 }
@@ -51,7 +48,6 @@
 	CutOff:         true,
 	Failures:       health.Compare,
 	ObservedPace:   true,
-	WholeAnswers:   true,
 	SharedEvents:   true,
 }
 
@@ -59,11 +55,6 @@
 // is another.
 const degradedPenalty = time.Second
 
-// unfinishedPenalty keeps long answers off groups that would not finish them before their
-// deadline: slow ones, and those across domains. Of two days with trouble 74 streams ended
-// at their deadline so, more than half of those that were not served.
-const unfinishedPenalty = time.Second
-
 // overfull is the part of its slots up to which a head takes requests that
 // were under way elsewhere: they are let in ahead of those that wait there.
 const overfull = 1.5
@@ -116,9 +107,9 @@
 		case !underWay && s.late(predicted, b.weights.LateFactor):
 			c.Late++
 		case b.isDoubtful(h.ID, h.DataCentre, l, now):
-			doubtful = append(doubtful, b.candidate(h, l, s, predicted, now))
+			doubtful = append(doubtful, b.candidate(h, l, predicted, now))
 		default:
-			candidates = append(candidates, b.candidate(h, l, s, predicted, now))
+			candidates = append(candidates, b.candidate(h, l, predicted, now))
 		}
 	}
 	b.candidates, b.doubtful = candidates, doubtful
@@ -142,15 +133,12 @@
 	health float64
 }
 
-func (b *Balancer) candidate(h *directory.Head, l *load, s Size, predicted Prediction, now time.Time) candidate {
+func (b *Balancer) candidate(h *directory.Head, l *load, predicted Prediction, now time.Time) candidate {
 	slow := 1.0
 	if b.weights.ObservedPace {
 		slow = l.pace(h.Membership.Epoch, now).Factor()
 	}
 	c := candidate{h, predicted, b.score(h, predicted, slow), 1}
-	if b.weights.WholeAnswers && s.Left > 0 && wholeTime(h, l, s, predicted, slow) > s.Left {
-		c.score += unfinishedPenalty
-	}
 	if b.weights.Failures == health.Compare {
 		c.health = health.Weight(l.tally(h.Membership.Epoch, now).Rate())
 	}
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -13,8 +13,6 @@
 	Answer int
 	// Objective is the time to the first event that is aimed at.
 	Objective time.Duration
-	// Left is the time until the whole answer must be there, zero if it has no bound.
-	Left time.Duration
 }
 
 // late reports whether a first event is predicted to come so late that its
@@ -51,12 +49,6 @@
 	return time.Duration(float64(stepsOfPass(h.Engine, l)) * h.Pace)
 }
 
-// wholeTime is how long a whole answer would take at a head, by its length as estimated.
-func wholeTime(h *directory.Head, l *load, s Size, p Prediction, slow float64) time.Duration {
-	events := s.Answer / max(1, h.Engine.StepsPerPass)
-	return p.First + time.Duration(slow*float64(events)*float64(passTime(h, l)))
-}
-
 // predict applies the engine's speed to what is under way at a head.
 //
 // One pass reads at most a chunk of prompt tokens and plays a number of steps
