Correct the demand that is reckoned by what is served in time

Change: nodes count which requests got their first event in time, of those that met no failure; the plan takes the demand that the curve gives for that part, if it is more than the reckoned one, up to 1.8 times (policy.corrected_demand). The system finds out by itself which model is short.

Ruled out: places taken as the measure: a model for long prompts is late with half of its places taken.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,7 +131,7 @@
 		Rank:        e.share.place,
 		FirstLook:   s.firstLook(),
 		EarlierLife: func(holder string) bool { return holder != life && strings.HasPrefix(holder, s.Node+lifeMark) },
-		Demand:      e.share.totalDemand,
+		Demand:      e.share.controlDemand,
 		LastEvent:   e.lastEvent(),
 		Weights:     s.Policy.Groups,
 		LeaseTTL:    s.LeaseTTL,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -109,6 +109,7 @@
 			Change:       p.Float("change_cost", groupcontrol.DefaultWeights.Change, 0, 10),
 			TakeoverGain: p.Float("takeover_gain", groupcontrol.DefaultWeights.TakeoverGain, 0, 1),
 			Spares:       p.Float("spares", groupcontrol.DefaultWeights.Spares, 0, 0.5),
+			Corrected:    p.Bool("corrected_demand", groupcontrol.DefaultWeights.Corrected),
 			Home:         p.Float("home_weight", groupcontrol.DefaultWeights.Home, 0, 1),
 
 			AcrossDomains: p.Bool("across_domains", groupcontrol.DefaultWeights.AcrossDomains),
--- a/internal/entry/shareloads.go
+++ b/internal/entry/shareloads.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -59,7 +60,7 @@
 
 // totalDemand is the work that callers ask for of each model, at this node and
 // all that it hears of.
-func (s *sharing) totalDemand() map[directory.Pool]float64 {
+func (s *sharing) totalDemand() map[directory.Pool]relay.Asked {
 	now := time.Now()
 	controls := s.controls()
 	s.mu.Lock()
@@ -69,15 +70,25 @@
 	return total.demand
 }
 
+// controlDemand is the total demand as the controller plans by it.
+func (s *sharing) controlDemand() map[directory.Pool]groupcontrol.Demand {
+	out := map[directory.Pool]groupcontrol.Demand{}
+	for pool, asked := range s.totalDemand() {
+		judged := asked.InTime + asked.Late
+		out[pool] = groupcontrol.Demand{Groups: asked.Groups, InTime: asked.InTime / max(1, judged), Judged: judged}
+	}
+	return out
+}
+
 // work is what nodes have under way at each endpoint, and what callers ask them
 // for of each model.
 type work struct {
 	loads  map[serving.EndpointID]relay.PeerLoad
-	demand map[directory.Pool]float64
+	demand map[directory.Pool]relay.Asked
 }
 
 func newWork() work {
-	return work{map[serving.EndpointID]relay.PeerLoad{}, map[directory.Pool]float64{}}
+	return work{map[serving.EndpointID]relay.PeerLoad{}, map[directory.Pool]relay.Asked{}}
 }
 
 // add adds the work of other nodes.
@@ -85,8 +96,8 @@
 	for id, l := range other.loads {
 		w.loads[id] = w.loads[id].Plus(l)
 	}
-	for pool, groups := range other.demand {
-		w.demand[pool] += groups
+	for pool, asked := range other.demand {
+		w.demand[pool] = w.demand[pool].Plus(asked)
 	}
 }
 
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -274,18 +274,28 @@
 	return out
 }
 
-func toDemand(demand map[directory.Pool]float64) []*sharepb.Demand {
+func toDemand(demand map[directory.Pool]relay.Asked) []*sharepb.Demand {
 	out := make([]*sharepb.Demand, 0, len(demand))
-	for pool, groups := range demand {
-		out = append(out, &sharepb.Demand{Service: pool.Service, Model: pool.Model, Groups: groups})
+	for pool, asked := range demand {
+		out = append(out, &sharepb.Demand{
+			Service: pool.Service,
+			Model:   pool.Model,
+			Groups:  asked.Groups,
+			InTime:  float32(asked.InTime),
+			Late:    float32(asked.Late),
+		})
 	}
 	return out
 }
 
-func fromDemand(demand []*sharepb.Demand) map[directory.Pool]float64 {
-	out := make(map[directory.Pool]float64, len(demand))
+func fromDemand(demand []*sharepb.Demand) map[directory.Pool]relay.Asked {
+	out := make(map[directory.Pool]relay.Asked, len(demand))
 	for _, d := range demand {
-		out[directory.Pool{Service: d.GetService(), Model: d.GetModel()}] = d.GetGroups()
+		out[directory.Pool{Service: d.GetService(), Model: d.GetModel()}] = relay.Asked{
+			Groups: d.GetGroups(),
+			InTime: float64(d.GetInTime()),
+			Late:   float64(d.GetLate()),
+		}
 	}
 	return out
 }
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -43,6 +43,16 @@
 	Order(ctx context.Context, address string, id serving.EndpointID, o serving.Order) (done bool, err error)
 }
 
+// Demand is what callers ask for of one model.
+type Demand struct {
+	// Groups is the work, in groups that would be busy with it all the time.
+	Groups float64
+	// InTime is the part of the requests that were served in time lately, and Judged
+	// how many requests that is known of, older ones counting for less.
+	InTime float64
+	Judged float64
+}
+
 // Options of a Controller.
 type Options struct {
 	Node string
@@ -66,9 +76,8 @@
 	// EarlierLife reports whether a holder of the lease is an earlier life of
 	// this node, which is over; nil means that nobody can tell.
 	EarlierLife func(holder string) bool
-	// Demand returns the work that callers ask for of each model over all data
-	// centres, in groups that would be busy with it all the time.
-	Demand func() map[directory.Pool]float64
+	// Demand returns what callers ask for of each model over all data centres.
+	Demand func() map[directory.Pool]Demand
 	// LastEvent returns when an endpoint last sent any node something of a request,
 	// zero if none is known; nil means that nobody knows.
 	LastEvent func(serving.EndpointID) time.Time
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -105,7 +105,7 @@
 		DataCentres: 1,
 		Unpaced:     func() bool { return !h.paced },
 		Weights:     groupcontrol.DefaultWeights,
-		Demand:      func() map[directory.Pool]float64 { return nil },
+		Demand:      func() map[directory.Pool]groupcontrol.Demand { return nil },
 		LastEvent:   h.lastEvent,
 		LeaseTTL:    hallLease,
 		LeaseOutage: time.Minute,
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -55,6 +55,9 @@
 	// demand is the work asked of each model over all data centres, in groups
 	// that would be busy with it all the time.
 	demand map[string]float64
+	// inTime is the part of the requests of each model that were served in time lately,
+	// where enough of them are known.
+	inTime map[string]float64
 	// dataCentres is their number.
 	dataCentres int
 	// open is set once a group of the data centre has taken requests.
--- a/internal/groupcontrol/situation.go
+++ b/internal/groupcontrol/situation.go
@@ -19,6 +19,7 @@
 		elsewhere: map[string]float64{},
 		growing:   map[string]bool{},
 		demand:    map[string]float64{},
+		inTime:    map[string]float64{},
 
 		weights:     c.options.Weights,
 		settling:    now.Sub(c.takenOver) < takeoverPause,
@@ -27,9 +28,13 @@
 	}
 	// Only what is started for the first time waits for loads.
 	s.open = !c.options.Unpaced()
-	for pool, groups := range c.options.Demand() {
-		if pool.Service == service.Name {
-			s.demand[pool.Model] = groups
+	for pool, demand := range c.options.Demand() {
+		if pool.Service != service.Name {
+			continue
+		}
+		s.demand[pool.Model] = demand.Groups
+		if demand.Judged >= leastJudged {
+			s.inTime[pool.Model] = demand.InTime
 		}
 	}
 	groups := map[string]*group{}
--- a/internal/groupcontrol/value.go
+++ b/internal/groupcontrol/value.go
@@ -26,6 +26,10 @@
 	// Spares is the part of a domain's endpoints that are kept free for the model of
 	// the largest groups.
 	Spares float64
+	// Corrected has the demand that is reckoned corrected by the part of the requests
+	// that were served in time: the work of long prompts and of bursts is reckoned too
+	// low, and a model that lacks groups looks as if it had enough.
+	Corrected bool
 	// Home is the weight of what a data centre can do by itself, against what all
 	// can do together: it may be cut off from the others at any time, and
 	// controllers that all fill the same gap overshoot.
@@ -41,7 +45,7 @@
 }
 
 // DefaultWeights were found by the rounds in docs/DECISIONS.md.
-var DefaultWeights = Weights{Demand: 0.85, Headroom: 1.6, Change: 0.7, TakeoverGain: 0.02, Spares: 0.06, Home: 0.7, AcrossDomains: true, WarmSpares: true, SecondModels: true}
+var DefaultWeights = Weights{Demand: 0.85, Headroom: 1.6, Change: 0.7, TakeoverGain: 0.02, Spares: 0.06, Corrected: true, Home: 0.7, AcrossDomains: true, WarmSpares: true, SecondModels: true}
 
 // leastDemand is the demand, in endpoints, below which what is observed says
 // nothing yet.
@@ -85,7 +89,30 @@
 	if total < leastDemand {
 		total = max(1, s.capacity())
 	}
-	return s.shareOf(m) * total / float64(m.Size)
+	demand := s.shareOf(m) * total / float64(m.Size)
+	if inTime, known := s.inTime[m.Name]; known && s.weights.Corrected {
+		groups := s.groupsOf(m) + s.elsewhere[m.Name]/float64(m.Size)
+		demand = min(max(demand, groups/fullness(inTime)), mostCorrection*demand)
+	}
+	return demand
+}
+
+const (
+	// leastJudged is the number of requests, older ones counting for less, from which
+	// on the part of them that was in time says something.
+	leastJudged = 20
+	// mostCorrection bounds what lateness adds to a demand that was reckoned: cuts and
+	// lost members make requests late as well.
+	mostCorrection = 1.8
+	// leastInTime keeps the reverse of the curve within what it is for.
+	leastInTime = 0.3
+)
+
+// fullness is the reverse of served: how many times the demand the groups are that serve
+// a part of it in time.
+func fullness(inTime float64) float64 {
+	inTime = min(0.99, max(leastInTime, inTime))
+	return inTime / math.Pow(1-math.Pow(inTime, fullPower), 1.0/fullPower)
 }
 
 // fullPower sets how sharply the bend is between groups that lack work and
--- a/internal/groupcontrol/value_test.go
+++ b/internal/groupcontrol/value_test.go
@@ -82,3 +82,25 @@
 	require.Len(t, d.formations, 1)
 	require.Equal(t, large.Name, d.formations[0].model.Name)
 }
+
+// A model whose requests are late needs more groups than its work is reckoned to: of two
+// models with the same work and groups the one that is late gets the next. Without it
+// twenty full groups of one model stood beside nine of another that had little to do,
+// through a burst of fourteen seconds.
+func TestADemandThatIsNotServedInTimeCountsForMore(t *testing.T) {
+	s := demanded(newSituation(rack{large: 2, small: 8}), 1.2, 4.8)
+	reckoned := s.demandOf(small)
+	gain := s.gainOf(map[string]float64{small.Name: 4})
+	s.inTime = map[string]float64{small.Name: 0.6, large.Name: 0.99}
+	require.Greater(t, s.demandOf(small), 1.2*reckoned)
+	require.LessOrEqual(t, s.demandOf(small), mostCorrection*reckoned)
+	require.Greater(t, s.gainOf(map[string]float64{small.Name: 4}), gain)
+	s.inTime[small.Name] = 0.95
+	require.InDelta(t, reckoned, s.demandOf(small), 0.01*reckoned, "what is in time corrects nothing")
+}
+
+func TestFullnessIsTheReverseOfServed(t *testing.T) {
+	for _, full := range []float64{0.5, 0.8, 1, 1.5} {
+		require.InDelta(t, full, fullness(served(1, full)), 0.001)
+	}
+}
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -22,9 +22,27 @@
 	pools map[directory.Pool]*demandRate
 }
 
+// Asked is what callers ask for of one model, and how it fares.
+type Asked struct {
+	// Groups is the work, in groups that would be busy with it all the time.
+	Groups float64
+	// InTime and Late count requests whose first event came in time, and those of
+	// which it did not or that were refused; older ones count for less. Requests
+	// that met a failure tell nothing of the time that groups have.
+	InTime float64
+	Late   float64
+}
+
+// Plus adds what is asked at other nodes.
+func (a Asked) Plus(other Asked) Asked {
+	return Asked{a.Groups + other.Groups, a.InTime + other.InTime, a.Late + other.Late}
+}
+
 // demandRate is an exponentially weighted rate.
 type demandRate struct {
 	groups float64
+	inTime float64
+	late   float64
 	at     time.Time
 	// since is when the first request was counted.
 	since time.Time
@@ -37,31 +55,51 @@
 func (d *Demand) Add(pool directory.Pool, work time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.rate(pool, now).groups += work.Seconds() / demandWindow.Seconds()
+}
+
+// Note tells whether a request got its first event in time.
+func (d *Demand) Note(pool directory.Pool, inTime bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rate := d.rate(pool, now)
+	if inTime {
+		rate.inTime++
+		return
+	}
+	rate.late++
+}
+
+// rate returns the rate of a pool as of now; the caller holds the lock.
+func (d *Demand) rate(pool directory.Pool, now time.Time) *demandRate {
 	rate := d.pools[pool]
 	if rate == nil {
 		rate = &demandRate{at: now, since: now}
 		d.pools[pool] = rate
 	}
 	rate.decay(now)
-	rate.groups += work.Seconds() / demandWindow.Seconds()
+	return rate
 }
 
 // decay lets the rate fall with the time since it was last told.
 func (r *demandRate) decay(now time.Time) {
 	if since := now.Sub(r.at); since > 0 {
-		r.groups *= math.Exp(-since.Seconds() / demandWindow.Seconds())
+		left := math.Exp(-since.Seconds() / demandWindow.Seconds())
+		r.groups *= left
+		r.inTime *= left
+		r.late *= left
 		r.at = now
 	}
 }
 
-// Rates returns the demand of each model.
-func (d *Demand) Rates(now time.Time) map[directory.Pool]float64 {
+// Rates returns what is asked of each model.
+func (d *Demand) Rates(now time.Time) map[directory.Pool]Asked {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[directory.Pool]float64, len(d.pools))
+	out := make(map[directory.Pool]Asked, len(d.pools))
 	for pool, rate := range d.pools {
 		rate.decay(now)
-		out[pool] = rate.groups / rate.seen(now)
+		out[pool] = Asked{rate.groups / rate.seen(now), rate.inTime, rate.late}
 	}
 	return out
 }
--- a/internal/relay/demand_test.go
+++ b/internal/relay/demand_test.go
@@ -22,12 +22,12 @@
 	}
 	// Fifty requests a second of 40 ms keep two groups busy.
 	ask(50, 2*time.Second, 40*time.Millisecond)
-	require.InEpsilon(t, 2, d.Rates(now)[pool], 0.1, "a rate that has just begun is not too low")
+	require.InEpsilon(t, 2, d.Rates(now)[pool].Groups, 0.1, "a rate that has just begun is not too low")
 	ask(50, 20*time.Second, 40*time.Millisecond)
-	require.InEpsilon(t, 2, d.Rates(now)[pool], 0.05)
+	require.InEpsilon(t, 2, d.Rates(now)[pool].Groups, 0.05)
 	ask(100, 12*time.Second, 40*time.Millisecond)
-	require.InEpsilon(t, 4, d.Rates(now)[pool], 0.1)
-	require.Less(t, d.Rates(now.Add(20 * time.Second))[pool], 0.05)
+	require.InEpsilon(t, 4, d.Rates(now)[pool].Groups, 0.1)
+	require.Less(t, d.Rates(now.Add(20*time.Second))[pool].Groups, 0.05)
 }
 
 func TestWorkOfARequest(t *testing.T) {
@@ -49,3 +49,17 @@
 	require.Equal(t, 300*time.Millisecond, work(engine, model, Size{Prompt: 1000, Answer: 100}).Round(time.Microsecond))
 	require.Equal(t, 500*time.Millisecond, work(engine, model, Size{Prompt: 1000, Answer: 200}).Round(time.Microsecond))
 }
+
+// What is served in time is told beside the demand, and forgotten as that is.
+func TestDemandTellsWhatIsInTime(t *testing.T) {
+	pool := directory.Pool{Service: "llm", Model: "large"}
+	d := NewDemand()
+	now := time.Unix(1000, 0)
+	for i := range 40 {
+		d.Note(pool, i%4 != 0, now)
+	}
+	require.Equal(t, Asked{InTime: 30, Late: 10}, d.Rates(now)[pool])
+	later := d.Rates(now.Add(3 * demandWindow))[pool]
+	require.Less(t, later.InTime+later.Late, 3.0)
+	require.Equal(t, Asked{Groups: 3, InTime: 31, Late: 10}, Asked{1, 30, 10}.Plus(Asked{2, 1, 0}))
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -661,7 +661,7 @@
 	in := request(hostStream)
 	in.Header.Set("Prompt", "100000")
 	require.Equal(t, http.StatusServiceUnavailable, w.serve(in).status)
-	require.Positive(t, w.relay.options.Demand.Rates(time.Now())[directory.Pool{Service: "llm", Model: "m"}])
+	require.Positive(t, w.relay.options.Demand.Rates(time.Now())[directory.Pool{Service: "llm", Model: "m"}].Groups)
 }
 
 // A stream that gets nothing on its connection goes on at another group, and no doubt
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -170,6 +170,13 @@
 	}
 }
 
+// noteInTime counts whether a request got its first event in time.
+func (c *call) noteInTime(inTime bool, now time.Time) {
+	if c.view.Configuration.Services[c.service].Engine != nil {
+		c.options.Demand.Note(directory.Pool{Service: c.service, Model: c.attrs.Model}, inTime, now)
+	}
+}
+
 // leastTime is what must be left for a request to be sent: less than the way
 // there and back only makes work whose answer nobody waits for.
 const leastTime = 2 * wayBack
@@ -195,6 +202,9 @@
 			return
 		}
 		if t.Endpoint == nil {
+			if no.cause == causeFull {
+				c.noteInTime(false, time.Now())
+			}
 			c.giveUp(no)
 			return
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -48,6 +48,9 @@
 		answer := c.options.Wire.Answer(header)
 		delete(answer, "Content-Length")
 		c.class.FirstToken.RecordDuration(now.Sub(c.start))
+		if c.sends == 1 {
+			c.noteInTime(now.Sub(c.start) <= c.route.Objective, now)
+		}
 		c.log.Debug("first event", "request", c.attrs.ID, "model", c.attrs.Model, "endpoint", string(t.ID), "predicted", t.predicted.First,
 			"running", t.predicted.Running, "unread", t.predicted.Unread, "prompt", c.attrs.PromptTokens, "took", now.Sub(c.start))
 		c.begin(http.StatusOK, answer)
