--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -7,7 +7,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
+	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/pkg/health"
 )
 
 // minimal are settings with what must be given.
@@ -43,10 +45,29 @@
 	require.InDelta(t, 2, s.Policy.Groups.Headroom, 0)
 	require.False(t, s.Policy.Relay.CutOff)
 	require.Equal(t, time.Second, s.Policy.watchOptions().EndpointPause)
+
+	s, err = Parse("entry.ini", []byte(minimal+"failures = suspect\nshared_events = no\nobserved_pace = no\ncorrected_demand = no\nshare_nodes = 4\n"))
+	require.NoError(t, err)
+	require.Equal(t, health.Suspect, s.Policy.Relay.Failures)
+	require.False(t, s.Policy.Relay.SharedEvents)
+	require.False(t, s.Policy.Relay.ObservedPace)
+	require.False(t, s.Policy.Groups.Corrected)
+	require.Equal(t, 4, s.Policy.ShareNodes)
+}
+
+func TestTheBoundOfSilenceIsASetting(t *testing.T) {
+	s, err := Parse("entry.ini", []byte(minimal))
+	require.NoError(t, err)
+	require.Equal(t, link.DefaultSilence, s.Silence)
+	s, err = Parse("entry.ini", []byte(minimal+"[timing]\nsilence = 3s\n"))
+	require.NoError(t, err)
+	require.Equal(t, 3*time.Second, s.Silence)
+	_, err = Parse("entry.ini", []byte(minimal+"[timing]\nsilence = 100ms\n"))
+	require.ErrorContains(t, err, "silence")
 }
 
 func TestPoliciesOutOfRangeAreRefused(t *testing.T) {
-	for _, wrong := range []string{"headroom = 0.5", "headroom = many", "home_weight = 2", "takeover_gain = -1", "late_factor = 0", "overload_return = 0s", "across_domains = maybe", "lease_outage = 2h", "headrom = 2"} {
+	for _, wrong := range []string{"headroom = 0.5", "headroom = many", "home_weight = 2", "takeover_gain = -1", "late_factor = 0", "overload_return = 0s", "across_domains = maybe", "lease_outage = 2h", "headrom = 2", "failures = sometimes", "shared_events = perhaps", "observed_pace = 2", "corrected_demand = 0.5", "share_nodes = 0"} {
 		t.Run(wrong, func(t *testing.T) {
 			_, err := Parse("entry.ini", []byte(minimal+wrong))
 			require.ErrorContains(t, err, "policy")
