--- /dev/null
+++ b/internal/relay/load.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/health"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// load is what is under way at one endpoint.
+type load struct {
+	running int
+	// unread is the prompt tokens of requests that have no first event yet;
+	// context is the tokens of all that run.
+	unread  int
+	context int
+	// peers is what the other nodes last told.
+	peers PeerLoad
+	// news is when the endpoint last showed life to this node, or had nothing to do
+	// for it; event is when it last sent something.
+	news  time.Time
+	event time.Time
+	// epoch is that of the group that results are of: those of an earlier group say
+	// nothing of this one. Plain endpoints have none.
+	epoch   uint64
+	results health.Results
+	paces   health.Paces
+	// suspectUntil is set when it failed or fell silent.
+	suspectUntil time.Time
+	// dataCentre is known once it was a candidate.
+	dataCentre serving.DataCentre
+}
+
+// PeerLoad is the work that other nodes have at one endpoint, and what they find of it.
+type PeerLoad struct {
+	Running int
+	Unread  int
+	// Event is when it last sent any of them something, zero if it did not lately.
+	Event time.Time
+	// Tally is what requests to it came to, in the group of an epoch.
+	Epoch uint64
+	Tally health.Tally
+	// Pace is that of its events.
+	Pace health.Pace
+}
+
+// Plus adds what further nodes have and find. What they find of an earlier group is
+// left out.
+func (p PeerLoad) Plus(other PeerLoad) PeerLoad {
+	sum := PeerLoad{Running: p.Running + other.Running, Unread: p.Unread + other.Unread, Event: p.Event, Epoch: max(p.Epoch, other.Epoch)}
+	if other.Event.After(sum.Event) {
+		sum.Event = other.Event
+	}
+	for _, l := range []PeerLoad{p, other} {
+		if l.Epoch == sum.Epoch {
+			sum.Tally = sum.Tally.Plus(l.Tally)
+			sum.Pace = sum.Pace.Plus(l.Pace)
+		}
+	}
+	return sum
+}
+
+// tally is what requests to an endpoint came to lately, at all nodes, in the group of
+// an epoch.
+func (l *load) tally(epoch uint64, now time.Time) health.Tally {
+	var sum health.Tally
+	if l.epoch == epoch {
+		sum = l.results.Tally(now)
+	}
+	if l.peers.Epoch == epoch {
+		sum = sum.Plus(l.peers.Tally)
+	}
+	return sum
+}
+
+// pace is how an endpoint kept its pace lately, at all nodes, in the group of an epoch.
+func (l *load) pace(epoch uint64, now time.Time) health.Pace {
+	var sum health.Pace
+	if l.epoch == epoch {
+		sum = l.paces.Pace(now)
+	}
+	if l.peers.Epoch == epoch {
+		sum = sum.Plus(l.peers.Pace)
+	}
+	return sum
+}
+
+// leads notes the epoch of the group that an endpoint leads, and reports whether it is
+// not an earlier one; what was found of the group before is forgotten.
+func (l *load) leads(epoch uint64) bool {
+	if epoch > l.epoch {
+		l.epoch, l.results, l.paces = epoch, health.Results{}, health.Paces{}
+	}
+	return epoch == l.epoch
+}
