Log what the retry budget is decided by and how long a call of the store waited

Cause: neither logs nor metrics told what a node had spent of the retry budget, or how old its last answer about the configuration was. Change: a line for each repeat that the budget refuses, with its inputs; a line when more nodes share it; waits in the lines of a store that is lost and back; three figures on the metrics page; the life in the line of a start.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -84,7 +84,10 @@
 	mu               sync.Mutex
 	configuration    *serving.Configuration
 	configurationRow []byte
-	endpoints        map[serving.EndpointID]*endpointRecord
+	// configurationAnswered is when the store last answered this node about the
+	// configuration, changed or not.
+	configurationAnswered time.Time
+	endpoints             map[serving.EndpointID]*endpointRecord
 	// covered is the version up to which the endpoint table is known, and
 	// coveredAt when it last rose.
 	covered   uint64
@@ -154,6 +157,21 @@
 	return d.configuration.Version, d.configurationRow
 }
 
+// noteConfigurationAnswer notes that the store has answered about the configuration.
+func (d *Directory) noteConfigurationAnswer(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.configurationAnswered = now
+}
+
+// ConfigurationAnswered returns when the store last answered this node about the
+// configuration, zero if never. A node that does not watch it relies on its relay.
+func (d *Directory) ConfigurationAnswered() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.configurationAnswered
+}
+
 // TakeConfiguration takes a configuration from the store or a peer. An older
 // one than that in force is left aside, whoever brings it.
 func (d *Directory) TakeConfiguration(value []byte, source string) {
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -109,6 +109,9 @@
 	// failed since it last did.
 	down     bool
 	failures int
+	// asked is when the last call began, answered when one was last answered.
+	asked    time.Time
+	answered time.Time
 	// changed is set when the last call brought rows, skipped when it was left out.
 	changed bool
 	skipped bool
@@ -137,6 +140,7 @@
 			return duty.Wait || version > 0 && !duty.Configuration
 		},
 		take: func(rows []table.Row, _, _ uint64) {
+			w.Directory.noteConfigurationAnswer(time.Now())
 			for _, row := range rows {
 				if row.Key == codec.ConfigurationKey && !row.Removed {
 					w.Directory.TakeConfiguration(row.Value, "store")
@@ -171,6 +175,7 @@
 }
 
 func (f *follower) run(ctx context.Context) {
+	f.answered = time.Now()
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := f.step(ctx)
@@ -228,26 +233,33 @@
 // maxDoublings keeps a shift within its type.
 const maxDoublings = 16
 
-// note logs when the store is lost and regained.
+// note logs when the store is lost and regained, with how long the call took that told
+// so and how long ago one was last answered: a call that waits for an answer that never
+// comes shows in nothing else.
 func (f *follower) note(err error) {
 	if f.skipped {
 		return
 	}
+	now := time.Now()
+	before := f.answered
 	down := err != nil && !errors.Is(err, table.ErrHistoryGone)
 	if down {
 		f.failures++
 	} else {
 		f.failures = 0
+		f.answered = now
 	}
 	if down == f.down {
 		return
 	}
 	f.down = down
 	if down {
-		f.Directory.log.Warn("the store is lost; what is known stays in force", "table", f.name, "version", f.version, "error", err)
+		f.Directory.log.Warn("the store is lost; what is known stays in force", "table", f.name, "version", f.version,
+			"waited", now.Sub(f.asked), "answered_before", now.Sub(before), "error", err)
 		return
 	}
-	f.Directory.log.Info("the store is back", "table", f.name, "version", f.version)
+	f.Directory.log.Info("the store is back", "table", f.name, "version", f.version,
+		"waited", now.Sub(f.asked), "answered_before", now.Sub(before))
 }
 
 // step makes one call: a read of the whole table, or of what has changed.
@@ -257,6 +269,7 @@
 	if f.skipped {
 		return nil
 	}
+	f.asked = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.wait+f.Options.CallTimeout)
 	defer cancel()
 	if f.known != nil && !f.reread {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,7 @@
 	directory  *directory.Directory
 	balancer   *relay.Balancer
 	relay      *relay.Relay
+	budget     *relay.Budget
 	upstream   *upstream.Client
 	controller *groupcontrol.Controller
 	share      *sharing
@@ -105,7 +106,7 @@
 	store := &countedStore{Store: a.Store(s.Store, httpClient(links)), metrics: e.metrics}
 	e.store = store
 	demand := relay.NewDemand()
-	budget := relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
+	e.budget = relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
 	e.relay = relay.New(relay.Options{
 		DataCentre:  s.DataCentre,
 		Wire:        a.Wire,
@@ -113,12 +114,12 @@
 		View:        e.directory.View,
 		Balancer:    e.balancer,
 		Demand:      demand,
-		Budget:      budget,
+		Budget:      e.budget,
 		Metrics:     e.metrics,
 		StallAfter:  s.StallAfter,
 		MaxRequests: s.MaxRequests,
 	})
-	e.share = newSharing(s, life, e.directory, e.balancer, demand, budget, e.store, links)
+	e.share = newSharing(s, life, e.directory, e.balancer, demand, e.budget, e.store, links)
 	store.answered = e.share.storeAnswered
 	e.controller = groupcontrol.New(groupcontrol.Options{
 		Node:        life,
@@ -146,7 +147,7 @@
 		return nil, err
 	}
 	e.run()
-	e.log.Info("started", "callers", s.Callers, "ready", s.Ready, "peers", s.Peers, "metrics", s.Metrics, "store", s.Store)
+	e.log.Info("started", "life", life, "first_start", s.FirstStart, "callers", s.Callers, "ready", s.Ready, "peers", s.Peers, "metrics", s.Metrics, "store", s.Store)
 	return e, nil
 }
 
@@ -247,6 +248,10 @@
 	e.metrics.Set("endpoints_listed", float64(len(view.Endpoints)))
 	e.metrics.Set("endpoints_suspected", float64(len(e.share.suspects())))
 	e.metrics.Set("configuration_version", float64(e.ConfigurationVersion()))
+	e.metrics.Set("configuration_answer_age_seconds", time.Since(e.directory.ConfigurationAnswered()).Seconds())
+	budget := e.budget.Tightest(time.Now())
+	e.metrics.Set("retry_budget_repeats", float64(budget.Repeats))
+	e.metrics.Set("retry_budget_allowed", budget.Allowed)
 	e.metrics.Set("requests_in_progress", float64(e.relay.InProgress()))
 	e.metrics.Set("connections_opened", float64(e.upstream.Opened()))
 	e.metrics.Set("log_lines_dropped", float64(logging.Dropped()))
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/logging"
 )
 
 // budgetBuckets is the number of parts that the budget's window is counted in.
@@ -16,6 +18,8 @@
 	slack  float64
 	window time.Duration
 
+	log logging.Logger
+
 	mu sync.Mutex
 	// start is the first time seen; windows count from it by the steady
 	// clock, since the time of day may jump.
@@ -38,7 +42,14 @@
 // NewBudget returns a budget of ratio times the requests plus a slack, in
 // each window, for all nodes together.
 func NewBudget(ratio, slack float64, window time.Duration, nodes int) *Budget {
-	return &Budget{ratio: ratio, slack: slack, window: window, nodes: max(1, nodes), services: map[string]*budgetWindow{}}
+	return &Budget{
+		ratio:    ratio,
+		slack:    slack,
+		window:   window,
+		log:      logging.For("relay"),
+		nodes:    max(1, nodes),
+		services: map[string]*budgetWindow{},
+	}
 }
 
 // SetNodes tells how many nodes share the slack. The number never falls
@@ -46,7 +57,54 @@
 func (b *Budget) SetNodes(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.nodes = max(b.nodes, n)
+	if n <= b.nodes {
+		return
+	}
+	b.log.Info("more nodes share the retry budget", "nodes", n, "before", b.nodes)
+	b.nodes = n
+}
+
+// BudgetState is what one service's budget is decided by, for logs and metrics.
+type BudgetState struct {
+	// Requests and Repeats are those of the window, Allowed bounds the repeats.
+	Requests int
+	Repeats  int
+	Allowed  float64
+	Nodes    int
+	// Age is how long this life of the node has counted.
+	Age time.Duration
+}
+
+// State returns what a service's budget is decided by.
+func (b *Budget) State(service string, now time.Time) BudgetState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(b.advance(service, now), now)
+}
+
+// Tightest returns the state of the service that has used up the most of its budget.
+func (b *Budget) Tightest(now time.Time) BudgetState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var tightest BudgetState
+	for service := range b.services {
+		state := b.state(b.advance(service, now), now)
+		if tightest.Nodes == 0 || float64(state.Repeats)*tightest.Allowed > float64(tightest.Repeats)*state.Allowed {
+			tightest = state
+		}
+	}
+	return tightest
+}
+
+// state sums up a window; the caller holds the lock.
+func (b *Budget) state(w *budgetWindow, now time.Time) BudgetState {
+	s := BudgetState{Nodes: b.nodes, Age: now.Sub(b.start)}
+	for i := range w.requests {
+		s.Requests += w.requests[i]
+		s.Repeats += w.repeats[i]
+	}
+	s.Allowed = budgetMargin * (b.ratio*float64(s.Requests) + b.slack/float64(b.nodes))
+	return s
 }
 
 // Request counts a request for a service.
@@ -62,13 +120,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.advance(service, now)
-	requests, repeats := 0, 0
-	for i := range w.requests {
-		requests += w.requests[i]
-		repeats += w.repeats[i]
-	}
-	allowed := budgetMargin * (b.ratio*float64(requests) + b.slack/float64(b.nodes))
-	if float64(repeats+1) > allowed {
+	if s := b.state(w, now); float64(s.Repeats+1) > s.Allowed {
 		return false
 	}
 	w.repeats[w.bucket%int64(len(w.repeats))]++
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -209,6 +209,7 @@
 			return
 		}
 		if c.sends > 0 && !c.options.Budget.Repeat(c.service, time.Now()) {
+			c.logBudget()
 			c.giveUp(refusal{cause: causeBudget, after: noTargetReturn})
 			return
 		}
@@ -267,6 +268,13 @@
 	c.logEnd(no)
 }
 
+// logBudget logs by what a repeat was refused.
+func (c *call) logBudget() {
+	s := c.options.Budget.State(c.service, time.Now())
+	c.log.Info("the retry budget is used up", "request", c.attrs.ID, "service", c.service, "repeats", s.Repeats, "allowed", s.Allowed,
+		"requests", s.Requests, "nodes", s.Nodes, "age", s.Age)
+}
+
 func (c *call) logEnd(no refusal) {
 	route := ""
 	if c.route != nil {
