--- /dev/null
+++ b/internal/relay/budget_test.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The budget that users set for all nodes together: of any ten seconds, repeats up to a
+// fifth of the requests and a slack.
+const (
+	testRatio  = 0.2
+	testSlack  = 136
+	testWindow = 10 * time.Second
+	testNodes  = 9
+)
+
+// trace is when requests came and were sent once more, at all nodes, by the time since
+// the start.
+type trace struct {
+	requests []time.Duration
+	repeats  []time.Duration
+}
+
+// within counts the times of a window.
+func within(times []time.Duration, from time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < from+testWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// excess is by how many the repeats of the worst window are over what it allows. The
+// requests that count are those of the window, of the one before it or of the one half a
+// window before it, whichever are most.
+func (tr trace) excess() float64 {
+	worst := -1.0 * testSlack
+	for from := time.Duration(0); from < tr.repeats[len(tr.repeats)-1]; from += testWindow / 100 {
+		requests := max(within(tr.requests, from), within(tr.requests, from-testWindow), within(tr.requests, from-testWindow/2))
+		allowed := testRatio*float64(requests) + testSlack
+		worst = max(worst, float64(within(tr.repeats, from))-allowed)
+	}
+	return worst
+}
+
+// schedule tells which nodes are killed at a step of the play, all of which start again
+// half a second later.
+type schedule func(random *rand.Rand, step, node int) bool
+
+const (
+	playStep  = 50 * time.Millisecond
+	playSteps = 800
+	// playMost is the most requests of a node in a step, one in the mean: nine nodes take
+	// 180 a second.
+	playMost = 2
+	restart  = 500 * time.Millisecond
+)
+
+// arrivals is how many times the usual requests come at a step.
+type arrivals func(step int) int
+
+// steady and bursts are arrivals; a burst of three times the usual lasts three of eight seconds.
+func steady(int) int { return 1 }
+
+func bursts(step int) int {
+	if step%at(8*time.Second) < at(3*time.Second) {
+		return 3
+	}
+	return 1
+}
+
+// at is the step of a time of the play.
+func at(t time.Duration) int { return int(t / playStep) }
+
+// play has nine nodes repeat all that they may from second 12 on, with lives that end by
+// a schedule.
+func play(seed uint64, come arrivals, killed schedule) trace {
+	random := rand.New(rand.NewPCG(seed, 0))
+	start := time.Now()
+	var tr trace
+	lives := make([]*Budget, testNodes)
+	down := make([]time.Time, testNodes)
+	for node := range lives {
+		lives[node] = NewBudget(testRatio, testSlack, testWindow, testNodes)
+	}
+	for step := range playSteps {
+		time.Sleep(playStep)
+		now := time.Now()
+		for node := range lives {
+			switch {
+			case killed(random, step, node):
+				lives[node], down[node] = nil, now
+			case lives[node] == nil && now.Sub(down[node]) >= restart:
+				lives[node] = NewBudget(testRatio, testSlack, testWindow, testNodes)
+			}
+			life := lives[node]
+			if life == nil {
+				continue
+			}
+			for range come(step) * random.IntN(playMost+1) {
+				life.Request("llm", now)
+				tr.requests = append(tr.requests, now.Sub(start))
+				if step >= at(12*time.Second) && life.Repeat("llm", now) {
+					tr.repeats = append(tr.repeats, now.Sub(start))
+				}
+			}
+		}
+	}
+	return tr
+}
+
+// Endpoints broke off half of their answers while all nodes were killed and started again
+// once, and users counted 687 repeats in ten seconds of 529 that they allow. Order of
+// events: each node spent what its window allowed; all were killed; each new life counted
+// from nothing, took its whole share of the slack again, and did not count what its
+// earlier life had spent on the same requests. Evidence: on the same day without the kill
+// the bound was kept, and with it each life logged that it was within its own bound, with
+// the right number of nodes.
+func TestLivesTogetherKeepTheRetryBudget(t *testing.T) {
+	all := func(times ...time.Duration) schedule {
+		return func(_ *rand.Rand, step, _ int) bool {
+			for _, killedAt := range times {
+				if step == at(killedAt) {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	for _, test := range []struct {
+		name   string
+		killed schedule
+	}{
+		{"none", all()},
+		{"all at once", all(17 * time.Second)},
+		{"all at once, as soon as they have spent the most", all(12500 * time.Millisecond)},
+		{"all, twice", all(17*time.Second, 20*time.Second)},
+		{"all, four times", all(13*time.Second, 15*time.Second, 17*time.Second, 19*time.Second)},
+		{"in turn", func(_ *rand.Rand, step, node int) bool {
+			return step >= at(12*time.Second) && step%at(9*time.Second) == node*at(time.Second)
+		}},
+		{"at random, each every four seconds", func(random *rand.Rand, _, _ int) bool { return random.IntN(at(4*time.Second)) == 0 }},
+		{"half of them at random", func(random *rand.Rand, step, _ int) bool {
+			return step%at(3*time.Second) == 0 && random.IntN(2) == 0
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						require.LessOrEqual(t, play(seed, steady, test.killed).excess(), 0.0, "repeats over the bound in the worst ten seconds")
+						require.LessOrEqual(t, play(seed, bursts, test.killed).excess(), 0.0, "the same while requests come in bursts")
+					})
+				})
+			}
+		})
+	}
+}
