Bound for how long a watch of the configuration that is not answered is believed

Cause: a watch that is sent into an outage of the store, or whose answer is lost, is never answered. The follower took its silence for no news for 6 s and a second, also while the store answered the node's other calls. Change: a watch waits 1.5 s, and calls to a store that is known to be lost do not wait at all. The class of the fault: silence of a call taken for knowledge. Conclusion: a node is behind its store for 2.5 s at most once that answers.

--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -11,7 +11,11 @@
 
 // WatchOptions are the intervals of a Watcher.
 type WatchOptions struct {
-	// LongPoll is how long one watch of the configuration waits.
+	// LongPoll is how long one watch of the configuration waits. With CallTimeout it
+	// bounds for how long a node may take a watch that will never be answered for one
+	// that has nothing to tell: the store does not answer after an outage what was sent
+	// into it, nor on a connection that has lost an answer. With 6 s all nodes acted on
+	// an old configuration for 4.9 s after an outage of 9 s.
 	LongPoll time.Duration
 	// EndpointPause is the time between two reads of the endpoint table,
 	// whose rows change all the time.
@@ -42,9 +46,10 @@
 // DefaultWatchOptions suit some ten nodes.
 func DefaultWatchOptions() WatchOptions {
 	return WatchOptions{
-		// A lost answer is noticed after this time, and a node that watches for its whole
-		// data centre misses changes until then.
-		LongPoll:      6 * time.Second,
+		// With CallTimeout half a second less than the three seconds after which users count
+		// on a node whose store is back. Eight nodes made 724 calls on a calm day of 46 s,
+		// and 682 with 6 s (one play each).
+		LongPoll:      1500 * time.Millisecond,
 		EndpointPause: 300 * time.Millisecond,
 		RelyOnPeers:   1200 * time.Millisecond,
 		RetryPause:    250 * time.Millisecond,
@@ -270,7 +275,13 @@
 		return nil
 	}
 	f.asked = time.Now()
-	ctx, cancel := context.WithTimeout(ctx, f.wait+f.Options.CallTimeout)
+	wait := f.wait
+	if f.down {
+		// Nothing is waited for at a store that may not hear: its first answer tells at
+		// once that it is back, and what has changed.
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Options.CallTimeout)
 	defer cancel()
 	if f.known != nil && !f.reread {
 		// Peers that bring all rows spare a read of the whole table.
@@ -285,7 +296,7 @@
 		f.version, f.reread = page.Version, false
 		return nil
 	}
-	page, err := f.Store.Watch(ctx, f.name, f.version, f.wait)
+	page, err := f.Store.Watch(ctx, f.name, f.version, wait)
 	if errors.Is(err, table.ErrHistoryGone) {
 		f.version, f.reread = 0, true
 		return err
