Count nodes of data centres that were never heard among those that share the slack

Cause: found by looking for the budget's fault elsewhere. Nodes that are cut off from their first moment split the slack between those that they hear alone, and so do the others. Change: a node takes a data centre that it has never heard of, nor was told of, for as large as its own, once it is a window old and may spend slack at all. What relays told stays known while they are not heard. Conclusion: suspected by reading, mended by a test of its own.

--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -146,8 +146,12 @@
 	ranked bool
 	// began is when this node started.
 	began time.Time
-	// nodes is how many nodes there are in all, as far as relays told.
-	nodes int
+	// nodes is how many nodes there are in all, as far as relays told, and toldNodes is
+	// set once one of this data centre did. nodesOf is the most that the relays of the
+	// other data centres told of theirs.
+	nodes     int
+	toldNodes bool
+	nodesOf   map[serving.DataCentre]int
 	// gathered is what several nodes of this data centre find, as a relay heard it.
 	gathered relay.Hearsay
 	// ranks is the place of each other node of this data centre, by address.
@@ -196,6 +200,7 @@
 		log:       logging.For("peers"),
 		peers:     map[string]*peer{},
 		urgent:    make(chan struct{}, 1),
+		nodesOf:   map[serving.DataCentre]int{},
 		began:     time.Now(),
 	}
 	b.OnSuspect(sh.hurry)
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -20,6 +20,7 @@
 	s := &sharing{
 		settings:   &Settings{Node: "n", DataCentre: "dc0", Peers: "10.0.0.100:1"},
 		peers:      map[string]*peer{},
+		nodesOf:    map[serving.DataCentre]int{},
 		controller: standby{},
 	}
 	for i := range 60 {
@@ -296,3 +297,25 @@
 	away := &peer{id: "n2", dataCentre: "dc1", heard: now, relays: true}
 	require.Equal(t, shareRelayMost, s.interval(away, true, true, shareRelayMost, now))
 }
+
+// Nodes that were cut off from the other data centres from their first moment split the
+// slack of the retry budget between those that they heard, and so did the others.
+func TestNodesOfDataCentresThatWereNeverHeardCount(t *testing.T) {
+	const window = 10 * time.Second
+	now := time.Now()
+	s := acquainted(now)
+	s.began = now
+	s.settings.RetryWindow = window
+	s.settings.DataCentreNames = []serving.DataCentre{"dc0", "dc1", "dc2"}
+	home := 21 // Twenty and itself.
+	require.Equal(t, home, s.countNodes(now), "a node that has just started does not guess")
+	require.Equal(t, 3*home, s.countNodes(now.Add(window)))
+
+	word := s.peers["10.0.0.1:1"]
+	word.relays, word.homeNodes, word.heard = true, 5, now.Add(window)
+	require.Equal(t, home+5+home, s.countNodes(now.Add(window)), "what a relay tells goes before the guess")
+	require.Equal(t, home+5+home, s.countNodes(now.Add(3*window)), "and counts while it is not heard")
+
+	s.toldNodes = true
+	require.Equal(t, home+5, s.countNodes(now.Add(3*window)), "its own relay has told the rest")
+}
--- a/internal/entry/shareloads.go
+++ b/internal/entry/shareloads.go
@@ -26,7 +26,7 @@
 	s.news, s.summed = false, now
 	relays := s.relaysHere(controls, now)
 	s.noteRanks(relays)
-	s.nodes = max(s.nodes, s.countNodes(relays, now))
+	s.nodes = max(s.nodes, s.countNodes(now))
 	nodes := s.nodes
 	total := s.othersWork(relays, nil, now)
 	if relays {
@@ -43,16 +43,26 @@
 	s.budget.SetNodes(nodes)
 }
 
-// countNodes counts the nodes of all data centres, as far as a relay hears of them;
-// the caller holds the lock.
-func (s *sharing) countNodes(relays bool, now time.Time) int {
-	if !relays {
-		return s.homeNodes()
-	}
-	n := s.homeNodes()
-	for _, dc := range s.dataCentres() {
-		if p := s.wordOf(dc, now); p != nil && dc != s.settings.DataCentre {
-			n += p.homeNodes
+// countNodes counts the nodes of all data centres, as far as this node hears of them; the
+// caller holds the lock. Of a data centre that it has never heard of, nor was told of by a
+// relay, it takes as many as of its own: they spend their parts of the retry budget's slack
+// as well, and three data centres that are cut off from each other from their first moment
+// would each take the whole of it.
+func (s *sharing) countNodes(now time.Time) int {
+	home := s.homeNodes()
+	n := home
+	for _, dc := range s.settings.DataCentreNames {
+		if dc == s.settings.DataCentre {
+			continue
+		}
+		if p := s.wordOf(dc, now); p != nil {
+			s.nodesOf[dc] = max(s.nodesOf[dc], p.homeNodes)
+		}
+		switch {
+		case s.nodesOf[dc] > 0:
+			n += s.nodesOf[dc]
+		case !s.toldNodes && now.Sub(s.began) >= s.settings.RetryWindow:
+			n += home
 		}
 	}
 	return n
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -95,6 +95,7 @@
 	s.nodes = max(s.nodes, int(m.GetNodes()))
 	if p.dataCentre == s.settings.DataCentre && m.GetRank() > 0 {
 		s.rank, s.ranked = int(m.GetRank()), true
+		s.toldNodes = true
 	}
 }
 
