Keep the pace of loads over takeovers

Cause: found by looking for the budget's fault elsewhere. A controller that takes over does not know when the one before it began a load, and began one at once: each takeover spent again what the pace had granted. Result: TestLoadsKeepTheirPaceOverTakeovers; without the change 25 loads begin in five seconds in place of 11 with a takeover each 0.2 s.

--- /dev/null
+++ b/internal/groupcontrol/loadpace_test.go
@@ -0,0 +1,47 @@
+package groupcontrol
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// A controller that took over did not know when the one before it had begun a load, and
+// began one at once: each takeover added a load to what may begin in a time.
+func TestLoadsKeepTheirPaceOverTakeovers(t *testing.T) {
+	const (
+		loadsPerSec = 4.0
+		dataCentres = 2
+		window      = 5 * time.Second
+	)
+	for name, hold := range map[string]time.Duration{"one hold": time.Hour, "a takeover each second": time.Second, "a takeover each 0.2 s": 200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &serving.Engine{LoadsPerSec: loadsPerSec}
+				options := Options{DataCentres: dataCentres, Unpaced: func() bool { return false }}
+				start := time.Now()
+				loads := 0
+				for time.Since(start) < window {
+					began := time.Now()
+					c := &Controller{options: options, log: logging.For("groups")}
+					c.reset(1)
+					for time.Since(began) < hold && time.Since(start) < window {
+						wait := c.reserveLoad(engine, time.Now())
+						if time.Since(began)+wait >= hold {
+							time.Sleep(hold - time.Since(began))
+							break
+						}
+						time.Sleep(wait)
+						loads++
+					}
+				}
+				require.LessOrEqual(t, loads, int(window.Seconds()*loadsPerSec/dataCentres)+1)
+			})
+		})
+	}
+}
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -123,16 +123,20 @@
 const epochsPerLease = 100_000
 
 // reserveLoad returns how long a load has to wait for its turn; the caller
-// holds the lock.
+// holds the lock. The first one of a hold of the lease waits a whole pause after the
+// hold's begin: the controller before may have begun a load just then. With a takeover
+// each 0.2 s, simulated, 25 loads began in five seconds at a pace of two a second.
 func (c *Controller) reserveLoad(engine *serving.Engine, now time.Time) time.Duration {
 	if engine.LoadsPerSec <= 0 || c.options.Unpaced() {
 		return 0
 	}
-	at := c.nextLoad
-	if at.Before(now) {
-		at = now
-	}
 	pause := time.Duration(float64(c.options.DataCentres) / engine.LoadsPerSec * float64(time.Second))
+	at := c.since.Add(pause)
+	for _, other := range []time.Time{now, c.nextLoad} {
+		if other.After(at) {
+			at = other
+		}
+	}
 	c.nextLoad = at.Add(pause)
 	return at.Sub(now)
 }
