Soak: hold repeats against their budget, and configurations against an outage

Cause: the soak let the store fall silent and changed the configuration, and looked at neither when that came into force nor at what was sent once more, so both faults passed it for as long as it stands. Change: the emulator records arrivals at the workers and tells repeats beyond the budget of any window; each run ends with a silent store into which watches were sent, after which each instance must act on the next configuration.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -12,6 +12,9 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
+// silent is a store that answers no call that reaches it meanwhile, nor later.
+var silent = memtable.Faults{Silent: true}
+
 // Faults injects the run's faults, one after the other and overlapping, waits
 // until they are over, and has everything healed.
 func (r *Run) Faults() {
@@ -53,7 +56,7 @@
 		// The store turns one entry instance away.
 		return func() { r.disturb(r.proxies[0], entry.source, faultproxy.Fault{Refuse: true}, 2*for_) }
 	case 9:
-		faults := []memtable.Faults{{Down: true}, {Silent: true}, {LoseAnswers: true}, {LoseAnswers: true, Late: for_ / 4}}
+		faults := []memtable.Faults{{Down: true}, silent, {LoseAnswers: true}, {LoseAnswers: true, Late: for_ / 4}}
 		chosen := faults[r.random.IntN(len(faults))]
 		return func() { r.store(chosen, for_) }
 	case 10:
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -54,14 +54,20 @@
 	stopBound = 5 * time.Second
 	stopSlack = 5 * time.Second
 	// calmBound is how long after the last fault every entry instance must
-	// serve again.
+	// serve again, by the newest configuration.
 	calmBound = 40 * time.Second
+	// retryRatio, retrySlack and retryWindow are the settings' retry budget of all entry
+	// instances together: tight enough that lives which each took all of it would show.
+	retryRatio  = 0.2
+	retrySlack  = 12
+	retryWindow = 10 * time.Second
 )
 
 // process is one entry instance.
 type process struct {
 	name     string
 	callers  string
+	metrics  string
 	settings string
 	source   netip.Addr
 	log      *os.File
@@ -135,12 +141,12 @@
 		return nil, "", err
 	}
 	name := fmt.Sprintf("entry-%d", i+1)
-	p := &process{name: name, callers: addresses[0], source: netip.MustParseAddr(ip), settings: filepath.Join(r.options.Dir, name+".ini")}
+	p := &process{name: name, callers: addresses[0], metrics: addresses[3], source: netip.MustParseAddr(ip), settings: filepath.Join(r.options.Dir, name+".ini")}
 	text := fmt.Sprintf("[interface]\nkind = platform\n[node]\nname = %s\ndata_centre = %s\ndata_centres = %s\nfirst_start = true\n"+
 		"[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[peers]\nkey = soak-peer-key-0000\nseeds = %s\n"+
-		"[store]\naddress = %s\n[timing]\nstop_notice = 500ms\nstop_bound = %s\n[log]\nlevel = info\n",
+		"[store]\naddress = %s\n[retries]\nratio = %v\nslack = %v\nwindow = %s\nnodes = %d\n[timing]\nstop_notice = 500ms\nstop_bound = %s\n[log]\nlevel = info\n",
 		name, centres[i%len(centres)], strings.Join(centres, ","),
-		addresses[0], addresses[1], addresses[2], addresses[3], strings.Join(seeds, ","), r.platform.Store, stopBound)
+		addresses[0], addresses[1], addresses[2], addresses[3], strings.Join(seeds, ","), r.platform.Store, retryRatio, retrySlack, retryWindow, 2*r.options.Entries, stopBound)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, "", err
 	}
@@ -204,7 +210,11 @@
 func (r *Run) Broken() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append(append([]string{}, r.broken...), r.platform.Fleet.Broken()...)
+	broken := append(append([]string{}, r.broken...), r.platform.Fleet.Broken()...)
+	if err := r.platform.RetriesBeyond(retryRatio, retrySlack, retryWindow); err != nil {
+		broken = append(broken, err.Error())
+	}
+	return broken
 }
 
 // Counts returns how often each outcome was seen.
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -72,6 +72,9 @@
 	return 2, 5
 }
 
+// outage is longer than a watch of the configuration takes, so that one is sent into it.
+const outage = 4 * time.Second
+
 func play(t *testing.T, seed uint64) {
 	entries, workers := size(seed)
 	r, err := Start(Options{
@@ -91,10 +94,12 @@
 	calling.Go(func() { r.Call(ctx) })
 	r.Faults()
 	calm := r.Calm()
+	took, unconfigured := r.ConfiguredAfterSilence(outage)
 	cancel()
 	calling.Wait()
-	t.Logf("answers: %v", r.Counts())
+	t.Logf("answers: %v; a configuration was in force everywhere %s after an outage", r.Counts(), took)
 	require.NoError(t, calm)
+	require.NoError(t, unconfigured)
 	require.Empty(t, r.Broken())
 	require.NoError(t, r.CheckLogs())
 	require.Positive(t, r.Counts()["200"])
