--- a/cmd/ridgehinged/main_test.go
+++ b/cmd/ridgehinged/main_test.go
@@ -29,8 +29,8 @@
 	return out
 }
 
-// A hang-up ended the process: found on the day mix 281046677383 of
-// sahayam-kochi. It reloads the settings, also if they are unreadable then.
+// A hang-up ended the process. It reloads the settings, also if they are unreadable
+// then.
 func TestAHangUpEndsNothing(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "entry.ini")
 	addresses := freeAddresses(t, 5)
--- /dev/null
+++ b/internal/directory/configuration.go
@@ -0,0 +1,56 @@
+package directory
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/invariant"
+)
+
+// Configuration returns the newest configuration's version and row value.
+func (d *Directory) Configuration() (version uint64, value []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.configuration == nil {
+		return 0, nil
+	}
+	return d.configuration.Version, d.configurationRow
+}
+
+// noteConfigurationAnswer notes that the store has answered about the configuration.
+func (d *Directory) noteConfigurationAnswer(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.configurationAnswered = now
+}
+
+// ConfigurationAnswered returns when the store last answered this node about the
+// configuration, zero if never. A node that does not watch it relies on its relay.
+func (d *Directory) ConfigurationAnswered() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.configurationAnswered
+}
+
+// TakeConfiguration takes a configuration from the store or a peer. An older
+// one than that in force is left aside, whoever brings it.
+func (d *Directory) TakeConfiguration(value []byte, source string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if bytes.Equal(value, d.configurationRow) {
+		return
+	}
+	c, err := d.codec.Configuration(value)
+	if err != nil {
+		d.log.Error("a configuration cannot be read; the last one stays in force", "source", source, "error", err)
+		return
+	}
+	if d.configuration != nil && c.Version <= d.configuration.Version {
+		return
+	}
+	invariant.Check(d.configuration == nil || c.Version > d.configuration.Version, invariant.Forward, "configuration %d", c.Version)
+	d.configuration = c
+	d.configurationRow = bytes.Clone(value)
+	d.log.Info("a configuration is in force", "version", c.Version, "source", source, "routes", len(c.Routes))
+	d.publish()
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,12 +1,10 @@
 package directory
 
 import (
-	"bytes"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -60,19 +58,6 @@
 	trustedUntil time.Time
 }
 
-// Observation is what an endpoint itself said, ahead of its row.
-type Observation struct {
-	ID         serving.EndpointID
-	Model      string
-	Membership serving.Membership
-	// Orders orders observations of one life.
-	Orders uint64
-}
-
-// observationFor is how long an observation counts against an older row:
-// longer than the list lags.
-const observationFor = 5 * time.Second
-
 // Directory collects rows and observations. It is safe for concurrent use.
 type Directory struct {
 	codec Codec
@@ -147,54 +132,6 @@
 	return d.view.Load()
 }
 
-// Configuration returns the newest configuration's version and row value.
-func (d *Directory) Configuration() (version uint64, value []byte) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.configuration == nil {
-		return 0, nil
-	}
-	return d.configuration.Version, d.configurationRow
-}
-
-// noteConfigurationAnswer notes that the store has answered about the configuration.
-func (d *Directory) noteConfigurationAnswer(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.configurationAnswered = now
-}
-
-// ConfigurationAnswered returns when the store last answered this node about the
-// configuration, zero if never. A node that does not watch it relies on its relay.
-func (d *Directory) ConfigurationAnswered() time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.configurationAnswered
-}
-
-// TakeConfiguration takes a configuration from the store or a peer. An older
-// one than that in force is left aside, whoever brings it.
-func (d *Directory) TakeConfiguration(value []byte, source string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if bytes.Equal(value, d.configurationRow) {
-		return
-	}
-	c, err := d.codec.Configuration(value)
-	if err != nil {
-		d.log.Error("a configuration cannot be read; the last one stays in force", "source", source, "error", err)
-		return
-	}
-	if d.configuration != nil && c.Version <= d.configuration.Version {
-		return
-	}
-	invariant.Check(d.configuration == nil || c.Version > d.configuration.Version, invariant.Forward, "configuration %d", c.Version)
-	d.configuration = c
-	d.configurationRow = bytes.Clone(value)
-	d.log.Info("a configuration is in force", "version", c.Version, "source", source, "routes", len(c.Routes))
-	d.publish()
-}
-
 // TakeTable takes a read of the whole endpoint table as of a version; what it
 // does not have is gone.
 func (d *Directory) TakeTable(rows []table.Row, version uint64, now time.Time) {
@@ -306,72 +243,6 @@
 	return true
 }
 
-// newer reports whether a row's membership must be later than an observed
-// one: epochs only rise, and so do the states within one.
-func newer(row, observed serving.Membership) bool {
-	switch {
-	case row.Epoch != observed.Epoch:
-		return row.Epoch > observed.Epoch
-	case observed.Group == "":
-		// It has left; the row was written before.
-		return false
-	}
-	return row.State > observed.State
-}
-
-// repeats reports whether an observation is older than what is known: it was
-// taken in the same group earlier. A peer's message may come after a later one.
-func repeats(o, known serving.Membership) bool {
-	return o.Group != "" && o.Group == known.Group && o.Epoch == known.Epoch && o.State < known.State
-}
-
-// Observe takes what an endpoint itself said about its membership, to this
-// node's controller (here) or to that of a peer.
-func (d *Directory) Observe(o Observation, here bool, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	record := d.endpoints[o.ID]
-	if record == nil || record.endpoint == nil {
-		return
-	}
-	if o.Orders < record.orders || repeats(o.Membership, record.merged().Membership) {
-		return
-	}
-	record.noteEpoch(o.Membership.Epoch)
-	if o.Membership.Group == "" {
-		// Rows of the groups that it was in are older.
-		o.Membership.Epoch = record.epoch
-	}
-	known := record.observed != nil && *record.observed == o
-	if here && !(known && record.observedHere) {
-		d.observations++
-		record.observedVersion = d.observations
-	}
-	record.orders = o.Orders
-	record.observedAt = now
-	record.observedHere = here
-	if known {
-		return
-	}
-	record.observed = &o
-	record.noteModel(o.Model)
-	d.publish()
-}
-
-// Observations returns those of this node after a version that may be newer than the
-// rows, and the version up to which these are all.
-func (d *Directory) Observations(since uint64, now time.Time) ([]Observation, uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []Observation
-	for _, record := range d.endpoints {
-		if record.observed != nil && record.observedHere && record.observedVersion > since && now.Sub(record.observedAt) < observationFor {
-			out = append(out, *record.observed)
-		}
-	}
-	return out, d.observations
-}
-
 // Changes returns the endpoint rows that have changed in substance after a
 // version, and the version up to which these are all.
 func (d *Directory) Changes(since uint64) ([]table.Row, uint64) {
@@ -410,13 +281,6 @@
 	}
 }
 
-// outlived reports whether an observation is so old that the endpoint's row
-// must tell more. While no rows come, nothing is newer: a group that was formed
-// in an outage of the store vanished from every node's view after five seconds.
-func (d *Directory) outlived(record *endpointRecord, now time.Time) bool {
-	return now.Sub(record.observedAt) >= observationFor && d.coveredAt.Sub(record.observedAt) >= observationFor
-}
-
 func (r *endpointRecord) noteEpoch(epoch uint64) { r.epoch = max(r.epoch, epoch) }
 
 func (r *endpointRecord) noteModel(model string) {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -83,8 +83,7 @@
 
 // The store was out, and rows of endpoints that live went in it: they count as
 // listed until they must be back. An endpoint whose row goes at any other time
-// does not. Found on trouble-3 of bpod-guild, where each return of the store
-// ended groups that stood.
+// does not. Each return of the store ended groups that stood.
 func TestRowsThatWentInAnOutageAreWaitedFor(t *testing.T) {
 	d, _, _ := known(t)
 	d.SetReturnGrace(DefaultReturnGrace)
@@ -128,8 +127,7 @@
 }
 
 // In an outage the nodes of a data centre call ever more seldom, but for the one
-// that reads for all. Found on trouble-3 of bpod-guild-grown: an outage of eight
-// seconds cost five thousand calls.
+// that reads for all. An outage of eight seconds cost sixty nodes five thousand calls.
 func TestFailedCallsAreMadeEverMoreSeldom(t *testing.T) {
 	for _, test := range []struct {
 		name     string
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -195,8 +195,8 @@
 
 // A domain with one spare loses two members of its large group: a small group
 // gives its members up, as the large one is needed more, and no join loads.
-// Found on quiet-1 of sahayam-kochi-grown: six groups of the large model were
-// three after fifteen seconds, while the other model's were a third full.
+// Six groups of the large model were three after fifteen calm seconds, while the other
+// model's were a third full.
 func TestAGroupThatIsNeededLessGivesItsMembersUp(t *testing.T) {
 	h := newHallOf(t, 10, 10)
 	h.controller("n1")
@@ -254,9 +254,8 @@
 }
 
 // A head that neither the table nor a controller reaches may be open still,
-// and take requests: its members must have left before they join again.
-// Found by the days scale-1 of tostared and mix 290815870178 of
-// sahayam-kochi (TWO).
+// and take requests: its members must have left before they join again, or they are
+// in two groups.
 func TestAHeadThatIsCutOffKeepsNoMemberInTwoGroups(t *testing.T) {
 	h := newHall(t, 9)
 	h.controller("n1")
@@ -322,8 +321,7 @@
 }
 
 // Rows lag, and peers repeat what was: a controller that believes endpoints
-// of open groups free must not have them join. Found on trouble-1 of
-// sahayam-kochi, one play of five on the same code (TWO).
+// of open groups free must not have them join.
 func TestAControllerWithOldRowsTakesNobodyFromAnOpenGroup(t *testing.T) {
 	h := newHall(t, 9)
 	before, err := h.table.Read(context.Background(), fleetstandin.EndpointTable, "")
@@ -400,9 +398,8 @@
 }
 
 // A member that has left is known to be free at once, and not only by its row:
-// its next join must name the right number of orders. Found on quiet-1 of
-// sahayam-kochi-grown: one member of sixteen "in another group" ended the
-// forming of a group twelve times in three seconds.
+// its next join must name the right number of orders. One member of sixteen "in another
+// group" ended the forming of a group twelve times in three seconds.
 func TestAMemberThatHasLeftIsFreeAtOnce(t *testing.T) {
 	h := newHall(t, 9)
 	h.controllerOver("n1", laggingRows{h.table, 60 * time.Millisecond})
@@ -465,9 +462,8 @@
 }
 
 // A member is lost while the store does not answer anybody. The controller
-// repairs its group all the same: endpoints take its orders. Found on trouble-3
-// of bpod-guild: in eight seconds of outage two groups were lost and none
-// formed.
+// repairs its group all the same: endpoints take its orders. In eight seconds of outage
+// two groups were lost and none formed.
 func TestAGroupIsRepairedWhileTheStoreIsOut(t *testing.T) {
 	h := newHall(t, 9)
 	h.controller("n1")
--- a/internal/groupcontrol/have_test.go
+++ b/internal/groupcontrol/have_test.go
@@ -14,8 +14,8 @@
 )
 
 // A group could not be formed since an endpoint was in another one. The leave of
-// the group that was not formed must not make it look free. Found on inc-b866 of
-// bpod-guild, where a controller tried the same three endpoints for ten seconds.
+// the group that was not formed must not make it look free: a controller tried the same
+// three endpoints for ten seconds.
 func TestALeaveOfAnotherGroupFreesNobody(t *testing.T) {
 	d := directory.New(directory.Codec{Endpoint: func(_ string, value []byte) (e serving.Endpoint, err error) {
 		return e, json.Unmarshal(value, &e)
--- a/internal/groupcontrol/value_test.go
+++ b/internal/groupcontrol/value_test.go
@@ -37,7 +37,7 @@
 		takeovers  int
 	}{
 		// Fifteen of sixteen are left of a large group, and a group of four could be
-		// formed of them. Found on scale-2 of bpod-guild.
+		// formed of them.
 		{"members wait for the last one of a group that is needed", demanded(newSituation(rack{free: 15}, rack{small: 3}), 3, 4), 0, 0},
 		{"members do not wait for a group that nobody needs", demanded(newSituation(rack{free: 15, small: 1}, rack{large: 2}), 0.1, 12), 3, 1},
 		// Nobody asks for the small model, and its four groups give up the members
@@ -53,7 +53,7 @@
 }
 
 // Three controllers that saw the same gap ended groups forth and back in the
-// first three seconds of a day. Found on trouble-1 of bpod-guild.
+// first three seconds of their service.
 func TestGroupsAreNotEndedAgainSoonAfterATakeover(t *testing.T) {
 	s := demanded(newSituation(rack{free: 14, small: 4}), 3, 0.1)
 	s.settling = true
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -50,8 +50,8 @@
 	return string(body)
 }
 
-// A process that ends while a request is read on an idle connection loses it:
-// found by a roll on the day mix 303870995718 of sahayam-kochi (LOST).
+// A process that ends while a request is read on an idle connection loses it, as
+// callers saw while nodes were stopped in turn.
 func TestIdleConnectionsCloseAndBusyOnesFinish(t *testing.T) {
 	release := make(chan struct{})
 	begun := make(chan struct{})
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -14,8 +14,8 @@
 )
 
 // Sixty nodes that were told the same must not all send to the group that
-// looks best. Found on quiet-1 of sahayam-kochi-grown: first events of the
-// large model took 0.7 s at the median while its groups were half empty.
+// looks best: first events of the large model took 0.7 s at the median while its
+// groups were half empty.
 func TestNodesThatWereToldTheSameSpread(t *testing.T) {
 	const nodes, groups = 600, 6
 	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -399,8 +399,8 @@
 }
 
 // Endpoints that turn a request down do not use its attempts up, and a member
-// at fault is passed over by its address as well: found on trial days of
-// tostared, where streams were cut after one group had turned them down.
+// at fault is passed over by its address as well: streams were cut after one group
+// had turned them down.
 func TestEndpointsThatDidNotRunItUseNoAttemptUp(t *testing.T) {
 	down := newEndpoint(t, func(c net.Conn, r *http.Request) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nAt-Fault: 10.9.9.9:1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
@@ -424,8 +424,8 @@
 	require.Contains(t, w.relay.options.Balancer.Suspects(time.Now()), serving.EndpointID("faulty"))
 }
 
-// A stopping node took new requests until its process was ended: found on the
-// days mix 281870767537 and mix 139774342310 of sahayam-kochi (LOST).
+// A stopping node took new requests until its process was ended, and callers lost
+// those that were under way then.
 func TestAStoppingNodeRefusesWhatItCannotFinish(t *testing.T) {
 	e := newEndpoint(t, sized(200, "good"))
 	w := newWorld(t, []*endpoint{e}, nil)
@@ -509,7 +509,7 @@
 }
 
 // A stream whose group died while all others were full or being repaired was
-// cut at once: found on scale-2 of tostared, seed 16.
+// cut at once.
 func TestABrokenStreamWaitsForAGroup(t *testing.T) {
 	a := newEndpoint(t, events(1, 3, broken))
 	b := newEndpoint(t, events(4, 5, whole))
@@ -582,8 +582,7 @@
 }
 
 // A stream that an endpoint ended at the deadline it was given went to another
-// one, 2 ms before its caller left. Found in an incident of
-// sahayam-kochi-grown.
+// one, 2 ms before its caller left.
 func TestNothingIsSentWhenTheTimeIsAsGoodAsOver(t *testing.T) {
 	e := newEndpoint(t, events(1, 5, whole))
 	w := newWorld(t, nil, []*endpoint{e})
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -126,8 +126,7 @@
 }
 
 // All nodes lose power at once and start again: the holder's own next life need
-// not wait for the lease of the last one. Found in an incident of
-// sahayam-kochi-grown: for two seconds nobody controlled a data centre.
+// not wait for the lease of the last one. For two seconds nobody controlled a data centre.
 func TestTheNextLifeOfTheHolderTakesOverAtOnce(t *testing.T) {
 	held := Row{Epoch: 7, Holder: "node/first", Renewals: 3}
 	earlier := func(self string) func(string) bool {
