--- a/internal/directory/configuration.go
+++ b/internal/directory/configuration.go
@@ -25,7 +25,7 @@
 }
 
 // ConfigurationAnswered returns when the store last answered this node about the
-// configuration, zero if never. A node that does not watch it relies on its relay.
+// configuration, or when the node started. One that does not watch it relies on its relay.
 func (d *Directory) ConfigurationAnswered() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -70,7 +70,7 @@
 	configuration    *serving.Configuration
 	configurationRow []byte
 	// configurationAnswered is when the store last answered this node about the
-	// configuration, changed or not.
+	// configuration, changed or not, or when the node started.
 	configurationAnswered time.Time
 	endpoints             map[serving.EndpointID]*endpointRecord
 	// covered is the version up to which the endpoint table is known, and
@@ -113,6 +113,8 @@
 		codec:     codec,
 		log:       logging.For("directory"),
 		endpoints: map[serving.EndpointID]*endpointRecord{},
+
+		configurationAnswered: time.Now(),
 	}
 	d.view.Store(buildView(nil, nil, nil))
 	return d
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -92,8 +92,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.advance(service, now)
-	*at(&w.requests, w.bucket)++
-	*at(&w.earned, w.bucket) += earnShare * b.ratio
+	*bucketOf(&w.requests, w.bucket)++
+	*bucketOf(&w.earned, w.bucket) += earnShare * b.ratio
 }
 
 // Repeat asks for one more sending of a request, and counts it if granted.
@@ -105,8 +105,8 @@
 	if s.Earned+s.Slack < 1 {
 		return false
 	}
-	*at(&w.repeats, w.bucket)++
-	*at(&w.slack, w.bucket) += 1 - w.spendEarned(1)
+	*bucketOf(&w.repeats, w.bucket)++
+	*bucketOf(&w.slack, w.bucket) += 1 - w.spendEarned(1)
 	return true
 }
 
@@ -158,7 +158,7 @@
 		spent += w.slack[i]
 	}
 	for i := range int64(earnBuckets) {
-		s.Earned += *at(&w.earned, w.bucket-i)
+		s.Earned += *bucketOf(&w.earned, w.bucket-i)
 	}
 	if s.Age >= b.window {
 		s.Slack = max(0, slackShare*b.slack/float64(b.nodes)-spent)
@@ -171,7 +171,7 @@
 func (w *budgetWindow) spendEarned(repeats float64) float64 {
 	found := 0.0
 	for i := int64(earnBuckets - 1); i >= 0; i-- {
-		left := at(&w.earned, w.bucket-i)
+		left := bucketOf(&w.earned, w.bucket-i)
 		part := min(*left, repeats-found)
 		*left -= part
 		found += part
@@ -179,8 +179,8 @@
 	return found
 }
 
-// at returns the place of a bucket. Buckets before the first are empty ones.
-func at[N int | float64](buckets *[budgetBuckets + 1]N, bucket int64) *N {
+// bucketOf returns the place of a bucket. Buckets before the first are empty ones.
+func bucketOf[N int | float64](buckets *[budgetBuckets + 1]N, bucket int64) *N {
 	n := int64(len(buckets))
 	return &buckets[(bucket%n+n)%n]
 }
@@ -198,10 +198,10 @@
 	}
 	for w.bucket < bucket {
 		w.bucket++
-		*at(&w.requests, w.bucket) = 0
-		*at(&w.repeats, w.bucket) = 0
-		*at(&w.earned, w.bucket) = 0
-		*at(&w.slack, w.bucket) = 0
+		*bucketOf(&w.requests, w.bucket) = 0
+		*bucketOf(&w.repeats, w.bucket) = 0
+		*bucketOf(&w.earned, w.bucket) = 0
+		*bucketOf(&w.slack, w.bucket) = 0
 	}
 	return w
 }
