--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -125,15 +125,14 @@
 		"waited", now.Sub(f.asked), "answered_before", now.Sub(before))
 }
 
-// times returns how long the next call waits for a change, and how long it may take.
-// Nothing is waited for at a store that may not hear: its first answer tells at once that
-// it is back, and what has changed. That may be a large configuration over a slow link, so
-// the call may take until the next would be due.
-func (f *follower) times() (wait, limit time.Duration) {
-	if f.wait > 0 && f.down {
-		return 0, f.Options.RetryMost
+// waitFor returns how long the next call waits for a change. Nothing is waited for at a
+// store that may not hear: its first answer tells at once that it is back, and what has
+// changed.
+func (f *follower) waitFor() time.Duration {
+	if f.down {
+		return 0
 	}
-	return f.wait, f.wait + f.Options.CallTimeout
+	return f.wait
 }
 
 // step makes one call: a read of the whole table, or of what has changed.
@@ -144,8 +143,8 @@
 		return nil
 	}
 	f.asked = time.Now()
-	wait, limit := f.times()
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	wait := f.waitFor()
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Options.CallTimeout)
 	defer cancel()
 	if f.known != nil && !f.reread {
 		// Peers that bring all rows spare a read of the whole table.
