--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -57,7 +57,7 @@
 	// serve again, by the newest configuration.
 	calmBound = 40 * time.Second
 	// retryRatio, retrySlack and retryWindow are the settings' retry budget of all entry
-	// instances together: tight enough that lives which each took all of it would show.
+	// instances together.
 	retryRatio  = 0.2
 	retrySlack  = 12
 	retryWindow = 10 * time.Second
