Keep a window of the retry budget as buckets, and a call's begin in one place

Cause: read again, the budget kept four arrays with a generic function to find a place in each, and cleared each by itself; a call's begin was noted twice; the latest of three times was sought by a loop. No behaviour changes. Conclusion: a field that is added to a bucket is cleared with it.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -40,13 +40,13 @@
 func (f *follower) run(ctx context.Context) {
 	f.answered = time.Now()
 	for ctx.Err() == nil {
-		began := time.Now()
+		f.asked = time.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		f.note(err)
-		pause := f.pauseAfter(err) - time.Since(began)
+		pause := f.pauseAfter(err) - time.Since(f.asked)
 		if pause <= 0 {
 			continue
 		}
@@ -142,7 +142,6 @@
 	if f.skipped {
 		return nil
 	}
-	f.asked = time.Now()
 	wait := f.waitFor()
 	ctx, cancel := context.WithTimeout(ctx, wait+f.Options.CallTimeout)
 	defer cancel()
--- a/internal/groupcontrol/operations.go
+++ b/internal/groupcontrol/operations.go
@@ -131,12 +131,7 @@
 		return 0
 	}
 	pause := time.Duration(float64(c.options.DataCentres) / engine.LoadsPerSec * float64(time.Second))
-	at := c.since.Add(pause)
-	for _, other := range []time.Time{now, c.nextLoad} {
-		if other.After(at) {
-			at = other
-		}
-	}
+	at := slices.MaxFunc([]time.Time{now, c.nextLoad, c.since.Add(pause)}, time.Time.Compare)
 	c.nextLoad = at.Add(pause)
 	return at.Sub(now)
 }
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -52,13 +52,25 @@
 // budgetWindow counts requests and repeats in a sliding window. It has a bucket more than
 // the window, since the newest is not full.
 type budgetWindow struct {
-	bucket   int64
-	requests [budgetBuckets + 1]int
-	repeats  [budgetBuckets + 1]int
-	// earned is what is left of the repeats that the requests of a bucket have earned,
-	// slack what was spent of the slack.
-	earned [budgetBuckets + 1]float64
-	slack  [budgetBuckets + 1]float64
+	// newest numbers the newest bucket by the time since the life's start.
+	newest  int64
+	buckets [budgetBuckets + 1]budgetBucket
+}
+
+// budgetBucket is one part of a window.
+type budgetBucket struct {
+	requests int
+	repeats  int
+	// earned is what is left of the repeats that the requests have earned, slack what
+	// was spent of the slack.
+	earned float64
+	slack  float64
+}
+
+// at returns the bucket of a number. Those before the first are empty ones.
+func (w *budgetWindow) at(number int64) *budgetBucket {
+	n := int64(len(w.buckets))
+	return &w.buckets[(number%n+n)%n]
 }
 
 // NewBudget returns the budget of a life that begins now, of ratio times the requests plus
@@ -92,8 +104,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.advance(service, now)
-	*bucketOf(&w.requests, w.bucket)++
-	*bucketOf(&w.earned, w.bucket) += earnShare * b.ratio
+	newest := w.at(w.newest)
+	newest.requests++
+	newest.earned += earnShare * b.ratio
 }
 
 // Repeat asks for one more sending of a request, and counts it if granted.
@@ -105,8 +118,9 @@
 	if s.Earned+s.Slack < 1 {
 		return false
 	}
-	*bucketOf(&w.repeats, w.bucket)++
-	*bucketOf(&w.slack, w.bucket) += 1 - w.spendEarned(1)
+	newest := w.at(w.newest)
+	newest.repeats++
+	newest.slack += 1 - w.spendEarned(1)
 	return true
 }
 
@@ -152,13 +166,13 @@
 func (b *Budget) state(w *budgetWindow, now time.Time) BudgetState {
 	s := BudgetState{Nodes: b.nodes, Age: now.Sub(b.start)}
 	spent := 0.0
-	for i := range w.requests {
-		s.Requests += w.requests[i]
-		s.Repeats += w.repeats[i]
-		spent += w.slack[i]
+	for _, bucket := range w.buckets {
+		s.Requests += bucket.requests
+		s.Repeats += bucket.repeats
+		spent += bucket.slack
 	}
 	for i := range int64(earnBuckets) {
-		s.Earned += *bucketOf(&w.earned, w.bucket-i)
+		s.Earned += w.at(w.newest - i).earned
 	}
 	if s.Age >= b.window {
 		s.Slack = max(0, slackShare*b.slack/float64(b.nodes)-spent)
@@ -171,37 +185,28 @@
 func (w *budgetWindow) spendEarned(repeats float64) float64 {
 	found := 0.0
 	for i := int64(earnBuckets - 1); i >= 0; i-- {
-		left := bucketOf(&w.earned, w.bucket-i)
-		part := min(*left, repeats-found)
-		*left -= part
+		bucket := w.at(w.newest - i)
+		part := min(bucket.earned, repeats-found)
+		bucket.earned -= part
 		found += part
 	}
 	return found
 }
 
-// bucketOf returns the place of a bucket. Buckets before the first are empty ones.
-func bucketOf[N int | float64](buckets *[budgetBuckets + 1]N, bucket int64) *N {
-	n := int64(len(buckets))
-	return &buckets[(bucket%n+n)%n]
-}
-
 // advance returns the service's window, moved on to now.
 func (b *Budget) advance(service string, now time.Time) *budgetWindow {
 	w := b.services[service]
-	bucket := max(0, int64(now.Sub(b.start)/(b.window/budgetBuckets)))
+	newest := max(0, int64(now.Sub(b.start)/(b.window/budgetBuckets)))
 	if w == nil {
-		w = &budgetWindow{bucket: bucket}
+		w = &budgetWindow{newest: newest}
 		b.services[service] = w
 	}
-	if bucket-w.bucket > int64(len(w.requests)) {
-		*w = budgetWindow{bucket: bucket}
+	if newest-w.newest > int64(len(w.buckets)) {
+		*w = budgetWindow{newest: newest}
 	}
-	for w.bucket < bucket {
-		w.bucket++
-		*bucketOf(&w.requests, w.bucket) = 0
-		*bucketOf(&w.repeats, w.bucket) = 0
-		*bucketOf(&w.earned, w.bucket) = 0
-		*bucketOf(&w.slack, w.bucket) = 0
+	for w.newest < newest {
+		w.newest++
+		*w.at(w.newest) = budgetBucket{}
 	}
 	return w
 }
