Hold repeats against their budget by one piece of code

Cause: the rule of a window (its requests, those of the one before it or of the one half a window before it) stood in the budget's test and in the emulator. Change: internal/standin/retrylog records and judges; the test, the emulator and the soak call it. Conclusion: one rule, one place.

--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/standin/retrylog"
 )
 
 // The budget that users set for all nodes together: of any ten seconds, repeats up to a
@@ -19,36 +21,7 @@
 	testNodes  = 9
 )
 
-// trace is when requests came and were sent once more, at all nodes, by the time since
-// the start.
-type trace struct {
-	requests []time.Duration
-	repeats  []time.Duration
-}
-
-// within counts the times of a window.
-func within(times []time.Duration, from time.Duration) int {
-	n := 0
-	for _, at := range times {
-		if at >= from && at < from+testWindow {
-			n++
-		}
-	}
-	return n
-}
-
-// excess is by how many the repeats of the worst window are over what it allows. The
-// requests that count are those of the window, of the one before it or of the one half a
-// window before it, whichever are most.
-func (tr trace) excess() float64 {
-	worst := -1.0 * testSlack
-	for from := time.Duration(0); from < tr.repeats[len(tr.repeats)-1]; from += testWindow / 100 {
-		requests := max(within(tr.requests, from), within(tr.requests, from-testWindow), within(tr.requests, from-testWindow/2))
-		allowed := testRatio*float64(requests) + testSlack
-		worst = max(worst, float64(within(tr.repeats, from))-allowed)
-	}
-	return worst
-}
+var testBudget = retrylog.Budget{Ratio: testRatio, Slack: testSlack, Window: testWindow}
 
 // schedule tells which nodes are killed at a step of the play, all of which start again
 // half a second later.
@@ -81,10 +54,9 @@
 
 // play has nine nodes repeat all that they may from second 12 on, with lives that end by
 // a schedule.
-func play(seed uint64, come arrivals, killed schedule) trace {
+func play(seed uint64, come arrivals, killed schedule) *retrylog.Log {
 	random := rand.New(rand.NewPCG(seed, 0))
-	start := time.Now()
-	var tr trace
+	seen := &retrylog.Log{}
 	lives := make([]*Budget, testNodes)
 	down := make([]time.Time, testNodes)
 	for node := range lives {
@@ -106,14 +78,14 @@
 			}
 			for range come(step) * random.IntN(playMost+1) {
 				life.Request("llm", now)
-				tr.requests = append(tr.requests, now.Sub(start))
+				seen.Request(now)
 				if step >= stepOf(12*time.Second) && life.Repeat("llm", now) {
-					tr.repeats = append(tr.repeats, now.Sub(start))
+					seen.Repeat(now)
 				}
 			}
 		}
 	}
-	return tr
+	return seen
 }
 
 // Endpoints broke off half of their answers while all nodes were killed and started again
@@ -155,8 +127,8 @@
 			for seed := range uint64(5) {
 				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
-						require.LessOrEqual(t, play(seed, steady, test.killed).excess(), 0.0, "repeats over the bound in the worst ten seconds")
-						require.LessOrEqual(t, play(seed, bursts, test.killed).excess(), 0.0, "the same while requests come in bursts")
+						require.LessOrEqual(t, play(seed, steady, test.killed).Worst(testBudget).Excess(), 0.0, "repeats over the bound in the worst ten seconds")
+						require.LessOrEqual(t, play(seed, bursts, test.killed).Worst(testBudget).Excess(), 0.0, "the same while requests come in bursts")
 					})
 				})
 			}
--- /dev/null
+++ b/internal/standin/retrylog/retrylog_test.go
@@ -0,0 +1,31 @@
+package retrylog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRepeatsAreHeldAgainstTheRequestsOfTheirWindow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	budget := Budget{Ratio: 0.2, Slack: 5, Window: 10 * time.Second}
+	var l Log
+	require.Zero(t, l.Worst(budget))
+	for range 50 {
+		l.Request(start.Add(time.Second))
+	}
+	again := func(n int, at time.Time) {
+		for range n {
+			l.Repeat(at)
+		}
+	}
+	again(15, start.Add(time.Second))
+	require.Zero(t, l.Worst(budget).Excess(), "0.2 x 50 + 5")
+	again(15, start.Add(11*time.Second))
+	require.Zero(t, l.Worst(budget).Excess(), "of the next window; the requests of the one before it count")
+	again(1, start.Add(11*time.Second))
+	worst := l.Worst(budget)
+	require.InDelta(t, 1, worst.Excess(), 1e-9)
+	require.Contains(t, worst.String(), "16 repeats for 50 requests")
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/dev"
+	"github.com/ridgehinge/ridgehinge/internal/standin/retrylog"
 	"github.com/ridgehinge/ridgehinge/lab/faultproxy"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 	"github.com/ridgehinge/ridgehinge/platform/emulator"
@@ -56,13 +57,11 @@
 	// calmBound is how long after the last fault every entry instance must
 	// serve again, by the newest configuration.
 	calmBound = 40 * time.Second
-	// retryRatio, retrySlack and retryWindow are the settings' retry budget of all entry
-	// instances together.
-	retryRatio  = 0.2
-	retrySlack  = 12
-	retryWindow = 10 * time.Second
 )
 
+// retryBudget is the settings' budget of all entry instances together.
+var retryBudget = retrylog.Budget{Ratio: 0.2, Slack: 12, Window: 10 * time.Second}
+
 // process is one entry instance.
 type process struct {
 	name     string
@@ -146,7 +145,7 @@
 		"[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[peers]\nkey = soak-peer-key-0000\nseeds = %s\n"+
 		"[store]\naddress = %s\n[retries]\nratio = %v\nslack = %v\nwindow = %s\nnodes = %d\n[timing]\nstop_notice = 500ms\nstop_bound = %s\n[log]\nlevel = info\n",
 		name, centres[i%len(centres)], strings.Join(centres, ","),
-		addresses[0], addresses[1], addresses[2], addresses[3], strings.Join(seeds, ","), r.platform.Store, retryRatio, retrySlack, retryWindow, 2*r.options.Entries, stopBound)
+		addresses[0], addresses[1], addresses[2], addresses[3], strings.Join(seeds, ","), r.platform.Store, retryBudget.Ratio, retryBudget.Slack, retryBudget.Window, 2*r.options.Entries, stopBound)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, "", err
 	}
@@ -211,7 +210,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	broken := append(append([]string{}, r.broken...), r.platform.Fleet.Broken()...)
-	if err := r.platform.RetriesBeyond(retryRatio, retrySlack, retryWindow); err != nil {
+	if err := r.platform.RetriesBeyond(retryBudget); err != nil {
 		broken = append(broken, err.Error())
 	}
 	return broken
