Keep what is sent to an endpoint that names a limit within it

What callers saw: an endpoint in need went on getting all requests of its speed, and served them late, although its answers named how many a second it takes from all nodes. Cause: nothing read what the answers named. Change: one node gives out the places at such an endpoint, the relay of its data centre; the others ask it for one before they send, first sends, repeats and resumed streams alike, and before the retry budget and the quarantine count the try. Limits and their ends are told with the exchanges; an end is believed of an answer to a request sent since the limit was last named. Who finds no place is refused at once, with a time that the limit can keep. Limits belong to a life; what is no positive number says nothing. An endpoint of next to no limit gets a request each four seconds, so that one node learns of the end of its need.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,7 +112,7 @@
 	e.store = store
 	demand := relay.NewDemand()
 	e.budget = relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
-	e.share = newSharing(s, life, e.directory, e.balancer, demand, e.budget, e.store, links)
+	e.share = newSharing(s, life, e.directory, e.balancer, demand, e.budget, e.store, links, e.metrics)
 	e.relay = relay.New(relay.Options{
 		DataCentre:  s.DataCentre,
 		Wire:        a.Wire,
@@ -122,6 +122,7 @@
 		Demand:      demand,
 		Budget:      e.budget,
 		Quarantine:  e.share.quarantine.list,
+		Limits:      e.share.limits,
 		Clock:       e.clock,
 		Metrics:     e.metrics,
 		StallAfter:  s.StallAfter,
@@ -229,7 +230,9 @@
 			e.noteSuspension()
 			e.directory.Refresh(now)
 		case now := <-ticker.C:
-			e.balancer.Forget(e.directory.View().Endpoints)
+			listed := e.directory.View().Endpoints
+			e.balancer.Forget(listed)
+			e.share.limits.Forget(listed, now)
 			e.upstream.Prune(now)
 			e.reportState()
 		}
@@ -264,6 +267,7 @@
 	known, blocked := e.share.quarantine.list.Counts()
 	e.metrics.Set("contents_that_ended_endpoints", float64(known))
 	e.metrics.Set("contents_in_quarantine", float64(blocked))
+	e.metrics.Set("endpoints_limited", float64(e.share.limits.InForce()))
 	e.metrics.Set("requests_in_progress", float64(e.relay.InProgress()))
 	e.metrics.Set("connections_opened", float64(e.upstream.Opened()))
 	e.metrics.Set("log_lines_dropped", float64(logging.Dropped()))
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -9,8 +9,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/limits"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
@@ -112,8 +114,10 @@
 	// observationsSeen that of this node's that it has.
 	observations     uint64
 	observationsSeen uint64
-	// quarantine is the same for requests that ended endpoints.
+	// quarantine is the same for requests that ended endpoints, limits for those of
+	// endpoints.
 	quarantine poison.Link
+	limits     limits.Link
 	// behindSince is when it was first found to lack all endpoints, zero while
 	// it does not.
 	behindSince time.Time
@@ -128,6 +132,7 @@
 	demand     *relay.Demand
 	budget     *relay.Budget
 	quarantine *quarantineTable
+	limits     *limits.Keeper
 	store      table.Store
 	client     *peers.Client
 	log        logging.Logger
@@ -191,7 +196,7 @@
 	return time.Since(s.heardController) < controllerTTL
 }
 
-func newSharing(s *Settings, life string, d *directory.Directory, b *relay.Balancer, demand *relay.Demand, budget *relay.Budget, store table.Store, links link.Bounds) *sharing {
+func newSharing(s *Settings, life string, d *directory.Directory, b *relay.Balancer, demand *relay.Demand, budget *relay.Budget, store table.Store, links link.Bounds, m *metrics.Metrics) *sharing {
 	sh := &sharing{
 		settings:  s,
 		life:      life,
@@ -208,7 +213,9 @@
 		began:     time.Now(),
 	}
 	sh.quarantine = newQuarantineTable(poison.NewQuarantine(sh.triesQuarantined), store)
+	sh.limits = limits.NewKeeper(limits.Options{Ask: sh.askPlace, Nodes: sh.allNodes, Metrics: m})
 	b.OnSuspect(sh.hurry)
+	b.SetFull(sh.limits.Full)
 	sh.addSeeds(s.Seeds)
 	return sh
 }
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -7,6 +7,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/limits"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
@@ -39,6 +40,7 @@
 		// A new life has nothing of what the last one was told.
 		known.observations, known.observationsSeen = 0, 0
 		known.quarantine = poison.Link{}
+		known.limits = limits.Link{}
 	}
 	p := s.meet(address, m.GetFrom().GetId(), m.GetFrom().GetDataCentre())
 	if p == nil {
@@ -67,6 +69,7 @@
 	p.observations = m.GetObservationsVersion()
 	p.observationsSeen = m.GetObservationsSeen()
 	s.quarantine.list.TakeNews(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
+	s.limits.TakeNews(&p.limits, m.GetLimits(), "node "+m.GetFrom().GetId(), now)
 	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand())}
 	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand())}
 	p.suspects = p.suspects[:0]
@@ -128,6 +131,7 @@
 	s.addRelayed(m, p, now)
 	s.addObservations(m, p, now)
 	m.Quarantine = s.quarantine.list.News(&p.quarantine, now)
+	m.Limits = s.limits.News(&p.limits, now)
 	if p.spoke && p.configuration < version && now.Sub(p.heard) < sayAllAfter {
 		m.Configuration = s.compressed.of(version, value)
 	}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,323 @@
+// Package limits keeps what entry instances send to an endpoint that limits how much it
+// takes within its limit.
+//
+// An endpoint in need names in its answers how many requests a second it takes from all
+// nodes together. No node can count for all, so one gives out the places at an endpoint: the
+// node that relays for the endpoint's data centre. The others ask it for one before they
+// send, and remember until when there is none. What any node was told of a limit, and of
+// its end, it tells its peers; whoever asks for a place tells the giver what it knows.
+//
+// A node that cannot ask takes a small part of the limit by itself, by chance: see
+// limit.Share. What decides is pkg/limit; this package adds the lock, the log and the calls.
+package limits
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/pkg/limit"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+const (
+	// askTimeout bounds a request's wait for a place: other endpoints may have one at once.
+	askTimeout = 150 * time.Millisecond
+	// silentFor is how long after a call that was not answered the data centre's places are
+	// not asked for.
+	silentFor = 500 * time.Millisecond
+	// noShareFor is how long an endpoint is passed over whose places cannot be asked for and
+	// of which this node's own part gave none.
+	noShareFor = 100 * time.Millisecond
+	// shareAfter is how long after its start a node takes nothing by itself: it does not know
+	// yet how many nodes there are.
+	shareAfter = 2 * time.Second
+	// mostReturn bounds the time after which callers are told to come back.
+	mostReturn = 10 * time.Second
+)
+
+// Answer is what the node that gives out the places at an endpoint says.
+type Answer struct {
+	Granted bool
+	// Wait is the time until the next place, if there is none.
+	Wait time.Duration
+	// Limit is what that node knows of the limit.
+	Limit limit.Limit
+}
+
+// Options of a Keeper.
+type Options struct {
+	// Ask asks the node that gives out the places at an endpoint for one. An error means
+	// that it was not reached. nil has this node give out all places.
+	Ask func(ctx context.Context, e *serving.Endpoint, known limit.Limit) (Answer, error)
+	// Nodes returns how many nodes there are.
+	Nodes   func() int
+	Metrics *metrics.Metrics
+}
+
+// Keeper is what one node knows of limits, and the places that it has given out. It is safe
+// for concurrent use.
+type Keeper struct {
+	options Options
+	log     logging.Logger
+	began   time.Time
+	// inForce is the number of limits, so that requests take no lock while there are none.
+	inForce atomic.Int64
+
+	mu   sync.Mutex
+	book *limit.Book
+	// full tells until when endpoints have no place, promised until when callers have been
+	// told to come back for those after that.
+	full     map[serving.Life]time.Time
+	promised map[serving.Life]time.Time
+	shares   map[serving.Life]*limit.Share
+	// pacers are of the endpoints whose places this node gives out.
+	pacers map[serving.Life]*limit.Pacer
+	// silent tells until when the places of a data centre are not asked for.
+	silent map[serving.DataCentre]time.Time
+}
+
+// NewKeeper returns a keeper that knows no limit.
+func NewKeeper(o Options) *Keeper {
+	k := &Keeper{
+		options:  o,
+		log:      logging.For("limits"),
+		began:    time.Now(),
+		book:     limit.NewBook(),
+		full:     map[serving.Life]time.Time{},
+		promised: map[serving.Life]time.Time{},
+		shares:   map[serving.Life]*limit.Share{},
+		pacers:   map[serving.Life]*limit.Pacer{},
+		silent:   map[serving.DataCentre]time.Time{},
+	}
+	if k.options.Ask == nil {
+		k.options.Ask = func(_ context.Context, e *serving.Endpoint, known limit.Limit) (Answer, error) {
+			return k.Grant(e.Life(), known, time.Now()), nil
+		}
+	}
+	return k
+}
+
+// Named notes that an endpoint has named a limit to this node.
+func (k *Keeper) Named(life serving.Life, perSecond float64, now time.Time) {
+	k.note(life, limit.Limit{PerSecond: perSecond, At: now}, "its answer", now)
+}
+
+// NotNamed notes that an answer to a request that was sent at some time named no limit. One
+// that was sent before the limit was last named tells nothing of its end.
+func (k *Keeper) NotNamed(life serving.Life, sent, now time.Time) {
+	if k.inForce.Load() > 0 {
+		k.note(life, limit.Limit{At: sent}, "its answer", now)
+	}
+}
+
+func (k *Keeper) note(life serving.Life, l limit.Limit, source string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noteLocked(life, l, source, now)
+}
+
+// noteLocked takes what an endpoint said; the caller holds the lock.
+func (k *Keeper) noteLocked(life serving.Life, l limit.Limit, source string, now time.Time) {
+	before := k.book.Get(life)
+	if !k.book.Note(life, l) {
+		return
+	}
+	k.inForce.Store(int64(k.book.InForce()))
+	if !l.InForce() {
+		delete(k.full, life)
+		delete(k.promised, life)
+	}
+	k.log.Info("an endpoint's limit has changed", "endpoint", string(life.ID), "born", life.Born, "per_second", l.PerSecond,
+		"before", before.PerSecond, "source", source, "age", now.Sub(l.At))
+}
+
+// Known returns what is known of an endpoint's limit.
+func (k *Keeper) Known(life serving.Life) limit.Limit {
+	if k.inForce.Load() == 0 {
+		return limit.Limit{}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Get(life)
+}
+
+// Full reports whether an endpoint is known to have no place now.
+func (k *Keeper) Full(e *serving.Endpoint, now time.Time) bool {
+	if k.inForce.Load() == 0 {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Before(k.full[e.Life()])
+}
+
+// Place reports whether a request may be sent to an endpoint, and takes the place if so.
+func (k *Keeper) Place(ctx context.Context, e *serving.Endpoint) bool {
+	known := k.Known(e.Life())
+	if !known.InForce() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if k.isSilent(e.DataCentre) {
+		return k.takeShare(e, known)
+	}
+	answer, err := k.options.Ask(ctx, e, known)
+	if err != nil {
+		k.noteSilent(e.DataCentre, err)
+		return k.takeShare(e, known)
+	}
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noteLocked(e.Life(), answer.Limit, "who gives out its places", now)
+	if !answer.Granted {
+		k.full[e.Life()] = now.Add(answer.Wait)
+		k.count("denied")
+		return false
+	}
+	k.count("granted")
+	return true
+}
+
+func (k *Keeper) count(outcome string) {
+	if k.options.Metrics != nil {
+		k.options.Metrics.Inc("limited_places", map[string]string{"outcome": outcome})
+	}
+}
+
+func (k *Keeper) isSilent(dc serving.DataCentre) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Now().Before(k.silent[dc])
+}
+
+func (k *Keeper) noteSilent(dc serving.DataCentre, err error) {
+	k.log.Info("places of a data centre's endpoints cannot be asked for; this node takes its own part", "data_centre", string(dc), "error", err)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silent[dc] = time.Now().Add(silentFor)
+}
+
+// takeShare takes a place by this node alone, if its part of the limit gives one.
+func (k *Keeper) takeShare(e *serving.Endpoint, known limit.Limit) bool {
+	now := time.Now()
+	nodes := 1
+	if k.options.Nodes != nil {
+		nodes = k.options.Nodes()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	share := k.shares[e.Life()]
+	if share == nil {
+		share = &limit.Share{}
+		k.shares[e.Life()] = share
+	}
+	if now.Sub(k.began) >= shareAfter && share.Take(known.PerSecond, nodes, rand.Float64, now) {
+		k.count("own")
+		return true
+	}
+	k.full[e.Life()] = now.Add(noShareFor)
+	k.count("none")
+	return false
+}
+
+// Grant gives out a place at an endpoint, for any node that asks, by what it knows of the
+// limit.
+func (k *Keeper) Grant(life serving.Life, known limit.Limit, now time.Time) Answer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noteLocked(life, known, "a node that asks", now)
+	l := k.book.Get(life)
+	if !l.InForce() {
+		return Answer{Granted: true, Limit: l}
+	}
+	pacer := k.pacers[life]
+	if pacer == nil {
+		pacer = &limit.Pacer{}
+		k.pacers[life] = pacer
+	}
+	granted, wait := pacer.Take(l.PerSecond, now)
+	return Answer{Granted: granted, Wait: wait, Limit: l}
+}
+
+// Return is the time after which a caller may come back that found no place at any of some
+// endpoints. Each caller is told a later one, by the part of the limit that this node would
+// have if all nodes told theirs so.
+func (k *Keeper) Return(endpoints []*serving.Endpoint, now time.Time) time.Duration {
+	nodes := 1
+	if k.options.Nodes != nil {
+		nodes = max(1, k.options.Nodes())
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var best serving.Life
+	var at time.Time
+	for _, e := range endpoints {
+		life := e.Life()
+		if !k.book.Get(life).InForce() {
+			continue
+		}
+		next := later(k.full[life], k.promised[life], now)
+		if at.IsZero() || next.Before(at) {
+			best, at = life, next
+		}
+	}
+	if at.IsZero() {
+		return 0
+	}
+	spacing := time.Duration(float64(nodes) / k.book.Get(best).PerSecond * float64(time.Second))
+	k.promised[best] = at.Add(min(spacing, mostReturn))
+	return min(mostReturn, at.Sub(now))
+}
+
+// later returns the latest of some times.
+func later(times ...time.Time) time.Time {
+	var latest time.Time
+	for _, t := range times {
+		if t.After(latest) {
+			latest = t
+		}
+	}
+	return latest
+}
+
+// InForce returns the number of limits that are known.
+func (k *Keeper) InForce() int { return int(k.inForce.Load()) }
+
+// Forget drops what is known of lives that are over.
+func (k *Keeper) Forget(listed map[serving.EndpointID]*serving.Endpoint, now time.Time) {
+	lives := func(life serving.Life) bool {
+		e := listed[life.ID]
+		return e != nil && e.Born <= life.Born
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.book.Forget(lives, now)
+	k.inForce.Store(int64(k.book.InForce()))
+	forget(k.full, k.book)
+	forget(k.promised, k.book)
+	forget(k.shares, k.book)
+	forget(k.pacers, k.book)
+}
+
+// forget drops what is kept of lives without a limit.
+func forget[V any](kept map[serving.Life]V, book *limit.Book) {
+	for life := range kept {
+		if !book.Get(life).InForce() {
+			delete(kept, life)
+		}
+	}
+}
+
+// Suspended makes what endpoints said older by the time for which the machine was suspended.
+func (k *Keeper) Suspended(by time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.book.Age(by)
+}
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,173 @@
+package limits
+
+import (
+	"context"
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
+	"github.com/ridgehinge/ridgehinge/pkg/limit"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+var endpoint = &serving.Endpoint{ID: "e", Born: 7, DataCentre: "north"}
+
+// places takes places for a time, asking every millisecond of it, and counts those granted.
+func places(k *Keeper, life serving.Life, known limit.Limit, from time.Time, for_ time.Duration) int {
+	granted := 0
+	for at := time.Duration(0); at < for_; at += time.Millisecond {
+		if k.Grant(life, known, from.Add(at)).Granted {
+			granted++
+		}
+	}
+	return granted
+}
+
+func TestALimitEndsByAnAnswerToWhatWasSentSince(t *testing.T) {
+	k := NewKeeper(Options{})
+	now := time.Now()
+	life := endpoint.Life()
+	k.Named(life, 2, now)
+	require.True(t, k.Known(life).InForce())
+
+	// The answer to a request that was sent before may be older than the need.
+	k.NotNamed(life, now.Add(-time.Second), now.Add(time.Second))
+	require.True(t, k.Known(life).InForce())
+
+	k.NotNamed(life, now.Add(time.Second), now.Add(2*time.Second))
+	require.False(t, k.Known(life).InForce())
+	require.True(t, k.Place(t.Context(), endpoint))
+
+	// Word of the need that is older than its end does not bring it back.
+	k.note(life, limit.Limit{PerSecond: 2, At: now.Add(500 * time.Millisecond)}, "a peer", now)
+	require.False(t, k.Known(life).InForce())
+}
+
+func TestALimitIsOfOneLife(t *testing.T) {
+	k := NewKeeper(Options{})
+	k.Named(endpoint.Life(), 1, time.Now())
+	next := *endpoint
+	next.Born++
+	require.False(t, k.Known(next.Life()).InForce())
+	k.Forget(map[serving.EndpointID]*serving.Endpoint{"e": &next}, time.Now())
+	require.Zero(t, k.InForce())
+	require.False(t, k.Known(endpoint.Life()).InForce())
+}
+
+func TestPlacesFollowALimitThatChanges(t *testing.T) {
+	k := NewKeeper(Options{})
+	now := time.Now()
+	life := endpoint.Life()
+	require.InDelta(t, 80, places(k, life, limit.Limit{PerSecond: 20, At: now}, now, 4*time.Second), 6)
+	// What had been saved up at the higher limit is gone.
+	later := now.Add(4 * time.Second)
+	require.InDelta(t, 4, places(k, life, limit.Limit{PerSecond: 1, At: later}, later, 4*time.Second), 1)
+	// A node that still knows the higher limit does not bring it back.
+	latest := now.Add(8 * time.Second)
+	require.InDelta(t, 4, places(k, life, limit.Limit{PerSecond: 20, At: now}, latest, 4*time.Second), 1)
+}
+
+// An endpoint that takes next to nothing gets a request now and then: one that gets nothing
+// answers nothing, and its need would be taken to last for ever.
+func TestAnEndpointThatTakesNextToNothingIsStillAsked(t *testing.T) {
+	k := NewKeeper(Options{})
+	now := time.Now()
+	require.InDelta(t, 5, places(k, endpoint.Life(), limit.Limit{PerSecond: 1e-9, At: now}, now, 20*time.Second), 1)
+}
+
+func TestANodeThatCannotAskTakesASmallPart(t *testing.T) {
+	asked := 0
+	k := NewKeeper(Options{
+		Ask: func(context.Context, *serving.Endpoint, limit.Limit) (Answer, error) {
+			asked++
+			return Answer{}, errors.New("cut off")
+		},
+		Nodes: func() int { return 9 },
+	})
+	k.Named(endpoint.Life(), 90, time.Now())
+	require.False(t, k.Place(t.Context(), endpoint), "a fresh life does not know how many there are")
+	require.True(t, k.Full(endpoint, time.Now()))
+	require.False(t, k.Place(t.Context(), endpoint))
+	require.Equal(t, 1, asked, "who does not answer is not asked by each request")
+
+	k.began = time.Now().Add(-time.Minute)
+	taken := 0
+	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(2 * time.Millisecond) {
+		if k.Place(t.Context(), endpoint) {
+			taken++
+		}
+	}
+	require.Positive(t, taken)
+	require.Less(t, taken, 10)
+}
+
+func TestCallersAreToldTimesThatTheLimitCanKeep(t *testing.T) {
+	k := NewKeeper(Options{Nodes: func() int { return 2 }})
+	now := time.Now()
+	k.Named(endpoint.Life(), 4, now)
+	k.full[endpoint.Life()] = now.Add(100 * time.Millisecond)
+	all := []*serving.Endpoint{endpoint}
+	require.Equal(t, 100*time.Millisecond, k.Return(all, now))
+	require.Equal(t, 600*time.Millisecond, k.Return(all, now))
+	require.Equal(t, 1100*time.Millisecond, k.Return(all, now))
+	for range 100 {
+		require.LessOrEqual(t, k.Return(all, now), mostReturn)
+	}
+}
+
+func TestPeersAreToldOfLimitsAndTheirEnds(t *testing.T) {
+	a, b := NewKeeper(Options{}), NewKeeper(Options{})
+	var atA, atB Link
+	swap := func(now time.Time) {
+		b.TakeNews(&atB, a.News(&atA, now), "a", now)
+		a.TakeNews(&atA, b.News(&atB, now), "b", now)
+	}
+	now := time.Now()
+	for i := range 3 * recordsTold {
+		a.Named(serving.Life{ID: endpoint.ID, Born: int64(i)}, 1, now)
+	}
+	for range 4 {
+		swap(now)
+	}
+	require.Equal(t, 3*recordsTold, b.InForce(), "more than one message holds")
+	require.Empty(t, a.News(&atA, now).GetLimits(), "what was heard is not told again")
+
+	b.NotNamed(serving.Life{ID: endpoint.ID}, now.Add(time.Second), now.Add(2*time.Second))
+	swap(now.Add(2 * time.Second))
+	require.False(t, a.Known(serving.Life{ID: endpoint.ID}).InForce())
+	require.Equal(t, 3*recordsTold-1, a.InForce())
+}
+
+func TestWhatIsNoNumberOfRequestsTellsNothing(t *testing.T) {
+	k := NewKeeper(Options{})
+	now := time.Now()
+	for _, perSecond := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
+		var l Link
+		k.TakeNews(&l, &sharepb.LimitNews{Limits: []*sharepb.EndpointLimit{{Endpoint: "e", Born: 7, PerSecond: perSecond}}}, "a peer", now)
+		require.Zero(t, k.InForce())
+		k.Named(endpoint.Life(), 2, now)
+		k.TakeNews(&l, &sharepb.LimitNews{Limits: []*sharepb.EndpointLimit{{Endpoint: "e", Born: 7, PerSecond: perSecond}}}, "a peer", now)
+		require.EqualValues(t, 2, k.Known(endpoint.Life()).PerSecond)
+		k = NewKeeper(Options{})
+	}
+}
+
+// A flood of limits stays within its bound, and costs what it costs: the figures are printed.
+func TestWhatNewsOfLimitsCosts(t *testing.T) {
+	k := NewKeeper(Options{})
+	now := time.Now()
+	for i := range 10_000 {
+		k.Named(serving.Life{ID: "i-0123456789", Born: 1_796_275_439_253 + int64(i)}, 1.5, now)
+	}
+	require.Equal(t, 4096, k.InForce())
+	var l Link
+	news := k.News(&l, now)
+	require.Len(t, news.GetLimits(), recordsTold)
+	t.Logf("a message of %d limits has %d bytes", recordsTold, proto.Size(news))
+	require.Less(t, proto.Size(news), 8<<10)
+}
--- /dev/null
+++ b/internal/limits/news.go
@@ -0,0 +1,63 @@
+package limits
+
+import (
+	"math"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/clock"
+	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
+	"github.com/ridgehinge/ridgehinge/pkg/limit"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// recordsTold bounds the limits of one message.
+const recordsTold = 128
+
+// Link is what this node and one life of a peer have told each other. The zero value is for
+// a peer that has told and heard nothing.
+type Link struct {
+	// heard is the version up to which the peer has told its limits, told that up to which
+	// it has heard this node's.
+	heard uint64
+	told  uint64
+}
+
+// News returns what the peer has not heard yet, and what this node has heard of it; nil is
+// nothing.
+func (k *Keeper) News(l *Link, now time.Time) *sharepb.LimitNews {
+	k.mu.Lock()
+	records, version := k.book.Changes(l.told, recordsTold)
+	k.mu.Unlock()
+	if version == 0 && l.heard == 0 {
+		return nil
+	}
+	news := &sharepb.LimitNews{Version: version, Seen: l.heard}
+	for _, r := range records {
+		news.Limits = append(news.Limits, ToWire(r.Life, r.Limit, now))
+	}
+	return news
+}
+
+// TakeNews takes what a peer tells.
+func (k *Keeper) TakeNews(l *Link, news *sharepb.LimitNews, source string, now time.Time) {
+	l.heard, l.told = news.GetVersion(), news.GetSeen()
+	for _, told := range news.GetLimits() {
+		life, known := FromWire(told, now)
+		k.note(life, known, source, now)
+	}
+}
+
+// ToWire tells a limit to another node, its time as an age.
+func ToWire(life serving.Life, l limit.Limit, now time.Time) *sharepb.EndpointLimit {
+	return &sharepb.EndpointLimit{Endpoint: string(life.ID), Born: life.Born, PerSecond: l.PerSecond, AgeMs: clock.MillisAgo(l.At, now)}
+}
+
+// FromWire is the reverse of ToWire. What is no number of requests is dated before all else,
+// so that it tells nothing.
+func FromWire(told *sharepb.EndpointLimit, now time.Time) (serving.Life, limit.Limit) {
+	life := serving.Life{ID: serving.EndpointID(told.GetEndpoint()), Born: told.GetBorn()}
+	if perSecond := told.GetPerSecond(); !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return life, limit.Limit{}
+	}
+	return life, limit.Limit{PerSecond: told.GetPerSecond(), At: clock.AtMillisAgo(told.GetAgeMs(), now)}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -148,12 +148,16 @@
 	link   link.Bounds
 	counts *bytecount.Counter
 	mu     sync.Mutex
-	conns  map[string]*drpcconn.Conn
+	// idle has the connections to each address that no call runs on.
+	idle map[string][]*drpcconn.Conn
 }
 
+// mostIdle is how many connections to one peer are kept that no call runs on.
+const mostIdle = 2
+
 // NewClient returns a client; it opens no connection yet.
 func NewClient(key []byte, bounds link.Bounds) *Client {
-	return &Client{key: key, link: bounds, counts: &bytecount.Counter{}, conns: map[string]*drpcconn.Conn{}}
+	return &Client{key: key, link: bounds, counts: &bytecount.Counter{}, idle: map[string][]*drpcconn.Conn{}}
 }
 
 // Bytes returns the counter of the opened connections.
@@ -163,9 +167,11 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, conn := range c.conns {
-		_ = conn.Close()
-		delete(c.conns, address)
+	for address, conns := range c.idle {
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+		delete(c.idle, address)
 	}
 }
 
@@ -188,18 +194,23 @@
 func (c *Client) take(address string) *drpcconn.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conn := c.conns[address]
-	delete(c.conns, address)
-	return conn
+	conns := c.idle[address]
+	if len(conns) == 0 {
+		return nil
+	}
+	last := len(conns) - 1
+	c.idle[address] = conns[:last]
+	return conns[last]
 }
 
 func (c *Client) put(address string, conn *drpcconn.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old := c.conns[address]; old != nil {
-		_ = old.Close()
+	if len(c.idle[address]) >= mostIdle {
+		_ = conn.Close()
+		return
 	}
-	c.conns[address] = conn
+	c.idle[address] = append(c.idle[address], conn)
 }
 
 // largeExchange is the size of an exchange, in bytes, after which its
@@ -215,8 +226,8 @@
 }
 
 // swap runs one exchange on a kept connection.
-func swap[M proto.Message](ctx context.Context, c *Client, address string, m M, call func(*drpcconn.Conn) (M, error)) (M, error) {
-	var none M
+func swap[M, A proto.Message](ctx context.Context, c *Client, address string, m M, call func(*drpcconn.Conn) (A, error)) (A, error) {
+	var none A
 	conn := c.take(address)
 	if conn == nil || isClosed(conn) {
 		var err error
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -107,6 +107,7 @@
 // judge reads an answer's head and passes the answer on if it is one.
 func (c *call) judge(ctx context.Context, t target, flight *flight, response *upstream.Response) result {
 	verdict := c.options.Wire.Verdict(response.Header)
+	c.noteLimit(t, verdict, flight, response.Status)
 	if verdict.NotRun || response.Status == http.StatusMisdirectedRequest {
 		return c.turnedAway(t, verdict, response)
 	}
@@ -122,6 +123,24 @@
 	return c.passWhole(ctx, t, flight, response)
 }
 
+// noteLimit takes what the endpoint itself says of how much it takes. A misdirected request
+// may have met another endpoint, which says nothing of this one.
+func (c *call) noteLimit(t target, v Verdict, f *flight, status int) {
+	if !v.Signed && !v.NotRun || status == http.StatusMisdirectedRequest {
+		return
+	}
+	now := time.Now()
+	switch {
+	case v.Limit.Unreadable != "":
+		c.log.Warn("an endpoint names a limit that cannot be read; what is known stays in force", "request", c.attrs.ID,
+			"endpoint", string(t.ID), "limit", fmt.Sprintf("%.100q", v.Limit.Unreadable), "in_force", c.options.Limits.Known(t.Life()).PerSecond)
+	case v.Limit.PerSecond > 0:
+		c.options.Limits.Named(t.Life(), v.Limit.PerSecond, now)
+	default:
+		c.options.Limits.NotNamed(t.Life(), f.began, now)
+	}
+}
+
 // turnedAway notes why an endpoint did not run the request.
 func (c *call) turnedAway(t target, v Verdict, response *upstream.Response) result {
 	c.turnedDown++
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -25,6 +25,8 @@
 	weights Weights
 	// suspected is called when an endpoint is newly passed over.
 	suspected func()
+	// full reports whether an endpoint takes no more requests for now.
+	full func(e *serving.Endpoint, now time.Time) bool
 	// remotes are the other data centres.
 	remotes map[serving.DataCentre]*remote
 	// told is what other nodes find.
@@ -38,7 +40,8 @@
 // NewBalancer returns a balancer for a node in a data centre. Nodes must draw
 // differently, so each gives its own source.
 func NewBalancer(home serving.DataCentre, source rand.Source, weights Weights) *Balancer {
-	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remote{}, random: rand.New(source), weights: weights, suspected: func() {}}
+	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remote{}, random: rand.New(source), weights: weights, suspected: func() {},
+		full: func(*serving.Endpoint, time.Time) bool { return false }}
 }
 
 func (b *Balancer) load(id serving.EndpointID) *load {
@@ -92,6 +95,10 @@
 // set before the balancer is used, and must not wait.
 func (b *Balancer) OnSuspect(f func()) { b.suspected = f }
 
+// SetFull sets what reports whether an endpoint takes no more requests for now. It is set
+// before the balancer is used, and must not call it.
+func (b *Balancer) SetFull(full func(e *serving.Endpoint, now time.Time) bool) { b.full = full }
+
 // Suspects returns the endpoints that are passed over now.
 func (b *Balancer) Suspects(now time.Time) []serving.EndpointID {
 	b.mu.Lock()
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
@@ -35,16 +36,34 @@
 	causeOnce       = "it may not run twice"
 	causeDeadline   = "deadline"
 	causeQuarantine = "requests like this one have ended the endpoints that ran them"
+	causeLimited    = "the endpoints left take no more requests for now"
 )
 
-// choose picks an endpoint, or tells why there is none.
-func (c *call) choose(now time.Time) (target, refusal) {
+// mostAsked bounds the endpoints that a request asks for a place, each of which takes a way
+// to another node and back.
+const mostAsked = 8
+
+// choose picks an endpoint and takes a place at it if it limits how much it takes, or tells
+// why there is none.
+func (c *call) choose(ctx context.Context, now time.Time) (target, refusal) {
+	for range mostAsked {
+		t, no := c.pick(now)
+		if t.Endpoint == nil || c.options.Limits.Place(ctx, t.Endpoint) {
+			return t, no
+		}
+		now = time.Now()
+	}
+	return target{}, refusal{cause: causeLimited, after: noTargetReturn}
+}
+
+// pick picks an endpoint that is not known to have no place, or tells why there is none.
+func (c *call) pick(now time.Time) (target, refusal) {
 	view := c.options.View()
 	service := view.Configuration.Services[c.service]
 	if service.Engine == nil {
 		e, ok := c.options.Balancer.ChoosePlain(view.Plain[c.service], c.failed, now)
 		if !ok {
-			return target{}, refusal{cause: causeNoEndpoint, after: noTargetReturn}
+			return target{}, c.noPlain(view.Plain[c.service], now)
 		}
 		return target{Endpoint: e}, refusal{}
 	}
@@ -60,10 +79,30 @@
 	case choice.Full+choice.Late > 0:
 		no.cause = causeFull
 		no.after = c.options.Balancer.weights.OverloadReturn
+	case choice.Limited > 0:
+		no.cause = causeLimited
+		no.after = c.options.Limits.Return(endpointsOf(heads), now)
 	}
 	return target{}, no
 }
 
+// noPlain is why a request to a plain service has no target.
+func (c *call) noPlain(endpoints []*serving.Endpoint, now time.Time) refusal {
+	full := slices.ContainsFunc(endpoints, func(e *serving.Endpoint) bool { return c.options.Limits.Full(e, now) })
+	if !full {
+		return refusal{cause: causeNoEndpoint, after: noTargetReturn}
+	}
+	return refusal{cause: causeLimited, after: c.options.Limits.Return(endpoints, now)}
+}
+
+func endpointsOf(heads []*directory.Head) []*serving.Endpoint {
+	out := make([]*serving.Endpoint, 0, len(heads))
+	for _, h := range heads {
+		out = append(out, h.Endpoint)
+	}
+	return out
+}
+
 const (
 	// resumeWait is how long a stream that broke waits for another endpoint:
 	// a repair by a warm spare takes about as long, and its caller waits for
@@ -75,7 +114,7 @@
 // await picks an endpoint. A stream that was under way at another endpoint
 // waits a little for one.
 func (c *call) await(ctx context.Context) (target, refusal) {
-	t, no := c.choose(time.Now())
+	t, no := c.choose(ctx, time.Now())
 	if t.Endpoint != nil || c.sends == 0 || c.route.Kind != serving.KindStream {
 		return t, no
 	}
@@ -90,7 +129,7 @@
 		case <-limit.C:
 			return target{}, no
 		case now := <-ticker.C:
-			if t, no = c.choose(now); t.Endpoint != nil {
+			if t, no = c.choose(ctx, now); t.Endpoint != nil {
 				return t, no
 			}
 		}
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -74,6 +74,8 @@
 	Full       int
 	// Late are predicted to have the first event too late.
 	Late int
+	// Limited take no more requests for now.
+	Limited int
 }
 
 // ChooseHead draws a group, the likelier the sooner the request is predicted to
@@ -104,6 +106,8 @@
 			c.Suspected++
 		case predicted.Running >= slots:
 			c.Full++
+		case b.full(h.Endpoint, now):
+			c.Limited++
 		case !underWay && s.late(predicted, b.weights.LateFactor):
 			c.Late++
 		case b.isDoubtful(h.ID, h.DataCentre, l, now):
--- /dev/null
+++ b/internal/relay/limit_test.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/limits"
+	"github.com/ridgehinge/ridgehinge/pkg/limit"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// denied has the places of all endpoints denied for a while.
+func denied(wait time.Duration) limits.Options {
+	return limits.Options{Ask: func(context.Context, *serving.Endpoint, limit.Limit) (limits.Answer, error) {
+		return limits.Answer{Wait: wait}, nil
+	}}
+}
+
+// limited has an endpoint name a limit.
+func (w *world) limited(id serving.EndpointID) {
+	w.relay.options.Limits.Named(w.view.Endpoints[id].Life(), 1, time.Now())
+}
+
+func TestWhatALimitedEndpointCannotTakeGoesToAnother(t *testing.T) {
+	a, b := newEndpoint(t, events(1, 2, whole)), newEndpoint(t, events(1, 2, whole))
+	w := newWorld(t, nil, []*endpoint{a, b})
+	w.useLimits(limits.NewKeeper(denied(time.Second)))
+	w.limited("h0")
+	for range 5 {
+		require.Equal(t, http.StatusOK, w.serve(request(hostStream)).status)
+	}
+	require.Empty(t, a.arrivals())
+	require.Len(t, b.arrivals(), 5)
+}
+
+func TestWhatNobodyCanTakeIsRefusedAtOnce(t *testing.T) {
+	for _, host := range []string{hostStream, hostOnce} {
+		e := newEndpoint(t, events(1, 2, whole))
+		w := newWorld(t, []*endpoint{e}, []*endpoint{e})
+		w.useLimits(limits.NewKeeper(denied(time.Second)))
+		w.limited("h0")
+		w.limited("p0")
+		began := time.Now()
+		out := w.serve(request(host))
+		require.Less(t, time.Since(began), 500*time.Millisecond)
+		require.Equal(t, http.StatusServiceUnavailable, out.status)
+		after, err := time.ParseDuration(out.header.Get("After"))
+		require.NoError(t, err)
+		require.InDelta(t, time.Second, after, float64(50*time.Millisecond), "the limit's next place")
+		require.Empty(t, e.arrivals())
+	}
+}
+
+// A stream that breaks asks the limit for its next endpoint before it asks the retry budget:
+// what the limit keeps back is not counted as a repeat.
+func TestATryThatALimitKeepsBackIsNotTakenFromTheBudget(t *testing.T) {
+	a, b := newEndpoint(t, events(1, 3, broken)), newEndpoint(t, events(4, 5, whole))
+	w := newWorld(t, nil, []*endpoint{a, b})
+	w.useLimits(limits.NewKeeper(denied(10 * time.Second)))
+	w.limited("h1")
+	before := w.relay.options.Budget.State("llm", time.Now())
+	out := w.serve(request(hostStream))
+	require.True(t, out.cut)
+	require.Empty(t, b.arrivals())
+	after := w.relay.options.Budget.State("llm", time.Now())
+	require.Equal(t, before.Repeats, after.Repeats)
+	require.InDelta(t, before.Slack, after.Slack, 0.01)
+}
+
+// An answer tells of the limit also when it breaks off or says that the request did not run.
+func TestAnswersTellOfLimits(t *testing.T) {
+	tests := map[string]struct {
+		answer NamedLimit
+		before float64
+		signed bool
+		notRun bool
+		status int
+		want   float64
+	}{
+		"named":                           {answer: NamedLimit{PerSecond: 2}, signed: true, status: 200, want: 2},
+		"named by one that did not run":   {answer: NamedLimit{PerSecond: 2}, notRun: true, status: 503, want: 2},
+		"named by another endpoint":       {answer: NamedLimit{PerSecond: 2}, notRun: true, status: 421},
+		"named by nobody":                 {answer: NamedLimit{PerSecond: 2}, status: 200},
+		"changed":                         {answer: NamedLimit{PerSecond: 2}, before: 5, signed: true, status: 200, want: 2},
+		"not named any more":              {before: 5, signed: true, status: 200},
+		"not named by another endpoint":   {before: 5, notRun: true, status: 421, want: 5},
+		"unreadable says nothing":         {answer: NamedLimit{Unreadable: "few"}, before: 5, signed: true, status: 200, want: 5},
+		"unreadable brings no limit":      {answer: NamedLimit{Unreadable: "few"}, signed: true, status: 200},
+		"not named by one that failed":    {before: 5, signed: true, status: 500},
+		"not named by one that is busy":   {before: 5, notRun: true, status: 503},
+		"not named by one that is no one": {before: 5, status: 200, want: 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, nil, []*endpoint{newEndpoint(t, hangUp)})
+			e := w.view.Endpoints["h0"]
+			if test.before > 0 {
+				w.relay.options.Limits.Named(e.Life(), test.before, time.Now())
+			}
+			c := &call{Relay: w.relay}
+			v := Verdict{Signed: test.signed, NotRun: test.notRun, Limit: test.answer}
+			c.noteLimit(target{Endpoint: e}, v, &flight{began: time.Now().Add(time.Millisecond)}, test.status)
+			require.InDelta(t, test.want, w.relay.options.Limits.Known(e.Life()).PerSecond, 0)
+		})
+	}
+}
+
+func (w *world) useLimits(k *limits.Keeper) {
+	w.relay.options.Limits = k
+	w.relay.options.Balancer.SetFull(k.Full)
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -31,7 +31,7 @@
 		e := endpoints[(i+b.turn)%len(endpoints)]
 		l := b.load(e.ID)
 		l.dataCentre = e.DataCentre
-		if slices.Contains(failed, e.ID) || b.isCutOff(e.DataCentre, now) {
+		if slices.Contains(failed, e.ID) || b.isCutOff(e.DataCentre, now) || b.full(e, now) {
 			continue
 		}
 		score := 2 * (l.running + l.peers.Running)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/limits"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
@@ -26,8 +27,10 @@
 	Budget     *Budget
 	Demand     *Demand
 	Quarantine *poison.Quarantine
-	Clock      *clock.Clock
-	Metrics    *metrics.Metrics
+	// Limits is what is known of endpoints that limit how much they take.
+	Limits  *limits.Keeper
+	Clock   *clock.Clock
+	Metrics *metrics.Metrics
 	// StallAfter is how long an endpoint may be silent on all of its
 	// requests before a resumable stream goes on elsewhere.
 	StallAfter time.Duration
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -227,7 +227,7 @@
 			return
 		}
 		if t.Endpoint == nil {
-			if no.cause == causeFull {
+			if no.cause == causeFull || no.cause == causeLimited {
 				c.noteInTime(false, time.Now())
 			}
 			c.giveUp(no)
@@ -334,7 +334,7 @@
 	c.log.Info("a request was not served", "request", c.attrs.ID, "content", c.content, "route", route, "model", c.attrs.Model, "workspace", c.workspace,
 		"outcome", string(c.outcome), "cause", no.cause, "return_after", no.after, "sends", c.sends, "may_have_run", c.mayHaveRun, "events", c.events,
 		"failed", c.failed, "took", time.Since(c.start), "configuration", c.configurationVersion(),
-		"groups", no.choice.Groups, "full", no.choice.Full, "late", no.choice.Late, "suspected", no.choice.Suspected, "incomplete", no.choice.Incomplete)
+		"groups", no.choice.Groups, "full", no.choice.Full, "late", no.choice.Late, "suspected", no.choice.Suspected, "incomplete", no.choice.Incomplete, "limited", no.choice.Limited)
 }
 
 // refuse answers a request that has not run and never will.
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -76,6 +76,18 @@
 	// AtFault names the endpoint that a refusal is about, if it says so, by
 	// its id or its address.
 	AtFault string
+	Limit   NamedLimit
+}
+
+// NamedLimit is what an endpoint's answer says of how much it takes. The zero value names no
+// limit.
+type NamedLimit struct {
+	// PerSecond is the number of requests a second from all nodes together, zero if the
+	// answer names none.
+	PerSecond float64
+	// Unreadable is what the answer names in place of a number, for the log. It says
+	// neither that there is a limit nor that there is none.
+	Unreadable string
 }
 
 // RequestError is a mistake in a request, with its remedy.
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -232,6 +232,17 @@
 	Membership Membership
 }
 
+// Life names one life of an endpoint: after a restart it knows nothing of before, and
+// nothing that it said before holds.
+type Life struct {
+	ID EndpointID
+	// Born is as in Endpoint.
+	Born int64
+}
+
+// Life returns the life that a record is of.
+func (e *Endpoint) Life() Life { return Life{e.ID, e.Born} }
+
 // Same reports whether two records of an endpoint say the same.
 func (e *Endpoint) Same(other *Endpoint) bool {
 	return e.ID == other.ID && e.Born == other.Born && e.Service == other.Service && e.Address == other.Address &&
