Failing tests: an older copy takes the store's place

Cause: versions are compared across copies of the store. A watch from a version that was given out anew tells no gap, and the epochs of the leases start from the copy's.

--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -91,6 +92,10 @@
 	endpoints map[serving.EndpointID]*Endpoint
 	// ready are the members that were ready once, by name, epoch and id.
 	ready map[readyKey]bool
+	// left are the members that left their group or ended in it.
+	left map[readyKey]bool
+	// lists has what each epoch was given to.
+	lists map[uint64]formed
 	// late is how long an order without an answer waits.
 	late       func() time.Duration
 	loads      int
@@ -101,6 +106,13 @@
 	broken     []string
 }
 
+// formed is what an epoch was given to. Each domain's controller has epochs of its own.
+type formed struct {
+	group   string
+	domain  string
+	members []serving.EndpointID
+}
+
 type readyKey struct {
 	group string
 	epoch uint64
@@ -127,6 +139,8 @@
 		model:         map[string]serving.Model{},
 		endpoints:     map[serving.EndpointID]*Endpoint{},
 		ready:         map[readyKey]bool{},
+		left:          map[readyKey]bool{},
+		lists:         map[uint64]formed{},
 		late:          func() time.Duration { return 0 },
 	}
 	for _, m := range models {
@@ -203,8 +217,9 @@
 	before := f.endpoints[id]
 	// What was under way in the life before acts on its own record.
 	before.gone = true
+	f.leaves(before)
 	fresh := &Endpoint{Endpoint: before.Endpoint}
-	fresh.Model, fresh.Leaving = "", false
+	fresh.Model, fresh.Leaving, fresh.Writes = "", false, 0
 	fresh.Born = f.nextBorn(before.Born)
 	f.endpoints[id] = fresh
 	f.write(fresh)
@@ -299,11 +314,34 @@
 	if e.unlisted {
 		return
 	}
+	e.Writes++
 	row := e.Endpoint
 	row.Membership = e.group.Membership
 	f.commit(table.Change{Writes: []table.Row{{Table: f.endpointTable, Key: string(e.ID), Value: f.encode(row)}}})
 }
 
+// WriteAgain has every endpoint write its row, each at a moment of its own within a time, as
+// after the table came back from an older copy. Rows of those that are unlisted go.
+func (f *Fleet) WriteAgain(within time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.endpoints {
+		time.AfterFunc(rand.N(within), func() { f.writeAgain(id) })
+	}
+}
+
+func (f *Fleet) writeAgain(id serving.EndpointID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.endpoints[id]
+	switch {
+	case e.unlisted:
+		f.commit(table.Change{Removals: []table.Row{{Table: f.endpointTable, Key: string(id)}}})
+	case !e.gone:
+		f.write(e)
+	}
+}
+
 // commit writes to the table as its own endpoints do, whatever the faults
 // that other callers see.
 func (f *Fleet) commit(c table.Change) { _ = f.table.Force(c) }
@@ -384,6 +422,7 @@
 	if o.Epoch < e.epoch {
 		return false, groupcontrol.ErrFenced
 	}
+	f.checkEpoch(e, o)
 	f.checkJoin(e, o)
 	e.orders++
 	e.epoch = o.Epoch
@@ -418,6 +457,28 @@
 	return false, nil
 }
 
+// checkEpoch notes an epoch that is given out twice: to two lists of members, or again to an
+// endpoint that was in a group of it in another life or has left it.
+func (f *Fleet) checkEpoch(e *Endpoint, o serving.Order) {
+	if known, ok := f.lists[o.Epoch]; ok && (known.group != o.Group || !slices.Equal(known.members, o.Members)) && known.domain == e.Domain {
+		f.broken = append(f.broken, fmt.Sprintf("epoch %d is of %s with %v and of %s with %v", o.Epoch, known.group, known.members, o.Group, o.Members))
+	}
+	f.lists[o.Epoch] = formed{o.Group, e.Domain, o.Members}
+	if f.left[readyKey{o.Group, o.Epoch, e.ID}] {
+		f.broken = append(f.broken, fmt.Sprintf("%s joined %s of epoch %d again", e.ID, o.Group, o.Epoch))
+	}
+	if e.group.Group != "" && (e.group.Group != o.Group || e.group.Epoch != o.Epoch) {
+		f.leaves(e)
+	}
+}
+
+// leaves notes that an endpoint is in its group no more.
+func (f *Fleet) leaves(e *Endpoint) {
+	if e.group.Group != "" {
+		f.left[readyKey{e.group.Group, e.group.Epoch, e.ID}] = true
+	}
+}
+
 // checkJoin notes an endpoint that joins while the group that it has not
 // left is open.
 func (f *Fleet) checkJoin(e *Endpoint, o serving.Order) {
@@ -467,6 +528,7 @@
 		return false, groupcontrol.ErrRefused
 	}
 	e.orders++
+	f.leaves(e)
 	e.group = member{}
 	f.write(e)
 	// It takes effect at once, which the platform's endpoints answer as done.
--- a/internal/standin/memtable/memtable.go
+++ b/internal/standin/memtable/memtable.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -37,10 +38,12 @@
 	// forgotten is the newest version whose history is gone.
 	forgotten uint64
 	version   uint64
-	faults    Faults
-	changed   chan struct{}
-	calls     int
-	reads     map[string]int
+	// era counts how often an older copy took the table's place.
+	era     uint64
+	faults  Faults
+	changed chan struct{}
+	calls   int
+	reads   map[string]int
 }
 
 // New returns an empty table.
@@ -77,6 +80,40 @@
 	t.forgotten = t.version
 }
 
+// Copy is the table as it was at a moment.
+type Copy struct {
+	rows    map[rowID]table.Row
+	version uint64
+}
+
+// Copy copies the table.
+func (t *Table) Copy() Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Copy{maps.Clone(t.rows), t.version}
+}
+
+// Restore has an older copy take the table's place: what was written since is gone, and its
+// versions are given out again.
+func (t *Table) Restore(c Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.version = maps.Clone(c.rows), c.version
+	t.history = slices.DeleteFunc(t.history, func(r table.Row) bool { return r.Version > c.version })
+	t.forgotten = min(t.forgotten, c.version)
+	t.era++
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Era returns how often an older copy took the table's place. Versions are those of the
+// present one: whoever serves the table tells the era beside them.
+func (t *Table) Era() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
+}
+
 // begin counts a call and applies the faults that come before it.
 func (t *Table) begin(ctx context.Context) error {
 	t.mu.Lock()
@@ -136,7 +173,7 @@
 func (t *Table) since(name string, since uint64) (table.Page, <-chan struct{}, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if since < t.forgotten {
+	if since < t.forgotten || since > t.version {
 		return table.Page{}, nil, table.ErrHistoryGone
 	}
 	page := table.Page{Version: t.version}
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -225,6 +225,9 @@
 	Domain  string
 	Slots   int
 	Leaving bool
+	// Writes counts the writes of its row in this life: of two rows of one life that with
+	// the smaller count is the older.
+	Writes uint64
 	// Model is that of its last group in this life, which it can start at once;
 	// Staged models are on the endpoint's host.
 	Model      string
