--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -30,7 +30,9 @@
 	row table.Row
 	// changed is the version of the last row that differed in substance:
 	// most rows are heartbeats.
-	changed  uint64
+	changed uint64
+	// writes is the highest count of writes of any row of the present life.
+	writes   uint64
 	endpoint *serving.Endpoint
 	// born tells the endpoint's present life: that of the row, or of an observation
 	// that came ahead of it.
@@ -183,9 +185,12 @@
 // cover notes that the table is known up to a version.
 func (d *Directory) cover(version uint64, now time.Time) {
 	if version > d.covered {
-		if d.covered > 0 && now.Sub(d.coveredAt) > gapLeast {
+		// A copy lacks the rows of endpoints that came since it was made, which write them
+		// again.
+		restored := table.Era(version) > table.Era(d.covered)
+		if d.covered > 0 && (restored || now.Sub(d.coveredAt) > gapLeast) {
 			d.resumedAt = now
-			d.log.Info("rows come again", "table", d.codec.EndpointTable, "after", now.Sub(d.coveredAt), "version", version)
+			d.log.Info("rows come again", "table", d.codec.EndpointTable, "after", now.Sub(d.coveredAt), "version", version, "older_copy", restored)
 		}
 		d.covered = version
 		d.coveredAt = now
@@ -204,13 +209,15 @@
 func (d *Directory) takeRow(row table.Row, now time.Time) bool {
 	id := serving.EndpointID(row.Key)
 	record := d.endpoints[id]
-	if record != nil && row.Version <= record.row.Version {
+	if record != nil && row.Version <= record.row.Version || table.Era(row.Version) < table.Era(d.covered) {
 		return false
 	}
 	if record == nil {
 		record = &endpointRecord{}
 		d.endpoints[id] = record
 	}
+	known := record.row
+	restored := known.Version > 0 && table.Era(row.Version) > table.Era(known.Version)
 	record.row = row
 	if row.Removed {
 		was := record.endpoint != nil
@@ -231,12 +238,23 @@
 	if err != nil {
 		return d.takeUnreadable(record, row, err, now)
 	}
+	if restored && record.tellsOlder(&e) {
+		record.row = known
+		record.row.Version = row.Version
+		return false
+	}
+	if record.endpoint != nil && record.endpoint.Born == e.Born && e.Born != 0 && record.endpoint.Leaving {
+		// Nobody takes a notice to leave back: a row without it is an older copy's.
+		e.Leaving = true
+	}
 	if record.endpoint != nil && record.endpoint.Same(&e) {
+		record.writes = e.Writes
 		return false
 	}
 	if record.endpoint == nil || record.endpoint.Born != e.Born {
 		d.beginLife(record, &e)
 	}
+	record.writes = e.Writes
 	if record.endpoint == nil || record.endpoint.Leaving != e.Leaving || record.endpoint.Membership != e.Membership {
 		d.logChanged(&e, row)
 	}
@@ -254,6 +272,17 @@
 	return true
 }
 
+// tellsOlder reports whether the first row that the store has of an endpoint since it came
+// back from an older copy may be the copy's: a life that is known to leave or to have gone,
+// or a membership that has ended, would come to life again. What the endpoint itself writes
+// has a higher count, or comes as a second row.
+func (r *endpointRecord) tellsOlder(e *serving.Endpoint) bool {
+	if e.Born != r.born {
+		return e.Born < r.born
+	}
+	return e.Writes < r.writes || e.Writes == r.writes && r.endpoint == nil
+}
+
 // takeUnreadable takes a row that cannot be read: another writer may have left it. It names
 // no endpoint to use, whatever stood there before.
 func (d *Directory) takeUnreadable(record *endpointRecord, row table.Row, err error, now time.Time) bool {
@@ -321,7 +350,7 @@
 // renew forgets what was known of the life before.
 func (r *endpointRecord) renew(born int64) {
 	r.born = born
-	r.epoch, r.orders, r.lastModel, r.observed = 0, 0, "", nil
+	r.epoch, r.orders, r.writes, r.lastModel, r.observed = 0, 0, 0, "", nil
 }
 
 func (r *endpointRecord) noteEpoch(epoch uint64) { r.epoch = max(r.epoch, epoch) }
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -68,7 +68,7 @@
 		return f.backoff()
 	case f.skipped:
 		return f.Options.SkipPause
-	case f.version == 0:
+	case table.Number(f.version) == 0:
 		// Nothing was ever written to the store, so there is nothing to watch from.
 		return f.Options.EmptyPause
 	case f.rows >= fullPage:
@@ -156,7 +156,7 @@
 		// Peers that bring all rows spare a read of the whole table.
 		f.version = max(f.version, f.known())
 	}
-	if f.version == 0 {
+	if table.Number(f.version) == 0 {
 		page, err := f.Store.Read(ctx, f.name, "")
 		if err != nil {
 			return err
--- a/internal/entry/quarantinetable.go
+++ b/internal/entry/quarantinetable.go
@@ -42,6 +42,8 @@
 	// zero means never.
 	read  time.Time
 	tried time.Time
+	// era is that of the store by which the versions count.
+	era uint64
 	// versions has the rows that the table is known to have.
 	versions map[quarantine.Fingerprint]uint64
 	// over are rows that are to be removed.
@@ -57,6 +59,7 @@
 // step makes the calls that are due: a read at first and while another data centre is not
 // heard, and a change when there is something to be kept.
 func (c *quarantineTable) step(ctx context.Context, duty quarantineDuty, now time.Time) {
+	c.meetEra()
 	if now.Sub(c.tried) < quarantineApart && (c.read.IsZero() || c.tried.After(c.read)) {
 		return
 	}
@@ -82,6 +85,17 @@
 	}
 }
 
+// meetEra has the table read and written again when the store came back from an older copy: it
+// may lack what it held.
+func (c *quarantineTable) meetEra() {
+	era := c.store.Era()
+	if era == c.era {
+		return
+	}
+	c.era, c.read = era, time.Time{}
+	c.list.Lost()
+}
+
 // due returns what is to be written and removed now.
 func (c *quarantineTable) due() (write []quarantine.Record, remove []quarantine.Fingerprint) {
 	ends := quarantine.Limit - 1
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -71,10 +71,22 @@
 		log:       logging.For("groups").With("data_centre", string(o.DataCentre)),
 		wake:      make(chan struct{}, 1),
 	}
+	c.lease.seenEpoch = c.seenEpoch
 	c.reset(0)
 	return c
 }
 
+// seenEpoch is the highest lease epoch that the data centre's endpoints tell of by their groups.
+func (c *Controller) seenEpoch() uint64 {
+	highest := uint64(0)
+	for _, e := range c.directory.View().Endpoints {
+		if e.DataCentre == c.options.DataCentre {
+			highest = max(highest, e.Membership.Epoch/epochsPerLease)
+		}
+	}
+	return highest
+}
+
 // reset forgets what an earlier hold of the lease knew.
 func (c *Controller) reset(epoch uint64) {
 	c.epoch = epoch
@@ -108,6 +120,7 @@
 // HeardController notes that another node of the data centre acts under an
 // epoch; a later one ends a hold past the lease.
 func (c *Controller) HeardController(epoch uint64) {
+	c.lease.heardEpoch(epoch)
 	if epoch > c.Epoch() {
 		c.lease.stepDown("another node acts under a later epoch")
 	}
--- a/internal/groupcontrol/lease.go
+++ b/internal/groupcontrol/lease.go
@@ -36,11 +36,21 @@
 	// began is when this node started.
 	began time.Time
 
+	// seenEpoch returns the highest lease epoch of which endpoints tell.
+	seenEpoch func() uint64
+
 	mu      sync.Mutex
 	machine *lease.Machine
 	held    bool
+	// era is that of the store by which the machine's row counts.
+	era uint64
 }
 
+// epochsPerEra is the distance between the first epochs of two eras of the store. An era
+// gives no epoch of those before again, whatever its copy of the row tells: a node that has
+// just started knows nothing else.
+const epochsPerEra = 1 << 16
+
 func newLeaseKeeper(store table.Store, o Options) *leaseKeeper {
 	if o.Now == nil {
 		o.Now = time.Now
@@ -103,8 +113,34 @@
 	}
 }
 
+// meetEra gives a hold of an earlier era of the store up, and reports whether there is a new
+// one.
+func (k *leaseKeeper) meetEra() bool {
+	era := k.store.Era()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if era == k.era {
+		return false
+	}
+	k.machine.Raise(era * epochsPerEra)
+	if k.era > 0 || k.held {
+		k.log.Info("the store is of another era; a hold of the one before is given up", "data_centre", k.partition, "era", era, "before", k.era, "held", k.held)
+		k.machine.Forsake()
+	}
+	k.era = era
+	return true
+}
+
+// heardEpoch notes an epoch under which another node acts.
+func (k *leaseKeeper) heardEpoch(epoch uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.machine.Raise(epoch)
+}
+
 // step does what the machine asks for, if anything.
 func (k *leaseKeeper) step(ctx context.Context) {
+	k.meetEra()
 	now := k.now()
 	action := k.next(now)
 	ctx, cancel := context.WithTimeout(ctx, k.timeout)
@@ -127,8 +163,13 @@
 		place = k.rank()
 	}
 	lives := k.holderLives != nil && k.holderLives()
+	seen := uint64(0)
+	if k.seenEpoch != nil && !lives {
+		seen = k.seenEpoch()
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.machine.Raise(seen)
 	turn := time.Duration(place) * k.renew
 	k.machine.SetLook(turn)
 	_, held := k.machine.Held(now)
@@ -149,6 +190,7 @@
 	if err == nil && version != 0 && k.holderKnown != nil {
 		k.holderKnown(row)
 	}
+	k.meetEra()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err != nil {
@@ -179,11 +221,12 @@
 	condition.Version = action.Version
 	written.Value = value
 	version, err := k.store.Commit(ctx, table.Change{Conditions: []table.Row{condition}, Writes: []table.Row{written}})
-	switch {
+	switch restored := k.meetEra(); {
 	case err == nil:
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.machine.Written(asked, action.Row, version, true)
+		// The epoch may be one that the lost time has seen already.
+		k.machine.Written(asked, action.Row, version, !restored)
 	case errors.Is(err, table.ErrUnavailable):
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -197,18 +240,23 @@
 // a change: an earlier write of this very life may have been the change.
 func (k *leaseKeeper) settle(ctx context.Context, asked time.Time, action lease.Action) {
 	row, version, err := k.fetch(ctx)
+	restored := k.meetEra()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch {
 	case err != nil || version == action.Version:
 		k.machine.Failed()
-	case row.Holder == action.Row.Holder && row.Epoch == action.Row.Epoch:
+	case row.Holder == action.Row.Holder && row.Epoch == action.Row.Epoch && !restored && isOfEra(action.Version, k.era):
 		k.machine.Written(asked, row, version, true)
 	default:
 		k.machine.Written(asked, action.Row, 0, false)
 	}
 }
 
+// isOfEra reports whether a row that was to be replaced was absent or of an era: what became of
+// a write is told by the era of the store in which it was asked for alone.
+func isOfEra(version, era uint64) bool { return version == 0 || table.Era(version) == era }
+
 // release gives the lease up, so that another node need not wait for its end.
 func (k *leaseKeeper) release(ctx context.Context) {
 	now := k.now()
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -149,6 +149,13 @@
 	q.list.Removed(removed)
 }
 
+// Lost notes that the platform's table may hold nothing of what it held.
+func (q *Quarantine) Lost() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.list.Lost()
+}
+
 // Expire drops what is over and returns of what the table has a row.
 func (q *Quarantine) Expire(now time.Time) []quarantine.Fingerprint {
 	q.mu.Lock()
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -22,7 +22,7 @@
 	ErrHistoryGone = errors.New("the store no longer has this part of its history")
 )
 
-// Row is one row. Its version is drawn from one counter of the whole store.
+// Row is one row. Its version is drawn from one counter of the whole store, and has its era.
 type Row struct {
 	Table     string
 	Partition string
@@ -56,6 +56,9 @@
 	// Watch returns what has changed in a table since a version, in order.
 	// It waits for a change as long as it is told.
 	Watch(ctx context.Context, table string, since uint64, wait time.Duration) (Page, error)
-	// Commit carries a change out and returns its version.
+	// Commit carries a change out and returns its version. A condition on a version of an
+	// earlier era does not hold.
 	Commit(ctx context.Context, c Change) (uint64, error)
+	// Era returns the newest era of the store that any answer has named.
+	Era() uint64
 }
--- /dev/null
+++ b/internal/table/version.go
@@ -0,0 +1,22 @@
+package table
+
+// The store may come back from a copy some seconds old. What it had acknowledged since is gone,
+// and its version numbers are given out again: they compare within one era of the store only,
+// which it names with each answer. A version here has both, the era first, so that versions
+// compare as they are, wherever they are kept or told.
+
+// eraShift is the number of bits of a version's number. With some thousand writes a second
+// they last for thirty years.
+const eraShift = 40
+
+// MostEra is the highest era that a version can have.
+const MostEra = 1<<(64-eraShift) - 1
+
+// VersionIn returns the version of a number in an era.
+func VersionIn(era, number uint64) uint64 { return era<<eraShift | number }
+
+// Era returns the era of a version.
+func Era(version uint64) uint64 { return version >> eraShift }
+
+// Number returns the number that a version has in its era; zero is before all writes.
+func Number(version uint64) uint64 { return version & (1<<eraShift - 1) }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -82,6 +82,10 @@
 	look    time.Duration
 	busy    bool
 	seen    bool
+	// highest is the highest epoch that anybody is known to have had.
+	highest uint64
+	// forsaken is set once this life gave up what the row may still tell that it holds.
+	forsaken bool
 }
 
 // New returns a machine that knows nothing of the row.
@@ -145,7 +149,7 @@
 	}
 	if m.lapsed(now) {
 		m.next = now.Add(m.options.Renew)
-		row := Row{Epoch: m.row.Epoch + 1, Holder: m.options.Self, Address: m.options.Address}
+		row := Row{Epoch: max(m.row.Epoch, m.highest) + 1, Holder: m.options.Self, Address: m.options.Address}
 		return Action{Kind: ActionAcquire, Row: row, Version: m.version}
 	}
 	return Action{Kind: ActionRead}
@@ -158,12 +162,25 @@
 // free reports whether nobody holds the lease, however fresh the row is: an
 // earlier life of this node has ended, and need not be waited for.
 func (m *Machine) free() bool {
-	if m.row.Released || m.version == 0 {
+	if m.row.Released || m.version == 0 || m.forsaken && m.row.Holder == m.options.Self {
 		return true
 	}
 	return m.options.Earlier != nil && m.row.Holder != m.options.Self && m.options.Earlier(m.row.Holder)
 }
 
+// Raise notes an epoch that somebody has had, or may have had: this node acquires later ones
+// only. The table alone does not tell it if it came back from an older copy.
+func (m *Machine) Raise(epoch uint64) { m.highest = max(m.highest, epoch) }
+
+// Forsake gives a hold up at once, since the table came back from an older copy: others may
+// have found the row as it was before this life had it. If the copy names this life it may
+// acquire the lease at once, under a later epoch.
+func (m *Machine) Forsake() {
+	m.forsaken = true
+	m.busy, m.failing, m.seen = false, false, false
+	m.until, m.next = time.Time{}, time.Time{}
+}
+
 // Read takes the row as it was read at the time given.
 func (m *Machine) Read(now time.Time, row Row, version uint64) {
 	m.busy = false
@@ -175,6 +192,7 @@
 	m.row = row
 	m.version = version
 	m.changed = now
+	m.Raise(row.Epoch)
 	if m.free() {
 		m.next = now
 	}
@@ -206,6 +224,8 @@
 	m.row = row
 	m.version = version
 	m.changed = asked
+	m.forsaken = false
+	m.Raise(row.Epoch)
 	m.until = asked.Add(m.options.TTL - m.options.Guard)
 	if row.Released {
 		m.until = time.Time{}
--- a/pkg/quarantine/stored.go
+++ b/pkg/quarantine/stored.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// Lost notes that the table may hold none of the rows that it had.
+func (l *List) Lost() {
+	for _, e := range l.records {
+		e.inTable, e.stored, e.storedTried = false, 0, false
+	}
+}
+
 // Removed notes that the table has no rows of these contents any more.
 func (l *List) Removed(contents []Fingerprint) {
 	for _, f := range contents {
