--- a/internal/entry/quarantinetable_test.go
+++ b/internal/entry/quarantinetable_test.go
@@ -201,3 +201,30 @@
 	t.Logf("%d bytes of a row with its key", rowBytes)
 	require.LessOrEqual(t, rowBytes, 128)
 }
+
+// The store came back from a copy that was older than the rows: no node wrote them again, and
+// when all were killed a request that had ended three endpoints was sent on.
+func TestWhatAnOlderCopyLacksIsWrittenAgain(t *testing.T) {
+	store := memtable.New()
+	older := store.Copy()
+	k := newKeeper(store, true)
+	for n := range uint64(250) {
+		k.ended(n, 1, 2, 3)
+	}
+	k.run(t.Context(), 2*time.Second)
+	require.NotEmpty(t, rowsOf(t, store))
+
+	store.Restore(older)
+	require.Empty(t, rowsOf(t, store))
+	k.run(t.Context(), quarantineTick)
+	require.LessOrEqual(t, len(rowsOf(t, store)), rowsWritten, "not all at once")
+	k.run(t.Context(), 2*time.Second)
+	require.Len(t, rowsOf(t, store), 250)
+}
+
+func rowsOf(t *testing.T, store *memtable.Table) []table.Row {
+	t.Helper()
+	page, err := store.Read(t.Context(), QuarantineTable, "")
+	require.NoError(t, err)
+	return page.Rows
+}
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -219,3 +219,41 @@
 	assert.False(t, m.HoldsOver(at(7*time.Second)))
 	assert.False(t, m.StepDown(at(7*time.Second)))
 }
+
+// The table comes back from an older copy, whose row may name this life, another or nobody. No
+// epoch that anybody has had is given again, and what this life held is held on no word of the
+// copy's.
+func TestAnOlderCopyGivesNoEpochAgain(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		row     Row
+		version uint64
+		raise   uint64
+		kind    ActionKind
+		epoch   uint64
+	}{
+		{"its row is gone", Row{}, 0, 0, ActionAcquire, 2},
+		{"its row is gone, and others had later epochs", Row{}, 0, 9, ActionAcquire, 10},
+		{"an earlier row of this life", Row{Epoch: 1, Holder: "a", Renewals: 1}, 3, 0, ActionAcquire, 2},
+		{"a row of another, which may live", Row{Epoch: 1, Holder: "b"}, 3, 0, ActionNone, 0},
+		{"a row that was given up", Row{Epoch: 1, Holder: "b", Released: true}, 3, 5, ActionAcquire, 6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := acquired(t)
+			m.Raise(c.raise)
+			m.Forsake()
+			_, held := m.Held(at(2 * time.Second))
+			require.False(t, held)
+			require.Equal(t, ActionRead, m.Next(at(2*time.Second)).Kind)
+			m.Read(at(2*time.Second), c.row, c.version)
+			action := m.Next(at(2*time.Second + time.Millisecond))
+			require.Equal(t, c.kind, action.Kind)
+			if c.kind == ActionAcquire {
+				require.Equal(t, c.epoch, action.Row.Epoch)
+				m.Written(at(2*time.Second+time.Millisecond), action.Row, 4, true)
+				_, held = m.Held(at(3 * time.Second))
+				require.True(t, held)
+			}
+		})
+	}
+}
