Soak: limits, older copies of the store, kills of all nodes, and a watch of the calm

Cause: the soak did not see the quarantine or the slack for young lives taken out, and knew neither limits nor eras. Change: endpoints name limits (what is none, too) and the store comes back from copies beside the other faults; before them all entry instances are killed four times within a window while half of the answers break off, under a budget that is mostly slack; after them endpoints name limits, requests that end endpoints come three times as often for twelve seconds, and a configuration is written to an older copy at versions of the lost time. Mended: a message of an earlier era says nothing, the rows of a later one count whatever their versions are; TestAFreshNodeIsToldRowsOfTheEraBefore fails without it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -165,6 +165,10 @@
 func (d *Directory) TakeChanges(rows []table.Row, since, version uint64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if table.Era(version) < table.Era(d.covered) {
+		// Whoever tells it has not heard yet that the store came back from an older copy.
+		return
+	}
 	if since <= d.covered {
 		d.cover(version, now)
 	}
@@ -209,7 +213,7 @@
 func (d *Directory) takeRow(row table.Row, now time.Time) bool {
 	id := serving.EndpointID(row.Key)
 	record := d.endpoints[id]
-	if record != nil && row.Version <= record.row.Version || table.Era(row.Version) < table.Era(d.covered) {
+	if record != nil && row.Version <= record.row.Version {
 		return false
 	}
 	if record == nil {
--- a/internal/directory/era_test.go
+++ b/internal/directory/era_test.go
@@ -107,3 +107,20 @@
 	version, _ := d.Covered()
 	require.Equal(t, table.VersionIn(2, 4), version)
 }
+
+// A node that has just started is told all rows by one that lived through the change of era and
+// learnt it from peers, which told only what had changed: the rows of the others have versions
+// of the era before. A fresh node that left them aside knew no endpoint of a plain service, and
+// refused all requests to it until it was started again.
+func TestAFreshNodeIsToldRowsOfTheEraBefore(t *testing.T) {
+	now := time.Now()
+	lived := New(plainCodec())
+	lived.TakeTable([]table.Row{rowIn(t, 1, 10, member(8, 3, false))}, table.VersionIn(1, 10), now)
+	lived.TakeChanges(nil, table.VersionIn(1, 10), table.VersionIn(2, 7), now)
+
+	fresh := New(plainCodec())
+	rows, version := lived.Changes(0)
+	require.Equal(t, table.VersionIn(2, 7), version)
+	fresh.TakeChanges(rows, 0, version, now)
+	require.NotNil(t, fresh.View().Endpoints["e"])
+}
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -65,7 +65,7 @@
 	// poisonRequests is how many different requests end the endpoints that run them, and
 	// poisonPause the time between two tries of each, at any entry instance.
 	poisonRequests = 2
-	poisonPause    = 1200 * time.Millisecond
+	poisonPause    = 400 * time.Millisecond
 )
 
 // CallPoison has callers send requests that end the endpoints that run them, again and
--- a/lab/soak/configuration.go
+++ b/lab/soak/configuration.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"strconv"
 	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/standin/memtable"
 )
 
 // versionLine is the line of the metrics page that tells the configuration in force.
@@ -38,6 +40,45 @@
 func (r *Run) ConfiguredAfterSilence(silence time.Duration) (time.Duration, error) {
 	r.store(silent, silence)
 	r.configure()
+	return r.awaitConfigured()
+}
+
+// ConfiguredAfterCopy has the store come back from an older copy after an outage in which it
+// gives the versions of the lost time out again, a configuration among them, and waits until
+// each entry instance acts on that; the time that took is returned. A watch from before tells
+// nothing of it.
+func (r *Run) ConfiguredAfterCopy(outage time.Duration) (time.Duration, error) {
+	older := r.platform.Table.Copy()
+	r.giveOutVersions(fillers)
+	time.Sleep(outage)
+	r.platform.Table.SetFaults(memtable.Faults{Down: true})
+	r.platform.Restore(older, rewritten)
+	time.Sleep(rewritten)
+	r.configure()
+	r.giveOutVersions(2 * fillers)
+	r.platform.Table.SetFaults(memtable.Faults{})
+	return r.awaitConfigured()
+}
+
+// fillers is how often another writer writes in the lost time: by far more than all others.
+const fillers = 100
+
+// giveOutVersions has another writer write and remove rows a number of times.
+func (r *Run) giveOutVersions(times int) {
+	for n := range times {
+		keys, err := r.platform.WriteForeign(fmt.Sprintf("filler-%d-", n))
+		if err == nil {
+			err = r.platform.Remove(keys)
+		}
+		if err != nil {
+			r.breakPromise("the harness: %v", err)
+		}
+	}
+}
+
+// awaitConfigured waits until each entry instance acts on the newest configuration and returns
+// how long that took.
+func (r *Run) awaitConfigured() (time.Duration, error) {
 	began := time.Now()
 	client := &http.Client{Timeout: time.Second}
 	for _, p := range r.entries {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -21,10 +21,16 @@
 // until they are over, and has everything healed.
 func (r *Run) Faults() {
 	var running sync.WaitGroup
-	for range r.options.Steps {
+	older := r.platform.Table.Copy()
+	for step := range r.options.Steps {
 		fault := r.draw()
 		running.Go(fault)
 		r.drawSilence()
+		r.drawLimit(&running)
+		if step%copyEvery == copyEvery-1 {
+			r.drawRestore(&running, older)
+			older = r.platform.Table.Copy()
+		}
 		time.Sleep(r.options.StepPause)
 	}
 	running.Wait()
@@ -95,6 +101,89 @@
 	}
 }
 
+const (
+	// limitEvery is the number of faults beside one of which an endpoint names a limit.
+	limitEvery = 4
+	// copyEvery is the number of faults after which the store may come back from the copy that
+	// was made so many faults before: a copy is some seconds old.
+	copyEvery = 8
+	// rewritten is within which time operator and endpoints write again what the store lost.
+	rewritten = 1200 * time.Millisecond
+)
+
+// drawLimit has an endpoint name a limit for a time, now and then, or what is none.
+func (r *Run) drawLimit(running *sync.WaitGroup) {
+	if r.copies.IntN(limitEvery) != 0 {
+		return
+	}
+	id := r.drawEndpoint(r.copies)
+	text := strconv.FormatFloat(0.5+6*r.copies.Float64(), 'f', 1, 64)
+	if r.copies.IntN(5) == 0 {
+		text = []string{"0", "-3", "NaN", "1e300", "few", "2, 3"}[r.copies.IntN(6)]
+	}
+	for_ := time.Duration(500+r.copies.IntN(3500)) * time.Millisecond
+	running.Go(func() {
+		r.platform.SetLimit(id, text)
+		time.Sleep(for_)
+		r.platform.SetLimit(id, "")
+	})
+}
+
+// drawRestore has the store come back from an older copy, at once, after an outage or twice.
+func (r *Run) drawRestore(running *sync.WaitGroup, older memtable.Copy) {
+	outage := time.Duration(r.copies.IntN(3)) * 700 * time.Millisecond
+	twice := r.copies.IntN(3) == 0
+	running.Go(func() {
+		if outage > 0 {
+			r.platform.Table.SetFaults(memtable.Faults{Down: true})
+			time.Sleep(outage)
+		}
+		r.platform.Restore(older, rewritten)
+		if twice {
+			time.Sleep(rewritten / 4)
+			r.platform.Restore(older, rewritten)
+		}
+		r.platform.Table.SetFaults(memtable.Faults{})
+	})
+}
+
+// Kills of all entry instances while their answers break off.
+const (
+	herdKills = 4
+	herdPause = 1500 * time.Millisecond
+	// herdBreaking is the share of answers that break off meanwhile.
+	herdBreaking = 0.5
+)
+
+// Herd kills all entry instances at once, again and again within a window of the retry budget,
+// while a share of all answers breaks off and every caller's request is worth a repeat.
+func (r *Run) Herd() {
+	r.platform.SetBreaking(herdBreaking)
+	defer r.platform.SetBreaking(0)
+	for range herdKills {
+		time.Sleep(herdPause)
+		var killing sync.WaitGroup
+		for _, p := range r.entries {
+			killing.Go(func() { r.kill(p, 0) })
+		}
+		killing.Wait()
+	}
+	time.Sleep(herdPause)
+}
+
+// Watch looks at what holds only where nothing is amiss: both plain endpoints and a group's
+// head name limits, and requests that end endpoints go on coming.
+func (r *Run) Watch(for_ time.Duration) {
+	limited := []serving.EndpointID{"s-north", "s-south", r.drawWorker()}
+	for i, id := range limited {
+		r.platform.SetLimit(id, strconv.Itoa(1+i))
+	}
+	time.Sleep(for_)
+	for _, id := range limited {
+		r.platform.SetLimit(id, "")
+	}
+}
+
 // restart starts a process again, unless another fault has done so.
 func (r *Run) restart(p *process) {
 	if !p.ended() {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -9,7 +9,11 @@
 // their rows, leave orders unanswered and carry them out late; endpoints crash, of
 // themselves and by requests that come again and again, and start again under their ids;
 // machines are suspended; another writer leaves rows among those of the endpoints;
-// configurations follow each other. Faults come in series and overlap.
+// configurations follow each other; endpoints name limits of what they take; the store comes
+// back from an older copy. Faults come in series and overlap.
+//
+// Before them all entry instances are killed again and again while answers break off, and
+// after them the promises are looked at that hold only where nothing is amiss.
 package soak
 
 import (
@@ -28,6 +32,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/dev"
 	"github.com/ridgehinge/ridgehinge/internal/standin/crashlog"
+	"github.com/ridgehinge/ridgehinge/internal/standin/limitlog"
 	"github.com/ridgehinge/ridgehinge/internal/standin/retrylog"
 	"github.com/ridgehinge/ridgehinge/lab/faultproxy"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -66,8 +71,12 @@
 // had no trouble for its grace.
 var crashBound = crashlog.Bound{Ends: 3, Sends: 3, Grace: 3 * time.Second}
 
-// retryBudget is the settings' budget of all entry instances together.
-var retryBudget = retrylog.Budget{Ratio: 0.2, Slack: 12, Window: 10 * time.Second}
+// retryBudget is the settings' budget of all entry instances together. Its slack is most of it,
+// as at the start of a day: lives that each took their part of it would go far beyond.
+var retryBudget = retrylog.Budget{Ratio: 0.05, Slack: 60, Window: 10 * time.Second}
+
+// limitBound is what the users allow an endpoint to get that limits how much it takes.
+var limitBound = limitlog.Bound{Factor: 1.5, Slack: 5, Window: 4 * time.Second, Grace: 3 * time.Second}
 
 // process is one entry instance.
 type process struct {
@@ -96,7 +105,9 @@
 	// silences draws which connections fall silent; apart, so that the other faults
 	// of a seed stay what they were.
 	silences *rand.Rand
-	entries  []*process
+	// copies draws when endpoints name limits and the store comes back from a copy.
+	copies  *rand.Rand
+	entries []*process
 	// proxies stand before the store, the first, and before each endpoint.
 	proxies []*faultproxy.Proxy
 	version uint64
@@ -113,7 +124,7 @@
 
 // Start starts the platform and the entry instances.
 func Start(o Options) (*Run, error) {
-	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), silences: rand.New(rand.NewPCG(o.Seed, 2)), version: 1, counts: map[string]int{}}
+	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), silences: rand.New(rand.NewPCG(o.Seed, 2)), copies: rand.New(rand.NewPCG(o.Seed, 3)), version: 1, counts: map[string]int{}}
 	var err error
 	r.platform, err = emulator.StartPlatform(o.Workers, r)
 	if err != nil {
@@ -248,6 +259,9 @@
 	if err := r.platform.Crashes.Check(crashBound, r.isCalm); err != nil {
 		broken = append(broken, err.Error())
 	}
+	if err := r.platform.Limits.Check(limitBound, r.isCalm); err != nil {
+		broken = append(broken, err.Error())
+	}
 	return broken
 }
 
@@ -310,6 +324,15 @@
 	}
 }
 
+// drawEndpoint returns the id of any endpoint.
+func (r *Run) drawEndpoint(random *rand.Rand) serving.EndpointID {
+	centre := centres[random.IntN(len(centres))]
+	if random.IntN(3) == 0 {
+		return serving.EndpointID("s-" + centre)
+	}
+	return serving.EndpointID(fmt.Sprintf("m-%s-%d", centre, random.IntN(r.options.Workers)))
+}
+
 // drawWorker returns the id of a model worker.
 func (r *Run) drawWorker() serving.EndpointID {
 	return serving.EndpointID(fmt.Sprintf("m-%s-%d", centres[r.random.IntN(len(centres))], r.random.IntN(r.options.Workers)))
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -75,6 +75,10 @@
 // outage is longer than a watch of the configuration takes, so that one is sent into it.
 const outage = 4 * time.Second
 
+// watched is for how long calm is watched after the faults: the bounds have a grace of three
+// seconds, and a request that ends endpoints needs three of them before it must be known.
+const watched = 12 * time.Second
+
 func play(t *testing.T, seed uint64) {
 	entries, workers := size(seed)
 	r, err := Start(Options{
@@ -92,15 +96,20 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var calling sync.WaitGroup
 	calling.Go(func() { r.Call(ctx) })
+	r.Herd()
+	require.NoError(t, r.Calm())
 	calling.Go(func() { r.CallPoison(ctx) })
 	r.Faults()
 	calm := r.Calm()
+	r.Watch(watched)
 	took, unconfigured := r.ConfiguredAfterSilence(outage)
+	tookAfterCopy, lost := r.ConfiguredAfterCopy(outage / 2)
 	cancel()
 	calling.Wait()
-	t.Logf("answers: %v; a configuration was in force everywhere %s after an outage", r.Counts(), took)
+	t.Logf("answers: %v; a configuration was in force everywhere %s after an outage and %s after an older copy of the store", r.Counts(), took, tookAfterCopy)
 	require.NoError(t, calm)
 	require.NoError(t, unconfigured)
+	require.NoError(t, lost)
 	require.Empty(t, r.Broken())
 	require.NoError(t, r.CheckLogs())
 	require.Positive(t, r.Counts()["200"])
