A read of many calls is not given up after the time of one

What callers saw: after all of 300 nodes were killed, none served for four seconds. Cause: 300 nodes read 3,003 endpoints at once, seven calls each. The store answered each call, but the limit of one second was on the read as a whole: all 300 gave it up at one second, threw away what they had, and read again from the beginning, later and together. Change: a read of a whole table has eight seconds, and each call of it one; the step of the follower is two functions. Measured: TestAReadOfManyCallsIsNotGivenUp fails without it.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -149,22 +149,32 @@
 	if f.skipped {
 		return nil
 	}
-	wait := f.waitFor()
-	ctx, cancel := context.WithTimeout(ctx, wait+f.Options.CallTimeout)
-	defer cancel()
 	if f.known != nil && !f.reread {
 		// Peers that bring all rows spare a read of the whole table.
 		f.version = max(f.version, f.known())
 	}
 	if table.Number(f.version) == 0 {
-		page, err := f.Store.Read(ctx, f.name, "")
-		if err != nil {
-			return err
-		}
-		f.take(page.Rows, 0, page.Version)
-		f.version, f.reread = page.Version, false
-		return nil
+		return f.readWhole(ctx)
 	}
+	return f.readChanges(ctx)
+}
+
+func (f *follower) readWhole(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Options.ReadTimeout)
+	defer cancel()
+	page, err := f.Store.Read(ctx, f.name, "")
+	if err != nil {
+		return err
+	}
+	f.take(page.Rows, 0, page.Version)
+	f.version, f.reread = page.Version, false
+	return nil
+}
+
+func (f *follower) readChanges(ctx context.Context) error {
+	wait := f.waitFor()
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Options.CallTimeout)
+	defer cancel()
 	page, err := f.Store.Watch(ctx, f.name, f.version, wait)
 	if errors.Is(err, table.ErrHistoryGone) {
 		f.version, f.reread = 0, true
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -1,10 +1,14 @@
 package directory
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/standin/memtable"
+	"github.com/ridgehinge/ridgehinge/internal/table"
 )
 
 // After a full page there is more to be read: with 3,000 endpoints that change, a reader that
@@ -22,3 +26,29 @@
 		require.Equal(t, test.want, f.pauseAfter(nil), test.rows)
 	}
 }
+
+// slowReads is a store of which a read of a whole table takes a time.
+type slowReads struct {
+	*memtable.Table
+	takes time.Duration
+}
+
+func (s slowReads) Read(ctx context.Context, name, partition string) (table.Page, error) {
+	select {
+	case <-ctx.Done():
+		return table.Page{}, table.ErrUnknown
+	case <-time.After(s.takes):
+		return s.Table.Read(ctx, name, partition)
+	}
+}
+
+// All of 300 nodes were killed, started again and read 3,003 endpoints in seven calls each. The
+// store answered each call, but the read as a whole took longer than the second that one call
+// may take: all 300 gave it up, threw away what they had, and none served for four seconds. By
+// the log, all of their first reads ended one second after their start.
+func TestAReadOfManyCallsIsNotGivenUp(t *testing.T) {
+	options := DefaultWatchOptions()
+	store := slowReads{memtable.New(), options.CallTimeout + 300*time.Millisecond}
+	w := &Watcher{Store: store, Directory: New(plainCodec()), Options: options}
+	require.NoError(t, w.endpoints().step(t.Context()))
+}
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -39,6 +39,10 @@
 	ChangePause time.Duration
 	// CallTimeout bounds one call beyond the time that it may wait.
 	CallTimeout time.Duration
+	// ReadTimeout bounds a read of a whole table, which takes several calls. The store bounds
+	// each of them by itself. When all nodes start at once each call takes long, and a read
+	// that is given up is made again from its beginning.
+	ReadTimeout time.Duration
 }
 
 // DefaultWatchOptions suit some ten nodes.
@@ -57,6 +61,7 @@
 		SkipPause:     100 * time.Millisecond,
 		ChangePause:   300 * time.Millisecond,
 		CallTimeout:   time.Second,
+		ReadTimeout:   8 * time.Second,
 	}
 }
 
