Plans of groups count what the limits of their heads leave

Cause: a group whose head limits what it takes counted for all that its places could do, so a model whose groups were limited looked as if it had enough. Change: nodes tell how many requests a second come for each model, so that a limit can be held against the mean work of a request; a limited group counts for that part, and is not ended for another model, since its limit may end at any moment. Measured: TestPlansCountWhatLimitsLeave: eight groups limited to a half and a tenth of what they can do count for 4 and 0.8, and one more is formed of free members, none without limits.

--- a/internal/entry/shareloads.go
+++ b/internal/entry/shareloads.go
@@ -85,7 +85,7 @@
 	out := map[directory.Pool]groupcontrol.Demand{}
 	for pool, asked := range s.totalDemand() {
 		judged := asked.InTime + asked.Late
-		out[pool] = groupcontrol.Demand{Groups: asked.Groups, InTime: asked.InTime / max(1, judged), Judged: judged}
+		out[pool] = groupcontrol.Demand{Groups: asked.Groups, Requests: asked.Requests, InTime: asked.InTime / max(1, judged), Judged: judged}
 	}
 	return out
 }
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -287,11 +287,12 @@
 	out := make([]*sharepb.Demand, 0, len(demand))
 	for pool, asked := range demand {
 		out = append(out, &sharepb.Demand{
-			Service: pool.Service,
-			Model:   pool.Model,
-			Groups:  asked.Groups,
-			InTime:  float32(asked.InTime),
-			Late:    float32(asked.Late),
+			Service:  pool.Service,
+			Model:    pool.Model,
+			Groups:   asked.Groups,
+			Requests: float32(asked.Requests),
+			InTime:   float32(asked.InTime),
+			Late:     float32(asked.Late),
 		})
 	}
 	return out
@@ -301,9 +302,10 @@
 	out := make(map[directory.Pool]relay.Asked, len(demand))
 	for _, d := range demand {
 		out[directory.Pool{Service: d.GetService(), Model: d.GetModel()}] = relay.Asked{
-			Groups: d.GetGroups(),
-			InTime: float64(d.GetInTime()),
-			Late:   float64(d.GetLate()),
+			Groups:   d.GetGroups(),
+			Requests: float64(d.GetRequests()),
+			InTime:   float64(d.GetInTime()),
+			Late:     float64(d.GetLate()),
 		}
 	}
 	return out
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -47,6 +47,8 @@
 type Demand struct {
 	// Groups is the work, in groups that would be busy with it all the time.
 	Groups float64
+	// Requests is how many come a second.
+	Requests float64
 	// InTime is the part of the requests that were served in time lately, and Judged
 	// how many requests that is known of, older ones counting for less.
 	InTime float64
@@ -84,6 +86,9 @@
 	// LastEvent returns when an endpoint last sent any node something of a request,
 	// zero if none is known; nil means that nobody knows.
 	LastEvent func(serving.EndpointID) time.Time
+	// Limit returns how many requests a second an endpoint takes that limits them, zero if it
+	// does not; nil means that nobody knows of any.
+	Limit func(*serving.Endpoint) float64
 	// Weights are those of the plan.
 	Weights Weights
 	// LeaseTTL is how long the lease of a silent holder lasts.
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -58,6 +58,11 @@
 	// inTime is the part of the requests of each model that were served in time lately,
 	// where enough of them are known.
 	inTime map[string]float64
+	// meanWork is how long the mean request of each model keeps a group busy, in seconds, and
+	// limit how many requests a second a head takes that limits them, zero if it does not;
+	// nil means that none does.
+	meanWork map[string]float64
+	limit    func(*serving.Endpoint) float64
 	// dataCentres is their number.
 	dataCentres int
 	// open is set once a group of the data centre has taken requests.
--- a/internal/groupcontrol/plan_test.go
+++ b/internal/groupcontrol/plan_test.go
@@ -155,3 +155,40 @@
 	}
 	return s
 }
+
+// limitedTo has the heads of a model's groups limit what they take, in requests a second, each
+// of which keeps a group busy for a tenth of a second.
+func limitedTo(s situation, model serving.Model, perSecond float64) situation {
+	s.meanWork = map[string]float64{model.Name: 0.1}
+	s.limit = func(*serving.Endpoint) float64 { return perSecond }
+	groups := s.groups
+	s.groups, s.working = nil, map[string]map[string]float64{}
+	for _, g := range groups {
+		s.stands(g)
+	}
+	return s
+}
+
+func TestPlansCountWhatLimitsLeave(t *testing.T) {
+	racks := []rack{{large: 1, small: 4, freeSmall: 4}, {large: 1, small: 4}}
+	for _, test := range []struct {
+		name      string
+		perSecond float64
+		// small is what the groups of the model count for.
+		small      float64
+		formations int
+	}{
+		{"without a limit", 0, 8, 0},
+		{"a limit beyond what they can do", 50, 8, 0},
+		{"a limit of half of it", 5, 4, 1},
+		{"a limit of a tenth of it", 1, 0.8, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := limitedTo(demanded(newSituation(racks...), 2, 8), small, test.perSecond)
+			require.InDelta(t, test.small, s.groupsOf(small), 0.001)
+			d := plan(s)
+			require.Len(t, d.formations, test.formations)
+			require.Empty(t, d.takeovers, "no limited group is ended for another")
+		})
+	}
+}
--- a/internal/groupcontrol/situation.go
+++ b/internal/groupcontrol/situation.go
@@ -20,6 +20,8 @@
 		growing:   map[string]bool{},
 		demand:    map[string]float64{},
 		inTime:    map[string]float64{},
+		meanWork:  map[string]float64{},
+		limit:     c.options.Limit,
 
 		weights:     c.options.Weights,
 		settling:    now.Sub(c.takenOver) < takeoverPause,
@@ -33,6 +35,9 @@
 			continue
 		}
 		s.demand[pool.Model] = demand.Groups
+		if demand.Requests > 0 {
+			s.meanWork[pool.Model] = demand.Groups / demand.Requests
+		}
 		if demand.Judged >= leastJudged {
 			s.inTime[pool.Model] = demand.InTime
 		}
--- a/internal/groupcontrol/takeover.go
+++ b/internal/groupcontrol/takeover.go
@@ -94,6 +94,10 @@
 		if !g.far() && g.model.Name == model.Name || g.age < takeoverAge {
 			continue
 		}
+		if s.limitedPart(g) < 1 {
+			// A limit may end at any moment, and what it leaves runs on.
+			continue
+		}
 		if n := s.warmOf(model, domain, g.members); n > 0 {
 			offers = append(offers, offer{g, n})
 		}
@@ -157,12 +161,27 @@
 }
 
 // worth is what a member of a group counts for, against one of a group within a
-// domain.
+// domain that takes all that it can do.
 func (s *situation) worth(g *group) float64 {
+	worth := s.limitedPart(g)
 	if g.far() {
-		return 1 / max(1, s.engine.FarFactor)
+		worth /= max(1, s.engine.FarFactor)
+	}
+	return worth
+}
+
+// limitedPart is the part of a group's work that the limit of its head leaves, by the mean work
+// of the requests that come for its model.
+func (s *situation) limitedPart(g *group) float64 {
+	perSecond := 0.0
+	if s.limit != nil && g.head != nil {
+		perSecond = s.limit(g.head)
+	}
+	mean := s.meanWork[g.model.Name]
+	if perSecond <= 0 || mean <= 0 {
+		return 1
 	}
-	return 1
+	return min(1, perSecond*mean)
 }
 
 func compareBool(a, b bool) int {
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -26,6 +26,8 @@
 type Asked struct {
 	// Groups is the work, in groups that would be busy with it all the time.
 	Groups float64
+	// Requests is how many come a second.
+	Requests float64
 	// InTime and Late count requests whose first event came in time, and those of
 	// which it did not or that were refused; older ones count for less. Requests
 	// that met a failure tell nothing of the time that groups have.
@@ -35,15 +37,16 @@
 
 // Plus adds what is asked at other nodes.
 func (a Asked) Plus(other Asked) Asked {
-	return Asked{a.Groups + other.Groups, a.InTime + other.InTime, a.Late + other.Late}
+	return Asked{a.Groups + other.Groups, a.Requests + other.Requests, a.InTime + other.InTime, a.Late + other.Late}
 }
 
 // demandRate is an exponentially weighted rate.
 type demandRate struct {
-	groups float64
-	inTime float64
-	late   float64
-	at     time.Time
+	groups   float64
+	requests float64
+	inTime   float64
+	late     float64
+	at       time.Time
 	// since is when the first request was counted.
 	since time.Time
 }
@@ -55,7 +58,9 @@
 func (d *Demand) Add(pool directory.Pool, work time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.rate(pool, now).groups += work.Seconds() / demandWindow.Seconds()
+	rate := d.rate(pool, now)
+	rate.groups += work.Seconds() / demandWindow.Seconds()
+	rate.requests += 1 / demandWindow.Seconds()
 }
 
 // Note tells whether a request got its first event in time.
@@ -86,6 +91,7 @@
 	if since := now.Sub(r.at); since > 0 {
 		left := math.Exp(-since.Seconds() / demandWindow.Seconds())
 		r.groups *= left
+		r.requests *= left
 		r.inTime *= left
 		r.late *= left
 		r.at = now
@@ -99,7 +105,8 @@
 	out := make(map[directory.Pool]Asked, len(d.pools))
 	for pool, rate := range d.pools {
 		rate.decay(now)
-		out[pool] = Asked{rate.groups / rate.seen(now), rate.inTime, rate.late}
+		seen := rate.seen(now)
+		out[pool] = Asked{rate.groups / seen, rate.requests / seen, rate.inTime, rate.late}
 	}
 	return out
 }
--- a/internal/relay/demand_test.go
+++ b/internal/relay/demand_test.go
@@ -61,5 +61,5 @@
 	require.Equal(t, Asked{InTime: 30, Late: 10}, d.Rates(now)[pool])
 	later := d.Rates(now.Add(3 * demandWindow))[pool]
 	require.Less(t, later.InTime+later.Late, 3.0)
-	require.Equal(t, Asked{Groups: 3, InTime: 31, Late: 10}, Asked{1, 30, 10}.Plus(Asked{2, 1, 0}))
+	require.Equal(t, Asked{Groups: 3, Requests: 7, InTime: 31, Late: 10}, Asked{1, 3, 30, 10}.Plus(Asked{2, 4, 1, 0}))
 }
