--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -141,7 +141,7 @@
 	watchKey string
 	links    map[membership.NodeID]*link
 	remotes  map[membership.NodeID]*remote
-	news     map[membership.NodeID]*news
+	news     map[membership.NodeID]*peerNews
 	leaving  bool
 	// published is the state of the last snapshot.
 	published state
@@ -180,7 +180,7 @@
 		watches:   map[fleet.InstanceID]*watch{},
 		links:     map[membership.NodeID]*link{},
 		remotes:   map[membership.NodeID]*remote{},
-		news:      map[membership.NodeID]*news{},
+		news:      map[membership.NodeID]*peerNews{},
 		matched:   map[fleet.InstanceID]match{},
 		orders:    map[fleet.InstanceID]time.Time{},
 	}
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -3,16 +3,16 @@
 import (
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
 )
 
-// news is what this node and one peer have told each other of requests that end endpoints.
-type news struct {
+// peerNews is what this node and one peer have told each other of requests that end endpoints.
+type peerNews struct {
 	// incarnation is the peer's life that was told.
 	incarnation uint64
-	link        poison.Link
+	link        news.Link
 	heard       time.Time
 }
 
@@ -32,16 +32,16 @@
 	n := l.newsOf(now, id)
 	if incarnation := m.GetBeat().GetIncarnation(); incarnation != n.incarnation {
 		// A new life has nothing of what the last one was told.
-		*n = news{incarnation: incarnation}
+		*n = peerNews{incarnation: incarnation}
 	}
 	n.heard = now
 	l.options.Quarantine.TakeNews(&n.link, m.GetQuarantine(), "node "+string(id), now)
 }
 
-func (l *Loop) newsOf(now time.Time, id membership.NodeID) *news {
+func (l *Loop) newsOf(now time.Time, id membership.NodeID) *peerNews {
 	n := l.news[id]
 	if n == nil {
-		n = &news{heard: now}
+		n = &peerNews{heard: now}
 		l.news[id] = n
 	}
 	return n
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -178,14 +178,6 @@
 	}
 }
 
-func (d *Directory) takeRows(rows []table.Row, now time.Time) bool {
-	changed := false
-	for _, row := range rows {
-		changed = d.takeRow(row, now) || changed
-	}
-	return changed
-}
-
 // cover notes that the table is known up to a version.
 func (d *Directory) cover(version uint64, now time.Time) {
 	if version > d.covered {
@@ -209,110 +201,6 @@
 	return d.covered, d.coveredAt
 }
 
-// takeRow applies one row and reports whether traffic has to know.
-func (d *Directory) takeRow(row table.Row, now time.Time) bool {
-	id := serving.EndpointID(row.Key)
-	record := d.endpoints[id]
-	if record != nil && row.Version <= record.row.Version {
-		return false
-	}
-	if record == nil {
-		record = &endpointRecord{}
-		d.endpoints[id] = record
-	}
-	known := record.row
-	restored := known.Version > 0 && table.Era(row.Version) > table.Era(known.Version)
-	record.row = row
-	if row.Removed {
-		was := record.endpoint != nil
-		if was {
-			d.logGone(record, row)
-		}
-		if was && !record.endpoint.Leaving {
-			record.lapsed = record.merged()
-			if until := d.resumedAt.Add(d.returnGrace); now.Before(until) {
-				record.trustedUntil = until
-			}
-		}
-		record.changed = row.Version
-		record.endpoint, record.row.Value, record.removedAt = nil, nil, now
-		return was
-	}
-	e, err := d.codec.Endpoint(row.Key, row.Value)
-	if err != nil {
-		return d.takeUnreadable(record, row, err, now)
-	}
-	if restored && record.tellsOlder(&e) {
-		record.row = known
-		record.row.Version = row.Version
-		return false
-	}
-	if record.endpoint != nil && record.endpoint.Born == e.Born && e.Born != 0 && record.endpoint.Leaving {
-		// Nobody takes a notice to leave back: a row without it is an older copy's.
-		e.Leaving = true
-	}
-	if record.endpoint != nil && record.endpoint.Same(&e) {
-		record.writes = e.Writes
-		return false
-	}
-	if record.endpoint == nil || record.endpoint.Born != e.Born {
-		d.beginLife(record, &e)
-	}
-	record.writes = e.Writes
-	if record.endpoint == nil || record.endpoint.Leaving != e.Leaving || record.endpoint.Membership != e.Membership {
-		d.logChanged(&e, row)
-	}
-	record.endpoint, record.lapsed, record.trustedUntil = &e, nil, time.Time{}
-	record.changed = row.Version
-	if record.born != e.Born {
-		// The row is of the life before the one that was observed.
-		return true
-	}
-	record.noteModel(e.Model)
-	record.noteEpoch(e.Membership.Epoch)
-	if record.observed != nil && newer(e.Membership, record.observed.Membership) {
-		record.observed = nil
-	}
-	return true
-}
-
-// tellsOlder reports whether the first row that the store has of an endpoint since it came
-// back from an older copy may be the copy's: a life that is known to leave or to have gone,
-// or a membership that has ended, would come to life again. What the endpoint itself writes
-// has a higher count, or comes as a second row.
-func (r *endpointRecord) tellsOlder(e *serving.Endpoint) bool {
-	if e.Born != r.born {
-		return e.Born < r.born
-	}
-	return e.Writes < r.writes || e.Writes == r.writes && r.endpoint == nil
-}
-
-// takeUnreadable takes a row that cannot be read: another writer may have left it. It names
-// no endpoint to use, whatever stood there before.
-func (d *Directory) takeUnreadable(record *endpointRecord, row table.Row, err error, now time.Time) bool {
-	was := record.endpoint != nil || record.lapsed != nil
-	if was || record.removedAt.IsZero() {
-		// Heartbeats of such a writer would fill the log.
-		d.log.Error("an endpoint's row cannot be read; the endpoint is not used", "endpoint", row.Key, "version", row.Version, "error", err)
-	}
-	record.endpoint, record.lapsed, record.trustedUntil = nil, nil, time.Time{}
-	record.changed = row.Version
-	record.removedAt = now
-	return was
-}
-
-// beginLife notes that a row is of another life than the one before, if it is of another
-// than the present one: that knows nothing of before, and its counts begin anew.
-func (d *Directory) beginLife(record *endpointRecord, e *serving.Endpoint) {
-	if record.born == e.Born {
-		return
-	}
-	if record.endpoint != nil {
-		d.log.Info("an endpoint has begun a new life", "endpoint", string(e.ID), "born", e.Born, "before", record.born)
-	}
-	record.renew(e.Born)
-}
-
 // Changes returns the endpoint rows that have changed in substance after a
 // version, and the version up to which these are all.
 func (d *Directory) Changes(since uint64) ([]table.Row, uint64) {
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -13,6 +13,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
@@ -116,8 +117,8 @@
 	observationsSeen uint64
 	// quarantine is the same for requests that ended endpoints, limits for those of
 	// endpoints.
-	quarantine poison.Link
-	limits     limits.Link
+	quarantine news.Link
+	limits     news.Link
 	// behindSince is when it was first found to lack all endpoints, zero while
 	// it does not.
 	behindSince time.Time
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -7,10 +7,9 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
-	"github.com/ridgehinge/ridgehinge/internal/limits"
+	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
@@ -39,8 +38,8 @@
 	if known := s.peers[address]; known != nil && known.id != m.GetFrom().GetId() {
 		// A new life has nothing of what the last one was told.
 		known.observations, known.observationsSeen = 0, 0
-		known.quarantine = poison.Link{}
-		known.limits = limits.Link{}
+		known.quarantine = news.Link{}
+		known.limits = news.Link{}
 	}
 	p := s.meet(address, m.GetFrom().GetId(), m.GetFrom().GetDataCentre())
 	if p == nil {
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/pkg/limit"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -122,7 +123,7 @@
 
 func TestPeersAreToldOfLimitsAndTheirEnds(t *testing.T) {
 	a, b := NewKeeper(Options{}), NewKeeper(Options{})
-	var atA, atB Link
+	var atA, atB news.Link
 	swap := func(now time.Time) {
 		b.TakeNews(&atB, a.News(&atA, now), "a", now)
 		a.TakeNews(&atA, b.News(&atB, now), "b", now)
@@ -147,7 +148,7 @@
 	k := NewKeeper(Options{})
 	now := time.Now()
 	for _, perSecond := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
-		var l Link
+		var l news.Link
 		k.TakeNews(&l, &sharepb.LimitNews{Limits: []*sharepb.EndpointLimit{{Endpoint: "e", Born: 7, PerSecond: perSecond}}}, "a peer", now)
 		require.Zero(t, k.InForce())
 		k.Named(endpoint.Life(), 2, now)
@@ -165,9 +166,9 @@
 		k.Named(serving.Life{ID: "i-0123456789", Born: 1_796_275_439_253 + int64(i)}, 1.5, now)
 	}
 	require.Equal(t, 4096, k.InForce())
-	var l Link
-	news := k.News(&l, now)
-	require.Len(t, news.GetLimits(), recordsTold)
-	t.Logf("a message of %d limits has %d bytes", recordsTold, proto.Size(news))
-	require.Less(t, proto.Size(news), 8<<10)
+	var l news.Link
+	told := k.News(&l, now)
+	require.Len(t, told.GetLimits(), recordsTold)
+	t.Logf("a message of %d limits has %d bytes", recordsTold, proto.Size(told))
+	require.Less(t, proto.Size(told), 8<<10)
 }
--- a/internal/limits/news.go
+++ b/internal/limits/news.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
+	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/pkg/limit"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -13,36 +14,27 @@
 // recordsTold bounds the limits of one message.
 const recordsTold = 128
 
-// Link is what this node and one life of a peer have told each other. The zero value is for
-// a peer that has told and heard nothing.
-type Link struct {
-	// heard is the version up to which the peer has told its limits, told that up to which
-	// it has heard this node's.
-	heard uint64
-	told  uint64
-}
-
 // News returns what the peer has not heard yet, and what this node has heard of it; nil is
 // nothing.
-func (k *Keeper) News(l *Link, now time.Time) *sharepb.LimitNews {
+func (k *Keeper) News(l *news.Link, now time.Time) *sharepb.LimitNews {
 	k.mu.Lock()
-	records, version := k.book.Changes(l.told, recordsTold)
+	records, version := k.book.Changes(l.Told(), recordsTold)
 	k.mu.Unlock()
-	if version == 0 && l.heard == 0 {
+	if version == 0 && l.Heard() == 0 {
 		return nil
 	}
-	news := &sharepb.LimitNews{Version: version, Seen: l.heard}
+	out := &sharepb.LimitNews{Version: version, Seen: l.Heard()}
 	for _, r := range records {
-		news.Limits = append(news.Limits, ToWire(r.Life, r.Limit, now))
+		out.Limits = append(out.Limits, ToWire(r.Life, r.Limit, now))
 	}
-	return news
+	return out
 }
 
 // TakeNews takes what a peer tells.
-func (k *Keeper) TakeNews(l *Link, news *sharepb.LimitNews, source string, now time.Time) {
-	l.heard, l.told = news.GetVersion(), news.GetSeen()
-	for _, told := range news.GetLimits() {
-		life, known := FromWire(told, now)
+func (k *Keeper) TakeNews(l *news.Link, told *sharepb.LimitNews, source string, now time.Time) {
+	l.Take(told.GetVersion(), told.GetSeen())
+	for _, one := range told.GetLimits() {
+		life, known := FromWire(one, now)
 		k.note(life, known, source, now)
 	}
 }
--- a/internal/poison/news.go
+++ b/internal/poison/news.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
+	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/internal/peers/quarantinepb"
 	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
@@ -13,30 +14,20 @@
 // ran there, four messages.
 const recordsTold = 64
 
-// Link is what this node and one life of a peer have told each other. The zero value is for
-// a peer that has told and heard nothing.
-type Link struct {
-	// heard is the version up to which the peer has told its records, told that up to
-	// which it has heard this node's.
-	heard uint64
-	told  uint64
-}
-
 // News returns what the peer has not heard yet, and what this node has heard of it; nil is
 // nothing, which takes no byte of a message.
-func (q *Quarantine) News(l *Link, now time.Time) *quarantinepb.News {
-	records, version := q.Changes(l.told, recordsTold)
-	if version == 0 && l.heard == 0 {
+func (q *Quarantine) News(l *news.Link, now time.Time) *quarantinepb.News {
+	records, version := q.Changes(l.Told(), recordsTold)
+	if version == 0 && l.Heard() == 0 {
 		return nil
 	}
-	return &quarantinepb.News{Records: toWire(records, now), Version: version, Seen: l.heard}
+	return &quarantinepb.News{Records: toWire(records, now), Version: version, Seen: l.Heard()}
 }
 
 // TakeNews merges what a peer tells, by whose word.
-func (q *Quarantine) TakeNews(l *Link, news *quarantinepb.News, word string, now time.Time) {
-	q.Take(fromWire(news.GetRecords(), now), word, now)
-	l.heard = news.GetVersion()
-	l.told = news.GetSeen()
+func (q *Quarantine) TakeNews(l *news.Link, told *quarantinepb.News, word string, now time.Time) {
+	q.Take(fromWire(told.GetRecords(), now), word, now)
+	l.Take(told.GetVersion(), told.GetSeen())
 }
 
 func toWire(records []quarantine.Record, now time.Time) []*quarantinepb.Record {
--- a/internal/poison/news_test.go
+++ b/internal/poison/news_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
@@ -41,23 +42,23 @@
 		known = append(known, r)
 	}
 	q.Take(known, "test", now)
-	news := q.News(&Link{}, now)
-	t.Logf("%d bytes of a message with %d records of three ends", proto.Size(news), len(news.GetRecords()))
-	require.Len(t, news.GetRecords(), recordsTold)
-	require.LessOrEqual(t, proto.Size(news), 5<<10)
+	told := q.News(&news.Link{}, now)
+	t.Logf("%d bytes of a message with %d records of three ends", proto.Size(told), len(told.GetRecords()))
+	require.Len(t, told.GetRecords(), recordsTold)
+	require.LessOrEqual(t, proto.Size(told), 5<<10)
 }
 
 // Two nodes tell each other what each has seen, once, also after one of them has begun anew.
 func TestNodesTellEachOther(t *testing.T) {
 	now := time.Now()
 	north, south := NewQuarantine(nobody), NewQuarantine(nobody)
-	var ofNorth, ofSouth Link
+	var ofNorth, ofSouth news.Link
 	exchange := func() (told int) {
-		news := north.News(&ofSouth, now)
-		south.TakeNews(&ofNorth, news, "north", now)
+		word := north.News(&ofSouth, now)
+		south.TakeNews(&ofNorth, word, "north", now)
 		answer := south.News(&ofNorth, now)
 		north.TakeNews(&ofSouth, answer, "south", now)
-		return len(news.GetRecords()) + len(answer.GetRecords())
+		return len(word.GetRecords()) + len(answer.GetRecords())
 	}
 	f := quarantine.Fingerprint{1}
 	north.ended(f, 1, "e1", now)
@@ -70,7 +71,7 @@
 	}
 	exchange()
 	require.Zero(t, exchange(), "what is known is not told again")
-	south, ofSouth, ofNorth = NewQuarantine(nobody), Link{}, Link{}
+	south, ofSouth, ofNorth = NewQuarantine(nobody), news.Link{}, news.Link{}
 	exchange()
 	_, admitted := south.Admits(f, now)
 	require.False(t, admitted)
