The first request is that of any node

Cause: loads are not paced before the first request. A controller went by its own first request, and each of 300 nodes gets its first one up to seconds after the first of all. Change: word of requests in a peer's message counts as well; it comes with the loads, 0.1 s later. Measured: TestTheFirstRequestIsThatOfAnyNode, written with the change.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,7 +134,7 @@
 		Address:     s.Peers,
 		DataCentre:  s.DataCentre,
 		DataCentres: s.DataCentres,
-		Unpaced:     func() bool { return s.FirstStart && !e.relay.Seen() },
+		Unpaced:     func() bool { return s.FirstStart && !e.relay.Seen() && !e.share.asked.Load() },
 		HolderLives: e.share.controllerLives,
 		HolderKnown: func(row lease.Row) { e.share.meetHolder(row, s.DataCentre) },
 		Rank:        e.share.place,
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -173,6 +174,8 @@
 	summed time.Time
 	// compressed is the configuration as it is sent.
 	compressed compressedConfiguration
+	// asked is set once a peer told of requests that callers send.
+	asked atomic.Bool
 }
 
 // controller is what the sharing asks of the part that controls the data
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
@@ -341,3 +342,55 @@
 	require.Empty(t, s.othersWork(false, nil, now).loads)
 	require.True(t, p.storeSeen.IsZero(), "what was never seen stays so")
 }
+
+// Loads are not paced before the first request of all. With three hundred nodes each gets less
+// than one a second: a controller that went by its own first request alone had 25 loads begin
+// in the first half second of traffic, which others had met already.
+func TestTheFirstRequestIsThatOfAnyNode(t *testing.T) {
+	s := acquainted(time.Now())
+	s.directory = directory.New(directory.Codec{})
+	from := s.peers["10.0.0.0:1"].named()
+	s.take(&peers.ShareMessage{From: from}, from.GetAddress())
+	require.False(t, s.asked.Load())
+	s.take(&peers.ShareMessage{From: from, RelayedDemand: []*sharepb.Demand{{Service: "llm", Model: "m", Groups: 0.1}}}, from.GetAddress())
+	require.True(t, s.asked.Load())
+}
+
+// Who is asked for a place at an endpoint that limits what it takes: the relay of its data
+// centre, by other nodes through their own. A node that has just started knows nobody, and
+// takes itself for the relay.
+func TestWhoGivesPlacesOut(t *testing.T) {
+	now := time.Now()
+	other := func(s *sharing) { s.peers["10.0.0.1:1"].relays = true }
+	tests := map[string]struct {
+		life    string
+		prepare func(*sharing)
+		age     time.Duration
+		dc      serving.DataCentre
+		want    string
+		self    bool
+		unknown bool
+	}{
+		"a node asks its relay":                      {life: "n99", dc: "dc0", age: time.Minute, want: "10.0.0.0:1"},
+		"and for other data centres too":             {life: "n99", dc: "dc1", age: time.Minute, want: "10.0.0.0:1"},
+		"the relay gives its own out":                {life: "a", dc: "dc0", age: time.Minute, want: "10.0.0.100:1", self: true},
+		"and asks the relay of the other":            {life: "a", dc: "dc1", age: time.Minute, prepare: other, want: "10.0.0.1:1"},
+		"which it may not hear":                      {life: "a", dc: "dc1", age: time.Minute, unknown: true},
+		"one that has just started gives none out":   {life: "a", dc: "dc0", age: grantAfter / 2, unknown: true},
+		"one that has just started may ask its own":  {life: "n99", dc: "dc0", age: grantAfter / 2, want: "10.0.0.0:1"},
+		"one that has just started may ask an other": {life: "a", dc: "dc1", age: grantAfter / 2, prepare: other, want: "10.0.0.1:1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := acquainted(now)
+			s.life, s.began = test.life, now.Add(-test.age)
+			if test.prepare != nil {
+				test.prepare(s)
+			}
+			address, self, err := s.giver(test.dc, now)
+			require.Equal(t, test.unknown, err != nil)
+			require.Equal(t, test.want, address)
+			require.Equal(t, test.self, self)
+		})
+	}
+}
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -30,6 +30,9 @@
 	for _, o := range m.GetObservations() {
 		s.directory.Observe(fromObservation(o), false, now)
 	}
+	if len(m.GetDemand())+len(m.GetRelayedDemand()) > 0 {
+		s.asked.Store(true)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after > before {
