Duties at a pace run by one loop

Cause: the same loop of a ticker stood three times in the entry instance, one with two tickers. Change: every(); housekeeping and what depends on time alone are functions of a moment.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -214,32 +214,39 @@
 		defer close(e.controlDone)
 		e.controller.Run(control)
 	})
-	e.running.Go(func() { e.keepHouse(ctx) })
+	e.running.Go(func() { every(ctx, housekeeping, e.keepHouse) })
+	e.running.Go(func() { every(ctx, refreshPause, e.refresh) })
 }
 
-// keepHouse drops what is over.
-func (e *Entry) keepHouse(ctx context.Context) {
-	ticker := time.NewTicker(housekeeping)
+// every does something at a pace until the context ends.
+func every(ctx context.Context, pause time.Duration, do func(now time.Time)) {
+	ticker := time.NewTicker(pause)
 	defer ticker.Stop()
-	refresh := time.NewTicker(refreshPause)
-	defer refresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-refresh.C:
-			e.noteSuspension()
-			e.directory.Refresh(now)
 		case now := <-ticker.C:
-			listed := e.directory.View().Endpoints
-			e.balancer.Forget(listed)
-			e.share.limits.Forget(listed, now)
-			e.upstream.Prune(now)
-			e.reportState()
+			do(now)
 		}
 	}
 }
 
+// keepHouse drops what is over.
+func (e *Entry) keepHouse(now time.Time) {
+	listed := e.directory.View().Endpoints
+	e.balancer.Forget(listed)
+	e.share.limits.Forget(listed, now)
+	e.upstream.Prune(now)
+	e.reportState()
+}
+
+// refresh notes what depends on time alone.
+func (e *Entry) refresh(now time.Time) {
+	e.noteSuspension()
+	e.directory.Refresh(now)
+}
+
 // reportState tells the metrics what this node knows.
 func (e *Entry) reportState() {
 	view := e.directory.View()
--- a/internal/entry/sharelookup.go
+++ b/internal/entry/sharelookup.go
@@ -17,18 +17,11 @@
 // followRelays looks for the controllers of data centres of which no node is known:
 // seeds may all be stale. Only a relay does, for all nodes of its data centre.
 func (s *sharing) followRelays(ctx context.Context) {
-	ticker := time.NewTicker(lookupPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			for _, dc := range s.unknownDataCentres(now) {
-				s.lookUp(ctx, dc)
-			}
+	every(ctx, lookupPause, func(now time.Time) {
+		for _, dc := range s.unknownDataCentres(now) {
+			s.lookUp(ctx, dc)
 		}
-	}
+	})
 }
 
 // unknownDataCentres returns those of which a relay should know a node and does
--- a/internal/entry/sharequarantine.go
+++ b/internal/entry/sharequarantine.go
@@ -32,22 +32,15 @@
 
 // keepQuarantine keeps the table in step for as long as this node relays.
 func (s *sharing) keepQuarantine(ctx context.Context) {
-	ticker := time.NewTicker(quarantineTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			s.quarantine.over = append(s.quarantine.over, s.quarantine.list.Expire(now)...)
-			if duty := s.quarantineDuty(now); duty.keeps {
-				s.quarantine.step(ctx, duty, now)
-			} else {
-				// Whoever relays next reads the table first.
-				s.quarantine.read = time.Time{}
-			}
+	every(ctx, quarantineTick, func(now time.Time) {
+		s.quarantine.over = append(s.quarantine.over, s.quarantine.list.Expire(now)...)
+		if duty := s.quarantineDuty(now); duty.keeps {
+			s.quarantine.step(ctx, duty, now)
+		} else {
+			// Whoever relays next reads the table first.
+			s.quarantine.read = time.Time{}
 		}
-	}
+	})
 }
 
 // quarantineDuty is what a node does about the table.
