A caller that leaves while its request asks for a place says nothing of who was asked

Cause (found by reading): the call for a place ends with the request's context; a caller that left had the places of the data centre not asked for by anybody for half a second. Change: such an end is no silence. Measured: TestACallerThatLeavesSaysNothingOfWhoWasAsked fails without it.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -107,6 +107,18 @@
 	require.Less(t, taken, 10)
 }
 
+func TestACallerThatLeavesSaysNothingOfWhoWasAsked(t *testing.T) {
+	k := NewKeeper(Options{Ask: func(ctx context.Context, _ *serving.Endpoint, _ limit.Limit) (Answer, error) {
+		return Answer{Granted: true}, ctx.Err()
+	}})
+	k.Named(endpoint.Life(), 1, time.Now())
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	require.False(t, k.Place(gone, endpoint))
+	require.False(t, k.isSilent(endpoint.DataCentre))
+	require.True(t, k.Place(t.Context(), endpoint), "the next caller's request asks")
+}
+
 func TestCallersAreToldTimesThatTheLimitCanKeep(t *testing.T) {
 	k := NewKeeper(Options{Nodes: func() int { return 2 }})
 	now := time.Now()
--- a/internal/limits/places.go
+++ b/internal/limits/places.go
@@ -40,12 +40,16 @@
 	if !known.InForce() {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	if k.isSilent(e.DataCentre) {
 		return k.takeShare(e, known)
 	}
-	answer, err := k.options.Ask(ctx, e, known)
+	asking, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := k.options.Ask(asking, e, known)
+	if err != nil && ctx.Err() != nil {
+		// The caller has gone, or its time is over: that says nothing of who was asked.
+		return false
+	}
 	if err != nil {
 		k.noteSilent(e.DataCentre, err)
 		return k.takeShare(e, known)
