An end of an endpoint that another node saw is of an earlier life

Cause, by its lines: the endpoint ended twice under the request, 1.5 s apart, with the same born in both lines, since the row of its new life had not come to the second node. Two ends counted as one, so the request was not in quarantine once all nodes had been replaced. Change: a request that is sent 0.25 s or more after an end that this node was told of has reached a later life.

--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -5,6 +5,7 @@
 package poison
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,18 @@
 	return true
 }
 
+// endedBefore reports whether a life is known to have ended under requests of some content
+// before a moment.
+func (q *Quarantine) endedBefore(f quarantine.Fingerprint, life quarantine.Life, at time.Time) bool {
+	if q.known.Load() == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r, _ := q.list.Get(f)
+	return slices.ContainsFunc(r.Ends, func(end quarantine.End) bool { return end.Life == life && end.At.Before(at) })
+}
+
 // isBlockedByOneMore reports whether requests of some content are not sent any more once
 // they have ended one more endpoint.
 func (q *Quarantine) isBlockedByOneMore(f quarantine.Fingerprint, now time.Time) bool {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -33,6 +33,9 @@
 	// mostAwaited bounds for how long a request waits for what a dial tells before it goes
 	// on: a stream that goes on elsewhere has 200 ms and more between its events.
 	mostAwaited = 50 * time.Millisecond
+	// endSlack is how long after the end of a life that others have seen a request is sent that
+	// must have reached another one: ages are told some milliseconds off.
+	endSlack = 250 * time.Millisecond
 )
 
 // Life is one life of an endpoint, as a request met it.
@@ -98,6 +101,10 @@
 func (c *Watch) Broken(f quarantine.Fingerprint, at Life, began, now time.Time) (looked <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for c.quarantine.endedBefore(f, at.hash(), began.Add(-endSlack)) {
+		// Another node has seen the end, and the row of the life since has not come here.
+		at.later++
+	}
 	b := c.breaks[at]
 	for b != nil && !b.ended.IsZero() && began.After(b.ended) {
 		// What was sent after a life's end reached another one.
--- a/internal/poison/watch_test.go
+++ b/internal/poison/watch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
@@ -146,6 +147,28 @@
 }
 
 // A fleet that fails at once must not grow what is looked into without bound.
+// One node saw an endpoint end under a request, another one saw it end again before the row of
+// its new life had come: two ends counted as one, and after all nodes had been replaced the
+// request ended a fourth endpoint. By the log, both ends had the same "born", 1.5 s apart.
+func TestAnEndThatAnotherNodeSawIsOfAnEarlierLife(t *testing.T) {
+	network := &reach{err: syscall.ECONNREFUSED}
+	at := Life{Endpoint: "e", Born: 7, Address: "a:1"}
+	f := quarantine.Fingerprint{1}
+	first, second := NewQuarantine(nobody), NewQuarantine(nobody)
+	var ofFirst, ofSecond news.Link
+	sent := time.Now()
+	NewWatch(first, none, network.dial).Broken(f, at, sent, time.Now())
+	require.Eventually(t, func() bool { return endsOf(first, f) == 1 }, patience, time.Millisecond)
+	second.TakeNews(&ofFirst, first.News(&ofSecond, time.Now()), "first", time.Now())
+
+	NewWatch(second, none, network.dial).Broken(f, at, sent, time.Now())
+	time.Sleep(2 * endSlack)
+	require.Equal(t, 1, endsOf(second, f), "sent before the end, it met the same life")
+	// A watch that has seen nothing of the endpoint itself.
+	NewWatch(second, none, network.dial).Broken(f, at, time.Now(), time.Now())
+	require.Eventually(t, func() bool { return endsOf(second, f) == 2 }, patience, time.Millisecond)
+}
+
 func TestBreaksAreBounded(t *testing.T) {
 	block := make(chan struct{})
 	c := NewWatch(NewQuarantine(nobody), none, func(context.Context, string) error {
