Call the node that gives out places the allocator

Cause: read afresh, "giver" is no word of the field. Change: names and a comment. Measured: no behaviour changed; the tests of the three packages pass. Conclusion: kept.

--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -387,7 +387,7 @@
 			if test.prepare != nil {
 				test.prepare(s)
 			}
-			address, self, err := s.giver(test.dc, now)
+			address, self, err := s.allocator(test.dc, now)
 			require.Equal(t, test.unknown, err != nil)
 			require.Equal(t, test.want, address)
 			require.Equal(t, test.self, self)
--- a/internal/entry/sharelimits.go
+++ b/internal/entry/sharelimits.go
@@ -27,7 +27,7 @@
 	grantAfter = time.Second
 )
 
-var errNoGiver = errors.New("nobody is known that gives out places of the data centre")
+var errNoAllocator = errors.New("nobody is known that gives out places of the data centre")
 
 // allNodes is how many nodes there are.
 func (s *sharing) allNodes() int {
@@ -36,9 +36,10 @@
 	return max(s.nodes, s.settings.Nodes)
 }
 
-// giver is the node to which a request for a place at a data centre's endpoint goes from
-// here, and whether that is this node itself, which then gives the place out.
-func (s *sharing) giver(dc serving.DataCentre, now time.Time) (address string, self bool, err error) {
+// allocator is the node to which a request for a place at a data centre's endpoint goes from
+// here, and whether that is this node itself, which then gives the place out. The relay of the
+// data centre allocates; others are on the way to it.
+func (s *sharing) allocator(dc serving.DataCentre, now time.Time) (address string, self bool, err error) {
 	controls := s.controls()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -46,12 +47,12 @@
 	if dc != s.settings.DataCentre && s.isSelf(own) {
 		relay := s.wordOf(dc, now)
 		if relay == nil {
-			return "", false, errNoGiver
+			return "", false, errNoAllocator
 		}
 		return relay.address, false, nil
 	}
 	if s.isSelf(own) && now.Sub(s.began) < grantAfter {
-		return "", false, errNoGiver
+		return "", false, errNoAllocator
 	}
 	return own.address, s.isSelf(own), nil
 }
@@ -70,7 +71,7 @@
 // Place implements peers.ShareHandler.
 func (s *sharing) Place(ctx context.Context, q *sharepb.PlaceRequest) (*sharepb.PlaceAnswer, error) {
 	now := time.Now()
-	address, self, err := s.giver(serving.DataCentre(q.GetDataCentre()), now)
+	address, self, err := s.allocator(serving.DataCentre(q.GetDataCentre()), now)
 	switch {
 	case err != nil:
 		return nil, oops.In("limits").Wrap(err)
@@ -78,7 +79,7 @@
 		life, known := limits.FromWire(q.GetLimit(), now)
 		return toPlaceAnswer(life, s.limits.Grant(life, known, now), now), nil
 	case q.GetHops() >= mostHops:
-		return nil, oops.In("limits").Wrap(errNoGiver)
+		return nil, oops.In("limits").Wrap(errNoAllocator)
 	}
 	passed := &sharepb.PlaceRequest{Limit: q.GetLimit(), DataCentre: q.GetDataCentre(), Hops: q.GetHops() + 1}
 	return s.client.Place(ctx, address, passed)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -5,7 +5,7 @@
 // nodes together. No node can count for all, so one gives out the places at an endpoint: the
 // node that relays for the endpoint's data centre. The others ask it for one before they
 // send, and remember until when there is none. What any node was told of a limit, and of
-// its end, it tells its peers; whoever asks for a place tells the giver what it knows.
+// its end, it tells its peers; whoever asks for a place tells that node what it knows.
 //
 // A node that cannot ask takes a small part of the limit by itself, by chance: see
 // limit.Share. What decides is pkg/limit; this package adds the lock, the log and the calls.
--- a/internal/limits/places.go
+++ b/internal/limits/places.go
@@ -57,7 +57,7 @@
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.noteLocked(e.Life(), answer.Limit, "who gives out its places", now)
+	k.noteLocked(e.Life(), answer.Limit, "the node that gives its places out", now)
 	if !answer.Granted {
 		k.full[e.Life()] = now.Add(answer.Wait)
 		k.count("denied")
--- a/internal/peers/share_bench_test.go
+++ b/internal/peers/share_bench_test.go
@@ -8,19 +8,19 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 )
 
-// giver grants every place.
-type giver struct{}
+// allocator grants every place.
+type allocator struct{}
 
-func (giver) Share(_ context.Context, m *ShareMessage) (*ShareMessage, error) { return m, nil }
+func (allocator) Share(_ context.Context, m *ShareMessage) (*ShareMessage, error) { return m, nil }
 
-func (giver) Place(_ context.Context, q *sharepb.PlaceRequest) (*sharepb.PlaceAnswer, error) {
+func (allocator) Place(_ context.Context, q *sharepb.PlaceRequest) (*sharepb.PlaceAnswer, error) {
 	return &sharepb.PlaceAnswer{Granted: true, Limit: q.GetLimit()}, nil
 }
 
 // What a request for a place at a limited endpoint costs both nodes together, on loopback and
 // on a kept connection. Before there were limits a request cost none.
 func BenchmarkPlace(b *testing.B) {
-	server, err := ListenShare("127.0.0.1:0", []byte("a key of the benchmark"), link.New(nil), giver{})
+	server, err := ListenShare("127.0.0.1:0", []byte("a key of the benchmark"), link.New(nil), allocator{})
 	if err != nil {
 		b.Fatal(err)
 	}
