--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -225,6 +225,13 @@
 	f.write(fresh)
 }
 
+// StartedAt returns when the present incarnation of an endpoint started, in Unix milliseconds.
+func (f *Fleet) StartedAt(id serving.EndpointID) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[id].Born
+}
+
 // nextBorn returns when a life begins that follows another one.
 func (f *Fleet) nextBorn(before int64) int64 { return max(before+1, time.Now().UnixMilli()) }
 
