--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -21,8 +21,8 @@
 			f := quarantine.Fingerprint{1}
 			teller := newBenchLoop(0)
 			var ends []quarantine.End
-			for life := range quarantine.Life(quarantine.Limit) {
-				ends = append(ends, quarantine.End{Life: life, At: now})
+			for life := range quarantine.Incarnation(quarantine.Limit) {
+				ends = append(ends, quarantine.End{Incarnation: life, At: now})
 			}
 			teller.options.Quarantine.Take([]quarantine.Record{{Fingerprint: f, Ends: ends}}, "test", now)
 			for incarnation := range uint64(2) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -31,15 +31,15 @@
 	// changed is the version of the last row that differed in substance:
 	// most rows are heartbeats.
 	changed uint64
-	// writes is the highest count of writes of any row of the present life.
+	// writes is the highest count of writes of any row of the present incarnation.
 	writes   uint64
 	endpoint *serving.Endpoint
-	// born tells the endpoint's present life: that of the row, or of an observation
+	// startedAt tells the endpoint's present incarnation: that of the row, or of an observation
 	// that came ahead of it.
-	born int64
+	startedAt int64
 	// epoch is the highest of its groups.
 	epoch uint64
-	// lastModel is that of its last group in this life, which it starts at
+	// lastModel is that of its last group in this incarnation, which it starts at
 	// once; a row tells none while it is in no group.
 	lastModel string
 	// observed is a membership that the controller of this data centre was
@@ -239,9 +239,9 @@
 	}
 }
 
-// renew forgets what was known of the life before.
-func (r *endpointRecord) renew(born int64) {
-	r.born = born
+// renew forgets what was known of the incarnation before.
+func (r *endpointRecord) renew(startedAt int64) {
+	r.startedAt = startedAt
 	r.epoch, r.orders, r.writes, r.lastModel, r.observed = 0, 0, 0, "", nil
 }
 
@@ -256,13 +256,13 @@
 // merged returns what is known of the endpoint by its row and what was seen
 // since.
 func (r *endpointRecord) merged() *serving.Endpoint {
-	if r.observed == nil && r.endpoint.Model == r.lastModel && r.endpoint.Born == r.born {
+	if r.observed == nil && r.endpoint.Model == r.lastModel && r.endpoint.StartedAt == r.startedAt {
 		return r.endpoint
 	}
 	merged := *r.endpoint
 	merged.Model = r.lastModel
-	if merged.Born != r.born {
-		merged.Born, merged.Leaving, merged.Membership = r.born, false, serving.Membership{}
+	if merged.StartedAt != r.startedAt {
+		merged.StartedAt, merged.Leaving, merged.Membership = r.startedAt, false, serving.Membership{}
 	}
 	if r.observed != nil {
 		merged.Membership = r.observed.Membership
--- a/internal/directory/era_test.go
+++ b/internal/directory/era_test.go
@@ -29,7 +29,7 @@
 // member is a record of an endpoint in its group.
 func member(writes, epoch uint64, leaving bool) serving.Endpoint {
 	return serving.Endpoint{
-		ID: "e", Born: 5, Service: "llm", Address: "10.0.0.1:1", DataCentre: "north", Slots: 8, Writes: writes, Leaving: leaving,
+		ID: "e", StartedAt: 5, Service: "llm", Address: "10.0.0.1:1", DataCentre: "north", Slots: 8, Writes: writes, Leaving: leaving,
 		Membership: serving.Membership{Group: "g", Epoch: epoch, State: serving.MemberOpen},
 	}
 }
--- a/internal/directory/life_test.go
+++ b/internal/directory/incarnation_test.go
@@ -11,20 +11,20 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-// lives is a directory that is told of one endpoint.
-type lives struct {
+// incarnations is a directory that is told of one endpoint.
+type incarnations struct {
 	*testing.T
 	d       *Directory
 	version uint64
 }
 
-func newLives(t *testing.T) *lives {
-	return &lives{T: t, d: New(Codec{Endpoint: func(_ string, value []byte) (e serving.Endpoint, err error) {
+func newIncarnations(t *testing.T) *incarnations {
+	return &incarnations{T: t, d: New(Codec{Endpoint: func(_ string, value []byte) (e serving.Endpoint, err error) {
 		return e, json.Unmarshal(value, &e)
 	}})}
 }
 
-func (l *lives) row(e serving.Endpoint) {
+func (l *incarnations) row(e serving.Endpoint) {
 	l.Helper()
 	l.version++
 	e.ID = "e"
@@ -33,11 +33,11 @@
 	l.d.TakeChanges([]table.Row{{Key: "e", Value: value, Version: l.version}}, 0, l.version, time.Now())
 }
 
-func (l *lives) observed(born int64, here bool, m serving.Membership, model string, orders uint64) {
-	l.d.Observe(Observation{ID: "e", Born: born, Model: model, Membership: m, Orders: orders}, here, time.Now())
+func (l *incarnations) observed(startedAt int64, here bool, m serving.Membership, model string, orders uint64) {
+	l.d.Observe(Observation{ID: "e", StartedAt: startedAt, Model: model, Membership: m, Orders: orders}, here, time.Now())
 }
 
-func (l *lives) view() serving.Endpoint { return *l.d.View().Endpoints["e"] }
+func (l *incarnations) view() serving.Endpoint { return *l.d.View().Endpoints["e"] }
 
 var openGroup = serving.Membership{Group: "g", Epoch: 9, State: serving.MemberOpen}
 
@@ -45,54 +45,54 @@
 // before, and its counts begin anew: what it said then looked older than what was known, and
 // it stayed a member of its last group.
 func TestANewLifeUnderTheSameIDIsANewEndpoint(t *testing.T) {
-	l := newLives(t)
-	l.row(serving.Endpoint{Born: 100, Model: "m", Membership: openGroup})
+	l := newIncarnations(t)
+	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup})
 	l.observed(100, true, openGroup, "m", 7)
-	l.row(serving.Endpoint{Born: 200})
-	require.EqualValues(t, 200, l.view().Born)
+	l.row(serving.Endpoint{StartedAt: 200})
+	require.EqualValues(t, 200, l.view().StartedAt)
 	require.Empty(t, l.view().Membership.Group)
 	require.Empty(t, l.view().Model, "it can start no model at once")
 	l.observed(200, true, serving.Membership{Group: "h", Epoch: 3, State: serving.MemberJoining}, "", 1)
-	require.Equal(t, "h", l.view().Membership.Group, "fewer orders and a lower epoch than in the life before")
+	require.Equal(t, "h", l.view().Membership.Group, "fewer orders and a lower epoch than in the incarnation before")
 }
 
-// The endpoint itself may tell of its new life before its row does. Rows and peers' words
-// of the life before change nothing then.
+// The endpoint itself may tell of its new incarnation before its row does. Rows and peers' words
+// of the incarnation before change nothing then.
 func TestWhatTheNewLifeSaysCountsAgainstRowsOfTheOneBefore(t *testing.T) {
-	l := newLives(t)
-	l.row(serving.Endpoint{Born: 100, Model: "m", Membership: openGroup, Leaving: true})
+	l := newIncarnations(t)
+	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup, Leaving: true})
 	joining := serving.Membership{Group: "h", Epoch: 3, State: serving.MemberJoining}
 	l.observed(200, true, joining, "", 1)
 	require.Equal(t, joining, l.view().Membership)
-	require.False(t, l.view().Leaving, "that was the life before")
-	l.row(serving.Endpoint{Born: 100, Model: "m", Membership: openGroup, Slots: 3})
+	require.False(t, l.view().Leaving, "that was the incarnation before")
+	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup, Slots: 3})
 	require.Equal(t, joining, l.view().Membership)
-	require.EqualValues(t, 200, l.view().Born)
+	require.EqualValues(t, 200, l.view().StartedAt)
 	l.observed(100, false, openGroup, "m", 9)
 	require.Equal(t, joining, l.view().Membership)
-	l.row(serving.Endpoint{Born: 200, Membership: joining})
+	l.row(serving.Endpoint{StartedAt: 200, Membership: joining})
 	require.Equal(t, joining, l.view().Membership)
-	require.EqualValues(t, 200, l.view().Born)
-	// Its clock was set back before the next life: rows are in order all the same.
-	l.row(serving.Endpoint{Born: 150})
-	require.EqualValues(t, 150, l.view().Born)
+	require.EqualValues(t, 200, l.view().StartedAt)
+	// Its clock was set back before the next incarnation: rows are in order all the same.
+	l.row(serving.Endpoint{StartedAt: 150})
+	require.EqualValues(t, 150, l.view().StartedAt)
 	require.Empty(t, l.view().Membership.Group)
 }
 
-// A peer tells of a life that is not known here yet.
+// A peer tells of an incarnation that is not known here yet.
 func TestAPeerTellsOfANewLife(t *testing.T) {
-	l := newLives(t)
-	l.row(serving.Endpoint{Born: 100, Model: "m", Membership: openGroup})
+	l := newIncarnations(t)
+	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup})
 	l.observed(200, false, serving.Membership{}, "", 0)
-	require.EqualValues(t, 200, l.view().Born)
+	require.EqualValues(t, 200, l.view().StartedAt)
 	require.Empty(t, l.view().Membership.Group)
 }
 
 // An entry that cannot be read names no endpoint to use, also where there was one. The
 // others hold, and one that can be read brings it back.
 func TestAnEntryThatCannotBeReadNamesNoEndpoint(t *testing.T) {
-	l := newLives(t)
-	l.row(serving.Endpoint{Born: 100, Model: "m", Membership: openGroup})
+	l := newIncarnations(t)
+	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup})
 	l.version++
 	l.d.TakeChanges([]table.Row{{Key: "e", Value: []byte{0xff}, Version: l.version}}, 0, l.version, time.Now())
 	require.Nil(t, l.d.View().Endpoints["e"])
@@ -100,6 +100,6 @@
 	rows, _ := l.d.Changes(l.version - 1)
 	require.Len(t, rows, 1, "peers hear of it")
 	l.d.Refresh(time.Now())
-	l.row(serving.Endpoint{Born: 100, Model: "m", Membership: openGroup})
+	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup})
 	require.Equal(t, openGroup, l.view().Membership)
 }
--- a/internal/directory/observe.go
+++ b/internal/directory/observe.go
@@ -11,9 +11,9 @@
 	ID         serving.EndpointID
 	Model      string
 	Membership serving.Membership
-	// Orders orders observations of one life, which began at Born.
-	Orders uint64
-	Born   int64
+	// Orders orders observations of one incarnation, which began at StartedAt.
+	Orders    uint64
+	StartedAt int64
 }
 
 // observationFor is how long an observation counts against an older row:
@@ -48,7 +48,7 @@
 	if record == nil || record.endpoint == nil {
 		return
 	}
-	if o.Born != record.born && !d.observeLife(record, o, here) {
+	if o.StartedAt != record.startedAt && !d.observeIncarnation(record, o, here) {
 		return
 	}
 	if o.Orders < record.orders || repeats(o.Membership, record.merged().Membership) {
@@ -75,15 +75,15 @@
 	d.publish()
 }
 
-// observeLife notes that an observation is of another life than the present one, and
+// observeIncarnation notes that an observation is of another incarnation than the present one, and
 // reports whether it is of a later one. What this node's controller was told just now is;
 // a peer may repeat what is old.
-func (d *Directory) observeLife(record *endpointRecord, o Observation, here bool) bool {
-	if o.Born == 0 || !here && o.Born < record.born {
+func (d *Directory) observeIncarnation(record *endpointRecord, o Observation, here bool) bool {
+	if o.StartedAt == 0 || !here && o.StartedAt < record.startedAt {
 		return false
 	}
-	d.log.Info("an endpoint has begun a new life", "endpoint", string(o.ID), "born", o.Born, "before", record.born, "told_here", here)
-	record.renew(o.Born)
+	d.log.Info("endpoint restarted under its id", "endpoint", string(o.ID), "started_at", o.StartedAt, "before", record.startedAt, "told_here", here)
+	record.renew(o.StartedAt)
 	d.publish()
 	return true
 }
--- a/internal/directory/rows.go
+++ b/internal/directory/rows.go
@@ -64,7 +64,7 @@
 // takeEndpoint takes what a row says of its endpoint.
 func (d *Directory) takeEndpoint(record *endpointRecord, e *serving.Endpoint, row table.Row) bool {
 	before := record.endpoint
-	if before != nil && before.Born == e.Born && e.Born != 0 && before.Leaving {
+	if before != nil && before.StartedAt == e.StartedAt && e.StartedAt != 0 && before.Leaving {
 		// Nobody takes a notice to leave back: a row without it is an older copy's.
 		e.Leaving = true
 	}
@@ -72,16 +72,16 @@
 		record.writes = e.Writes
 		return false
 	}
-	if before == nil || before.Born != e.Born {
-		d.beginLife(record, e)
+	if before == nil || before.StartedAt != e.StartedAt {
+		d.startIncarnation(record, e)
 	}
 	if before == nil || before.Leaving != e.Leaving || before.Membership != e.Membership {
 		d.logChanged(e, row)
 	}
 	record.endpoint, record.lapsed, record.trustedUntil = e, nil, time.Time{}
 	record.changed, record.writes = row.Version, e.Writes
-	if record.born != e.Born {
-		// The row is of the life before the one that was observed.
+	if record.startedAt != e.StartedAt {
+		// The row is of the incarnation before the one that was observed.
 		return true
 	}
 	record.noteModel(e.Model)
@@ -93,12 +93,12 @@
 }
 
 // tellsOlder reports whether the first row that the store has of an endpoint since it came
-// back from an older copy may be the copy's: a life that is known to leave or to have gone,
-// or a membership that has ended, would come to life again. What the endpoint itself writes
+// back from an older copy may be the copy's: an incarnation that is known to leave or to have gone,
+// or a membership that has ended, would come to incarnation again. What the endpoint itself writes
 // has a higher count, or comes as a second row.
 func (r *endpointRecord) tellsOlder(e *serving.Endpoint) bool {
-	if e.Born != r.born {
-		return e.Born < r.born
+	if e.StartedAt != r.startedAt {
+		return e.StartedAt < r.startedAt
 	}
 	return e.Writes < r.writes || e.Writes == r.writes && r.endpoint == nil
 }
@@ -117,14 +117,14 @@
 	return was
 }
 
-// beginLife notes that a row is of another life than the one before, if it is of another
+// startIncarnation notes that a row is of another incarnation than the one before, if it is of another
 // than the present one: that knows nothing of before, and its counts begin anew.
-func (d *Directory) beginLife(record *endpointRecord, e *serving.Endpoint) {
-	if record.born == e.Born {
+func (d *Directory) startIncarnation(record *endpointRecord, e *serving.Endpoint) {
+	if record.startedAt == e.StartedAt {
 		return
 	}
 	if record.endpoint != nil {
-		d.log.Info("an endpoint has begun a new life", "endpoint", string(e.ID), "born", e.Born, "before", record.born)
+		d.log.Info("endpoint restarted under its id", "endpoint", string(e.ID), "started_at", e.StartedAt, "before", record.startedAt)
 	}
-	record.renew(e.Born)
+	record.renew(e.StartedAt)
 }
--- a/internal/directory/suspension_test.go
+++ b/internal/directory/suspension_test.go
@@ -13,8 +13,8 @@
 // A controller is suspended with its machine. Once awake it would tell its peers what the
 // endpoints had said before as if they had just said so, since its clock had stood still.
 func TestWhatWasSeenBeforeASuspensionIsNoNews(t *testing.T) {
-	l := newLives(t)
-	l.row(serving.Endpoint{Born: 100})
+	l := newIncarnations(t)
+	l.row(serving.Endpoint{StartedAt: 100})
 	l.observed(100, true, openGroup, "m", 7)
 	told, _ := l.d.Observations(0, time.Now())
 	require.Len(t, told, 1)
@@ -26,9 +26,9 @@
 
 // Rows that went while the machine was suspended went while it did not hear the store.
 func TestASuspensionIsAGapInTheRows(t *testing.T) {
-	l := newLives(t)
+	l := newIncarnations(t)
 	l.d.SetReturnGrace(DefaultReturnGrace)
-	l.row(serving.Endpoint{Born: 100, Membership: openGroup})
+	l.row(serving.Endpoint{StartedAt: 100, Membership: openGroup})
 	l.d.Suspended(2 * gapLeast)
 	l.version++
 	l.d.TakeChanges([]table.Row{{Key: "e", Version: l.version, Removed: true}}, l.version-1, l.version, time.Now())
--- a/internal/entry/counted.go
+++ b/internal/entry/counted.go
@@ -30,12 +30,12 @@
 // outcomeOf names an error of a store or an endpoint.
 func outcomeOf(err error) string {
 	for known, name := range map[error]string{
-		table.ErrUnavailable:      "unavailable",
-		table.ErrConflict:         "conflict",
-		table.ErrHistoryGone:      "history_gone",
-		groupcontrol.ErrFenced:    "fenced",
-		groupcontrol.ErrRefused:   "refused",
-		groupcontrol.ErrOtherLife: "other_life",
+		table.ErrUnavailable:             "unavailable",
+		table.ErrConflict:                "conflict",
+		table.ErrHistoryGone:             "history_gone",
+		groupcontrol.ErrFenced:           "fenced",
+		groupcontrol.ErrRefused:          "refused",
+		groupcontrol.ErrOtherIncarnation: "other_life",
 	} {
 		if errors.Is(err, known) {
 			return name
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,7 +143,7 @@
 		Now:         e.clock.Now,
 		Demand:      e.share.controlDemand,
 		LastEvent:   e.lastEvent(),
-		Limit:       func(ep *serving.Endpoint) float64 { return e.share.limits.Known(ep.Life()).PerSecond },
+		Limit:       func(ep *serving.Endpoint) float64 { return e.share.limits.Known(ep.Incarnation()).PerSecond },
 		Weights:     s.Policy.Groups,
 		LeaseTTL:    s.LeaseTTL,
 		LeaseOutage: s.Policy.LeaseOutage,
--- a/internal/entry/quarantinetable.go
+++ b/internal/entry/quarantinetable.go
@@ -121,7 +121,7 @@
 // quarantineRow is the value of a row.
 type quarantineRow struct {
 	// Ends are the lives of endpoints that ended.
-	Ends []quarantine.Life `json:"ends"`
+	Ends []quarantine.Incarnation `json:"ends"`
 	// Tried is set once a request was sent from quarantine.
 	Tried bool `json:"tried,omitempty"`
 }
@@ -174,7 +174,7 @@
 	}
 	r := quarantine.Record{Fingerprint: f, Tried: value.Tried}
 	for _, life := range value.Ends {
-		r.Ends = append(r.Ends, quarantine.End{Life: life, At: now})
+		r.Ends = append(r.Ends, quarantine.End{Incarnation: life, At: now})
 	}
 	return r, nil
 }
@@ -186,7 +186,7 @@
 	for _, r := range write {
 		value := quarantineRow{Tried: r.Tried}
 		for _, end := range r.Ends {
-			value.Ends = append(value.Ends, end.Life)
+			value.Ends = append(value.Ends, end.Incarnation)
 		}
 		text, _ := json.Marshal(value) // A plain struct always encodes.
 		row := table.Row{Table: QuarantineTable, Key: r.Fingerprint.String(), Value: text}
--- a/internal/entry/quarantinetable_test.go
+++ b/internal/entry/quarantinetable_test.go
@@ -34,10 +34,10 @@
 }
 
 // ended makes known that a content has ended endpoints.
-func (k *keeper) ended(content uint64, lives ...quarantine.Life) {
+func (k *keeper) ended(content uint64, lives ...quarantine.Incarnation) {
 	r := quarantine.Record{Fingerprint: contentOf(content)}
 	for _, life := range lives {
-		r.Ends = append(r.Ends, quarantine.End{Life: life, At: k.now})
+		r.Ends = append(r.Ends, quarantine.End{Incarnation: life, At: k.now})
 	}
 	k.list.Take([]quarantine.Record{r}, "test", k.now)
 }
@@ -151,7 +151,7 @@
 	store := memtable.New()
 	k := newKeeper(store, true)
 	for content := range uint64(4000) {
-		lives := []quarantine.Life{1, 2, 3}
+		lives := []quarantine.Incarnation{1, 2, 3}
 		k.ended(content, lives[:2+content%2]...)
 	}
 	k.run(t.Context(), 10*time.Second)
@@ -195,7 +195,7 @@
 
 // What a row takes of the table: 102 bytes with three ends.
 func TestWhatARowCosts(t *testing.T) {
-	row, err := json.Marshal(quarantineRow{Ends: []quarantine.Life{1 << 63, 1<<63 + 1, 1<<63 + 2}})
+	row, err := json.Marshal(quarantineRow{Ends: []quarantine.Incarnation{1 << 63, 1<<63 + 1, 1<<63 + 2}})
 	require.NoError(t, err)
 	rowBytes := len(row) + len(contentOf(1).String())
 	t.Logf("%d bytes of a row with its key", rowBytes)
--- a/internal/entry/sharelimits.go
+++ b/internal/entry/sharelimits.go
@@ -60,7 +60,7 @@
 // askPlace asks for a place at an endpoint that limits how much it takes.
 func (s *sharing) askPlace(ctx context.Context, e *serving.Endpoint, known limit.Limit) (limits.Answer, error) {
 	now := time.Now()
-	answer, err := s.Place(ctx, &sharepb.PlaceRequest{Limit: limits.ToWire(e.Life(), known, now), DataCentre: string(e.DataCentre)})
+	answer, err := s.Place(ctx, &sharepb.PlaceRequest{Limit: limits.ToWire(e.Incarnation(), known, now), DataCentre: string(e.DataCentre)})
 	if err != nil {
 		return limits.Answer{}, err
 	}
@@ -86,7 +86,7 @@
 }
 
 // toPlaceAnswer tells an answer; a wait of less than a millisecond counts as one.
-func toPlaceAnswer(life serving.Life, a limits.Answer, now time.Time) *sharepb.PlaceAnswer {
+func toPlaceAnswer(life serving.Incarnation, a limits.Answer, now time.Time) *sharepb.PlaceAnswer {
 	return &sharepb.PlaceAnswer{
 		Granted: a.Granted,
 		WaitMs:  uint32((a.Wait + time.Millisecond - 1) / time.Millisecond),
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -331,23 +331,23 @@
 
 func toObservation(o directory.Observation) *sharepb.Observation {
 	return &sharepb.Observation{
-		Endpoint: string(o.ID),
-		Model:    o.Model,
-		Group:    o.Membership.Group,
-		Epoch:    o.Membership.Epoch,
-		Rank:     uint32(o.Membership.Rank),
-		State:    uint32(o.Membership.State),
-		Orders:   o.Orders,
-		Born:     o.Born,
+		Endpoint:  string(o.ID),
+		Model:     o.Model,
+		Group:     o.Membership.Group,
+		Epoch:     o.Membership.Epoch,
+		Rank:      uint32(o.Membership.Rank),
+		State:     uint32(o.Membership.State),
+		Orders:    o.Orders,
+		StartedAt: o.StartedAt,
 	}
 }
 
 func fromObservation(o *sharepb.Observation) directory.Observation {
 	return directory.Observation{
-		ID:     serving.EndpointID(o.GetEndpoint()),
-		Model:  o.GetModel(),
-		Orders: o.GetOrders(),
-		Born:   o.GetBorn(),
+		ID:        serving.EndpointID(o.GetEndpoint()),
+		Model:     o.GetModel(),
+		Orders:    o.GetOrders(),
+		StartedAt: o.GetStartedAt(),
 		Membership: serving.Membership{
 			Group: o.GetGroup(),
 			Epoch: o.GetEpoch(),
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -70,19 +70,19 @@
 }
 
 // lifeOf names the life of the endpoint that takes a target's requests.
-func lifeOf(t routing.Target) poison.Life {
-	return poison.Life{Endpoint: serving.EndpointID(t.Address), Born: int64(t.Incarnation), Address: t.Address}
+func lifeOf(t routing.Target) poison.Incarnation {
+	return poison.Incarnation{Endpoint: serving.EndpointID(t.Address), StartedAt: int64(t.Incarnation), Address: t.Address}
 }
 
 // replaced returns those of some lives that have a later one in their place.
-func (g *Gateway) replaced(lives []poison.Life) []poison.Life {
+func (g *Gateway) replaced(lives []poison.Incarnation) []poison.Incarnation {
 	incarnations := map[string]uint64{}
 	for _, t := range g.snapshot.Load().Targets {
 		incarnations[t.Address] = t.Incarnation
 	}
-	var out []poison.Life
+	var out []poison.Incarnation
 	for _, life := range lives {
-		if incarnations[life.Address] > uint64(life.Born) {
+		if incarnations[life.Address] > uint64(life.StartedAt) {
 			out = append(out, life)
 		}
 	}
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -27,8 +27,8 @@
 var (
 	// ErrNoAnswer means that a call may have been carried out, or may be yet.
 	ErrNoAnswer = errors.New("the endpoint did not answer")
-	// ErrOtherLife means that another life of the endpoint has its address.
-	ErrOtherLife = errors.New("another life of the endpoint answered")
+	// ErrOtherIncarnation means that another incarnation of the endpoint has its address.
+	ErrOtherIncarnation = errors.New("another incarnation of the endpoint answered")
 	// ErrRefused means that an order does not fit the endpoint's state.
 	ErrRefused = errors.New("the order does not fit the endpoint's state")
 	// ErrFenced means that the endpoint has seen a newer controller or epoch.
@@ -75,7 +75,7 @@
 	Rank func() int
 	// FirstLook is how long the node waits before its first look at the lease.
 	FirstLook time.Duration
-	// EarlierLife reports whether a holder of the lease is an earlier life of
+	// EarlierLife reports whether a holder of the lease is an earlier incarnation of
 	// this node, which is over; nil means that nobody can tell.
 	EarlierLife func(holder string) bool
 	// Now is the clock by which the lease is held, which counts time in which the machine
--- a/internal/groupcontrol/groups.go
+++ b/internal/groupcontrol/groups.go
@@ -35,17 +35,17 @@
 // deadFor is how long an endpoint that did not answer is left out.
 const deadFor = 8 * time.Second
 
-// death is when one life of an endpoint was found not to answer.
+// death is when one incarnation of an endpoint was found not to answer.
 type death struct {
-	at   time.Time
-	born int64
+	at        time.Time
+	startedAt int64
 }
 
-// isDead reports whether an endpoint's life counts as dead. One that has begun since under
+// isDead reports whether an endpoint's incarnation counts as dead. One that has begun since under
 // the same id does not.
 func (c *Controller) isDead(e *serving.Endpoint, now time.Time) bool {
 	d, ok := c.dead[e.ID]
-	return ok && d.born == e.Born && now.Sub(d.at) < deadFor
+	return ok && d.startedAt == e.StartedAt && now.Sub(d.at) < deadFor
 }
 
 // groupKeyOf names the formation that a membership is of.
@@ -90,7 +90,7 @@
 // that its last row tells.
 func (c *Controller) leftAlready(e *serving.Endpoint) bool {
 	state, known := c.known[e.ID]
-	return known && state.born == e.Born && groupKeyOf(state.membership) != groupKeyOf(e.Membership)
+	return known && state.startedAt == e.StartedAt && groupKeyOf(state.membership) != groupKeyOf(e.Membership)
 }
 
 // lookAtGroup leaves a group that stands alone, and has one that does not
@@ -252,7 +252,7 @@
 				return
 			}
 			failed++
-			if asked < 2 && !errors.Is(err, ErrOtherLife) {
+			if asked < 2 && !errors.Is(err, ErrOtherIncarnation) {
 				asked++
 				go ask()
 				timer.Stop()
@@ -267,7 +267,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	known := c.isDead(e, now)
-	c.dead[e.ID] = death{now, e.Born}
+	c.dead[e.ID] = death{now, e.StartedAt}
 	if known {
 		return
 	}
--- a/internal/groupcontrol/have.go
+++ b/internal/groupcontrol/have.go
@@ -52,7 +52,7 @@
 			if holds(report) {
 				return nil
 			}
-			state = knownState{report.Born, report.Orders, report.Membership}
+			state = knownState{report.StartedAt, report.Orders, report.Membership}
 		}
 		if order.Kind == serving.OrderJoin && state.membership.Group != "" && state.membership.Group != order.Group {
 			o.noteTakenElsewhere(e, state)
@@ -68,8 +68,8 @@
 			return nil
 		case errors.Is(err, errLeaseLost), errors.Is(err, ErrFenced):
 			return err
-		case errors.Is(err, ErrOtherLife):
-			o.markDead(e, "another life has its address")
+		case errors.Is(err, ErrOtherIncarnation):
+			o.markDead(e, "another incarnation has its address")
 			return errMemberLost
 		}
 		o.forgetState(e.ID)
@@ -113,7 +113,7 @@
 func (o *operation) noteTaken(e *serving.Endpoint, order serving.Order, state knownState) {
 	if order.Kind == serving.OrderLeave && state.membership.Group != "" && state.membership.Group != order.Group {
 		o.noteState(e.ID, state)
-		o.observe(e, serving.Report{Born: e.Born, Membership: state.membership, Model: e.Model, Orders: state.orders})
+		o.observe(e, serving.Report{StartedAt: e.StartedAt, Membership: state.membership, Model: e.Model, Orders: state.orders})
 		return
 	}
 	if order.Kind == serving.OrderLeave && state.membership.Group == "" {
@@ -138,7 +138,7 @@
 	}
 	o.noteState(e.ID, state)
 	if order.Kind == serving.OrderJoin || order.Kind == serving.OrderLeave {
-		o.observe(e, serving.Report{Born: e.Born, Membership: state.membership, Model: model, Orders: state.orders})
+		o.observe(e, serving.Report{StartedAt: e.StartedAt, Membership: state.membership, Model: model, Orders: state.orders})
 	}
 }
 
@@ -153,8 +153,8 @@
 			return report, nil
 		case ctx.Err() != nil:
 			return report, context.Cause(ctx)
-		case errors.Is(err, ErrOtherLife):
-			o.markDead(e, "another life has its address")
+		case errors.Is(err, ErrOtherIncarnation):
+			o.markDead(e, "another incarnation has its address")
 			return report, errMemberLost
 		}
 	}
@@ -184,7 +184,7 @@
 			o.markDead(e, "it is not listed any more")
 			return errMemberLost
 		}
-		if row.Born != e.Born {
+		if row.StartedAt != e.StartedAt {
 			o.markDead(e, "it has begun anew")
 			return errMemberLost
 		}
--- a/internal/groupcontrol/orders.go
+++ b/internal/groupcontrol/orders.go
@@ -18,20 +18,20 @@
 		return report, err
 	}
 	c.observe(e, report)
-	c.noteState(e.ID, knownState{report.Born, report.Orders, report.Membership})
-	if report.Born != e.Born {
-		// It has begun anew under its id: it is in none of the groups that the life
+	c.noteState(e.ID, knownState{report.StartedAt, report.Orders, report.Membership})
+	if report.StartedAt != e.StartedAt {
+		// It has begun anew under its id: it is in none of the groups that the incarnation
 		// before was in.
-		return report, ErrOtherLife
+		return report, ErrOtherIncarnation
 	}
 	return report, nil
 }
 
-// knownState is an endpoint's membership once one life of it had taken a number of orders.
+// knownState is an endpoint's membership once one incarnation of it had taken a number of orders.
 // An order that names the number reaches the endpoint in that very state, or
 // is refused.
 type knownState struct {
-	born       int64
+	startedAt  int64
 	orders     uint64
 	membership serving.Membership
 }
@@ -42,12 +42,12 @@
 	c.known[id] = state
 }
 
-// stateOf returns the last known state of an endpoint's life, if there is one.
+// stateOf returns the last known state of an endpoint's incarnation, if there is one.
 func (c *Controller) stateOf(e *serving.Endpoint) (knownState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state, ok := c.known[e.ID]
-	return state, ok && state.born == e.Born
+	return state, ok && state.startedAt == e.StartedAt
 }
 
 func (c *Controller) forgetState(id serving.EndpointID) {
@@ -60,7 +60,7 @@
 func (c *Controller) observe(e *serving.Endpoint, r serving.Report) {
 	c.directory.Observe(directory.Observation{
 		ID:         e.ID,
-		Born:       r.Born,
+		StartedAt:  r.StartedAt,
 		Model:      r.Model,
 		Membership: r.Membership,
 		Orders:     r.Orders,
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -46,11 +46,11 @@
 	book *limit.Book
 	// full tells until when endpoints have no place, promised until when callers have been
 	// told to come back for those after that.
-	full     map[serving.Life]time.Time
-	promised map[serving.Life]time.Time
-	shares   map[serving.Life]*limit.Share
+	full     map[serving.Incarnation]time.Time
+	promised map[serving.Incarnation]time.Time
+	shares   map[serving.Incarnation]*limit.Share
 	// pacers are of the endpoints whose places this node gives out.
-	pacers map[serving.Life]*limit.Pacer
+	pacers map[serving.Incarnation]*limit.Pacer
 	// silent tells until when the places of a data centre are not asked for.
 	silent map[serving.DataCentre]time.Time
 }
@@ -62,62 +62,62 @@
 		log:      logging.For("limits"),
 		began:    time.Now(),
 		book:     limit.NewBook(),
-		full:     map[serving.Life]time.Time{},
-		promised: map[serving.Life]time.Time{},
-		shares:   map[serving.Life]*limit.Share{},
-		pacers:   map[serving.Life]*limit.Pacer{},
+		full:     map[serving.Incarnation]time.Time{},
+		promised: map[serving.Incarnation]time.Time{},
+		shares:   map[serving.Incarnation]*limit.Share{},
+		pacers:   map[serving.Incarnation]*limit.Pacer{},
 		silent:   map[serving.DataCentre]time.Time{},
 	}
 	if k.options.Ask == nil {
 		k.options.Ask = func(_ context.Context, e *serving.Endpoint, known limit.Limit) (Answer, error) {
-			return k.Grant(e.Life(), known, time.Now()), nil
+			return k.Grant(e.Incarnation(), known, time.Now()), nil
 		}
 	}
 	return k
 }
 
 // Named notes that an endpoint has named a limit to this node.
-func (k *Keeper) Named(life serving.Life, perSecond float64, now time.Time) {
-	k.note(life, limit.Limit{PerSecond: perSecond, At: now}, "its answer", now)
+func (k *Keeper) Named(incarnation serving.Incarnation, perSecond float64, now time.Time) {
+	k.note(incarnation, limit.Limit{PerSecond: perSecond, At: now}, "its answer", now)
 }
 
 // NotNamed notes that an answer to a request that was sent at some time named no limit. One
 // that was sent before the limit was last named tells nothing of its end.
-func (k *Keeper) NotNamed(life serving.Life, sent, now time.Time) {
+func (k *Keeper) NotNamed(incarnation serving.Incarnation, sent, now time.Time) {
 	if k.inForce.Load() > 0 {
-		k.note(life, limit.Limit{At: sent}, "its answer", now)
+		k.note(incarnation, limit.Limit{At: sent}, "its answer", now)
 	}
 }
 
-func (k *Keeper) note(life serving.Life, l limit.Limit, source string, now time.Time) {
+func (k *Keeper) note(incarnation serving.Incarnation, l limit.Limit, source string, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.noteLocked(life, l, source, now)
+	k.noteLocked(incarnation, l, source, now)
 }
 
 // noteLocked takes what an endpoint said; the caller holds the lock.
-func (k *Keeper) noteLocked(life serving.Life, l limit.Limit, source string, now time.Time) {
-	before := k.book.Get(life)
-	if !k.book.Note(life, l) {
+func (k *Keeper) noteLocked(incarnation serving.Incarnation, l limit.Limit, source string, now time.Time) {
+	before := k.book.Get(incarnation)
+	if !k.book.Note(incarnation, l) {
 		return
 	}
 	k.inForce.Store(int64(k.book.InForce()))
 	if !l.InForce() {
-		delete(k.full, life)
-		delete(k.promised, life)
+		delete(k.full, incarnation)
+		delete(k.promised, incarnation)
 	}
-	k.log.Info("an endpoint's limit has changed", "endpoint", string(life.ID), "born", life.Born, "per_second", l.PerSecond,
+	k.log.Info("an endpoint's limit has changed", "endpoint", string(incarnation.ID), "started_at", incarnation.StartedAt, "per_second", l.PerSecond,
 		"before", before.PerSecond, "source", source, "age", now.Sub(l.At))
 }
 
 // Known returns what is known of an endpoint's limit.
-func (k *Keeper) Known(life serving.Life) limit.Limit {
+func (k *Keeper) Known(incarnation serving.Incarnation) limit.Limit {
 	if k.inForce.Load() == 0 {
 		return limit.Limit{}
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.book.Get(life)
+	return k.book.Get(incarnation)
 }
 
 // Full reports whether an endpoint is known to have no place now.
@@ -127,21 +127,21 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return now.Before(k.full[e.Life()])
+	return now.Before(k.full[e.Incarnation()])
 }
 
 // InForce returns the number of limits that are known.
 func (k *Keeper) InForce() int { return int(k.inForce.Load()) }
 
-// Forget drops what is known of lives that are over.
+// Forget drops what is known of incarnations that are over.
 func (k *Keeper) Forget(listed map[serving.EndpointID]*serving.Endpoint, now time.Time) {
-	lives := func(life serving.Life) bool {
-		e := listed[life.ID]
-		return e != nil && e.Born <= life.Born
+	incarnations := func(incarnation serving.Incarnation) bool {
+		e := listed[incarnation.ID]
+		return e != nil && e.StartedAt <= incarnation.StartedAt
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.book.Forget(lives, now)
+	k.book.Forget(incarnations, now)
 	k.inForce.Store(int64(k.book.InForce()))
 	forget(k.full, k.book)
 	forget(k.promised, k.book)
@@ -149,11 +149,11 @@
 	forget(k.pacers, k.book)
 }
 
-// forget drops what is kept of lives without a limit.
-func forget[V any](kept map[serving.Life]V, book *limit.Book) {
-	for life := range kept {
-		if !book.Get(life).InForce() {
-			delete(kept, life)
+// forget drops what is kept of incarnations without a limit.
+func forget[V any](kept map[serving.Incarnation]V, book *limit.Book) {
+	for incarnation := range kept {
+		if !book.Get(incarnation).InForce() {
+			delete(kept, incarnation)
 		}
 	}
 }
--- a/internal/limits/news.go
+++ b/internal/limits/news.go
@@ -34,22 +34,22 @@
 func (k *Keeper) TakeNews(l *news.Link, told *sharepb.LimitNews, source string, now time.Time) {
 	l.Take(told.GetVersion(), told.GetSeen())
 	for _, one := range told.GetLimits() {
-		life, known := FromWire(one, now)
-		k.note(life, known, source, now)
+		incarnation, known := FromWire(one, now)
+		k.note(incarnation, known, source, now)
 	}
 }
 
 // ToWire tells a limit to another node, its time as an age.
-func ToWire(life serving.Life, l limit.Limit, now time.Time) *sharepb.EndpointLimit {
-	return &sharepb.EndpointLimit{Endpoint: string(life.ID), Born: life.Born, PerSecond: l.PerSecond, AgeMs: clock.MillisAgo(l.At, now)}
+func ToWire(incarnation serving.Incarnation, l limit.Limit, now time.Time) *sharepb.EndpointLimit {
+	return &sharepb.EndpointLimit{Endpoint: string(incarnation.ID), StartedAt: incarnation.StartedAt, PerSecond: l.PerSecond, AgeMs: clock.MillisAgo(l.At, now)}
 }
 
 // FromWire is the reverse of ToWire. What is no number of requests is dated before all else,
 // so that it tells nothing.
-func FromWire(told *sharepb.EndpointLimit, now time.Time) (serving.Life, limit.Limit) {
-	life := serving.Life{ID: serving.EndpointID(told.GetEndpoint()), Born: told.GetBorn()}
+func FromWire(told *sharepb.EndpointLimit, now time.Time) (serving.Incarnation, limit.Limit) {
+	incarnation := serving.Incarnation{ID: serving.EndpointID(told.GetEndpoint()), StartedAt: told.GetStartedAt()}
 	if perSecond := told.GetPerSecond(); !(perSecond >= 0) || math.IsInf(perSecond, 0) {
-		return life, limit.Limit{}
+		return incarnation, limit.Limit{}
 	}
-	return life, limit.Limit{PerSecond: told.GetPerSecond(), At: clock.AtMillisAgo(told.GetAgeMs(), now)}
+	return incarnation, limit.Limit{PerSecond: told.GetPerSecond(), At: clock.AtMillisAgo(told.GetAgeMs(), now)}
 }
--- a/internal/limits/places.go
+++ b/internal/limits/places.go
@@ -36,7 +36,7 @@
 
 // Place reports whether a request may be sent to an endpoint, and takes the place if so.
 func (k *Keeper) Place(ctx context.Context, e *serving.Endpoint) bool {
-	known := k.Known(e.Life())
+	known := k.Known(e.Incarnation())
 	if !known.InForce() {
 		return true
 	}
@@ -57,9 +57,9 @@
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.noteLocked(e.Life(), answer.Limit, "the node that gives its places out", now)
+	k.noteLocked(e.Incarnation(), answer.Limit, "the node that gives its places out", now)
 	if !answer.Granted {
-		k.full[e.Life()] = now.Add(answer.Wait)
+		k.full[e.Incarnation()] = now.Add(answer.Wait)
 		k.count("denied")
 		return false
 	}
@@ -95,34 +95,34 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	share := k.shares[e.Life()]
+	share := k.shares[e.Incarnation()]
 	if share == nil {
 		share = &limit.Share{}
-		k.shares[e.Life()] = share
+		k.shares[e.Incarnation()] = share
 	}
 	if now.Sub(k.began) >= shareAfter && share.Take(known.PerSecond, nodes, rand.Float64, now) {
 		k.count("own")
 		return true
 	}
-	k.full[e.Life()] = now.Add(noShareFor)
+	k.full[e.Incarnation()] = now.Add(noShareFor)
 	k.count("none")
 	return false
 }
 
 // Grant gives out a place at an endpoint, for any node that asks, by what it knows of the
 // limit.
-func (k *Keeper) Grant(life serving.Life, known limit.Limit, now time.Time) Answer {
+func (k *Keeper) Grant(incarnation serving.Incarnation, known limit.Limit, now time.Time) Answer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.noteLocked(life, known, "a node that asks", now)
-	l := k.book.Get(life)
+	k.noteLocked(incarnation, known, "a node that asks", now)
+	l := k.book.Get(incarnation)
 	if !l.InForce() {
 		return Answer{Granted: true, Limit: l}
 	}
-	pacer := k.pacers[life]
+	pacer := k.pacers[incarnation]
 	if pacer == nil {
 		pacer = &limit.Pacer{}
-		k.pacers[life] = pacer
+		k.pacers[incarnation] = pacer
 	}
 	granted, wait := pacer.Take(l.PerSecond, now)
 	return Answer{Granted: granted, Wait: wait, Limit: l}
@@ -138,16 +138,16 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var best serving.Life
+	var best serving.Incarnation
 	var at time.Time
 	for _, e := range endpoints {
-		life := e.Life()
-		if !k.book.Get(life).InForce() {
+		incarnation := e.Incarnation()
+		if !k.book.Get(incarnation).InForce() {
 			continue
 		}
-		next := later(k.full[life], k.promised[life], now)
+		next := later(k.full[incarnation], k.promised[incarnation], now)
 		if at.IsZero() || next.Before(at) {
-			best, at = life, next
+			best, at = incarnation, next
 		}
 	}
 	if at.IsZero() {
--- a/internal/peers/share_bench_test.go
+++ b/internal/peers/share_bench_test.go
@@ -27,7 +27,7 @@
 	defer server.Close()
 	client := NewClient([]byte("a key of the benchmark"), link.New(nil))
 	defer client.Close()
-	q := &sharepb.PlaceRequest{Limit: &sharepb.EndpointLimit{Endpoint: "i-0123456789", Born: 1_796_275_439_253, PerSecond: 1.3, AgeMs: 400}, DataCentre: "north"}
+	q := &sharepb.PlaceRequest{Limit: &sharepb.EndpointLimit{Endpoint: "i-0123456789", StartedAt: 1_796_275_439_253, PerSecond: 1.3, AgeMs: 400}, DataCentre: "north"}
 	bytes := client.Bytes()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/poison/news.go
+++ b/internal/poison/news.go
@@ -35,7 +35,7 @@
 	for _, r := range records {
 		told := &quarantinepb.Record{Fingerprint: r.Fingerprint[:], Tried: r.Tried}
 		for _, end := range r.Ends {
-			told.Ends = append(told.Ends, &quarantinepb.LifeEnd{Life: uint64(end.Life), AgeMs: clock.MillisAgo(end.At, now)})
+			told.Ends = append(told.Ends, &quarantinepb.IncarnationEnd{Incarnation: uint64(end.Incarnation), AgeMs: clock.MillisAgo(end.At, now)})
 		}
 		if !r.Served.IsZero() {
 			age := clock.MillisAgo(r.Served, now)
@@ -55,7 +55,7 @@
 			continue
 		}
 		for _, end := range t.GetEnds() {
-			r.Ends = append(r.Ends, quarantine.End{Life: quarantine.Life(end.GetLife()), At: clock.AtMillisAgo(end.GetAgeMs(), now)})
+			r.Ends = append(r.Ends, quarantine.End{Incarnation: quarantine.Incarnation(end.GetIncarnation()), At: clock.AtMillisAgo(end.GetAgeMs(), now)})
 		}
 		if t.ServedAgeMs != nil {
 			r.Served = clock.AtMillisAgo(t.GetServedAgeMs(), now)
--- a/internal/poison/news_test.go
+++ b/internal/poison/news_test.go
@@ -16,12 +16,12 @@
 func TestRecordsAreToldAsTheyAre(t *testing.T) {
 	here, there := time.Unix(5000, 0), time.Unix(90, 0)
 	told := []quarantine.Record{
-		{Fingerprint: quarantine.Fingerprint{1}, Ends: []quarantine.End{{Life: 1 << 63, At: here.Add(-time.Second)}}, Tried: true},
+		{Fingerprint: quarantine.Fingerprint{1}, Ends: []quarantine.End{{Incarnation: 1 << 63, At: here.Add(-time.Second)}}, Tried: true},
 		{Fingerprint: quarantine.Fingerprint{2}, Served: here.Add(-time.Minute)},
 	}
 	heard := fromWire(toWire(told, here), there)
 	require.Equal(t, []quarantine.Record{
-		{Fingerprint: quarantine.Fingerprint{1}, Ends: []quarantine.End{{Life: 1 << 63, At: there.Add(-time.Second)}}, Tried: true},
+		{Fingerprint: quarantine.Fingerprint{1}, Ends: []quarantine.End{{Incarnation: 1 << 63, At: there.Add(-time.Second)}}, Tried: true},
 		{Fingerprint: quarantine.Fingerprint{2}, Served: there.Add(-time.Minute)},
 	}, heard)
 	broken := toWire(told[:1], here)
@@ -36,8 +36,8 @@
 	var known []quarantine.Record
 	for content := range byte(2 * recordsTold) {
 		r := quarantine.Record{Fingerprint: quarantine.Fingerprint{content}, Served: now.Add(-time.Hour)}
-		for life := range quarantine.Life(quarantine.Limit) {
-			r.Ends = append(r.Ends, quarantine.End{Life: 1<<63 + life, At: now.Add(-time.Minute)})
+		for incarnation := range quarantine.Incarnation(quarantine.Limit) {
+			r.Ends = append(r.Ends, quarantine.End{Incarnation: 1<<63 + incarnation, At: now.Add(-time.Minute)})
 		}
 		known = append(known, r)
 	}
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -68,16 +68,16 @@
 	return true
 }
 
-// endedBefore reports whether a life is known to have ended under requests of some content
+// endedBefore reports whether an incarnation is known to have ended under requests of some content
 // before a moment.
-func (q *Quarantine) endedBefore(f quarantine.Fingerprint, life quarantine.Life, at time.Time) bool {
+func (q *Quarantine) endedBefore(f quarantine.Fingerprint, incarnation quarantine.Incarnation, at time.Time) bool {
 	if q.known.Load() == 0 {
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r, _ := q.list.Get(f)
-	return slices.ContainsFunc(r.Ends, func(end quarantine.End) bool { return end.Life == life && end.At.Before(at) })
+	return slices.ContainsFunc(r.Ends, func(end quarantine.End) bool { return end.Incarnation == incarnation && end.At.Before(at) })
 }
 
 // isBlockedByOneMore reports whether requests of some content are not sent any more once
@@ -99,12 +99,12 @@
 	q.list.Served(f, now)
 }
 
-// ended notes that an endpoint's life has ended while it ran a request.
-func (q *Quarantine) ended(f quarantine.Fingerprint, life quarantine.Life, endpoint serving.EndpointID, now time.Time) {
+// ended notes that an endpoint's incarnation has ended while it ran a request.
+func (q *Quarantine) ended(f quarantine.Fingerprint, incarnation quarantine.Incarnation, endpoint serving.EndpointID, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	before, _ := q.list.Get(f)
-	if !q.list.Ended(f, life, now) {
+	if !q.list.Ended(f, incarnation, now) {
 		return
 	}
 	q.known.Store(int64(q.list.Len()))
--- a/internal/poison/quarantine_test.go
+++ b/internal/poison/quarantine_test.go
@@ -15,8 +15,8 @@
 	q := NewQuarantine(func() bool { return true })
 	f := quarantine.Fingerprint{1}
 	now := time.Now()
-	for life := range quarantine.Life(quarantine.Limit) {
-		q.ended(f, life, "e", now)
+	for incarnation := range quarantine.Incarnation(quarantine.Limit) {
+		q.ended(f, incarnation, "e", now)
 	}
 	admits := func() bool {
 		_, admitted := q.Admits(f, now)
@@ -40,8 +40,8 @@
 	q := NewQuarantine(nobody)
 	f := quarantine.Fingerprint{1}
 	now := time.Now()
-	for life := range quarantine.Life(quarantine.Limit) {
-		q.ended(f, life, "e", now)
+	for incarnation := range quarantine.Incarnation(quarantine.Limit) {
+		q.ended(f, incarnation, "e", now)
 	}
 	_, admitted := q.Admits(f, now.Add(quarantine.TrialAfter))
 	require.False(t, admitted)
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -23,7 +23,7 @@
 	// breaking off: one that resets half of what it is sent would be dialed for each.
 	crashRedial = 50 * time.Millisecond
 	// crashWatch is for how long after a break an endpoint that did not refuse the dial is
-	// watched for another life in its place: rows change within a heartbeat of a second.
+	// watched for another incarnation in its place: rows change within a heartbeat of a second.
 	crashWatch = 5 * time.Second
 	crashPoll  = 100 * time.Millisecond
 	// mostBreaks bounds the endpoints that are looked into at a time, and mostBroken the
@@ -33,26 +33,26 @@
 	// mostAwaited bounds for how long a request waits for what a dial tells before it goes
 	// on: a stream that goes on elsewhere has 200 ms and more between its events.
 	mostAwaited = 50 * time.Millisecond
-	// endSlack is how long after the end of a life that others have seen a request is sent that
+	// endSlack is how long after the end of an incarnation that others have seen a request is sent that
 	// must have reached another one: ages are told some milliseconds off.
 	endSlack = 250 * time.Millisecond
 )
 
-// Life is one life of an endpoint, as a request met it.
-type Life struct {
+// Incarnation is one incarnation of an endpoint, as a request met it.
+type Incarnation struct {
 	// Endpoint names the endpoint, or what else requests are sent to.
 	Endpoint serving.EndpointID
-	// Born tells lives of one endpoint apart, as far as this node knows.
-	Born    int64
-	Address string
-	// later counts lives that this node has seen end since, under the same id and before
+	// StartedAt tells incarnations of one endpoint apart, as far as this node knows.
+	StartedAt int64
+	Address   string
+	// later counts incarnations that this node has seen end since, under the same id and before
 	// their rows came: an endpoint takes requests as soon as it has begun anew.
 	later int
 }
 
-// hash names the life among nodes.
-func (l Life) hash() quarantine.Life {
-	return quarantine.Life(xxh3.HashString(string(l.Endpoint)+" "+strconv.FormatInt(l.Born, 10)) + uint64(l.later))
+// hash names the incarnation among nodes.
+func (l Incarnation) hash() quarantine.Incarnation {
+	return quarantine.Incarnation(xxh3.HashString(string(l.Endpoint)+" "+strconv.FormatInt(l.StartedAt, 10)) + uint64(l.later))
 }
 
 // Watch finds out which endpoints have ended, of those at which requests broke off. A
@@ -62,14 +62,14 @@
 type Watch struct {
 	log        logging.Logger
 	quarantine *Quarantine
-	// replaced returns those of some lives that have another one in their place.
-	replaced func([]Life) []Life
+	// replaced returns those of some incarnations that have another one in their place.
+	replaced func([]Incarnation) []Incarnation
 	// dial returns nil if something listens at an address.
 	dial func(ctx context.Context, address string) error
 
 	mu     sync.Mutex
-	breaks map[Life]*breakOff
-	// watching is set while a goroutine looks for other lives.
+	breaks map[Incarnation]*breakOff
+	// watching is set while a goroutine looks for other incarnations.
 	watching bool
 }
 
@@ -90,24 +90,24 @@
 }
 
 // NewWatch returns a watch that notes what it finds in a quarantine. replaced reports which
-// of some lives have another one in their place by now; dial returns nil if something listens
+// of some incarnations have another one in their place by now; dial returns nil if something listens
 // at an address.
-func NewWatch(q *Quarantine, replaced func([]Life) []Life, dial func(context.Context, string) error) *Watch {
-	return &Watch{log: logging.For("quarantine"), quarantine: q, replaced: replaced, dial: dial, breaks: map[Life]*breakOff{}}
+func NewWatch(q *Quarantine, replaced func([]Incarnation) []Incarnation, dial func(context.Context, string) error) *Watch {
+	return &Watch{log: logging.For("quarantine"), quarantine: q, replaced: replaced, dial: dial, breaks: map[Incarnation]*breakOff{}}
 }
 
 // Broken notes that a request, sent when it began, broke off at an endpoint. What it returns
 // is closed when the dial that may tell why has ended; nil if none is under way.
-func (c *Watch) Broken(f quarantine.Fingerprint, at Life, began, now time.Time) (looked <-chan struct{}) {
+func (c *Watch) Broken(f quarantine.Fingerprint, at Incarnation, began, now time.Time) (looked <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.quarantine.endedBefore(f, at.hash(), began.Add(-endSlack)) {
-		// Another node has seen the end, and the row of the life since has not come here.
+		// Another node has seen the end, and the row of the incarnation since has not come here.
 		at.later++
 	}
 	b := c.breaks[at]
 	for b != nil && !b.ended.IsZero() && began.After(b.ended) {
-		// What was sent after a life's end reached another one.
+		// What was sent after an incarnation's end reached another one.
 		at.later++
 		b = c.breaks[at]
 	}
@@ -155,7 +155,7 @@
 
 // look dials the endpoint, the last dial of which began at a time, and once more for as long
 // as something breaks off meanwhile.
-func (c *Watch) look(at Life, b *breakOff, dialed time.Time) {
+func (c *Watch) look(at Incarnation, b *breakOff, dialed time.Time) {
 	for again := true; again; {
 		time.Sleep(time.Until(dialed.Add(crashRedial)))
 		dialed = time.Now()
@@ -164,7 +164,7 @@
 }
 
 // lookOnce dials the endpoint and reports whether something broke off since it began.
-func (c *Watch) lookOnce(at Life, b *breakOff, now time.Time) bool {
+func (c *Watch) lookOnce(at Incarnation, b *breakOff, now time.Time) bool {
 	c.mu.Lock()
 	b.again, b.dialed = false, now
 	c.mu.Unlock()
@@ -186,8 +186,8 @@
 
 // foundEnded notes the end of an endpoint for all requests that broke off there; the caller
 // holds the lock.
-func (c *Watch) foundEnded(at Life, b *breakOff, evidence string, now time.Time) {
-	c.log.Info("an endpoint has ended under requests", "endpoint", string(at.Endpoint), "born", at.Born, "address", at.Address,
+func (c *Watch) foundEnded(at Incarnation, b *breakOff, evidence string, now time.Time) {
+	c.log.Info("an endpoint has ended under requests", "endpoint", string(at.Endpoint), "started_at", at.StartedAt, "address", at.Address,
 		"evidence", evidence, "requests", len(b.contents), "after", now.Sub(b.last))
 	b.ended = now
 	for _, f := range b.contents {
@@ -213,7 +213,7 @@
 	}()
 }
 
-// settle looks for other lives in the place of those at which requests broke off, and
+// settle looks for other incarnations in the place of those at which requests broke off, and
 // reports whether none is left to be looked at.
 func (c *Watch) settle(now time.Time) bool {
 	replaced := c.replaced(c.undecided())
@@ -221,7 +221,7 @@
 	defer c.mu.Unlock()
 	for _, at := range replaced {
 		if b := c.breaks[at]; b != nil && b.isUndecided() {
-			c.foundEnded(at, b, "another life is in its place", now)
+			c.foundEnded(at, b, "another incarnation is in its place", now)
 		}
 	}
 	for at, b := range c.breaks {
@@ -233,12 +233,12 @@
 	return !c.watching
 }
 
-// undecided returns the lives of which it is not known whether they have ended. The row
-// that comes for a later life is its own, and says nothing of it.
-func (c *Watch) undecided() []Life {
+// undecided returns the incarnations of which it is not known whether they have ended. The row
+// that comes for a later incarnation is its own, and says nothing of it.
+func (c *Watch) undecided() []Incarnation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []Life
+	var out []Incarnation
 	for at, b := range c.breaks {
 		if at.later == 0 && b.isUndecided() {
 			out = append(out, at)
--- a/internal/poison/watch_test.go
+++ b/internal/poison/watch_test.go
@@ -41,14 +41,14 @@
 
 func nobody() bool { return false }
 
-// none has each life stand alone in its place.
-func none([]Life) []Life { return nil }
+// none has each incarnation stand alone in its place.
+func none([]Incarnation) []Incarnation { return nil }
 
 const patience = 30 * time.Second
 
 // Only an endpoint that has ended speaks against the requests that broke off there.
 func TestWhichBreaksAreEndsOfEndpoints(t *testing.T) {
-	at := Life{Endpoint: "e", Born: 5, Address: "a:1"}
+	at := Incarnation{Endpoint: "e", StartedAt: 5, Address: "a:1"}
 	for _, test := range []struct {
 		name     string
 		dial     error
@@ -58,15 +58,15 @@
 		{"its port refuses", &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, false, 1},
 		{"it listens on: the answer was garbled or reset", nil, false, 0},
 		{"it cannot be reached: it may be cut off", &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}, false, 0},
-		{"another life is in its place", nil, true, 1},
-		{"another life is in its place, and cannot be reached", &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}, true, 1},
+		{"another incarnation is in its place", nil, true, 1},
+		{"another incarnation is in its place, and cannot be reached", &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}, true, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			q := NewQuarantine(nobody)
 			network := &reach{err: test.dial}
-			c := NewWatch(q, func(lives []Life) []Life {
+			c := NewWatch(q, func(incarnations []Incarnation) []Incarnation {
 				if test.replaced {
-					return lives
+					return incarnations
 				}
 				return nil
 			}, network.dial)
@@ -95,7 +95,7 @@
 	q := NewQuarantine(nobody)
 	network := &reach{}
 	c := NewWatch(q, none, network.dial)
-	at := Life{Endpoint: "e", Address: "a:1"}
+	at := Incarnation{Endpoint: "e", Address: "a:1"}
 	c.Broken(quarantine.Fingerprint{1}, at, time.Now(), time.Now())
 	require.Eventually(t, func() bool {
 		c.mu.Lock()
@@ -121,7 +121,7 @@
 	c := NewWatch(NewQuarantine(nobody), none, network.dial)
 	began := time.Now()
 	for time.Since(began) < 4*crashRedial {
-		c.Broken(quarantine.Fingerprint{1}, Life{Endpoint: "e"}, began, time.Now())
+		c.Broken(quarantine.Fingerprint{1}, Incarnation{Endpoint: "e"}, began, time.Now())
 	}
 	took := time.Since(began)
 	network.mu.Lock()
@@ -135,24 +135,24 @@
 	q := NewQuarantine(nobody)
 	network := &reach{err: syscall.ECONNREFUSED}
 	c := NewWatch(q, none, network.dial)
-	at := Life{Endpoint: "e", Born: 7, Address: "a:1"}
+	at := Incarnation{Endpoint: "e", StartedAt: 7, Address: "a:1"}
 	f := quarantine.Fingerprint{1}
 	for end := range 3 {
 		sent := time.Now()
 		c.Broken(f, at, sent, time.Now())
 		require.Eventually(t, func() bool { return endsOf(q, f) == end+1 }, patience, time.Millisecond)
 		c.Broken(f, at, sent, time.Now())
-		require.Equal(t, end+1, endsOf(q, f), "the same life")
+		require.Equal(t, end+1, endsOf(q, f), "the same incarnation")
 	}
 }
 
 // A fleet that fails at once must not grow what is looked into without bound.
 // One node saw an endpoint end under a request, another one saw it end again before the row of
-// its new life had come: two ends counted as one, and after all nodes had been replaced the
-// request ended a fourth endpoint. By the log, both ends had the same "born", 1.5 s apart.
+// its new incarnation had come: two ends counted as one, and after all nodes had been replaced the
+// request ended a fourth endpoint. By the log, both ends had the same "started_at", 1.5 s apart.
 func TestAnEndThatAnotherNodeSawIsOfAnEarlierLife(t *testing.T) {
 	network := &reach{err: syscall.ECONNREFUSED}
-	at := Life{Endpoint: "e", Born: 7, Address: "a:1"}
+	at := Incarnation{Endpoint: "e", StartedAt: 7, Address: "a:1"}
 	f := quarantine.Fingerprint{1}
 	first, second := NewQuarantine(nobody), NewQuarantine(nobody)
 	var ofFirst, ofSecond news.Link
@@ -163,7 +163,7 @@
 
 	NewWatch(second, none, network.dial).Broken(f, at, sent, time.Now())
 	time.Sleep(2 * endSlack)
-	require.Equal(t, 1, endsOf(second, f), "sent before the end, it met the same life")
+	require.Equal(t, 1, endsOf(second, f), "sent before the end, it met the same incarnation")
 	// A watch that has seen nothing of the endpoint itself.
 	NewWatch(second, none, network.dial).Broken(f, at, time.Now(), time.Now())
 	require.Eventually(t, func() bool { return endsOf(second, f) == 2 }, patience, time.Millisecond)
@@ -178,7 +178,7 @@
 	now := time.Now()
 	for endpoint := range 2 * mostBreaks {
 		for f := range 2 * mostBroken {
-			c.Broken(quarantine.Fingerprint{byte(f), byte(f >> 8)}, Life{Born: int64(endpoint)}, now, now)
+			c.Broken(quarantine.Fingerprint{byte(f), byte(f >> 8)}, Incarnation{StartedAt: int64(endpoint)}, now, now)
 		}
 	}
 	c.mu.Lock()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -81,7 +81,7 @@
 		f.note(true, now)
 	}
 	if cause == nil || errors.Is(cause, errStalled) {
-		c.looked = c.crashes.Broken(c.content, poison.Life{Endpoint: t.ID, Born: t.Born, Address: t.Address}, f.began, now)
+		c.looked = c.crashes.Broken(c.content, poison.Incarnation{Endpoint: t.ID, StartedAt: t.StartedAt, Address: t.Address}, f.began, now)
 	}
 }
 
@@ -133,11 +133,11 @@
 	switch {
 	case v.Limit.Unreadable != "":
 		c.log.Warn("an endpoint names a limit that cannot be read; what is known stays in force", "request", c.attrs.ID,
-			"endpoint", string(t.ID), "limit", fmt.Sprintf("%.100q", v.Limit.Unreadable), "in_force", c.options.Limits.Known(t.Life()).PerSecond)
+			"endpoint", string(t.ID), "limit", fmt.Sprintf("%.100q", v.Limit.Unreadable), "in_force", c.options.Limits.Known(t.Incarnation()).PerSecond)
 	case v.Limit.PerSecond > 0:
-		c.options.Limits.Named(t.Life(), v.Limit.PerSecond, now)
+		c.options.Limits.Named(t.Incarnation(), v.Limit.PerSecond, now)
 	default:
-		c.options.Limits.NotNamed(t.Life(), f.began, now)
+		c.options.Limits.NotNamed(t.Incarnation(), f.began, now)
 	}
 }
 
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -17,17 +17,17 @@
 
 // What the table of endpoints tells of one at which requests broke off.
 func TestWhichLivesAreReplaced(t *testing.T) {
-	at := poison.Life{Endpoint: "e", Born: 5, Address: "a:1"}
+	at := poison.Incarnation{Endpoint: "e", StartedAt: 5, Address: "a:1"}
 	for _, test := range []struct {
 		name   string
 		listed []serving.Endpoint
 		want   bool
 	}{
-		{"it is listed", []serving.Endpoint{{ID: "e", Born: 5, Address: "a:1"}}, false},
+		{"it is listed", []serving.Endpoint{{ID: "e", StartedAt: 5, Address: "a:1"}}, false},
 		{"it is not listed", nil, false},
-		{"another life has its id", []serving.Endpoint{{ID: "e", Born: 6, Address: "a:1"}}, true},
-		{"another endpoint has its address", []serving.Endpoint{{ID: "f", Born: 6, Address: "a:1"}}, true},
-		{"another endpoint is listed elsewhere", []serving.Endpoint{{ID: "f", Born: 6, Address: "b:1"}}, false},
+		{"another incarnation has its id", []serving.Endpoint{{ID: "e", StartedAt: 6, Address: "a:1"}}, true},
+		{"another endpoint has its address", []serving.Endpoint{{ID: "f", StartedAt: 6, Address: "a:1"}}, true},
+		{"another endpoint is listed elsewhere", []serving.Endpoint{{ID: "f", StartedAt: 6, Address: "b:1"}}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			view := &directory.View{Endpoints: map[serving.EndpointID]*serving.Endpoint{}}
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -22,7 +22,7 @@
 
 // limited has an endpoint name a limit.
 func (w *world) limited(id serving.EndpointID) {
-	w.relay.options.Limits.Named(w.view.Endpoints[id].Life(), 1, time.Now())
+	w.relay.options.Limits.Named(w.view.Endpoints[id].Incarnation(), 1, time.Now())
 }
 
 func TestWhatALimitedEndpointCannotTakeGoesToAnother(t *testing.T) {
@@ -99,12 +99,12 @@
 			w := newWorld(t, nil, []*endpoint{newEndpoint(t, hangUp)})
 			e := w.view.Endpoints["h0"]
 			if test.before > 0 {
-				w.relay.options.Limits.Named(e.Life(), test.before, time.Now())
+				w.relay.options.Limits.Named(e.Incarnation(), test.before, time.Now())
 			}
 			c := &call{Relay: w.relay}
 			v := Verdict{Signed: test.signed, NotRun: test.notRun, Limit: test.answer}
 			c.noteLimit(target{Endpoint: e}, v, &flight{began: time.Now().Add(time.Millisecond)}, test.status)
-			require.InDelta(t, test.want, w.relay.options.Limits.Known(e.Life()).PerSecond, 0)
+			require.InDelta(t, test.want, w.relay.options.Limits.Known(e.Incarnation()).PerSecond, 0)
 		})
 	}
 }
--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -162,7 +162,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	added := &Endpoint{Endpoint: e}
-	added.Born = f.nextBorn(0)
+	added.StartedAt = f.nextStart(0)
 	f.endpoints[e.ID] = added
 	f.write(added)
 }
@@ -201,7 +201,7 @@
 	f.write(e)
 }
 
-// Crash ends a life of an endpoint without a word; its row stays as it was.
+// Crash ends an incarnation of an endpoint without a word; its row stays as it was.
 func (f *Fleet) Crash(id serving.EndpointID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -209,18 +209,18 @@
 	e.gone, e.unreachable = true, true
 }
 
-// Restart begins a new life of an endpoint under the id that it had: it holds and knows
+// Restart begins a new incarnation of an endpoint under the id that it had: it holds and knows
 // nothing of before, but for what is staged on its host.
 func (f *Fleet) Restart(id serving.EndpointID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.endpoints[id]
-	// What was under way in the life before acts on its own record.
+	// What was under way in the incarnation before acts on its own record.
 	before.gone = true
 	f.leaves(before)
 	fresh := &Endpoint{Endpoint: before.Endpoint}
 	fresh.Model, fresh.Leaving, fresh.Writes = "", false, 0
-	fresh.Born = f.nextBorn(before.Born)
+	fresh.StartedAt = f.nextStart(before.StartedAt)
 	f.endpoints[id] = fresh
 	f.write(fresh)
 }
@@ -229,11 +229,11 @@
 func (f *Fleet) StartedAt(id serving.EndpointID) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.endpoints[id].Born
+	return f.endpoints[id].StartedAt
 }
 
-// nextBorn returns when a life begins that follows another one.
-func (f *Fleet) nextBorn(before int64) int64 { return max(before+1, time.Now().UnixMilli()) }
+// nextStart returns when an incarnation begins that follows another one.
+func (f *Fleet) nextStart(before int64) int64 { return max(before+1, time.Now().UnixMilli()) }
 
 // Broken returns the promises that were broken, in order.
 func (f *Fleet) Broken() []string {
@@ -365,7 +365,7 @@
 	defer f.mu.Unlock()
 	f.reports++
 	return serving.Report{
-		Born:       e.Born,
+		StartedAt:  e.StartedAt,
 		Membership: e.group.Membership,
 		Model:      e.Model,
 		Staged:     slices.Clone(e.Staged),
@@ -465,7 +465,7 @@
 }
 
 // checkEpoch notes an epoch that is given out twice: to two lists of members, or again to an
-// endpoint that was in a group of it in another life or has left it.
+// endpoint that was in a group of it in another incarnation or has left it.
 func (f *Fleet) checkEpoch(e *Endpoint, o serving.Order) {
 	if known, ok := f.lists[o.Epoch]; ok && (known.group != o.Group || !slices.Equal(known.members, o.Members)) && known.domain == e.Domain {
 		f.broken = append(f.broken, fmt.Sprintf("epoch %d is of %s with %v and of %s with %v", o.Epoch, known.group, known.members, o.Group, o.Members))
--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -9,22 +9,22 @@
 )
 
 const (
-	// mostRecords bounds the lives of which a Book knows a limit.
+	// mostRecords bounds the incarnations of which a Book knows a limit.
 	mostRecords = 4096
 	// endedFor is how long a limit that has ended is remembered, so that word of it that
 	// is older than its end does not bring it back.
 	endedFor = time.Minute
 )
 
-// Record is the limit of one life of an endpoint.
+// Record is the limit of one incarnation of an endpoint.
 type Record struct {
-	Life serving.Life
+	Life serving.Incarnation
 	Limit
 }
 
 // Book is what one node knows of endpoints' limits.
 type Book struct {
-	records map[serving.Life]*entry
+	records map[serving.Incarnation]*entry
 	// version counts changes; each entry has that of its last one.
 	version uint64
 }
@@ -35,11 +35,11 @@
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{records: map[serving.Life]*entry{}} }
+func NewBook() *Book { return &Book{records: map[serving.Incarnation]*entry{}} }
 
-// Get returns what is known of a life; the zero value is without a limit.
-func (b *Book) Get(life serving.Life) Limit {
-	if e := b.records[life]; e != nil {
+// Get returns what is known of an incarnation; the zero value is without a limit.
+func (b *Book) Get(incarnation serving.Incarnation) Limit {
+	if e := b.records[incarnation]; e != nil {
 		return e.Limit
 	}
 	return Limit{}
@@ -58,14 +58,14 @@
 
 // Note takes what an endpoint said, here or to another node, and reports whether the limit
 // has changed by it. What is older than what is known says nothing.
-func (b *Book) Note(life serving.Life, l Limit) (changed bool) {
-	e := b.records[life]
+func (b *Book) Note(incarnation serving.Incarnation, l Limit) (changed bool) {
+	e := b.records[incarnation]
 	if e == nil && (!l.InForce() || len(b.records) >= mostRecords) {
 		return false
 	}
 	if e == nil {
 		e = &entry{}
-		b.records[life] = e
+		b.records[incarnation] = e
 	} else if !l.At.After(e.At) {
 		return false
 	}
@@ -82,9 +82,9 @@
 // that changed first first, and the version up to which no other has.
 func (b *Book) Changes(since uint64, most int) ([]Record, uint64) {
 	var out []Record
-	for life, e := range b.records {
+	for incarnation, e := range b.records {
 		if e.version > since {
-			out = append(out, Record{life, e.Limit})
+			out = append(out, Record{incarnation, e.Limit})
 		}
 	}
 	slices.SortFunc(out, func(x, y Record) int { return cmp.Compare(b.records[x.Life].version, b.records[y.Life].version) })
@@ -94,11 +94,11 @@
 	return out[:most], b.records[out[most-1].Life].version
 }
 
-// Forget drops the lives that are over, and limits that ended long ago.
-func (b *Book) Forget(lives func(serving.Life) bool, now time.Time) {
-	for life, e := range b.records {
-		if !lives(life) || !e.InForce() && now.Sub(e.At) > endedFor {
-			delete(b.records, life)
+// Forget drops the incarnations that are over, and limits that ended long ago.
+func (b *Book) Forget(incarnations func(serving.Incarnation) bool, now time.Time) {
+	for incarnation, e := range b.records {
+		if !incarnations(incarnation) || !e.InForce() && now.Sub(e.At) > endedFor {
+			delete(b.records, incarnation)
 		}
 	}
 }
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -8,7 +8,7 @@
 
 import "time"
 
-// Limit is what one life of an endpoint last said of how much it takes.
+// Limit is what one incarnation of an endpoint last said of how much it takes.
 type Limit struct {
 	// PerSecond is the number of requests a second from all nodes together; zero is
 	// without a limit.
--- a/pkg/limit/pacer.go
+++ b/pkg/limit/pacer.go
@@ -18,7 +18,7 @@
 	chanceShare = 0.8
 )
 
-// Pacer gives out the places of one life of an endpoint, for all nodes. The zero value has
+// Pacer gives out the places of one incarnation of an endpoint, for all nodes. The zero value has
 // none to give yet: the node that gave them out before may just have given the last.
 type Pacer struct {
 	places float64
@@ -43,7 +43,7 @@
 }
 
 // Share is what one node takes of a limit by itself. The zero value has nothing yet: the
-// node's earlier life may have taken all.
+// node's earlier incarnation may have taken all.
 type Share struct {
 	places float64
 	at     time.Time
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -73,11 +73,11 @@
 	return e.clone(), true
 }
 
-// Ended notes that an endpoint's life has ended while it ran a request, and reports
+// Ended notes that an endpoint's incarnation has ended while it ran a request, and reports
 // whether that is news.
-func (l *List) Ended(f Fingerprint, life Life, now time.Time) bool {
+func (l *List) Ended(f Fingerprint, incarnation Incarnation, now time.Time) bool {
 	e := l.entry(f, now)
-	if !e.addEnd(End{life, now}) {
+	if !e.addEnd(End{incarnation, now}) {
 		return false
 	}
 	l.changed(e, now)
--- a/pkg/quarantine/list_test.go
+++ b/pkg/quarantine/list_test.go
@@ -27,7 +27,7 @@
 func TestWhichRequestsAreNotSent(t *testing.T) {
 	type step struct {
 		at     float64
-		end    Life
+		end    Incarnation
 		served bool
 	}
 	for _, test := range []struct {
@@ -71,7 +71,7 @@
 func TestEndsThatDifferentNodesSawCountTogether(t *testing.T) {
 	lists := []*List{NewList(), NewList(), NewList()}
 	for i, l := range lists {
-		l.Ended(content(1), Life(i+1), at(float64(i)))
+		l.Ended(content(1), Incarnation(i+1), at(float64(i)))
 	}
 	swap(lists[0], lists[1], at(3))
 	swap(lists[0], lists[1], at(3))
@@ -89,7 +89,7 @@
 	saw, served := NewList(), NewList()
 	served.Served(content(1), at(0))
 	for i := range 3 {
-		saw.Ended(content(1), Life(i+1), at(1))
+		saw.Ended(content(1), Incarnation(i+1), at(1))
 	}
 	require.True(t, blocked(saw, 1))
 	swap(saw, served, at(1.1))
@@ -139,9 +139,9 @@
 	l.Ended(content(100), 1, at(0))
 	l.Ended(content(101), 1, at(0))
 	l.Served(content(101), at(1))
-	for life := range Life(2) {
+	for incarnation := range Incarnation(2) {
 		for i := range uint64(5 * inMessage) {
-			l.Ended(content(i), life, at(2+float64(life)))
+			l.Ended(content(i), incarnation, at(2+float64(incarnation)))
 		}
 	}
 	seen := map[Fingerprint]bool{}
@@ -163,7 +163,7 @@
 func TestOneRequestIsTriedAfterAWhile(t *testing.T) {
 	l := NewList()
 	for i := range 3 {
-		l.Ended(content(1), Life(i+1), at(0))
+		l.Ended(content(1), Incarnation(i+1), at(0))
 	}
 	require.False(t, l.Try(content(1), at(1)))
 	require.True(t, l.Try(content(1), at(31)))
@@ -235,8 +235,8 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	l := NewList()
-	for life := range Life(3) {
-		l.Ended(content(1), life, at(0))
+	for incarnation := range Incarnation(3) {
+		l.Ended(content(1), incarnation, at(0))
 	}
 	const flood = 20 * mostRecords
 	for i := range uint64(flood) {
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// Life names one life of an endpoint.
-type Life uint64
+// Incarnation names one incarnation of an endpoint.
+type Incarnation uint64
 
 // End is the end of an endpoint while it ran a request.
 type End struct {
-	Life Life
-	At   time.Time
+	Incarnation Incarnation
+	At          time.Time
 }
 
 // Record is what is known of the requests of one content.
 type Record struct {
 	Fingerprint Fingerprint
-	// Ends are those of different lives since the request was last served, in the order
+	// Ends are those of different incarnations since the request was last served, in the order
 	// of their times.
 	Ends []End
 	// Served is when such a request was last answered whole; zero is never.
@@ -82,7 +82,7 @@
 
 // addEnd adds an end and reports whether it is a new one that counts.
 func (r *Record) addEnd(end End) bool {
-	known := func(other End) bool { return other.Life == end.Life }
+	known := func(other End) bool { return other.Incarnation == end.Incarnation }
 	if len(r.Ends) >= mostEnds || !end.At.After(r.Served) || slices.ContainsFunc(r.Ends, known) {
 		return false
 	}
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -13,7 +13,7 @@
 )
 
 // EndpointID names an endpoint. A restart may give a new one, or keep it: then
-// Endpoint.Born tells the lives apart.
+// Endpoint.StartedAt tells the incarnations apart.
 type EndpointID string
 
 // DataCentre names a data centre.
@@ -212,12 +212,12 @@
 	State MemberState
 }
 
-// Endpoint is what is known about one life of an endpoint.
+// Endpoint is what is known about one incarnation of an endpoint.
 type Endpoint struct {
 	ID EndpointID
-	// Born is when this life began, in Unix milliseconds by the endpoint's clock; zero
+	// StartedAt is when this incarnation began, in Unix milliseconds by the endpoint's clock; zero
 	// if it does not say.
-	Born       int64
+	StartedAt  int64
 	Service    string
 	Address    string
 	DataCentre DataCentre
@@ -225,30 +225,30 @@
 	Domain  string
 	Slots   int
 	Leaving bool
-	// Writes counts the writes of its row in this life: of two rows of one life that with
+	// Writes counts the writes of its row in this incarnation: of two rows of one incarnation that with
 	// the smaller count is the older.
 	Writes uint64
-	// Model is that of its last group in this life, which it can start at once;
+	// Model is that of its last group in this incarnation, which it can start at once;
 	// Staged models are on the endpoint's host.
 	Model      string
 	Staged     []string
 	Membership Membership
 }
 
-// Life names one life of an endpoint: after a restart it knows nothing of before, and
+// Incarnation names one incarnation of an endpoint: after a restart it knows nothing of before, and
 // nothing that it said before holds.
-type Life struct {
+type Incarnation struct {
 	ID EndpointID
-	// Born is as in Endpoint.
-	Born int64
+	// StartedAt is as in Endpoint.
+	StartedAt int64
 }
 
-// Life returns the life that a record is of.
-func (e *Endpoint) Life() Life { return Life{e.ID, e.Born} }
+// Incarnation returns the incarnation that a record is of.
+func (e *Endpoint) Incarnation() Incarnation { return Incarnation{e.ID, e.StartedAt} }
 
 // Same reports whether two records of an endpoint say the same.
 func (e *Endpoint) Same(other *Endpoint) bool {
-	return e.ID == other.ID && e.Born == other.Born && e.Service == other.Service && e.Address == other.Address &&
+	return e.ID == other.ID && e.StartedAt == other.StartedAt && e.Service == other.Service && e.Address == other.Address &&
 		e.DataCentre == other.DataCentre && e.Domain == other.Domain && e.Slots == other.Slots &&
 		e.Leaving == other.Leaving && e.Model == other.Model && e.Membership == other.Membership &&
 		slices.Equal(e.Staged, other.Staged)
@@ -256,13 +256,13 @@
 
 // Report is what an endpoint said when it was asked.
 type Report struct {
-	// Born is when the life began that answered, as in Endpoint.
-	Born       int64
+	// StartedAt is when the incarnation began that answered, as in Endpoint.
+	StartedAt  int64
 	Membership Membership
 	Model      string
 	Staged     []string
 	Domain     string
-	// Orders counts the orders that this life of the endpoint has taken.
+	// Orders counts the orders that this incarnation of the endpoint has taken.
 	Orders uint64
 	// Busy is set while an order is under way.
 	Busy    bool
