Rename limits to throttle, places to permits, news to deltas

internal/limits is internal/throttle with a Tracker in place of a Keeper, pkg/limit is pkg/ratelimit (pacing) and pkg/advisory (what endpoints say), internal/news is internal/delta. The message of a limit is EndpointAdvisory. Tests keep their assertions. No behaviour changes.

--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/ridgehinge/ridgehinge/internal/news"
+	"github.com/ridgehinge/ridgehinge/internal/delta"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
 )
@@ -12,7 +12,7 @@
 type peerNews struct {
 	// incarnation is the peer's life that was told.
 	incarnation uint64
-	link        news.Link
+	link        delta.Cursor
 	heard       time.Time
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,7 +122,7 @@
 		Demand:      demand,
 		Budget:      e.budget,
 		Quarantine:  e.share.quarantine.list,
-		Limits:      e.share.limits,
+		Throttle:    e.share.throttle,
 		Clock:       e.clock,
 		Metrics:     e.metrics,
 		StallAfter:  s.StallAfter,
@@ -143,7 +143,7 @@
 		Now:         e.clock.Now,
 		Demand:      e.share.controlDemand,
 		LastEvent:   e.lastEvent(),
-		Limit:       func(ep *serving.Endpoint) float64 { return e.share.limits.Known(ep.Incarnation()).PerSecond },
+		Limit:       func(ep *serving.Endpoint) float64 { return e.share.throttle.RateLimit(ep.Incarnation()).PerSecond },
 		Weights:     s.Policy.Groups,
 		LeaseTTL:    s.LeaseTTL,
 		LeaseOutage: s.Policy.LeaseOutage,
@@ -236,7 +236,7 @@
 func (e *Entry) keepHouse(now time.Time) {
 	listed := e.directory.View().Endpoints
 	e.balancer.Forget(listed)
-	e.share.limits.Forget(listed, now)
+	e.share.throttle.Forget(listed, now)
 	e.upstream.Prune(now)
 	e.reportState()
 }
@@ -275,7 +275,7 @@
 	known, blocked := e.share.quarantine.list.Counts()
 	e.metrics.Set("contents_that_ended_endpoints", float64(known))
 	e.metrics.Set("contents_in_quarantine", float64(blocked))
-	e.metrics.Set("endpoints_limited", float64(e.share.limits.InForce()))
+	e.metrics.Set("endpoints_limited", float64(e.share.throttle.RateLimited()))
 	e.metrics.Set("requests_in_progress", float64(e.relay.InProgress()))
 	e.metrics.Set("connections_opened", float64(e.upstream.Opened()))
 	e.metrics.Set("log_lines_dropped", float64(logging.Dropped()))
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -9,16 +9,16 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ridgehinge/ridgehinge/internal/delta"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
-	"github.com/ridgehinge/ridgehinge/internal/limits"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
-	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -116,10 +116,9 @@
 	// observationsSeen that of this node's that it has.
 	observations     uint64
 	observationsSeen uint64
-	// quarantine is the same for requests that ended endpoints, limits for those of
-	// endpoints.
-	quarantine news.Link
-	limits     news.Link
+	// quarantine and advisories track what was exchanged of them.
+	quarantine delta.Cursor
+	advisories delta.Cursor
 	// behindSince is when it was first found to lack all endpoints, zero while
 	// it does not.
 	behindSince time.Time
@@ -134,7 +133,7 @@
 	demand     *relay.Demand
 	budget     *relay.Budget
 	quarantine *quarantineTable
-	limits     *limits.Keeper
+	throttle   *throttle.Tracker
 	store      table.Store
 	client     *peers.Client
 	log        logging.Logger
@@ -217,9 +216,9 @@
 		began:     time.Now(),
 	}
 	sh.quarantine = newQuarantineTable(poison.NewQuarantine(sh.triesQuarantined), store)
-	sh.limits = limits.NewKeeper(limits.Options{Ask: sh.askPlace, Nodes: sh.allNodes, Metrics: m})
+	sh.throttle = throttle.NewTracker(throttle.Options{Ask: sh.askPermit, Nodes: sh.allNodes, Metrics: m})
 	b.OnSuspect(sh.hurry)
-	b.SetFull(sh.limits.Full)
+	b.SetFull(sh.throttle.Exhausted)
 	sh.addSeeds(s.Seeds)
 	return sh
 }
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -356,10 +356,10 @@
 	require.True(t, s.asked.Load())
 }
 
-// Who is asked for a place at an endpoint that limits what it takes: the relay of its data
+// Who is asked for a permit at an endpoint that limits what it takes: the relay of its data
 // centre, by other nodes through their own. A node that has just started knows nobody, and
 // takes itself for the relay.
-func TestWhoGivesPlacesOut(t *testing.T) {
+func TestAllocator_IsTheRelayOfTheDataCentre(t *testing.T) {
 	now := time.Now()
 	other := func(s *sharing) { s.peers["10.0.0.1:1"].relays = true }
 	tests := map[string]struct {
@@ -373,12 +373,12 @@
 	}{
 		"a node asks its relay":                      {life: "n99", dc: "dc0", age: time.Minute, want: "10.0.0.0:1"},
 		"and for other data centres too":             {life: "n99", dc: "dc1", age: time.Minute, want: "10.0.0.0:1"},
-		"the relay gives its own out":                {life: "a", dc: "dc0", age: time.Minute, want: "10.0.0.100:1", self: true},
+		"the relay allocates its own":                {life: "a", dc: "dc0", age: time.Minute, want: "10.0.0.100:1", self: true},
 		"and asks the relay of the other":            {life: "a", dc: "dc1", age: time.Minute, prepare: other, want: "10.0.0.1:1"},
 		"which it may not hear":                      {life: "a", dc: "dc1", age: time.Minute, unknown: true},
-		"one that has just started gives none out":   {life: "a", dc: "dc0", age: grantAfter / 2, unknown: true},
-		"one that has just started may ask its own":  {life: "n99", dc: "dc0", age: grantAfter / 2, want: "10.0.0.0:1"},
-		"one that has just started may ask an other": {life: "a", dc: "dc1", age: grantAfter / 2, prepare: other, want: "10.0.0.1:1"},
+		"one that has just started allocates none":   {life: "a", dc: "dc0", age: allocateAfter / 2, unknown: true},
+		"one that has just started may ask its own":  {life: "n99", dc: "dc0", age: allocateAfter / 2, want: "10.0.0.0:1"},
+		"one that has just started may ask an other": {life: "a", dc: "dc1", age: allocateAfter / 2, prepare: other, want: "10.0.0.1:1"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
+	"github.com/ridgehinge/ridgehinge/internal/delta"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
-	"github.com/ridgehinge/ridgehinge/internal/news"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
@@ -41,8 +41,8 @@
 	if known := s.peers[address]; known != nil && known.id != m.GetFrom().GetId() {
 		// A new life has nothing of what the last one was told.
 		known.observations, known.observationsSeen = 0, 0
-		known.quarantine = news.Link{}
-		known.limits = news.Link{}
+		known.quarantine = delta.Cursor{}
+		known.advisories = delta.Cursor{}
 	}
 	p := s.meet(address, m.GetFrom().GetId(), m.GetFrom().GetDataCentre())
 	if p == nil {
@@ -71,7 +71,7 @@
 	p.observations = m.GetObservationsVersion()
 	p.observationsSeen = m.GetObservationsSeen()
 	s.quarantine.list.TakeNews(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
-	s.limits.TakeNews(&p.limits, m.GetLimits(), "node "+m.GetFrom().GetId(), now)
+	s.throttle.ApplyDelta(&p.advisories, m.GetAdvisories(), "node "+m.GetFrom().GetId(), now)
 	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand())}
 	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand())}
 	p.suspects = p.suspects[:0]
@@ -133,7 +133,7 @@
 	s.addRelayed(m, p, now)
 	s.addObservations(m, p, now)
 	m.Quarantine = s.quarantine.list.News(&p.quarantine, now)
-	m.Limits = s.limits.News(&p.limits, now)
+	m.Advisories = s.throttle.Delta(&p.advisories, now)
 	if p.spoke && p.configuration < version && now.Sub(p.heard) < sayAllAfter {
 		m.Configuration = s.compressed.of(version, value)
 	}
--- a/internal/entry/suspension.go
+++ b/internal/entry/suspension.go
@@ -25,7 +25,7 @@
 	e.suspended = suspended
 	e.directory.Suspended(since)
 	e.share.suspended(since)
-	e.share.limits.Suspended(since)
+	e.share.throttle.Suspended(since)
 	e.metrics.Set("suspended_seconds", suspended.Seconds())
 }
 
--- a/internal/peers/share.go
+++ b/internal/peers/share.go
@@ -17,9 +17,9 @@
 type ShareHandler interface {
 	// Share takes a peer's message and returns this node's.
 	Share(ctx context.Context, m *ShareMessage) (*ShareMessage, error)
-	// Place gives out a place at an endpoint that limits how much it takes, or passes the
+	// AcquirePermit allocates a permit at an endpoint that limits how much it takes, or passes the
 	// request on to the node that does.
-	Place(ctx context.Context, q *sharepb.PlaceRequest) (*sharepb.PlaceAnswer, error)
+	AcquirePermit(ctx context.Context, q *sharepb.PermitRequest) (*sharepb.PermitAnswer, error)
 }
 
 // ListenShare starts a server for Share calls on an IP address and port.
@@ -35,9 +35,9 @@
 	})
 }
 
-// Place asks the peer at an address for a place. Calls may run beside each other.
-func (c *Client) Place(ctx context.Context, address string, q *sharepb.PlaceRequest) (*sharepb.PlaceAnswer, error) {
-	return swap(ctx, c, address, q, func(conn *drpcconn.Conn) (*sharepb.PlaceAnswer, error) {
-		return sharepb.NewDRPCSharingClient(conn).Place(ctx, q)
+// AcquirePermit asks the peer at an address for a permit. Calls may run beside each other.
+func (c *Client) AcquirePermit(ctx context.Context, address string, q *sharepb.PermitRequest) (*sharepb.PermitAnswer, error) {
+	return swap(ctx, c, address, q, func(conn *drpcconn.Conn) (*sharepb.PermitAnswer, error) {
+		return sharepb.NewDRPCSharingClient(conn).AcquirePermit(ctx, q)
 	})
 }
--- a/internal/peers/share_bench_test.go
+++ b/internal/peers/share_bench_test.go
@@ -8,18 +8,18 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 )
 
-// allocator grants every place.
+// allocator grants every permit.
 type allocator struct{}
 
 func (allocator) Share(_ context.Context, m *ShareMessage) (*ShareMessage, error) { return m, nil }
 
-func (allocator) Place(_ context.Context, q *sharepb.PlaceRequest) (*sharepb.PlaceAnswer, error) {
-	return &sharepb.PlaceAnswer{Granted: true, Limit: q.GetLimit()}, nil
+func (allocator) AcquirePermit(_ context.Context, q *sharepb.PermitRequest) (*sharepb.PermitAnswer, error) {
+	return &sharepb.PermitAnswer{Granted: true, Advisory: q.GetAdvisory()}, nil
 }
 
-// What a request for a place at a limited endpoint costs both nodes together, on loopback and
+// What a request for a permit at a limited endpoint costs both nodes together, on loopback and
 // on a kept connection. Before there were limits a request cost none.
-func BenchmarkPlace(b *testing.B) {
+func BenchmarkAcquirePermit(b *testing.B) {
 	server, err := ListenShare("127.0.0.1:0", []byte("a key of the benchmark"), link.New(nil), allocator{})
 	if err != nil {
 		b.Fatal(err)
@@ -27,11 +27,11 @@
 	defer server.Close()
 	client := NewClient([]byte("a key of the benchmark"), link.New(nil))
 	defer client.Close()
-	q := &sharepb.PlaceRequest{Limit: &sharepb.EndpointLimit{Endpoint: "i-0123456789", StartedAt: 1_796_275_439_253, PerSecond: 1.3, AgeMs: 400}, DataCentre: "north"}
+	q := &sharepb.PermitRequest{Advisory: &sharepb.EndpointAdvisory{Endpoint: "i-0123456789", StartedAt: 1_796_275_439_253, PerSecond: 1.3, AgeMs: 400}, DataCentre: "north"}
 	bytes := client.Bytes()
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := client.Place(context.Background(), server.Address(), q); err != nil {
+		if _, err := client.AcquirePermit(context.Background(), server.Address(), q); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/poison/news.go
+++ b/internal/poison/news.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
-	"github.com/ridgehinge/ridgehinge/internal/news"
+	"github.com/ridgehinge/ridgehinge/internal/delta"
 	"github.com/ridgehinge/ridgehinge/internal/peers/quarantinepb"
 	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
@@ -16,18 +16,18 @@
 
 // News returns what the peer has not heard yet, and what this node has heard of it; nil is
 // nothing, which takes no byte of a message.
-func (q *Quarantine) News(l *news.Link, now time.Time) *quarantinepb.News {
-	records, version := q.Changes(l.Told(), recordsTold)
-	if version == 0 && l.Heard() == 0 {
+func (q *Quarantine) News(l *delta.Cursor, now time.Time) *quarantinepb.News {
+	records, version := q.Changes(l.Acked(), recordsTold)
+	if version == 0 && l.Received() == 0 {
 		return nil
 	}
-	return &quarantinepb.News{Records: toWire(records, now), Version: version, Seen: l.Heard()}
+	return &quarantinepb.News{Records: toWire(records, now), Version: version, Seen: l.Received()}
 }
 
 // TakeNews merges what a peer tells, by whose word.
-func (q *Quarantine) TakeNews(l *news.Link, told *quarantinepb.News, word string, now time.Time) {
+func (q *Quarantine) TakeNews(l *delta.Cursor, told *quarantinepb.News, word string, now time.Time) {
 	q.Take(fromWire(told.GetRecords(), now), word, now)
-	l.Take(told.GetVersion(), told.GetSeen())
+	l.Advance(told.GetVersion(), told.GetSeen())
 }
 
 func toWire(records []quarantine.Record, now time.Time) []*quarantinepb.Record {
--- a/internal/poison/news_test.go
+++ b/internal/poison/news_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/ridgehinge/ridgehinge/internal/news"
+	"github.com/ridgehinge/ridgehinge/internal/delta"
 	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
@@ -42,7 +42,7 @@
 		known = append(known, r)
 	}
 	q.Take(known, "test", now)
-	told := q.News(&news.Link{}, now)
+	told := q.News(&delta.Cursor{}, now)
 	t.Logf("%d bytes of a message with %d records of three ends", proto.Size(told), len(told.GetRecords()))
 	require.Len(t, told.GetRecords(), recordsTold)
 	require.LessOrEqual(t, proto.Size(told), 5<<10)
@@ -52,7 +52,7 @@
 func TestNodesTellEachOther(t *testing.T) {
 	now := time.Now()
 	north, south := NewQuarantine(nobody), NewQuarantine(nobody)
-	var ofNorth, ofSouth news.Link
+	var ofNorth, ofSouth delta.Cursor
 	exchange := func() (told int) {
 		word := north.News(&ofSouth, now)
 		south.TakeNews(&ofNorth, word, "north", now)
@@ -71,7 +71,7 @@
 	}
 	exchange()
 	require.Zero(t, exchange(), "what is known is not told again")
-	south, ofSouth, ofNorth = NewQuarantine(nobody), news.Link{}, news.Link{}
+	south, ofSouth, ofNorth = NewQuarantine(nobody), delta.Cursor{}, delta.Cursor{}
 	exchange()
 	_, admitted := south.Admits(f, now)
 	require.False(t, admitted)
--- a/internal/poison/watch_test.go
+++ b/internal/poison/watch_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/ridgehinge/ridgehinge/internal/news"
+	"github.com/ridgehinge/ridgehinge/internal/delta"
 	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
@@ -155,7 +155,7 @@
 	at := Incarnation{Endpoint: "e", StartedAt: 7, Address: "a:1"}
 	f := quarantine.Fingerprint{1}
 	first, second := NewQuarantine(nobody), NewQuarantine(nobody)
-	var ofFirst, ofSecond news.Link
+	var ofFirst, ofSecond delta.Cursor
 	sent := time.Now()
 	NewWatch(first, none, network.dial).Broken(f, at, sent, time.Now())
 	require.Eventually(t, func() bool { return endsOf(first, f) == 1 }, patience, time.Millisecond)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -133,11 +133,11 @@
 	switch {
 	case v.Limit.Unreadable != "":
 		c.log.Warn("an endpoint names a limit that cannot be read; what is known stays in force", "request", c.attrs.ID,
-			"endpoint", string(t.ID), "limit", fmt.Sprintf("%.100q", v.Limit.Unreadable), "in_force", c.options.Limits.Known(t.Incarnation()).PerSecond)
+			"endpoint", string(t.ID), "limit", fmt.Sprintf("%.100q", v.Limit.Unreadable), "in_force", c.options.Throttle.RateLimit(t.Incarnation()).PerSecond)
 	case v.Limit.PerSecond > 0:
-		c.options.Limits.Named(t.Incarnation(), v.Limit.PerSecond, now)
+		c.options.Throttle.SetLimit(t.Incarnation(), v.Limit.PerSecond, now)
 	default:
-		c.options.Limits.NotNamed(t.Incarnation(), f.began, now)
+		c.options.Throttle.ClearLimit(t.Incarnation(), f.began, now)
 	}
 }
 
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -48,7 +48,7 @@
 func (c *call) choose(ctx context.Context, now time.Time) (target, refusal) {
 	for range mostAsked {
 		t, no := c.pick(now)
-		if t.Endpoint == nil || c.options.Limits.Place(ctx, t.Endpoint) {
+		if t.Endpoint == nil || c.options.Throttle.Acquire(ctx, t.Endpoint) {
 			return t, no
 		}
 		now = time.Now()
@@ -81,18 +81,18 @@
 		no.after = c.options.Balancer.weights.OverloadReturn
 	case choice.Limited > 0:
 		no.cause = causeLimited
-		no.after = c.options.Limits.Return(endpointsOf(heads), now)
+		no.after = c.options.Throttle.LimitRetryAfter(endpointsOf(heads), now)
 	}
 	return target{}, no
 }
 
 // noPlain is why a request to a plain service has no target.
 func (c *call) noPlain(endpoints []*serving.Endpoint, now time.Time) refusal {
-	full := slices.ContainsFunc(endpoints, func(e *serving.Endpoint) bool { return c.options.Limits.Full(e, now) })
+	full := slices.ContainsFunc(endpoints, func(e *serving.Endpoint) bool { return c.options.Throttle.Exhausted(e, now) })
 	if !full {
 		return refusal{cause: causeNoEndpoint, after: noTargetReturn}
 	}
-	return refusal{cause: causeLimited, after: c.options.Limits.Return(endpoints, now)}
+	return refusal{cause: causeLimited, after: c.options.Throttle.LimitRetryAfter(endpoints, now)}
 }
 
 func endpointsOf(heads []*directory.Head) []*serving.Endpoint {
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -8,27 +8,27 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/ridgehinge/ridgehinge/internal/limits"
-	"github.com/ridgehinge/ridgehinge/pkg/limit"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
+	"github.com/ridgehinge/ridgehinge/pkg/advisory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 // denied has the places of all endpoints denied for a while.
-func denied(wait time.Duration) limits.Options {
-	return limits.Options{Ask: func(context.Context, *serving.Endpoint, limit.Limit) (limits.Answer, error) {
-		return limits.Answer{Wait: wait}, nil
+func denied(wait time.Duration) throttle.Options {
+	return throttle.Options{Ask: func(context.Context, *serving.Endpoint, advisory.RateLimit) (throttle.Permit, error) {
+		return throttle.Permit{Wait: wait}, nil
 	}}
 }
 
 // limited has an endpoint name a limit.
 func (w *world) limited(id serving.EndpointID) {
-	w.relay.options.Limits.Named(w.view.Endpoints[id].Incarnation(), 1, time.Now())
+	w.relay.options.Throttle.SetLimit(w.view.Endpoints[id].Incarnation(), 1, time.Now())
 }
 
 func TestWhatALimitedEndpointCannotTakeGoesToAnother(t *testing.T) {
 	a, b := newEndpoint(t, events(1, 2, whole)), newEndpoint(t, events(1, 2, whole))
 	w := newWorld(t, nil, []*endpoint{a, b})
-	w.useLimits(limits.NewKeeper(denied(time.Second)))
+	w.useThrottle(throttle.NewTracker(denied(time.Second)))
 	w.limited("h0")
 	for range 5 {
 		require.Equal(t, http.StatusOK, w.serve(request(hostStream)).status)
@@ -41,7 +41,7 @@
 	for _, host := range []string{hostStream, hostOnce} {
 		e := newEndpoint(t, events(1, 2, whole))
 		w := newWorld(t, []*endpoint{e}, []*endpoint{e})
-		w.useLimits(limits.NewKeeper(denied(time.Second)))
+		w.useThrottle(throttle.NewTracker(denied(time.Second)))
 		w.limited("h0")
 		w.limited("p0")
 		began := time.Now()
@@ -60,7 +60,7 @@
 func TestATryThatALimitKeepsBackIsNotTakenFromTheBudget(t *testing.T) {
 	a, b := newEndpoint(t, events(1, 3, broken)), newEndpoint(t, events(4, 5, whole))
 	w := newWorld(t, nil, []*endpoint{a, b})
-	w.useLimits(limits.NewKeeper(denied(10 * time.Second)))
+	w.useThrottle(throttle.NewTracker(denied(10 * time.Second)))
 	w.limited("h1")
 	before := w.relay.options.Budget.State("llm", time.Now())
 	out := w.serve(request(hostStream))
@@ -99,17 +99,17 @@
 			w := newWorld(t, nil, []*endpoint{newEndpoint(t, hangUp)})
 			e := w.view.Endpoints["h0"]
 			if test.before > 0 {
-				w.relay.options.Limits.Named(e.Incarnation(), test.before, time.Now())
+				w.relay.options.Throttle.SetLimit(e.Incarnation(), test.before, time.Now())
 			}
 			c := &call{Relay: w.relay}
 			v := Verdict{Signed: test.signed, NotRun: test.notRun, Limit: test.answer}
 			c.noteLimit(target{Endpoint: e}, v, &flight{began: time.Now().Add(time.Millisecond)}, test.status)
-			require.InDelta(t, test.want, w.relay.options.Limits.Known(e.Incarnation()).PerSecond, 0)
+			require.InDelta(t, test.want, w.relay.options.Throttle.RateLimit(e.Incarnation()).PerSecond, 0)
 		})
 	}
 }
 
-func (w *world) useLimits(k *limits.Keeper) {
-	w.relay.options.Limits = k
-	w.relay.options.Balancer.SetFull(k.Full)
+func (w *world) useThrottle(tracker *throttle.Tracker) {
+	w.relay.options.Throttle = tracker
+	w.relay.options.Balancer.SetFull(tracker.Exhausted)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,10 +9,10 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
-	"github.com/ridgehinge/ridgehinge/internal/limits"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -27,10 +27,10 @@
 	Budget     *Budget
 	Demand     *Demand
 	Quarantine *poison.Quarantine
-	// Limits is what is known of endpoints that limit how much they take.
-	Limits  *limits.Keeper
-	Clock   *clock.Clock
-	Metrics *metrics.Metrics
+	// Throttle is what endpoints asked for in their answers.
+	Throttle *throttle.Tracker
+	Clock    *clock.Clock
+	Metrics  *metrics.Metrics
 	// StallAfter is how long an endpoint may be silent on all of its
 	// requests before a resumable stream goes on elsewhere.
 	StallAfter time.Duration
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -21,10 +21,10 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 	"github.com/ridgehinge/ridgehinge/internal/invariant"
-	"github.com/ridgehinge/ridgehinge/internal/limits"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -248,7 +248,7 @@
 		Demand:      NewDemand(),
 		Budget:      oldBudget(0.2, 1000, 1),
 		Quarantine:  poison.NewQuarantine(func() bool { return false }),
-		Limits:      limits.NewKeeper(limits.Options{}),
+		Throttle:    throttle.NewTracker(throttle.Options{}),
 		Clock:       clock.New(),
 		Metrics:     m,
 		StallAfter:  300 * time.Millisecond,
--- a/pkg/limit/pacer.go
+++ b/pkg/ratelimit/pacer.go
@@ -1,4 +1,4 @@
-package limit
+package ratelimit
 
 import "time"
 
--- a/pkg/limit/ways_test.go
+++ b/pkg/ratelimit/ways_test.go
@@ -1,4 +1,4 @@
-package limit_test
+package ratelimit_test
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/ridgehinge/ridgehinge/pkg/limit"
+	"github.com/ridgehinge/ridgehinge/pkg/ratelimit"
 )
 
 // What endpoints bear in any window.
@@ -95,7 +95,7 @@
 
 // placesAsked has one node give the places out.
 func (tr traffic) placesAsked() way {
-	var pacer limit.Pacer
+	var pacer ratelimit.Pacer
 	return func(_ int, now time.Time) bool {
 		granted, _ := pacer.Take(tr.perSecond, now)
 		return granted
@@ -105,7 +105,7 @@
 // ownShares has each node take its part by chance, as while nobody can be asked.
 func (tr traffic) ownShares(seed uint64) way {
 	random := rand.New(rand.NewPCG(seed, 3))
-	shares := make([]limit.Share, tr.nodes)
+	shares := make([]ratelimit.Share, tr.nodes)
 	return func(node int, now time.Time) bool {
 		return shares[node].Take(tr.perSecond, tr.nodes, random.Float64, now)
 	}
