--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -276,6 +276,7 @@
 	e.metrics.Set("contents_that_ended_endpoints", float64(known))
 	e.metrics.Set("contents_in_quarantine", float64(blocked))
 	e.metrics.Set("endpoints_limited", float64(e.share.throttle.RateLimited()))
+	e.metrics.Set("endpoints_cooling_down", float64(e.share.throttle.CoolingDown()))
 	e.metrics.Set("requests_in_progress", float64(e.relay.InProgress()))
 	e.metrics.Set("connections_opened", float64(e.upstream.Opened()))
 	e.metrics.Set("log_lines_dropped", float64(logging.Dropped()))
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -218,7 +218,7 @@
 	sh.quarantine = newQuarantineTable(poison.NewQuarantine(sh.triesQuarantined), store)
 	sh.throttle = throttle.NewTracker(throttle.Options{Ask: sh.askPermit, Nodes: sh.allNodes, Metrics: m})
 	b.OnSuspect(sh.hurry)
-	b.SetFull(sh.throttle.Exhausted)
+	b.SetHold(sh.throttle.Hold)
 	sh.addSeeds(s.Seeds)
 	return sh
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -9,7 +9,9 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
+	"github.com/ridgehinge/ridgehinge/pkg/advisory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -53,16 +55,15 @@
 		}),
 		Body:  c.in.Body,
 		Fresh: c.sends > 0 || !c.route.Repeatable() && c.options.Balancer.isFailing(t.Endpoint, now),
+		Gate:  func() error { return c.gate(t) },
 	}, func(h http.Header) bool { return c.options.Wire.Verdict(h).ID == c.attrs.ID })
 	if errors.Is(err, upstream.ErrNotSent) {
-		c.options.Balancer.Suspect(t.ID, time.Now())
-		c.logAttempt(t, "not sent", err)
-		return c.orEnded(ctx, resultNotRun)
+		return c.notSent(ctx, t, err)
 	}
 	c.sends++
 	if err != nil {
 		c.mayHaveRun = true
-		c.blame(ctx, t, flight)
+		c.recordFailure(ctx, t, flight)
 		c.logAttempt(t, "no answer", errors.Join(err, context.Cause(ctx)))
 		return c.orEnded(ctx, resultBroken)
 	}
@@ -70,18 +71,51 @@
 	return c.judge(ctx, t, flight, response)
 }
 
-// blame counts a try that broke off against its endpoint, unless it was ended from
-// here: by the caller, by the deadline, or because the endpoint had fallen silent. Of one
-// that broke off or fell silent it is found out whether the endpoint has ended, perhaps
-// by this very request.
-func (c *call) blame(ctx context.Context, t target, f *flight) {
+// heldError is why a request that had an endpoint was not sent to it.
+type heldError string
+
+func (e heldError) Error() string { return string(e) }
+
+const errQuarantined heldError = "the request is in quarantine"
+
+// gate is the last check before a request's first byte. The endpoint may have asked for a
+// cooldown, or said that it leaves, while the request waited for a permit or a connection.
+func (c *call) gate(t target) error {
+	now := time.Now()
+	hold := c.options.Throttle.Hold(t.Endpoint, now)
+	if hold == throttle.HoldDraining || hold == throttle.HoldCooldown {
+		c.options.Metrics.Inc("requests_held_back", map[string]string{"by": hold.String()})
+		return heldError("the endpoint is held: " + hold.String())
+	}
+	if !c.options.Quarantine.Sending(c.content, now) {
+		return errQuarantined
+	}
+	return nil
+}
+
+// notSent handles an attempt of which no byte left: it is not charged to the retry budget, and
+// not to the endpoint if the attempt was held back here.
+func (c *call) notSent(ctx context.Context, t target, err error) result {
+	c.options.Budget.Refund(c.service, c.charge, time.Now())
+	c.charge = Charge{}
+	if held := heldError(""); !errors.As(err, &held) {
+		c.options.Balancer.Suspect(t.ID, time.Now())
+	}
+	c.logAttempt(t, "not sent", err)
+	return c.orEnded(ctx, resultNotRun)
+}
+
+// recordFailure charges a broken attempt to its endpoint, unless the caller, the deadline or
+// the stall detector cancelled it. It also starts a crash probe, since the request itself may
+// have crashed the endpoint.
+func (c *call) recordFailure(ctx context.Context, t target, f *flight) {
 	now := time.Now()
 	cause := context.Cause(ctx)
 	if cause == nil && now.Before(c.deadline) {
 		f.note(true, now)
 	}
 	if cause == nil || errors.Is(cause, errStalled) {
-		c.looked = c.crashes.Broken(c.content, poison.Incarnation{Endpoint: t.ID, StartedAt: t.StartedAt, Address: t.Address}, f.began, now)
+		c.crashProbe = c.crashes.Broken(c.content, poison.Incarnation{Endpoint: t.ID, StartedAt: t.StartedAt, Address: t.Address}, f.began, now)
 	}
 }
 
@@ -97,7 +131,7 @@
 	case cause == nil && time.Now().Before(c.deadline), errors.Is(cause, errStalled):
 		return r
 	case cause == nil:
-		c.giveUp(refusal{cause: causeDeadline, after: noTargetReturn})
+		c.giveUp(refusal{cause: causeDeadline, after: defaultRetryAfter})
 	default:
 		c.ended(ctx)
 	}
@@ -107,9 +141,9 @@
 // judge reads an answer's head and passes the answer on if it is one.
 func (c *call) judge(ctx context.Context, t target, flight *flight, response *upstream.Response) result {
 	verdict := c.options.Wire.Verdict(response.Header)
-	c.noteLimit(t, verdict, flight, response.Status)
+	c.observe(t, verdict, flight, response)
 	if verdict.NotRun || response.Status == http.StatusMisdirectedRequest {
-		return c.turnedAway(t, verdict, response)
+		return c.handleRejection(t, verdict, response)
 	}
 	c.mayHaveRun = true
 	if !verdict.Signed || response.Header.Get("Content-Encoding") != "" {
@@ -123,27 +157,24 @@
 	return c.passWhole(ctx, t, flight, response)
 }
 
-// noteLimit takes what the endpoint itself says of how much it takes. A misdirected request
-// may have met another endpoint, which says nothing of this one.
-func (c *call) noteLimit(t target, v Verdict, f *flight, status int) {
-	if !v.Signed && !v.NotRun || status == http.StatusMisdirectedRequest {
+// observe applies what an answer says of its endpoint. An answer that is neither signed nor
+// says that the request did not run may be anybody's, and a misdirected request may have met
+// another endpoint.
+func (c *call) observe(t target, v Verdict, f *flight, response *upstream.Response) {
+	if !v.Signed && !v.NotRun || response.Status == http.StatusMisdirectedRequest {
 		return
 	}
-	now := time.Now()
-	switch {
-	case v.Limit.Unreadable != "":
-		c.log.Warn("an endpoint names a limit that cannot be read; what is known stays in force", "request", c.attrs.ID,
-			"endpoint", string(t.ID), "limit", fmt.Sprintf("%.100q", v.Limit.Unreadable), "in_force", c.options.Throttle.RateLimit(t.Incarnation()).PerSecond)
-	case v.Limit.PerSecond > 0:
-		c.options.Throttle.SetLimit(t.Incarnation(), v.Limit.PerSecond, now)
-	default:
-		c.options.Throttle.ClearLimit(t.Incarnation(), f.began, now)
-	}
+	c.options.Throttle.Observe(advisory.Observation{
+		Endpoint:  t.Incarnation(),
+		Statement: c.options.Wire.Statement(response.Status, response.Header),
+		Sent:      f.began,
+		Request:   c.attrs.ID,
+	}, time.Now())
 }
 
-// turnedAway notes why an endpoint did not run the request.
-func (c *call) turnedAway(t target, v Verdict, response *upstream.Response) result {
-	c.turnedDown++
+// handleRejection notes why an endpoint did not run the request.
+func (c *call) handleRejection(t target, v Verdict, response *upstream.Response) result {
+	c.rejections++
 	at := time.Now()
 	if id := c.endpointNamed(v.AtFault); id != "" {
 		c.options.Balancer.Suspect(id, at)
@@ -153,7 +184,7 @@
 		c.options.Balancer.Suspect(t.ID, at)
 	}
 	drain(response)
-	c.logAttempt(t, "turned away", fmt.Errorf("status %d, at fault %q", response.Status, v.AtFault))
+	c.logAttempt(t, "rejected", fmt.Errorf("status %d, at fault %q, retry after %s", response.Status, v.AtFault, c.options.Wire.Statement(response.Status, response.Header).Cooldown.Value))
 	return resultNotRun
 }
 
@@ -201,7 +232,7 @@
 // requests, if the request may go on elsewhere. Silence alone is no ground to
 // end an answer for good.
 func (c *call) watch(cancel context.CancelCauseFunc, f *flight, predicted Prediction) (stop func()) {
-	if c.route.Kind != serving.KindStream || !c.route.Repeatable() || c.sends+1-c.turnedDown >= c.route.MaxAttempts {
+	if c.route.Kind != serving.KindStream || !c.route.Repeatable() || c.sends+1-c.rejections >= c.route.MaxAttempts {
 		return func() {}
 	}
 	limit := c.stallAfter(predicted)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -25,8 +26,8 @@
 	weights Weights
 	// suspected is called when an endpoint is newly passed over.
 	suspected func()
-	// full reports whether an endpoint takes no more requests for now.
-	full func(e *serving.Endpoint, now time.Time) bool
+	// hold tells why an endpoint may be sent nothing now.
+	hold func(e *serving.Endpoint, now time.Time) throttle.Hold
 	// remotes are the other data centres.
 	remotes map[serving.DataCentre]*remote
 	// told is what other nodes find.
@@ -41,7 +42,7 @@
 // differently, so each gives its own source.
 func NewBalancer(home serving.DataCentre, source rand.Source, weights Weights) *Balancer {
 	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remote{}, random: rand.New(source), weights: weights, suspected: func() {},
-		full: func(*serving.Endpoint, time.Time) bool { return false }}
+		hold: func(*serving.Endpoint, time.Time) throttle.Hold { return throttle.HoldNone }}
 }
 
 func (b *Balancer) load(id serving.EndpointID) *load {
@@ -95,9 +96,11 @@
 // set before the balancer is used, and must not wait.
 func (b *Balancer) OnSuspect(f func()) { b.suspected = f }
 
-// SetFull sets what reports whether an endpoint takes no more requests for now. It is set
-// before the balancer is used, and must not call it.
-func (b *Balancer) SetFull(full func(e *serving.Endpoint, now time.Time) bool) { b.full = full }
+// SetHold sets what tells why an endpoint may be sent nothing now. It is set before the
+// balancer is used, and must not call it.
+func (b *Balancer) SetHold(hold func(e *serving.Endpoint, now time.Time) throttle.Hold) {
+	b.hold = hold
+}
 
 // Suspects returns the endpoints that are passed over now.
 func (b *Balancer) Suspects(now time.Time) []serving.EndpointID {
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -120,27 +120,47 @@
 	newest.earned += earnShare * b.ratio
 }
 
+// Charge is what a repeat took of the budget.
+type Charge struct{ earned, slack float64 }
+
 // Repeat asks for one more sending of a request, and counts it if granted.
-func (b *Budget) Repeat(service string, now time.Time) bool {
+func (b *Budget) Repeat(service string, now time.Time) (charge Charge, granted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.advance(service, now)
 	s := b.state(w, now)
 	left := s.Earned + s.Slack
-	granted := left >= 1
+	granted = left >= 1
 	if !granted && (b.chance == nil || left <= 0) {
-		return false
+		return Charge{}, false
 	}
 	newest := w.at(w.newest)
 	spent := min(1, left)
-	newest.slack += spent - w.spendEarned(spent)
+	charge.earned = w.spendEarned(spent)
+	charge.slack = spent - charge.earned
+	newest.slack += charge.slack
 	if !granted {
 		granted = b.chance() < chanceShare*left
 	}
 	if granted {
 		newest.repeats++
 	}
-	return granted
+	return charge, granted
+}
+
+// Refund returns what a repeat took that was not sent after all. The zero charge is that of a
+// first attempt.
+func (b *Budget) Refund(service string, c Charge, now time.Time) {
+	if c == (Charge{}) {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.advance(service, now)
+	newest := w.at(w.newest)
+	newest.repeats--
+	newest.earned += c.earned
+	newest.slack -= c.slack
 }
 
 // BudgetState is what one service's budget is decided by, for logs and metrics.
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -97,7 +97,7 @@
 				life.Request("llm", now)
 				seen.Request(now)
 				wanted := c.wanted >= 1 || random.Float64() < c.wanted
-				if wanted && step >= stepOf(12*time.Second) && life.Repeat("llm", now) {
+				if wanted && step >= stepOf(12*time.Second) && repeats(life, "llm", now) {
 					seen.Repeat(now)
 				}
 			}
@@ -229,7 +229,7 @@
 func grants(b *Budget, now time.Time) int {
 	n := 0
 	for range 100 {
-		if b.Repeat("llm", now) {
+		if repeats(b, "llm", now) {
 			n++
 		}
 	}
@@ -260,8 +260,8 @@
 	for range 100 {
 		b.Request("llm", now)
 	}
-	require.True(t, b.Repeat("llm", now.Add(4*time.Second)))
-	require.False(t, b.Repeat("llm", now.Add(5*time.Second)))
+	require.True(t, repeats(b, "llm", now.Add(4*time.Second)))
+	require.False(t, repeats(b, "llm", now.Add(5*time.Second)))
 }
 
 func TestALifeSpendsNoSlackUntilItIsAWindowOld(t *testing.T) {
@@ -280,7 +280,7 @@
 	b := oldBudget(0.2, 20, 2)
 	now := time.Now()
 	require.Equal(t, 8, grants(b, now))
-	require.True(t, b.Repeat("shop", now))
+	require.True(t, repeats(b, "shop", now))
 	state := b.Tightest(now)
 	require.Equal(t, 8, state.Repeats)
 	require.InDelta(t, 8.5, state.Allowed(), 1e-9)
@@ -292,6 +292,34 @@
 	b.Request("llm", now)
 	// Goroutines read the clock before they take the lock.
 	b.Request("llm", now.Add(-time.Second))
-	require.True(t, b.Repeat("llm", now.Add(-2*time.Second)))
-	require.True(t, b.Repeat("llm", now.Add(time.Second)))
+	require.True(t, repeats(b, "llm", now.Add(-2*time.Second)))
+	require.True(t, repeats(b, "llm", now.Add(time.Second)))
+}
+
+// repeats asks for a repeat and reports whether it was granted.
+func repeats(b *Budget, service string, now time.Time) bool {
+	_, granted := b.Repeat(service, now)
+	return granted
+}
+
+func TestRefund_ReturnsWhatARepeatTook(t *testing.T) {
+	start := time.Now()
+	b := NewBudget(0.2, 2, 10*time.Second, 1)
+	b.chance = nil
+	now := start.Add(20 * time.Second)
+	for range 8 {
+		b.Request("llm", now)
+	}
+	before := b.State("llm", now)
+	for range 50 {
+		charge, granted := b.Repeat("llm", now)
+		require.True(t, granted)
+		b.Refund("llm", charge, now)
+	}
+	after := b.State("llm", now)
+	require.InDelta(t, before.Earned, after.Earned, 1e-9)
+	require.InDelta(t, before.Slack, after.Slack, 1e-9)
+	require.Equal(t, before.Repeats, after.Repeats)
+	b.Refund("llm", Charge{}, now)
+	require.Equal(t, after, b.State("llm", now))
 }
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -36,27 +37,28 @@
 	causeOnce       = "it may not run twice"
 	causeDeadline   = "deadline"
 	causeQuarantine = "requests like this one have ended the endpoints that ran them"
-	causeLimited    = "the endpoints left take no more requests for now"
+	causeLimited    = "the endpoints left have no permit of their rate limits"
+	causeCooldown   = "the endpoints left have asked for a cooldown"
 )
 
-// mostAsked bounds the endpoints that a request asks for a place, each of which takes a way
-// to another node and back.
-const mostAsked = 8
+// maxPermitAsks bounds the endpoints at which a request asks for a permit, each of which takes
+// a way to another node and back.
+const maxPermitAsks = 8
 
-// choose picks an endpoint and takes a place at it if it limits how much it takes, or tells
+// choose picks an endpoint and takes a permit of it if it limits how much it takes, or tells
 // why there is none.
 func (c *call) choose(ctx context.Context, now time.Time) (target, refusal) {
-	for range mostAsked {
+	for range maxPermitAsks {
 		t, no := c.pick(now)
 		if t.Endpoint == nil || c.options.Throttle.Acquire(ctx, t.Endpoint) {
 			return t, no
 		}
 		now = time.Now()
 	}
-	return target{}, refusal{cause: causeLimited, after: noTargetReturn}
+	return target{}, refusal{cause: causeLimited, after: defaultRetryAfter}
 }
 
-// pick picks an endpoint that is not known to have no place, or tells why there is none.
+// pick picks an endpoint that may be sent a request, or tells why there is none.
 func (c *call) pick(now time.Time) (target, refusal) {
 	view := c.options.View()
 	service := view.Configuration.Services[c.service]
@@ -72,27 +74,38 @@
 	if choice.Head != nil {
 		return target{choice.Head.Endpoint, choice.Predicted, choice.Head}, refusal{}
 	}
-	no := refusal{cause: causeSuspected, after: noTargetReturn, choice: choice}
+	no := refusal{cause: causeSuspected, after: defaultRetryAfter, choice: choice}
 	switch {
 	case choice.Groups == 0:
 		no.cause = causeNoGroup
 	case choice.Full+choice.Late > 0:
 		no.cause = causeFull
-		no.after = c.options.Balancer.weights.OverloadReturn
-	case choice.Limited > 0:
-		no.cause = causeLimited
-		no.after = c.options.Throttle.LimitRetryAfter(endpointsOf(heads), now)
+		no.after = c.options.Balancer.weights.OverloadRetryAfter
+	case choice.CoolingDown+choice.Limited > 0:
+		no = c.held(endpointsOf(heads), now)
+		no.choice = choice
 	}
 	return target{}, no
 }
 
 // noPlain is why a request to a plain service has no target.
 func (c *call) noPlain(endpoints []*serving.Endpoint, now time.Time) refusal {
-	full := slices.ContainsFunc(endpoints, func(e *serving.Endpoint) bool { return c.options.Throttle.Exhausted(e, now) })
-	if !full {
-		return refusal{cause: causeNoEndpoint, after: noTargetReturn}
+	isHeld := func(e *serving.Endpoint) bool { return c.options.Throttle.Hold(e, now) > throttle.HoldDraining }
+	if !slices.ContainsFunc(endpoints, isHeld) {
+		return refusal{cause: causeNoEndpoint, after: defaultRetryAfter}
 	}
-	return refusal{cause: causeLimited, after: c.options.Throttle.LimitRetryAfter(endpoints, now)}
+	return c.held(endpoints, now)
+}
+
+// held is why a request has no target where all endpoints that are left are held. Its caller
+// may come back when the first of them takes requests again.
+func (c *call) held(endpoints []*serving.Endpoint, now time.Time) refusal {
+	cooldown := c.options.Throttle.CooldownRetryAfter(endpoints, now)
+	limit := c.options.Throttle.LimitRetryAfter(endpoints, now)
+	if cooldown > 0 && (limit == 0 || cooldown < limit) {
+		return refusal{cause: causeCooldown, after: cooldown}
+	}
+	return refusal{cause: causeLimited, after: limit}
 }
 
 func endpointsOf(heads []*directory.Head) []*serving.Endpoint {
@@ -111,13 +124,17 @@
 	resumePoll = 50 * time.Millisecond
 )
 
-// await picks an endpoint. A stream that was under way at another endpoint
-// waits a little for one.
+// await picks an endpoint. A stream that was under way at another endpoint waits a little for
+// one. One that no endpoint has begun does not wait for a cooldown: its end is known, and the
+// caller may reach another node.
 func (c *call) await(ctx context.Context) (target, refusal) {
 	t, no := c.choose(ctx, time.Now())
 	if t.Endpoint != nil || c.sends == 0 || c.route.Kind != serving.KindStream {
 		return t, no
 	}
+	if no.cause == causeCooldown && !c.begun {
+		return t, no
+	}
 	limit := time.NewTimer(resumeWait)
 	defer limit.Stop()
 	ticker := time.NewTicker(resumePoll)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -90,7 +90,7 @@
 	w.view.Heads[pool] = all[quarantine.Limit:]
 	out := w.serve(poison)
 	require.Equal(t, http.StatusServiceUnavailable, out.status)
-	require.Equal(t, quarantineReturn.String(), out.header.Get("After"))
+	require.Equal(t, quarantineRetryAfter.String(), out.header.Get("After"))
 	require.Empty(t, heads[quarantine.Limit].arrivals())
 	innocent := request(hostStream)
 	innocent.URI += "&other"
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -23,10 +24,10 @@
 	// beyond which a request is turned away: what it would add to a group that is
 	// behind makes those after it late as well.
 	LateFactor float64
-	// OverloadReturn is after what time callers may come back that found all
+	// OverloadRetryAfter is after what time callers may come back that found all
 	// groups full: it leaves time for the prompts ahead to be read, and for an
 	// answer that is still in time.
-	OverloadReturn time.Duration
+	OverloadRetryAfter time.Duration
 	// CutOff has a data centre passed over of which several endpoints failed in
 	// a row.
 	CutOff bool
@@ -41,14 +42,14 @@
 
 // DefaultWeights were found by the rounds in docs/DECISIONS.md.
 var DefaultWeights = Weights{
-	RemotePenalty:  50 * time.Millisecond,
-	DrawPower:      2,
-	LateFactor:     1.5,
-	OverloadReturn: 100 * time.Millisecond,
-	CutOff:         true,
-	Failures:       health.Compare,
-	ObservedPace:   true,
-	SharedEvents:   true,
+	RemotePenalty:      50 * time.Millisecond,
+	DrawPower:          2,
+	LateFactor:         1.5,
+	OverloadRetryAfter: 100 * time.Millisecond,
+	CutOff:             true,
+	Failures:           health.Compare,
+	ObservedPace:       true,
+	SharedEvents:       true,
 }
 
 // degradedPenalty keeps requests off a group with a leaving member while there
@@ -74,8 +75,11 @@
 	Full       int
 	// Late are predicted to have the first event too late.
 	Late int
-	// Limited take no more requests for now.
-	Limited int
+	// Limited have no permit of their rate limit, CoolingDown have asked this node to send
+	// nothing for a while, and Draining leave.
+	Limited     int
+	CoolingDown int
+	Draining    int
 }
 
 // ChooseHead draws a group, the likelier the sooner the request is predicted to
@@ -97,16 +101,20 @@
 		if underWay {
 			slots = int(overfull * float64(slots))
 		}
-		switch {
+		switch hold := b.hold(h.Endpoint, now); {
 		case h.Incomplete:
 			c.Incomplete++
 		case slices.Contains(failed, h.ID):
 			c.Tried++
+		case hold == throttle.HoldDraining:
+			c.Draining++
+		case hold == throttle.HoldCooldown:
+			c.CoolingDown++
 		case now.Before(l.suspectUntil), b.isCutOff(h.DataCentre, now):
 			c.Suspected++
 		case predicted.Running >= slots:
 			c.Full++
-		case b.full(h.Endpoint, now):
+		case hold == throttle.HoldRateLimit:
 			c.Limited++
 		case !underWay && s.late(predicted, b.weights.LateFactor):
 			c.Late++
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
+	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/advisory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -71,25 +72,47 @@
 	require.InDelta(t, before.Slack, after.Slack, 0.01)
 }
 
+// endpointAnswer is what is known of the head of an answer.
+type endpointAnswer struct {
+	signed bool
+	notRun bool
+	status int
+}
+
+// observe has the relay look at such an answer of an endpoint.
+func (a endpointAnswer) observe(w *world, e *serving.Endpoint) {
+	c := &call{Relay: w.relay}
+	v := Verdict{Signed: a.signed, NotRun: a.notRun}
+	c.observe(target{Endpoint: e}, v, &flight{began: time.Now().Add(time.Millisecond)}, &upstream.Response{Status: a.status})
+}
+
+// stating is a wire whose answers all say the same of their endpoints.
+type stating struct {
+	testWire
+	statement advisory.Statement
+}
+
+func (w stating) Statement(int, http.Header) advisory.Statement { return w.statement }
+
 // An answer tells of the limit also when it breaks off or says that the request did not run.
 func TestAnswersTellOfLimits(t *testing.T) {
 	tests := map[string]struct {
-		answer NamedLimit
+		answer advisory.Advertised[float64]
 		before float64
 		signed bool
 		notRun bool
 		status int
 		want   float64
 	}{
-		"named":                           {answer: NamedLimit{PerSecond: 2}, signed: true, status: 200, want: 2},
-		"named by one that did not run":   {answer: NamedLimit{PerSecond: 2}, notRun: true, status: 503, want: 2},
-		"named by another endpoint":       {answer: NamedLimit{PerSecond: 2}, notRun: true, status: 421},
-		"named by nobody":                 {answer: NamedLimit{PerSecond: 2}, status: 200},
-		"changed":                         {answer: NamedLimit{PerSecond: 2}, before: 5, signed: true, status: 200, want: 2},
+		"named":                           {answer: advisory.Advertised[float64]{Value: 2}, signed: true, status: 200, want: 2},
+		"named by one that did not run":   {answer: advisory.Advertised[float64]{Value: 2}, notRun: true, status: 503, want: 2},
+		"named by another endpoint":       {answer: advisory.Advertised[float64]{Value: 2}, notRun: true, status: 421},
+		"named by nobody":                 {answer: advisory.Advertised[float64]{Value: 2}, status: 200},
+		"changed":                         {answer: advisory.Advertised[float64]{Value: 2}, before: 5, signed: true, status: 200, want: 2},
 		"not named any more":              {before: 5, signed: true, status: 200},
 		"not named by another endpoint":   {before: 5, notRun: true, status: 421, want: 5},
-		"unreadable says nothing":         {answer: NamedLimit{Unreadable: "few"}, before: 5, signed: true, status: 200, want: 5},
-		"unreadable brings no limit":      {answer: NamedLimit{Unreadable: "few"}, signed: true, status: 200},
+		"unreadable says nothing":         {answer: advisory.Advertised[float64]{Unreadable: "few"}, before: 5, signed: true, status: 200, want: 5},
+		"unreadable brings no limit":      {answer: advisory.Advertised[float64]{Unreadable: "few"}, signed: true, status: 200},
 		"not named by one that failed":    {before: 5, signed: true, status: 500},
 		"not named by one that is busy":   {before: 5, notRun: true, status: 503},
 		"not named by one that is no one": {before: 5, status: 200, want: 5},
@@ -101,9 +124,8 @@
 			if test.before > 0 {
 				w.relay.options.Throttle.SetLimit(e.Incarnation(), test.before, time.Now())
 			}
-			c := &call{Relay: w.relay}
-			v := Verdict{Signed: test.signed, NotRun: test.notRun, Limit: test.answer}
-			c.noteLimit(target{Endpoint: e}, v, &flight{began: time.Now().Add(time.Millisecond)}, test.status)
+			w.relay.options.Wire = stating{statement: advisory.Statement{RateLimit: test.answer}}
+			endpointAnswer{test.signed, test.notRun, test.status}.observe(w, e)
 			require.InDelta(t, test.want, w.relay.options.Throttle.RateLimit(e.Incarnation()).PerSecond, 0)
 		})
 	}
@@ -111,5 +133,5 @@
 
 func (w *world) useThrottle(tracker *throttle.Tracker) {
 	w.relay.options.Throttle = tracker
-	w.relay.options.Balancer.SetFull(tracker.Exhausted)
+	w.relay.options.Balancer.SetHold(tracker.Hold)
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -31,7 +32,7 @@
 		e := endpoints[(i+b.turn)%len(endpoints)]
 		l := b.load(e.ID)
 		l.dataCentre = e.DataCentre
-		if slices.Contains(failed, e.ID) || b.isCutOff(e.DataCentre, now) || b.full(e, now) {
+		if slices.Contains(failed, e.ID) || b.isCutOff(e.DataCentre, now) || b.hold(e, now) != throttle.HoldNone {
 			continue
 		}
 		score := 2 * (l.running + l.peers.Running)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -26,6 +26,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/poison"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
+	"github.com/ridgehinge/ridgehinge/pkg/advisory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -70,6 +71,8 @@
 	return Verdict{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", AtFault: h.Get("At-Fault")}
 }
 
+func (testWire) Statement(int, http.Header) advisory.Statement { return advisory.Statement{} }
+
 func (testWire) Answer(h http.Header) http.Header { return h.Clone() }
 
 func (testWire) OwnAnswer(id string, after time.Duration) http.Header {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -48,14 +48,16 @@
 	suspended time.Duration
 	// deadline is when the caller, or the route's bound, gives up.
 	deadline time.Time
-	// sends counts the endpoints that the request was sent to, and turnedDown
-	// those of them that said that they did not run it.
+	// sends counts the endpoints that the request was sent to, and rejections those of them
+	// that said that they did not run it.
 	sends      int
-	turnedDown int
+	rejections int
+	// charge is what the attempt under way took of the retry budget.
+	charge     Charge
 	mayHaveRun bool
 	failed     []serving.EndpointID
-	// looked is closed when it is known why the last attempt broke off.
-	looked <-chan struct{}
+	// crashProbe is closed when it is known why the last attempt broke off.
+	crashProbe <-chan struct{}
 	// begun is set once a part of the answer has left.
 	begun     bool
 	lastEvent string
@@ -85,11 +87,11 @@
 	c.class = r.class(c.workspace, c.service)
 	c.noteDemand()
 	if progress > int64(r.options.MaxRequests) {
-		c.refuse(refusal{cause: "this node has too many requests in progress", after: r.options.Balancer.weights.OverloadReturn})
+		c.refuse(refusal{cause: "this node has too many requests in progress", after: r.options.Balancer.weights.OverloadRetryAfter})
 		return
 	}
 	if r.draining.Load() {
-		c.refuse(refusal{cause: "this node is stopping", after: stoppingReturn})
+		c.refuse(refusal{cause: "this node is stopping", after: stoppingRetryAfter})
 		return
 	}
 	ctx, cancel := withLimit(ctx, c.deadline)
@@ -103,15 +105,15 @@
 
 // Times after which callers may come back.
 const (
-	// unreadyReturn is for a node that knows no configuration yet.
-	unreadyReturn = 500 * time.Millisecond
-	// stoppingReturn is for a node that stops: others serve.
-	stoppingReturn = 50 * time.Millisecond
-	// quarantineReturn is when a request that ends endpoints may be tried again: its
+	// unreadyRetryAfter is for a node that knows no configuration yet.
+	unreadyRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is for a node that stops: others serve.
+	stoppingRetryAfter = 50 * time.Millisecond
+	// quarantineRetryAfter is when a request that ends endpoints may be tried again: its
 	// caller's next tries would be refused as well.
-	quarantineReturn = quarantine.TrialAfter
-	// noTargetReturn leaves time for a group to be repaired.
-	noTargetReturn = 300 * time.Millisecond
+	quarantineRetryAfter = quarantine.TrialAfter
+	// defaultRetryAfter leaves time for a group to be repaired.
+	defaultRetryAfter = 300 * time.Millisecond
 )
 
 const (
@@ -144,7 +146,7 @@
 func (c *call) check() bool {
 	configuration := c.view.Configuration
 	if configuration == nil {
-		c.refuse(refusal{cause: "no configuration is known yet", after: unreadyReturn})
+		c.refuse(refusal{cause: "no configuration is known yet", after: unreadyRetryAfter})
 		return false
 	}
 	c.route = configuration.Match(c.in.Host, c.in.Path)
@@ -210,15 +212,15 @@
 			return
 		}
 		if c.attemptsUsed() {
-			c.giveUp(refusal{cause: causeAttempts, after: noTargetReturn})
+			c.giveUp(refusal{cause: causeAttempts, after: defaultRetryAfter})
 			return
 		}
 		if c.left() < leastTime {
-			c.giveUp(refusal{cause: causeDeadline, after: noTargetReturn})
+			c.giveUp(refusal{cause: causeDeadline, after: defaultRetryAfter})
 			return
 		}
 		if !c.admitted(ctx) {
-			c.giveUp(refusal{cause: causeQuarantine, after: quarantineReturn})
+			c.giveUp(refusal{cause: causeQuarantine, after: quarantineRetryAfter})
 			return
 		}
 		t, no := c.await(ctx)
@@ -227,19 +229,16 @@
 			return
 		}
 		if t.Endpoint == nil {
+			// A cooldown is this node's own: others may be served by the same groups, so it
+			// is no demand for more of them.
 			if no.cause == causeFull || no.cause == causeLimited {
 				c.noteInTime(false, time.Now())
 			}
 			c.giveUp(no)
 			return
 		}
-		if c.sends > 0 && !c.options.Budget.Repeat(c.service, time.Now()) {
-			c.logBudget()
-			c.giveUp(refusal{cause: causeBudget, after: noTargetReturn})
-			return
-		}
-		if !c.options.Quarantine.Sending(c.content, time.Now()) {
-			c.giveUp(refusal{cause: causeQuarantine, after: quarantineReturn})
+		if !c.chargeRetry() {
+			c.giveUp(refusal{cause: causeBudget, after: defaultRetryAfter})
 			return
 		}
 		switch c.attempt(ctx, t) {
@@ -255,10 +254,24 @@
 	}
 }
 
+// chargeRetry takes a retry out of the budget, and reports whether there was one. A first
+// attempt needs none.
+func (c *call) chargeRetry() bool {
+	if c.sends == 0 {
+		return true
+	}
+	charge, granted := c.options.Budget.Repeat(c.service, time.Now())
+	c.charge = charge
+	if !granted {
+		c.logBudget()
+	}
+	return granted
+}
+
 // admitted reports whether the request may be sent to an endpoint. It is asked before each
 // attempt: others may have found meanwhile that the request ends those that run it.
 func (c *call) admitted(ctx context.Context) bool {
-	c.crashes.Await(ctx, c.content, c.looked)
+	c.crashes.Await(ctx, c.content, c.crashProbe)
 	known, admitted := c.options.Quarantine.Admits(c.content, time.Now())
 	if !admitted {
 		c.log.Info("a request is not sent, being in quarantine", "request", c.attrs.ID, "content", c.content,
@@ -277,14 +290,13 @@
 	return time.Until(c.deadline) - (suspended - c.suspended)
 }
 
-// maxTurnedDown bounds the endpoints that may turn a request down beside its
-// route's attempts.
-const maxTurnedDown = 2
+// maxRejections bounds the endpoints that may reject a request beside its route's attempts.
+const maxRejections = 2
 
 // attemptsUsed reports whether the request may be sent no more. An endpoint
 // that did not run it does not count as an attempt, within a bound.
 func (c *call) attemptsUsed() bool {
-	return c.sends-min(c.turnedDown, maxTurnedDown) >= c.route.MaxAttempts
+	return c.sends-min(c.rejections, maxRejections) >= c.route.MaxAttempts
 }
 
 // ended answers a request whose context has ended.
@@ -294,7 +306,7 @@
 		c.out.Cut()
 		return
 	}
-	c.giveUp(refusal{cause: causeDeadline, after: noTargetReturn})
+	c.giveUp(refusal{cause: causeDeadline, after: defaultRetryAfter})
 }
 
 // giveUp gives the final answer of a request that no endpoint answered.
@@ -332,9 +344,9 @@
 		route = c.route.Name
 	}
 	c.log.Info("a request was not served", "request", c.attrs.ID, "content", c.content, "route", route, "model", c.attrs.Model, "workspace", c.workspace,
-		"outcome", string(c.outcome), "cause", no.cause, "return_after", no.after, "sends", c.sends, "may_have_run", c.mayHaveRun, "events", c.events,
+		"outcome", string(c.outcome), "cause", no.cause, "retry_after", no.after, "sends", c.sends, "may_have_run", c.mayHaveRun, "events", c.events,
 		"failed", c.failed, "took", time.Since(c.start), "configuration", c.configurationVersion(),
-		"groups", no.choice.Groups, "full", no.choice.Full, "late", no.choice.Late, "suspected", no.choice.Suspected, "incomplete", no.choice.Incomplete, "limited", no.choice.Limited)
+		"groups", no.choice.Groups, "full", no.choice.Full, "late", no.choice.Late, "suspected", no.choice.Suspected, "incomplete", no.choice.Incomplete, "limited", no.choice.Limited, "cooling_down", no.choice.CoolingDown, "draining", no.choice.Draining)
 }
 
 // refuse answers a request that has not run and never will.
@@ -361,9 +373,9 @@
 }
 
 // answer sends an answer that no endpoint gave.
-func (c *call) answer(status int, text string, returnAfter time.Duration) {
+func (c *call) answer(status int, text string, retryAfter time.Duration) {
 	body := fmt.Appendf(nil, "{\"error\":%q}\n", text)
-	header := c.options.Wire.OwnAnswer(c.attrs.ID, returnAfter)
+	header := c.options.Wire.OwnAnswer(c.attrs.ID, retryAfter)
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	c.begin(status, header)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -24,7 +24,7 @@
 			c.out.End()
 			return resultDone
 		default:
-			c.blame(ctx, t, f)
+			c.recordFailure(ctx, t, f)
 			c.logAttempt(t, "a broken stream", errors.Join(err, context.Cause(ctx)))
 			return c.orEnded(ctx, resultBroken)
 		}
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -36,7 +36,7 @@
 	body, err := io.ReadAll(io.LimitReader(response, maxWhole))
 	f.event(time.Now())
 	if err != nil {
-		c.blame(ctx, t, f)
+		c.recordFailure(ctx, t, f)
 		c.logAttempt(t, "a broken answer", errors.Join(err, context.Cause(ctx)))
 		return c.orEnded(ctx, resultBroken)
 	}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/pkg/advisory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -20,13 +21,15 @@
 	Attributes(h http.Header) (Attributes, error)
 	// Outgoing returns the header for an endpoint.
 	Outgoing(h http.Header, s Sending) http.Header
-	// Verdict reads what an endpoint's answer says about itself.
+	// Verdict reads what an endpoint's answer says of the request.
 	Verdict(h http.Header) Verdict
+	// Statement reads what an endpoint's answer says of the endpoint.
+	Statement(status int, h http.Header) advisory.Statement
 	// Answer returns the header of an endpoint's answer for the caller.
 	Answer(h http.Header) http.Header
 	// OwnAnswer returns the header of an answer that no endpoint gave, with
 	// the time after which to come back if that is not zero.
-	OwnAnswer(id string, returnAfter time.Duration) http.Header
+	OwnAnswer(id string, retryAfter time.Duration) http.Header
 }
 
 // Attributes is what a caller says about a request.
@@ -66,7 +69,7 @@
 	Urgent bool
 }
 
-// Verdict is what an endpoint's answer says about itself.
+// Verdict is what an endpoint's answer says of the request.
 type Verdict struct {
 	ID string
 	// Signed answers come from the endpoint's own run.
@@ -76,18 +79,6 @@
 	// AtFault names the endpoint that a refusal is about, if it says so, by
 	// its id or its address.
 	AtFault string
-	Limit   NamedLimit
-}
-
-// NamedLimit is what an endpoint's answer says of how much it takes. The zero value names no
-// limit.
-type NamedLimit struct {
-	// PerSecond is the number of requests a second from all nodes together, zero if the
-	// answer names none.
-	PerSecond float64
-	// Unreadable is what the answer names in place of a number, for the log. It says
-	// neither that there is a limit nor that there is none.
-	Unreadable string
 }
 
 // RequestError is a mistake in a request, with its remedy.
--- /dev/null
+++ b/internal/throttle/cooldown_test.go
@@ -0,0 +1,92 @@
+package throttle
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/pkg/advisory"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// cooldown is an answer that asks for one.
+func cooldown(span time.Duration) advisory.Observation {
+	return advisory.Observation{Endpoint: endpoint.Incarnation(), Statement: advisory.Statement{Cooldown: advisory.Advertised[time.Duration]{Value: span}}}
+}
+
+func TestCooldown_LatestEndHolds(t *testing.T) {
+	tracker := NewTracker(Options{})
+	now := time.Now()
+	at := func(seconds float64) time.Time { return now.Add(time.Duration(seconds * float64(time.Second))) }
+	tracker.Observe(cooldown(3*time.Second), now)
+	// Neither a shorter one nor an answer without one takes anything back.
+	tracker.Observe(cooldown(100*time.Millisecond), at(1))
+	tracker.Observe(advisory.Observation{Endpoint: endpoint.Incarnation(), Sent: at(1.5)}, at(2))
+	require.Equal(t, HoldCooldown, tracker.Hold(endpoint, at(2.99)))
+	require.Equal(t, HoldNone, tracker.Hold(endpoint, at(3.26)), "jitter is bounded")
+
+	tracker.Observe(cooldown(3*time.Second), at(2))
+	require.Equal(t, HoldCooldown, tracker.Hold(endpoint, at(4.99)))
+	require.Equal(t, HoldNone, tracker.Hold(endpoint, at(5.26)))
+	require.Equal(t, HoldNone, tracker.Hold(&serving.Endpoint{ID: "other"}, at(4)))
+}
+
+func TestCooldown_HoldsForTheIDAcrossRestarts(t *testing.T) {
+	tracker := NewTracker(Options{})
+	now := time.Now()
+	tracker.Observe(cooldown(3*time.Second), now)
+	next := *endpoint
+	next.StartedAt++
+	tracker.Forget(map[serving.EndpointID]*serving.Endpoint{next.ID: &next}, now.Add(time.Second))
+	require.Equal(t, HoldCooldown, tracker.Hold(&next, now.Add(2*time.Second)))
+	require.Equal(t, 1, tracker.CoolingDown())
+	tracker.Forget(nil, now.Add(4*time.Second))
+	require.Zero(t, tracker.CoolingDown())
+}
+
+func TestCooldown_PassesWhileTheMachineIsSuspended(t *testing.T) {
+	tracker := NewTracker(Options{})
+	now := time.Now()
+	tracker.Observe(cooldown(10*time.Second), now)
+	tracker.Suspended(8 * time.Second)
+	require.Equal(t, HoldCooldown, tracker.Hold(endpoint, now.Add(1900*time.Millisecond)))
+	require.Equal(t, HoldNone, tracker.Hold(endpoint, now.Add(2300*time.Millisecond)))
+}
+
+func TestCooldownRetryAfter_IsTheFirstEnd(t *testing.T) {
+	tracker := NewTracker(Options{})
+	now := time.Now()
+	other := &serving.Endpoint{ID: "other"}
+	both := []*serving.Endpoint{endpoint, other}
+	require.Zero(t, tracker.CooldownRetryAfter(both, now))
+	tracker.Observe(cooldown(3*time.Second), now)
+	require.InDelta(t, 3*time.Second, tracker.CooldownRetryAfter(both, now), float64(maxCooldownJitter))
+	o := cooldown(time.Second)
+	o.Endpoint = other.Incarnation()
+	tracker.Observe(o, now)
+	require.InDelta(t, time.Second, tracker.CooldownRetryAfter(both, now), float64(maxCooldownJitter))
+}
+
+func TestObserve_UnreadableValuesChangeNothing(t *testing.T) {
+	tracker := NewTracker(Options{})
+	now := time.Now()
+	tracker.SetLimit(endpoint.Incarnation(), 2, now)
+	tracker.Observe(advisory.Observation{Endpoint: endpoint.Incarnation(), Sent: now.Add(time.Second), Statement: advisory.Statement{
+		RateLimit: advisory.Advertised[float64]{Unreadable: "few"},
+		Cooldown:  advisory.Advertised[time.Duration]{Unreadable: "soon"},
+		Draining:  advisory.Advertised[bool]{Unreadable: "perhaps"},
+	}}, now.Add(2*time.Second))
+	require.EqualValues(t, 2, tracker.RateLimit(endpoint.Incarnation()).PerSecond)
+	require.Equal(t, HoldNone, tracker.Hold(endpoint, now))
+}
+
+// The answer to a control call need not advertise a limit that is in force.
+func TestObserve_ControlAnswersDoNotEndALimit(t *testing.T) {
+	tracker := NewTracker(Options{})
+	now := time.Now()
+	tracker.SetLimit(endpoint.Incarnation(), 2, now)
+	tracker.Observe(advisory.Observation{Endpoint: endpoint.Incarnation()}, now.Add(time.Second))
+	require.Equal(t, 1, tracker.RateLimited())
+}
+
--- a/internal/throttle/tracker.go
+++ b/internal/throttle/tracker.go
@@ -8,6 +8,10 @@
 //
 // A node that cannot reach the allocator takes a small share of the limit by itself: see
 // ratelimit.Share.
+//
+// An endpoint that rejects a request may ask the node for a cooldown, and one that leaves says
+// so in all its answers. Each answer's advisory.Statement comes here through Observe, and each
+// request asks Hold twice: when its endpoint is chosen, and before its first byte is written.
 package throttle
 
 import (
@@ -29,18 +33,24 @@
 	// reached. nil has this node allocate all permits.
 	Ask func(ctx context.Context, e *serving.Endpoint, known advisory.RateLimit) (Permit, error)
 	// Nodes returns how many nodes there are.
-	Nodes   func() int
-	Metrics *metrics.Metrics
+	Nodes func() int
+	// OnDraining is called when an endpoint is newly known to drain; nil does nothing.
+	OnDraining func()
+	Metrics    *metrics.Metrics
 }
 
-// Tracker is what one node knows of endpoints' limits, and the permits that it has allocated.
+// Tracker is what one node knows of endpoints' advisories, and the permits that it has
+// allocated.
 // It is safe for concurrent use.
 type Tracker struct {
 	options Options
 	log     logging.Logger
 	started time.Time
-	// rateLimited is the number of limits, so that requests take no lock while there are none.
+	// These count limits, cooldowns and draining incarnations, so that requests take no lock
+	// while there are none.
 	rateLimited atomic.Int64
+	coolingDown atomic.Int64
+	draining    atomic.Int64
 
 	mu       sync.Mutex
 	registry *advisory.Registry
@@ -51,6 +61,8 @@
 	shares    map[serving.Incarnation]*ratelimit.Share
 	// pacers are of the endpoints whose permits this node allocates.
 	pacers map[serving.Incarnation]*ratelimit.Pacer
+	// cooldowns tells until when endpoints have asked this node to send nothing.
+	cooldowns map[serving.EndpointID]time.Time
 	// unreachable tells until when the allocator of a data centre is not asked.
 	unreachable map[serving.DataCentre]time.Time
 }
@@ -66,8 +78,12 @@
 		promised:    map[serving.Incarnation]time.Time{},
 		shares:      map[serving.Incarnation]*ratelimit.Share{},
 		pacers:      map[serving.Incarnation]*ratelimit.Pacer{},
+		cooldowns:   map[serving.EndpointID]time.Time{},
 		unreachable: map[serving.DataCentre]time.Time{},
 	}
+	if t.options.OnDraining == nil {
+		t.options.OnDraining = func() {}
+	}
 	if t.options.Ask == nil {
 		t.options.Ask = func(_ context.Context, e *serving.Endpoint, known advisory.RateLimit) (Permit, error) {
 			return t.Allocate(e.Incarnation(), known, time.Now()), nil
@@ -98,10 +114,10 @@
 // applyLimitLocked takes what an endpoint said; the caller holds the lock.
 func (t *Tracker) applyLimitLocked(inc serving.Incarnation, l advisory.RateLimit, source string, now time.Time) {
 	before := t.registry.Lookup(inc)
-	if !t.registry.Apply(inc, l) {
+	if !t.registry.ApplyLimit(inc, l) {
 		return
 	}
-	t.rateLimited.Store(int64(t.registry.RateLimited()))
+	t.countLocked()
 	if !l.InForce() {
 		delete(t.exhausted, inc)
 		delete(t.promised, inc)
@@ -120,29 +136,22 @@
 	return t.registry.Lookup(inc)
 }
 
-// Exhausted reports whether an endpoint is known to have no permit now.
-func (t *Tracker) Exhausted(e *serving.Endpoint, now time.Time) bool {
-	if t.rateLimited.Load() == 0 {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Before(t.exhausted[e.Incarnation()])
-}
-
 // RateLimited returns the number of limits that are known.
 func (t *Tracker) RateLimited() int { return int(t.rateLimited.Load()) }
 
 // Forget drops what is known of incarnations that are over.
 func (t *Tracker) Forget(listed map[serving.EndpointID]*serving.Endpoint, now time.Time) {
-	alive := func(inc serving.Incarnation) bool {
-		e := listed[inc.ID]
-		return e != nil && e.StartedAt <= inc.StartedAt
+	startedAt := func(id serving.EndpointID) (int64, bool) {
+		if e := listed[id]; e != nil {
+			return e.StartedAt, true
+		}
+		return 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.registry.Forget(alive, now)
-	t.rateLimited.Store(int64(t.registry.RateLimited()))
+	t.registry.Forget(startedAt, now)
+	t.countLocked()
+	t.expireCooldowns(now)
 	forget(t.exhausted, t.registry)
 	forget(t.promised, t.registry)
 	forget(t.shares, t.registry)
@@ -163,4 +172,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.registry.Age(by)
+	for id, until := range t.cooldowns {
+		t.cooldowns[id] = until.Add(-by)
+	}
+}
+
+// countLocked counts what the registry has; the caller holds the lock.
+func (t *Tracker) countLocked() {
+	limited, draining := t.registry.Counts()
+	t.rateLimited.Store(int64(limited))
+	t.draining.Store(int64(draining))
 }
--- a/internal/throttle/tracker_test.go
+++ b/internal/throttle/tracker_test.go
@@ -92,7 +92,7 @@
 	})
 	tracker.SetLimit(endpoint.Incarnation(), 90, time.Now())
 	require.False(t, tracker.Acquire(t.Context(), endpoint), "a fresh incarnation does not know how many there are")
-	require.True(t, tracker.Exhausted(endpoint, time.Now()))
+	require.Equal(t, HoldRateLimit, tracker.Hold(endpoint, time.Now()))
 	require.False(t, tracker.Acquire(t.Context(), endpoint))
 	require.Equal(t, 1, asked, "who does not answer is not asked by each request")
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -84,6 +84,10 @@
 	// Fresh asks for a new connection: a kept one may have fallen silent, and breaks
 	// where a new one is refused for certain.
 	Fresh bool
+	// Gate is asked when a connection is at hand, before the first byte is written: a dial
+	// takes time, in which the endpoint may have come to be off limits. Its error is that of
+	// Send, as ErrNotSent. nil lets all pass.
+	Gate func() error
 }
 
 // conn is one connection to an endpoint.
@@ -183,6 +187,14 @@
 	c.idle[address] = append(c.idle[address], k)
 }
 
+// putBack keeps a connection that was not used after all.
+func (c *Client) putBack(address string, k *conn, kept bool) {
+	if !kept {
+		k.until = time.Now().Add(c.options.IdleTimeout)
+	}
+	c.put(address, k)
+}
+
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := c.options.Link.Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -220,6 +232,12 @@
 			return nil, fail(ErrNotSent, err)
 		}
 	}
+	if q.Gate != nil {
+		if err := q.Gate(); err != nil {
+			c.putBack(q.Address, k, kept)
+			return nil, fail(ErrNotSent, err)
+		}
+	}
 	deadline, _ := ctx.Deadline()
 	_ = k.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -216,3 +216,30 @@
 		require.Equal(t, test.want, keepFor(http.Header{"Keep-Alive": {test.header}}, time.Minute), test.header)
 	}
 }
+
+// A request that is held back once its connection is open leaves no byte, and the connection
+// for the next one.
+func TestGate_HeldBackRequestsLeaveNoByte(t *testing.T) {
+	arrived := make(chan string, 10)
+	address := scripted(t, func(c net.Conn, r *http.Request, _ int) {
+		arrived <- r.Header.Get("Id")
+		_, _ = io.WriteString(c, answer(r.Header.Get("Id"), "yes"))
+	})
+	client := testClient()
+	errHeld := errors.New("held")
+	for _, id := range []string{"new connection", "kept connection"} {
+		_, err := client.Send(t.Context(), Request{Address: address, Method: http.MethodGet, URI: "/x", Host: "h",
+			Header: http.Header{"Id": {id}}, Gate: func() error { return errHeld }}, func(http.Header) bool { return true })
+		require.ErrorIs(t, err, ErrNotSent)
+		require.ErrorIs(t, err, errHeld)
+	}
+	response, err := ask(client, address, "sent")
+	require.NoError(t, err)
+	body, err := io.ReadAll(response)
+	require.NoError(t, err)
+	require.Equal(t, "yes", string(body))
+	response.Close()
+	require.Equal(t, "sent", <-arrived)
+	require.Empty(t, arrived)
+	require.EqualValues(t, 1, client.Opened())
+}
