directory: endpoints drain by their own word

Nodes passed on answers marked as leaving and went on sending: only the row counted, which lags by seconds or never tells.

The mark counts in any answer: of callers' requests, status reads and orders. It is kept for one incarnation whatever its row says, gossiped to all nodes with the limits, and outlasts its row by two minutes, since rows come back after outages and from older copies of the store. Views show such an endpoint as leaving, so that requests, plans of groups, control and allocators treat it as one whose row says so. The gate before a request's first byte asks as well. The header is still passed on to callers.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -90,6 +90,8 @@
 	// nil means of all. Of others it logs sums.
 	reports  func(serving.DataCentre) bool
 	unlogged changeCount
+	// draining reports whether an incarnation has said itself that it leaves; nil is for none.
+	draining func(serving.Incarnation) bool
 	// returnGrace is for how long after a gap endpoints count as listed whose
 	// rows went in it; zero means not at all.
 	returnGrace time.Duration
@@ -107,6 +109,29 @@
 	d.returnGrace = grace
 }
 
+// SetDraining sets what reports whether an incarnation has said itself that it leaves,
+// whatever its row says. It is set before the directory is used, and must not call it.
+func (d *Directory) SetDraining(draining func(serving.Incarnation) bool) { d.draining = draining }
+
+// Invalidate has the next look see what is known by now of draining endpoints.
+func (d *Directory) Invalidate() { d.publish() }
+
+// drains reports whether an endpoint has said itself that it leaves.
+func (d *Directory) drains(e *serving.Endpoint) bool {
+	return d.draining != nil && d.draining(e.Incarnation())
+}
+
+// marked returns an endpoint as leaving if it has said so itself: rows lag, and those of an
+// older copy of the store or another writer do not tell.
+func (d *Directory) marked(e *serving.Endpoint) *serving.Endpoint {
+	if e.Leaving || !d.drains(e) {
+		return e
+	}
+	leaving := *e
+	leaving.Leaving = true
+	return &leaving
+}
+
 // gapLeast is the time without any row after which the store, or this node's
 // way to it, counts as having been out. Some endpoint's heartbeat changes its
 // row many times a second.
@@ -280,7 +305,9 @@
 	for id, record := range d.endpoints {
 		switch {
 		case record.endpoint != nil:
-			endpoints[id] = record.merged()
+			endpoints[id] = d.marked(record.merged())
+		case record.lapsed != nil && d.drains(record.lapsed):
+			// It has left, as one whose row said so.
 		case record.lapsed != nil && !record.trustedUntil.IsZero():
 			endpoints[id] = record.lapsed
 		case record.lapsed != nil:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
+	"github.com/ridgehinge/ridgehinge/pkg/advisory"
 	"github.com/ridgehinge/ridgehinge/pkg/lease"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -36,8 +37,9 @@
 	Wire  relay.Wire
 	Codec directory.Codec
 	// Store and Endpoints return clients that call through the HTTP client.
-	Store     func(address string, client *http.Client) table.Store
-	Endpoints func(client *http.Client) groupcontrol.Endpoints
+	Store func(address string, client *http.Client) table.Store
+	// Endpoints has observe called with what the answers say of their endpoints.
+	Endpoints func(client *http.Client, observe func(advisory.Observation)) groupcontrol.Endpoints
 	// ReadyPath is asked by the platform's balancer.
 	ReadyPath string
 }
@@ -150,7 +152,7 @@
 		CallTimeout: 250 * time.Millisecond,
 		Tick:        100 * time.Millisecond,
 		DrainWait:   2500 * time.Millisecond,
-	}, e.store, countedEndpoints{a.Endpoints(httpClient(links)), e.metrics}, e.directory, e.share.suspects)
+	}, e.store, countedEndpoints{a.Endpoints(httpClient(links), e.observe), e.metrics}, e.directory, e.share.suspects)
 	e.share.controller = e.controller
 	e.directory.SetReports(e.share.reports)
 	if err := e.listen(a, links); err != nil {
@@ -161,6 +163,17 @@
 	return e, nil
 }
 
+// observe applies what the answer to a control call says of its endpoint. Answers that do not
+// tell their incarnation are of the one that is listed.
+func (e *Entry) observe(o advisory.Observation) {
+	if o.Endpoint.StartedAt == 0 {
+		if listed := e.directory.View().Endpoints[o.Endpoint.ID]; listed != nil {
+			o.Endpoint = listed.Incarnation()
+		}
+	}
+	e.share.throttle.Observe(o, time.Now())
+}
+
 // lastEvent returns what tells the controller which heads give events, or nil.
 func (e *Entry) lastEvent() func(serving.EndpointID) time.Time {
 	if !e.settings.Policy.Relay.SharedEvents {
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -216,7 +216,8 @@
 		began:     time.Now(),
 	}
 	sh.quarantine = newQuarantineTable(poison.NewQuarantine(sh.triesQuarantined), store)
-	sh.throttle = throttle.NewTracker(throttle.Options{Ask: sh.askPermit, Nodes: sh.allNodes, Metrics: m})
+	sh.throttle = throttle.NewTracker(throttle.Options{Ask: sh.askPermit, Nodes: sh.allNodes, OnDraining: d.Invalidate, Metrics: m})
+	d.SetDraining(sh.throttle.Draining)
 	b.OnSuspect(sh.hurry)
 	b.SetHold(sh.throttle.Hold)
 	sh.addSeeds(s.Seeds)
--- a/internal/throttle/cooldown_test.go
+++ b/internal/throttle/cooldown_test.go
@@ -89,4 +89,3 @@
 	tracker.Observe(advisory.Observation{Endpoint: endpoint.Incarnation()}, now.Add(time.Second))
 	require.Equal(t, 1, tracker.RateLimited())
 }
-
--- a/internal/throttle/gossip.go
+++ b/internal/throttle/gossip.go
@@ -25,7 +25,7 @@
 	}
 	out := &sharepb.AdvisoryDelta{Version: version, Seen: c.Received()}
 	for _, r := range records {
-		out.Advisories = append(out.Advisories, ToWire(r.Incarnation, r.RateLimit, now))
+		out.Advisories = append(out.Advisories, recordToWire(r, now))
 	}
 	return out
 }
@@ -36,9 +36,19 @@
 	for _, one := range d.GetAdvisories() {
 		inc, limit := FromWire(one, now)
 		t.applyLimit(inc, limit, source, now)
+		if one.GetDraining() {
+			t.markDraining(inc, source, now)
+		}
 	}
 }
 
+// recordToWire encodes all that an endpoint said.
+func recordToWire(r advisory.Record, now time.Time) *sharepb.EndpointAdvisory {
+	out := ToWire(r.Incarnation, r.RateLimit, now)
+	out.Draining = r.Draining
+	return out
+}
+
 // ToWire encodes a limit for another node, its time as an age.
 func ToWire(inc serving.Incarnation, l advisory.RateLimit, now time.Time) *sharepb.EndpointAdvisory {
 	return &sharepb.EndpointAdvisory{Endpoint: string(inc.ID), StartedAt: inc.StartedAt, PerSecond: l.PerSecond, AgeMs: clock.MillisAgo(l.At, now)}
