relay: send callers back soon when all endpoints cool down

Cooldowns are one node's own, so a caller that comes back on a new connection may be served by another node. It was told the first end of a cooldown, up to three seconds, in which its answer comes to be late.

Ignoring the cooldown breaks what endpoints ask. To share it with all nodes takes a service down whose endpoints all reject a part.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -97,13 +97,14 @@
 	return c.held(endpoints, now)
 }
 
-// held is why a request has no target where all endpoints that are left are held. Its caller
-// may come back when the first of them takes requests again.
+// held is why a request has no target where all endpoints that are left are held. Cooldowns
+// are this node's own: its caller may come back soon, on a new connection, which may reach
+// another node.
 func (c *call) held(endpoints []*serving.Endpoint, now time.Time) refusal {
 	cooldown := c.options.Throttle.CooldownRetryAfter(endpoints, now)
 	limit := c.options.Throttle.LimitRetryAfter(endpoints, now)
 	if cooldown > 0 && (limit == 0 || cooldown < limit) {
-		return refusal{cause: causeCooldown, after: cooldown}
+		return refusal{cause: causeCooldown, after: min(cooldown, c.options.Balancer.weights.OverloadRetryAfter)}
 	}
 	return refusal{cause: causeLimited, after: limit}
 }
