Soak: endpoints that ask for cooldowns and that leave by their own word

Beside one of four faults an endpoint rejects a share of its requests with a Retry-After, or with what is none; beside one of eight an endpoint marks its answers as leaving and ends. In the calm watch one plain endpoint and a worker shed load and another worker leaves, and what reached them is checked.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -27,6 +27,8 @@
 		running.Go(fault)
 		r.drawSilence()
 		r.drawLimit(&running)
+		r.drawRejecting(&running)
+		r.drawLeaving(&running)
 		if step%copyEvery == copyEvery-1 {
 			r.drawRestore(&running, older)
 			older = r.platform.Table.Copy()
@@ -129,6 +131,47 @@
 	})
 }
 
+const (
+	// rejectEvery is the number of faults beside one of which an endpoint sheds load, and
+	// leaveEvery that beside one of which an endpoint says that it leaves.
+	rejectEvery = 4
+	leaveEvery  = 8
+)
+
+// drawRejecting has an endpoint reject a share of its requests for a time, now and then, with
+// a Retry-After or with what is none.
+func (r *Run) drawRejecting(running *sync.WaitGroup) {
+	if r.advisories.IntN(rejectEvery) != 0 {
+		return
+	}
+	id := r.drawEndpoint(r.advisories)
+	share := 0.2 + 0.8*r.advisories.Float64()
+	text := strconv.FormatFloat(0.3+3*r.advisories.Float64(), 'f', 2, 64)
+	if r.advisories.IntN(5) == 0 {
+		text = []string{"", "0", "-3", "NaN", "1e300", "soon"}[r.advisories.IntN(6)]
+	}
+	for_ := time.Duration(500+r.advisories.IntN(3500)) * time.Millisecond
+	running.Go(func() {
+		r.platform.SetRejecting(id, share, text)
+		time.Sleep(for_)
+		r.platform.SetRejecting(id, 0, "")
+	})
+}
+
+// drawLeaving has an endpoint say in its answers that it leaves, now and then, and end.
+func (r *Run) drawLeaving(running *sync.WaitGroup) {
+	if r.advisories.IntN(leaveEvery) != 0 {
+		return
+	}
+	id := r.drawEndpoint(r.advisories)
+	for_ := time.Duration(1000+r.advisories.IntN(3000)) * time.Millisecond
+	running.Go(func() {
+		r.platform.SetLeavingMark(id, "1")
+		time.Sleep(for_)
+		r.platform.Crash(id)
+	})
+}
+
 // drawRestore has the store come back from an older copy, at once, after an outage or twice.
 func (r *Run) drawRestore(running *sync.WaitGroup, older memtable.Copy) {
 	outage := time.Duration(r.copies.IntN(3)) * 700 * time.Millisecond
@@ -172,8 +215,15 @@
 }
 
 // Watch looks at what holds only where nothing is amiss: both plain endpoints and a group's
-// head name limits, and requests that end endpoints go on coming.
+// head name limits, one of them and a worker shed load, another worker leaves, and requests
+// that end endpoints go on coming.
 func (r *Run) Watch(for_ time.Duration) {
+	rejecting := []serving.EndpointID{"s-south", r.drawWorker()}
+	for _, id := range rejecting {
+		r.platform.SetRejecting(id, 0.5, "1.5")
+	}
+	leaving := r.drawWorker()
+	r.platform.SetLeavingMark(leaving, "1")
 	limited := []serving.EndpointID{"s-north", "s-south", r.drawWorker()}
 	for i, id := range limited {
 		r.platform.SetLimit(id, strconv.Itoa(1+i))
@@ -182,6 +232,10 @@
 	for _, id := range limited {
 		r.platform.SetLimit(id, "")
 	}
+	for _, id := range rejecting {
+		r.platform.SetRejecting(id, 0, "")
+	}
+	r.platform.Crash(leaving)
 }
 
 // restart starts a process again, unless another fault has done so.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -9,8 +9,8 @@
 // their rows, leave orders unanswered and carry them out late; endpoints crash, of
 // themselves and by requests that come again and again, and start again under their ids;
 // machines are suspended; another writer leaves rows among those of the endpoints;
-// configurations follow each other; endpoints name limits of what they take; the store comes
-// back from an older copy. Faults come in series and overlap.
+// configurations follow each other; endpoints name limits of what they take, ask for cooldowns
+// and leave by their own word; the store comes back from an older copy. Faults come in series and overlap.
 //
 // Before them all entry instances are killed again and again while answers break off, and
 // after them the promises are looked at that hold only where nothing is amiss.
@@ -31,6 +31,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/dev"
+	"github.com/ridgehinge/ridgehinge/internal/standin/advisorylog"
 	"github.com/ridgehinge/ridgehinge/internal/standin/crashlog"
 	"github.com/ridgehinge/ridgehinge/internal/standin/limitlog"
 	"github.com/ridgehinge/ridgehinge/internal/standin/retrylog"
@@ -78,6 +79,10 @@
 // limitBound is what the users allow an endpoint to get that limits how much it takes.
 var limitBound = limitlog.Bound{Factor: 1.5, Slack: 5, Window: 4 * time.Second, Grace: 3 * time.Second}
 
+// advisoryBound is what the users allow an endpoint to get that has asked for a cooldown, or
+// has said that it leaves.
+var advisoryBound = advisorylog.Bound{Requests: 2, Grace: 500 * time.Millisecond, Drain: 2 * time.Second}
+
 // process is one entry instance.
 type process struct {
 	name     string
@@ -106,8 +111,10 @@
 	// of a seed stay what they were.
 	silences *rand.Rand
 	// copies draws when endpoints name limits and the store comes back from a copy.
-	copies  *rand.Rand
-	entries []*process
+	copies *rand.Rand
+	// advisories draws when endpoints shed load and leave.
+	advisories *rand.Rand
+	entries    []*process
 	// proxies stand before the store, the first, and before each endpoint.
 	proxies []*faultproxy.Proxy
 	version uint64
@@ -124,7 +131,7 @@
 
 // Start starts the platform and the entry instances.
 func Start(o Options) (*Run, error) {
-	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), silences: rand.New(rand.NewPCG(o.Seed, 2)), copies: rand.New(rand.NewPCG(o.Seed, 3)), version: 1, counts: map[string]int{}}
+	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), silences: rand.New(rand.NewPCG(o.Seed, 2)), copies: rand.New(rand.NewPCG(o.Seed, 3)), advisories: rand.New(rand.NewPCG(o.Seed, 4)), version: 1, counts: map[string]int{}}
 	var err error
 	r.platform, err = emulator.StartPlatform(o.Workers, r)
 	if err != nil {
@@ -262,6 +269,9 @@
 	if err := r.platform.Limits.Check(limitBound, r.isCalm); err != nil {
 		broken = append(broken, err.Error())
 	}
+	if err := r.platform.Advisories.Check(advisoryBound, r.isCalm); err != nil {
+		broken = append(broken, err.Error())
+	}
 	return broken
 }
 
