--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -16,7 +16,7 @@
 	netlink "github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/standin/enginestandin"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
@@ -80,7 +80,7 @@
 	self := membership.Node{ID: membership.NodeID(fmt.Sprintf("node-%02d", i)), DataCentre: "dc", Address: "10.0.0.2:70"}
 	options := Options{
 		Self: self, Incarnation: uint64(i + 1), Intervals: DefaultIntervals(),
-		Quarantine: poison.NewQuarantine(func() bool { return false }),
+		Quarantine: quarantine.NewQuarantine(func() bool { return false }),
 		Membership: membership.DefaultOptions(self, 1, time.Time{}), Placement: placement.DefaultOptions(),
 		LeaseTTL: time.Second,
 		Load:     func() map[string]PoolLoad { return map[string]PoolLoad{"model/t": {Slots: 8, Rate: 50}} },
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,7 +21,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 	"github.com/ridgehinge/ridgehinge/pkg/lease"
@@ -98,7 +98,7 @@
 	Engine    *engine.Client
 	Peers     *peers.Client
 	// Quarantine has the requests that end the endpoints that run them.
-	Quarantine *poison.Quarantine
+	Quarantine *quarantine.Quarantine
 	// Load returns what traffic does now, by pool.
 	Load func() map[string]PoolLoad
 	// Publish is called on the loop's goroutine with each new snapshot.
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -23,7 +23,7 @@
 // tellNews adds to a message what the peer has not heard yet of requests that end endpoints:
 // they come again at any node.
 func (l *Loop) tellNews(now time.Time, m *peers.Message, to membership.NodeID) {
-	m.Quarantine = l.options.Quarantine.News(&l.newsOf(now, to).link, now)
+	m.Quarantine = l.options.Quarantine.Delta(&l.newsOf(now, to).link, now)
 }
 
 // takeNews takes the same of a peer's message.
@@ -35,7 +35,7 @@
 		*n = peerNews{incarnation: incarnation}
 	}
 	n.heard = now
-	l.options.Quarantine.TakeNews(&n.link, m.GetQuarantine(), "node "+string(id), now)
+	l.options.Quarantine.ApplyDelta(&n.link, m.GetQuarantine(), "node "+string(id), now)
 }
 
 func (l *Loop) newsOf(now time.Time, id membership.NodeID) *peerNews {
--- a/internal/entry/quarantinetable.go
+++ b/internal/entry/quarantinetable.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/logging"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/table"
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
 // QuarantineTable has a row for each content, in one partition.
@@ -35,7 +35,7 @@
 
 // quarantineTable keeps what is known of requests that end endpoints in step with the table.
 type quarantineTable struct {
-	list  *poison.Quarantine
+	list  *quarantine.Quarantine
 	store table.Store
 	log   logging.Logger
 	// read is when the table was last read, tried when that or a write was last tried;
@@ -45,15 +45,15 @@
 	// era is that of the store by which the versions count.
 	era uint64
 	// versions has the rows that the table is known to have.
-	versions map[quarantine.Fingerprint]uint64
+	versions map[qlist.Fingerprint]uint64
 	// over are rows that are to be removed.
-	over []quarantine.Fingerprint
+	over []qlist.Fingerprint
 	// full is set while the table takes no more rows.
 	full bool
 }
 
-func newQuarantineTable(q *poison.Quarantine, store table.Store) *quarantineTable {
-	return &quarantineTable{list: q, store: store, log: logging.For("quarantine"), versions: map[quarantine.Fingerprint]uint64{}}
+func newQuarantineTable(q *quarantine.Quarantine, store table.Store) *quarantineTable {
+	return &quarantineTable{list: q, store: store, log: logging.For("quarantine"), versions: map[qlist.Fingerprint]uint64{}}
 }
 
 // step makes the calls that are due: a read at first and while another data centre is not
@@ -97,10 +97,10 @@
 }
 
 // due returns what is to be written and removed now.
-func (c *quarantineTable) due() (write []quarantine.Record, remove []quarantine.Fingerprint) {
-	ends := quarantine.Limit - 1
+func (c *quarantineTable) due() (write []qlist.Record, remove []qlist.Fingerprint) {
+	ends := qlist.Limit - 1
 	if len(c.versions) >= quarantineRows/2 {
-		ends = quarantine.Limit
+		ends = qlist.Limit
 	}
 	most := min(rowsWritten, quarantineRows-len(c.versions))
 	c.noteFull(most <= 0)
@@ -121,7 +121,7 @@
 // quarantineRow is the value of a row.
 type quarantineRow struct {
 	// Ends are the lives of endpoints that ended.
-	Ends []quarantine.Incarnation `json:"ends"`
+	Ends []qlist.Incarnation `json:"ends"`
 	// Tried is set once a request was sent from quarantine.
 	Tried bool `json:"tried,omitempty"`
 }
@@ -137,14 +137,14 @@
 	}
 	now := time.Now()
 	clear(c.versions)
-	var records []quarantine.Record
+	var records []qlist.Record
 	unreadable, firstErr := 0, error(nil)
 	for _, row := range page.Rows {
-		f, err := quarantine.ParseFingerprint(row.Key)
+		f, err := qlist.ParseFingerprint(row.Key)
 		if err == nil {
 			// Also a row that cannot be read is replaced by this node's own.
 			c.versions[f] = row.Version
-			var r quarantine.Record
+			var r qlist.Record
 			if r, err = parseRecord(f, row.Value, now); err == nil {
 				records = append(records, r)
 				continue
@@ -167,21 +167,21 @@
 
 // parseRecord reads a row's value. When an endpoint ended is not kept, since clocks differ:
 // it counts as now.
-func parseRecord(f quarantine.Fingerprint, text []byte, now time.Time) (quarantine.Record, error) {
+func parseRecord(f qlist.Fingerprint, text []byte, now time.Time) (qlist.Record, error) {
 	var value quarantineRow
 	if err := json.Unmarshal(text, &value); err != nil {
-		return quarantine.Record{}, err
+		return qlist.Record{}, err
 	}
-	r := quarantine.Record{Fingerprint: f, Tried: value.Tried}
+	r := qlist.Record{Fingerprint: f, Tried: value.Tried}
 	for _, life := range value.Ends {
-		r.Ends = append(r.Ends, quarantine.End{Incarnation: life, At: now})
+		r.Ends = append(r.Ends, qlist.End{Incarnation: life, At: now})
 	}
 	return r, nil
 }
 
 // commit writes and removes rows and reports whether that was done. A row that another
 // node has changed meanwhile has the table read again.
-func (c *quarantineTable) commit(ctx context.Context, write []quarantine.Record, remove []quarantine.Fingerprint) bool {
+func (c *quarantineTable) commit(ctx context.Context, write []qlist.Record, remove []qlist.Fingerprint) bool {
 	change := table.Change{}
 	for _, r := range write {
 		value := quarantineRow{Tried: r.Tried}
@@ -215,7 +215,7 @@
 	for _, f := range remove {
 		delete(c.versions, f)
 	}
-	c.over = slices.DeleteFunc(c.over, func(f quarantine.Fingerprint) bool { return slices.Contains(remove, f) })
+	c.over = slices.DeleteFunc(c.over, func(f qlist.Fingerprint) bool { return slices.Contains(remove, f) })
 	c.list.Stored(write, remove)
 	c.log.Info("the quarantine's table was changed", "writes", len(write), "removals", len(remove), "version", version)
 	return true
--- a/internal/entry/quarantinetable_test.go
+++ b/internal/entry/quarantinetable_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/standin/memtable"
 	"github.com/ridgehinge/ridgehinge/internal/table"
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
 // keeper is a node that keeps the quarantine's table, on a clock of its own.
@@ -23,7 +23,7 @@
 }
 
 func newKeeper(store table.Store, first bool) *keeper {
-	return &keeper{newQuarantineTable(poison.NewQuarantine(func() bool { return false }), store), quarantineDuty{keeps: true, first: first}, time.Now()}
+	return &keeper{newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), store), quarantineDuty{keeps: true, first: first}, time.Now()}
 }
 
 // run lets time pass.
@@ -34,16 +34,16 @@
 }
 
 // ended makes known that a content has ended endpoints.
-func (k *keeper) ended(content uint64, lives ...quarantine.Incarnation) {
-	r := quarantine.Record{Fingerprint: contentOf(content)}
+func (k *keeper) ended(content uint64, lives ...qlist.Incarnation) {
+	r := qlist.Record{Fingerprint: contentOf(content)}
 	for _, life := range lives {
-		r.Ends = append(r.Ends, quarantine.End{Incarnation: life, At: k.now})
+		r.Ends = append(r.Ends, qlist.End{Incarnation: life, At: k.now})
 	}
-	k.list.Take([]quarantine.Record{r}, "test", k.now)
+	k.list.Take([]qlist.Record{r}, "test", k.now)
 }
 
-func contentOf(n uint64) quarantine.Fingerprint {
-	var f quarantine.Fingerprint
+func contentOf(n uint64) qlist.Fingerprint {
+	var f qlist.Fingerprint
 	binary.LittleEndian.PutUint64(f[:], n)
 	return f
 }
@@ -151,7 +151,7 @@
 	store := memtable.New()
 	k := newKeeper(store, true)
 	for content := range uint64(4000) {
-		lives := []quarantine.Incarnation{1, 2, 3}
+		lives := []qlist.Incarnation{1, 2, 3}
 		k.ended(content, lives[:2+content%2]...)
 	}
 	k.run(t.Context(), 10*time.Second)
@@ -195,7 +195,7 @@
 
 // What a row takes of the table: 102 bytes with three ends.
 func TestWhatARowCosts(t *testing.T) {
-	row, err := json.Marshal(quarantineRow{Ends: []quarantine.Incarnation{1 << 63, 1<<63 + 1, 1<<63 + 2}})
+	row, err := json.Marshal(quarantineRow{Ends: []qlist.Incarnation{1 << 63, 1<<63 + 1, 1<<63 + 2}})
 	require.NoError(t, err)
 	rowBytes := len(row) + len(contentOf(1).String())
 	t.Logf("%d bytes of a row with its key", rowBytes)
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -15,7 +15,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
@@ -215,7 +215,7 @@
 		nodesOf:   map[serving.DataCentre]int{},
 		began:     time.Now(),
 	}
-	sh.quarantine = newQuarantineTable(poison.NewQuarantine(sh.triesQuarantined), store)
+	sh.quarantine = newQuarantineTable(quarantine.NewQuarantine(sh.triesQuarantined), store)
 	sh.throttle = throttle.NewTracker(throttle.Options{Ask: sh.askPermit, Nodes: sh.allNodes, OnDraining: d.Invalidate, Metrics: m})
 	d.SetDraining(sh.throttle.Draining)
 	b.OnSuspect(sh.hurry)
--- a/internal/entry/share_bench_test.go
+++ b/internal/entry/share_bench_test.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -18,7 +18,7 @@
 // work at four of a hundred heads.
 func relaying(now time.Time) *sharing {
 	s := &sharing{
-		quarantine: newQuarantineTable(poison.NewQuarantine(func() bool { return false }), nil),
+		quarantine: newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), nil),
 		settings:   &Settings{Node: "n", DataCentre: "dc0", Peers: "10.0.9.9:1"},
 		life:       "n/life",
 		directory:  directory.New(directory.Codec{}),
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -11,7 +11,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -20,7 +20,7 @@
 // acquainted returns a node that knows sixty others of three data centres.
 func acquainted(now time.Time) *sharing {
 	s := &sharing{
-		quarantine: newQuarantineTable(poison.NewQuarantine(func() bool { return false }), nil),
+		quarantine: newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), nil),
 		settings:   &Settings{Node: "n", DataCentre: "dc0", Peers: "10.0.0.100:1"},
 		peers:      map[string]*peer{},
 		nodesOf:    map[serving.DataCentre]int{},
--- a/internal/entry/sharemessage.go
+++ b/internal/entry/sharemessage.go
@@ -70,7 +70,7 @@
 	p.rows = m.GetEndpointsVersion()
 	p.observations = m.GetObservationsVersion()
 	p.observationsSeen = m.GetObservationsSeen()
-	s.quarantine.list.TakeNews(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
+	s.quarantine.list.ApplyDelta(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
 	s.throttle.ApplyDelta(&p.advisories, m.GetAdvisories(), "node "+m.GetFrom().GetId(), now)
 	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand())}
 	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand())}
@@ -132,7 +132,7 @@
 	}
 	s.addRelayed(m, p, now)
 	s.addObservations(m, p, now)
-	m.Quarantine = s.quarantine.list.News(&p.quarantine, now)
+	m.Quarantine = s.quarantine.list.Delta(&p.quarantine, now)
 	m.Advisories = s.throttle.Delta(&p.advisories, now)
 	if p.spoke && p.configuration < version && now.Sub(p.heard) < sayAllAfter {
 		m.Configuration = s.compressed.of(version, value)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/pkg/admission"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 	"github.com/ridgehinge/ridgehinge/pkg/routing"
@@ -32,7 +32,7 @@
 	Peers  *peers.Client
 	Claims *claims.Store
 	// Quarantine has the requests that end the endpoints that run them.
-	Quarantine *poison.Quarantine
+	Quarantine *quarantine.Quarantine
 	Metrics    *metrics.Metrics
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int
@@ -55,7 +55,7 @@
 	options  Options
 	log      logging.Logger
 	snapshot atomic.Pointer[control.Snapshot]
-	crashes  *poison.Watch
+	crashes  *quarantine.Detector
 	// stopping refuses new requests; inProgress counts those under way.
 	stopping   atomic.Bool
 	inProgress atomic.Int64
@@ -88,7 +88,7 @@
 		classes:   map[classKey]*metrics.Class{},
 	}
 	g.snapshot.Store(&control.Snapshot{})
-	g.crashes = poison.NewWatch(options.Quarantine, g.replaced, options.Engine.Reach)
+	g.crashes = quarantine.NewDetector(options.Quarantine, g.replaced, options.Engine.Reach)
 	return g
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,7 +18,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/control"
 	"github.com/ridgehinge/ridgehinge/internal/engine"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/standin/enginestandin"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
@@ -46,7 +46,7 @@
 	m := metrics.New("test", "dc")
 	t.Cleanup(m.Close)
 	g := New(Options{Node: "test", Engine: client, Metrics: m, MaxBody: maxBody, MaxAttempts: 2, RetryShare: 0.1,
-		Quarantine: poison.NewQuarantine(func() bool { return false })})
+		Quarantine: quarantine.NewQuarantine(func() bool { return false })})
 	template := &configuration.Template{Name: "t", Model: "m", Version: "1", Service: "s"}
 	workspace := configuration.Workspace{Name: "w", KeyHash: configuration.HashKey(testKey), Share: 1, MaxInFlight: 100, Deadline: 5 * time.Second}
 	address := strings.TrimPrefix(upstream.URL, "http://")
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -5,16 +5,16 @@
 	"net/http"
 	"time"
 
-	"github.com/ridgehinge/ridgehinge/internal/poison"
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 	"github.com/ridgehinge/ridgehinge/pkg/routing"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 // fingerprint returns what the request is known by when its caller sends it again, with
 // another id and at another node.
-func (c *call) fingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf([]byte(c.p.workspace.Name), []byte(c.in.Method), []byte(c.in.Path), c.in.Body)
+func (c *call) fingerprint() qlist.Fingerprint {
+	return qlist.FingerprintOf([]byte(c.p.workspace.Name), []byte(c.in.Method), []byte(c.in.Path), c.in.Body)
 }
 
 // admitted reports whether the request may be sent to an endpoint; if not, its caller has
@@ -41,20 +41,20 @@
 	return false
 }
 
-func (c *call) failQuarantined(known quarantine.Record) {
+func (c *call) failQuarantined(known qlist.Record) {
 	c.log.Info("a request is not sent, being in quarantine", "content", c.content, "ends", len(known.Ends), "tried", known.Tried)
 	c.fail(failure{
 		status:     http.StatusServiceUnavailable,
 		kind:       "quarantined",
 		message:    "requests like this one have ended the endpoints that ran them",
 		outcome:    c.notRunOutcome(),
-		retryAfter: quarantine.TrialAfter,
+		retryAfter: qlist.TrialAfter,
 	})
 }
 
 // noteBroken has it found out whether an endpoint has ended while it ran the request.
 func (c *call) noteBroken(target routing.Target) {
-	c.looked = c.g.crashes.Broken(c.content, lifeOf(target), c.attemptBegan, time.Now())
+	c.looked = c.g.crashes.ReportBroken(c.content, lifeOf(target), c.attemptBegan, time.Now())
 }
 
 // noteServed notes that the request does not end the endpoints that run it.
@@ -70,17 +70,17 @@
 }
 
 // lifeOf names the life of the endpoint that takes a target's requests.
-func lifeOf(t routing.Target) poison.Incarnation {
-	return poison.Incarnation{Endpoint: serving.EndpointID(t.Address), StartedAt: int64(t.Incarnation), Address: t.Address}
+func lifeOf(t routing.Target) quarantine.Incarnation {
+	return quarantine.Incarnation{Endpoint: serving.EndpointID(t.Address), StartedAt: int64(t.Incarnation), Address: t.Address}
 }
 
 // replaced returns those of some lives that have a later one in their place.
-func (g *Gateway) replaced(lives []poison.Incarnation) []poison.Incarnation {
+func (g *Gateway) replaced(lives []quarantine.Incarnation) []quarantine.Incarnation {
 	incarnations := map[string]uint64{}
 	for _, t := range g.snapshot.Load().Targets {
 		incarnations[t.Address] = t.Incarnation
 	}
-	var out []poison.Incarnation
+	var out []quarantine.Incarnation
 	for _, life := range lives {
 		if incarnations[life.Address] > uint64(life.StartedAt) {
 			out = append(out, life)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/settings"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
 )
@@ -92,7 +92,7 @@
 		Timeout: s.CallTimeout,
 	})
 	// One node of each data centre sends a request from quarantine, once.
-	quarantine := poison.NewQuarantine(func() bool { return n.loop.Snapshot().Controls })
+	quarantine := quarantine.NewQuarantine(func() bool { return n.loop.Snapshot().Controls })
 	n.gateway = gateway.New(gateway.Options{
 		Node:        s.Node,
 		Engine:      n.engine,
--- a/internal/poison/watch_test.go
+++ b/internal/quarantine/detector_test.go
@@ -1,4 +1,4 @@
-package poison
+package quarantine
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ridgehinge/ridgehinge/internal/delta"
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
 // reach is a network on which each dial has an outcome.
@@ -34,7 +34,7 @@
 	r.err = err
 }
 
-func endsOf(q *Quarantine, f quarantine.Fingerprint) int {
+func endsOf(q *Quarantine, f qlist.Fingerprint) int {
 	r, _ := q.Admits(f, time.Now())
 	return len(r.Ends)
 }
@@ -64,7 +64,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			q := NewQuarantine(nobody)
 			network := &reach{err: test.dial}
-			c := NewWatch(q, func(incarnations []Incarnation) []Incarnation {
+			c := NewDetector(q, func(incarnations []Incarnation) []Incarnation {
 				if test.replaced {
 					return incarnations
 				}
@@ -72,8 +72,8 @@
 			}, network.dial)
 			now := time.Now()
 			for _, f := range []byte{1, 2} {
-				c.Broken(quarantine.Fingerprint{f}, at, now, now)
-				c.Broken(quarantine.Fingerprint{f}, at, now, now)
+				c.ReportBroken(qlist.Fingerprint{f}, at, now, now)
+				c.ReportBroken(qlist.Fingerprint{f}, at, now, now)
 			}
 			require.Eventually(t, func() bool {
 				c.mu.Lock()
@@ -82,9 +82,9 @@
 			}, patience, time.Millisecond)
 			require.False(t, c.settle(now.Add(time.Millisecond)), "it is watched on")
 			for _, f := range []byte{1, 2} {
-				require.Equal(t, test.want, endsOf(q, quarantine.Fingerprint{f}))
+				require.Equal(t, test.want, endsOf(q, qlist.Fingerprint{f}))
 			}
-			require.True(t, c.settle(now.Add(2*crashWatch)), "nothing is watched for ever")
+			require.True(t, c.settle(now.Add(2*settleFor)), "nothing is watched for ever")
 		})
 	}
 }
@@ -94,23 +94,23 @@
 func TestAnEndSoonAfterABreakIsFound(t *testing.T) {
 	q := NewQuarantine(nobody)
 	network := &reach{}
-	c := NewWatch(q, none, network.dial)
+	c := NewDetector(q, none, network.dial)
 	at := Incarnation{Endpoint: "e", Address: "a:1"}
-	c.Broken(quarantine.Fingerprint{1}, at, time.Now(), time.Now())
+	c.ReportBroken(qlist.Fingerprint{1}, at, time.Now(), time.Now())
 	require.Eventually(t, func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		return !c.breaks[at].dialing
 	}, patience, time.Millisecond)
 	network.set(syscall.ECONNREFUSED)
-	c.Broken(quarantine.Fingerprint{2}, at, time.Now(), time.Now())
-	require.Eventually(t, func() bool { return endsOf(q, quarantine.Fingerprint{2}) == 1 }, patience, time.Millisecond)
+	c.ReportBroken(qlist.Fingerprint{2}, at, time.Now(), time.Now())
+	require.Eventually(t, func() bool { return endsOf(q, qlist.Fingerprint{2}) == 1 }, patience, time.Millisecond)
 	// Streams of one endpoint that has ended break one after the other: no dial each.
 	dials := network.dials
 	sent := time.Now().Add(-time.Second)
 	for f := range byte(50) {
-		c.Broken(quarantine.Fingerprint{100 + f}, at, sent, time.Now())
-		require.Equal(t, 1, endsOf(q, quarantine.Fingerprint{100 + f}))
+		c.ReportBroken(qlist.Fingerprint{100 + f}, at, sent, time.Now())
+		require.Equal(t, 1, endsOf(q, qlist.Fingerprint{100 + f}))
 	}
 	require.Equal(t, dials, network.dials)
 }
@@ -118,15 +118,15 @@
 // An endpoint that resets much of what it is sent is dialed at a pace, and not for each.
 func TestDialsOfOneEndpointArePaced(t *testing.T) {
 	network := &reach{}
-	c := NewWatch(NewQuarantine(nobody), none, network.dial)
+	c := NewDetector(NewQuarantine(nobody), none, network.dial)
 	began := time.Now()
-	for time.Since(began) < 4*crashRedial {
-		c.Broken(quarantine.Fingerprint{1}, Incarnation{Endpoint: "e"}, began, time.Now())
+	for time.Since(began) < 4*probeInterval {
+		c.ReportBroken(qlist.Fingerprint{1}, Incarnation{Endpoint: "e"}, began, time.Now())
 	}
 	took := time.Since(began)
 	network.mu.Lock()
 	defer network.mu.Unlock()
-	require.LessOrEqual(t, network.dials, int(took/crashRedial)+2)
+	require.LessOrEqual(t, network.dials, int(took/probeInterval)+2)
 }
 
 // An endpoint began anew under its id and was ended again before its row had come: two ends
@@ -134,57 +134,57 @@
 func TestEndsOfLivesWhoseRowsHaveNotComeCount(t *testing.T) {
 	q := NewQuarantine(nobody)
 	network := &reach{err: syscall.ECONNREFUSED}
-	c := NewWatch(q, none, network.dial)
+	c := NewDetector(q, none, network.dial)
 	at := Incarnation{Endpoint: "e", StartedAt: 7, Address: "a:1"}
-	f := quarantine.Fingerprint{1}
+	f := qlist.Fingerprint{1}
 	for end := range 3 {
 		sent := time.Now()
-		c.Broken(f, at, sent, time.Now())
+		c.ReportBroken(f, at, sent, time.Now())
 		require.Eventually(t, func() bool { return endsOf(q, f) == end+1 }, patience, time.Millisecond)
-		c.Broken(f, at, sent, time.Now())
+		c.ReportBroken(f, at, sent, time.Now())
 		require.Equal(t, end+1, endsOf(q, f), "the same incarnation")
 	}
 }
 
-// A fleet that fails at once must not grow what is looked into without bound.
+// A fleet that fails at once must not grow what is probed into without bound.
 // One node saw an endpoint end under a request, another one saw it end again before the row of
 // its new incarnation had come: two ends counted as one, and after all nodes had been replaced the
 // request ended a fourth endpoint. By the log, both ends had the same "started_at", 1.5 s apart.
 func TestAnEndThatAnotherNodeSawIsOfAnEarlierLife(t *testing.T) {
 	network := &reach{err: syscall.ECONNREFUSED}
 	at := Incarnation{Endpoint: "e", StartedAt: 7, Address: "a:1"}
-	f := quarantine.Fingerprint{1}
+	f := qlist.Fingerprint{1}
 	first, second := NewQuarantine(nobody), NewQuarantine(nobody)
 	var ofFirst, ofSecond delta.Cursor
 	sent := time.Now()
-	NewWatch(first, none, network.dial).Broken(f, at, sent, time.Now())
+	NewDetector(first, none, network.dial).ReportBroken(f, at, sent, time.Now())
 	require.Eventually(t, func() bool { return endsOf(first, f) == 1 }, patience, time.Millisecond)
-	second.TakeNews(&ofFirst, first.News(&ofSecond, time.Now()), "first", time.Now())
+	second.ApplyDelta(&ofFirst, first.Delta(&ofSecond, time.Now()), "first", time.Now())
 
-	NewWatch(second, none, network.dial).Broken(f, at, sent, time.Now())
-	time.Sleep(2 * endSlack)
+	NewDetector(second, none, network.dial).ReportBroken(f, at, sent, time.Now())
+	time.Sleep(2 * crashSkew)
 	require.Equal(t, 1, endsOf(second, f), "sent before the end, it met the same incarnation")
 	// A watch that has seen nothing of the endpoint itself.
-	NewWatch(second, none, network.dial).Broken(f, at, time.Now(), time.Now())
+	NewDetector(second, none, network.dial).ReportBroken(f, at, time.Now(), time.Now())
 	require.Eventually(t, func() bool { return endsOf(second, f) == 2 }, patience, time.Millisecond)
 }
 
 func TestBreaksAreBounded(t *testing.T) {
 	block := make(chan struct{})
-	c := NewWatch(NewQuarantine(nobody), none, func(context.Context, string) error {
+	c := NewDetector(NewQuarantine(nobody), none, func(context.Context, string) error {
 		<-block
 		return nil
 	})
 	now := time.Now()
-	for endpoint := range 2 * mostBreaks {
-		for f := range 2 * mostBroken {
-			c.Broken(quarantine.Fingerprint{byte(f), byte(f >> 8)}, Incarnation{StartedAt: int64(endpoint)}, now, now)
+	for endpoint := range 2 * maxBreakages {
+		for f := range 2 * maxBrokenRequests {
+			c.ReportBroken(qlist.Fingerprint{byte(f), byte(f >> 8)}, Incarnation{StartedAt: int64(endpoint)}, now, now)
 		}
 	}
 	c.mu.Lock()
-	require.Len(t, c.breaks, mostBreaks)
+	require.Len(t, c.breaks, maxBreakages)
 	for _, b := range c.breaks {
-		require.LessOrEqual(t, len(b.contents), mostBroken)
+		require.LessOrEqual(t, len(b.contents), maxBrokenRequests)
 	}
 	c.mu.Unlock()
 	close(block)
--- a/internal/poison/news.go
+++ b/internal/quarantine/gossip.go
@@ -1,4 +1,4 @@
-package poison
+package quarantine
 
 import (
 	"time"
@@ -6,31 +6,31 @@
 	"github.com/ridgehinge/ridgehinge/internal/clock"
 	"github.com/ridgehinge/ridgehinge/internal/delta"
 	"github.com/ridgehinge/ridgehinge/internal/peers/quarantinepb"
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
-// recordsTold bounds the records of one message: 4,352 bytes with three ends each
+// maxDeltaRecords bounds the records of one message: 4,352 bytes with three ends each
 // (TestWhatNewsCosts). A rack of nine endpoints that fails leaves 234 requests that merely
 // ran there, four messages.
-const recordsTold = 64
+const maxDeltaRecords = 64
 
-// News returns what the peer has not heard yet, and what this node has heard of it; nil is
+// Delta returns what the peer has not heard yet, and what this node has heard of it; nil is
 // nothing, which takes no byte of a message.
-func (q *Quarantine) News(l *delta.Cursor, now time.Time) *quarantinepb.News {
-	records, version := q.Changes(l.Acked(), recordsTold)
+func (q *Quarantine) Delta(l *delta.Cursor, now time.Time) *quarantinepb.News {
+	records, version := q.Changes(l.Acked(), maxDeltaRecords)
 	if version == 0 && l.Received() == 0 {
 		return nil
 	}
 	return &quarantinepb.News{Records: toWire(records, now), Version: version, Seen: l.Received()}
 }
 
-// TakeNews merges what a peer tells, by whose word.
-func (q *Quarantine) TakeNews(l *delta.Cursor, told *quarantinepb.News, word string, now time.Time) {
+// ApplyDelta merges what a peer tells, by whose word.
+func (q *Quarantine) ApplyDelta(l *delta.Cursor, told *quarantinepb.News, word string, now time.Time) {
 	q.Take(fromWire(told.GetRecords(), now), word, now)
 	l.Advance(told.GetVersion(), told.GetSeen())
 }
 
-func toWire(records []quarantine.Record, now time.Time) []*quarantinepb.Record {
+func toWire(records []qlist.Record, now time.Time) []*quarantinepb.Record {
 	var out []*quarantinepb.Record
 	for _, r := range records {
 		told := &quarantinepb.Record{Fingerprint: r.Fingerprint[:], Tried: r.Tried}
@@ -47,15 +47,15 @@
 }
 
 // fromWire is the reverse of toWire. What has no fingerprint says nothing of any request.
-func fromWire(told []*quarantinepb.Record, now time.Time) []quarantine.Record {
-	var out []quarantine.Record
+func fromWire(told []*quarantinepb.Record, now time.Time) []qlist.Record {
+	var out []qlist.Record
 	for _, t := range told {
-		r := quarantine.Record{Tried: t.GetTried()}
+		r := qlist.Record{Tried: t.GetTried()}
 		if copy(r.Fingerprint[:], t.GetFingerprint()) != len(r.Fingerprint) {
 			continue
 		}
 		for _, end := range t.GetEnds() {
-			r.Ends = append(r.Ends, quarantine.End{Incarnation: quarantine.Incarnation(end.GetIncarnation()), At: clock.AtMillisAgo(end.GetAgeMs(), now)})
+			r.Ends = append(r.Ends, qlist.End{Incarnation: qlist.Incarnation(end.GetIncarnation()), At: clock.AtMillisAgo(end.GetAgeMs(), now)})
 		}
 		if t.ServedAgeMs != nil {
 			r.Served = clock.AtMillisAgo(t.GetServedAgeMs(), now)
--- a/internal/poison/news_test.go
+++ b/internal/quarantine/gossip_test.go
@@ -1,4 +1,4 @@
-package poison
+package quarantine
 
 import (
 	"testing"
@@ -8,21 +8,21 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ridgehinge/ridgehinge/internal/delta"
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
 // What a request is known by, when endpoints ended and when it was served reach the other
 // node as they were, whatever its clock says.
 func TestRecordsAreToldAsTheyAre(t *testing.T) {
 	here, there := time.Unix(5000, 0), time.Unix(90, 0)
-	told := []quarantine.Record{
-		{Fingerprint: quarantine.Fingerprint{1}, Ends: []quarantine.End{{Incarnation: 1 << 63, At: here.Add(-time.Second)}}, Tried: true},
-		{Fingerprint: quarantine.Fingerprint{2}, Served: here.Add(-time.Minute)},
+	told := []qlist.Record{
+		{Fingerprint: qlist.Fingerprint{1}, Ends: []qlist.End{{Incarnation: 1 << 63, At: here.Add(-time.Second)}}, Tried: true},
+		{Fingerprint: qlist.Fingerprint{2}, Served: here.Add(-time.Minute)},
 	}
 	heard := fromWire(toWire(told, here), there)
-	require.Equal(t, []quarantine.Record{
-		{Fingerprint: quarantine.Fingerprint{1}, Ends: []quarantine.End{{Incarnation: 1 << 63, At: there.Add(-time.Second)}}, Tried: true},
-		{Fingerprint: quarantine.Fingerprint{2}, Served: there.Add(-time.Minute)},
+	require.Equal(t, []qlist.Record{
+		{Fingerprint: qlist.Fingerprint{1}, Ends: []qlist.End{{Incarnation: 1 << 63, At: there.Add(-time.Second)}}, Tried: true},
+		{Fingerprint: qlist.Fingerprint{2}, Served: there.Add(-time.Minute)},
 	}, heard)
 	broken := toWire(told[:1], here)
 	broken[0].Fingerprint = broken[0].Fingerprint[:3]
@@ -33,18 +33,18 @@
 func TestWhatNewsCosts(t *testing.T) {
 	now := time.Now()
 	q := NewQuarantine(nobody)
-	var known []quarantine.Record
-	for content := range byte(2 * recordsTold) {
-		r := quarantine.Record{Fingerprint: quarantine.Fingerprint{content}, Served: now.Add(-time.Hour)}
-		for incarnation := range quarantine.Incarnation(quarantine.Limit) {
-			r.Ends = append(r.Ends, quarantine.End{Incarnation: 1<<63 + incarnation, At: now.Add(-time.Minute)})
+	var known []qlist.Record
+	for content := range byte(2 * maxDeltaRecords) {
+		r := qlist.Record{Fingerprint: qlist.Fingerprint{content}, Served: now.Add(-time.Hour)}
+		for incarnation := range qlist.Incarnation(qlist.Limit) {
+			r.Ends = append(r.Ends, qlist.End{Incarnation: 1<<63 + incarnation, At: now.Add(-time.Minute)})
 		}
 		known = append(known, r)
 	}
 	q.Take(known, "test", now)
-	told := q.News(&delta.Cursor{}, now)
+	told := q.Delta(&delta.Cursor{}, now)
 	t.Logf("%d bytes of a message with %d records of three ends", proto.Size(told), len(told.GetRecords()))
-	require.Len(t, told.GetRecords(), recordsTold)
+	require.Len(t, told.GetRecords(), maxDeltaRecords)
 	require.LessOrEqual(t, proto.Size(told), 5<<10)
 }
 
@@ -54,13 +54,13 @@
 	north, south := NewQuarantine(nobody), NewQuarantine(nobody)
 	var ofNorth, ofSouth delta.Cursor
 	exchange := func() (told int) {
-		word := north.News(&ofSouth, now)
-		south.TakeNews(&ofNorth, word, "north", now)
-		answer := south.News(&ofNorth, now)
-		north.TakeNews(&ofSouth, answer, "south", now)
+		word := north.Delta(&ofSouth, now)
+		south.ApplyDelta(&ofNorth, word, "north", now)
+		answer := south.Delta(&ofNorth, now)
+		north.ApplyDelta(&ofSouth, answer, "south", now)
 		return len(word.GetRecords()) + len(answer.GetRecords())
 	}
-	f := quarantine.Fingerprint{1}
+	f := qlist.Fingerprint{1}
 	north.ended(f, 1, "e1", now)
 	north.ended(f, 2, "e2", now)
 	south.ended(f, 3, "e3", now)
--- a/internal/poison/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,8 +1,8 @@
-// Package poison keeps requests that end the endpoints that run them from being sent on: it
+// Package quarantine keeps requests that end the endpoints that run them from being sent on: it
 // finds out which endpoints have ended under requests, and keeps what all nodes know of
 // these in a quarantine. What decides is pkg/quarantine; this package adds a lock, the log
 // and the dials.
-package poison
+package quarantine
 
 import (
 	"slices"
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/logging"
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -26,20 +26,20 @@
 	known atomic.Int64
 
 	mu   sync.Mutex
-	list *quarantine.List
+	list *qlist.List
 }
 
 // NewQuarantine returns an empty quarantine. mayTry reports whether this node is the one
 // of all that tries requests that are in it.
 func NewQuarantine(mayTry func() bool) *Quarantine {
-	return &Quarantine{log: logging.For("quarantine"), mayTry: mayTry, list: quarantine.NewList()}
+	return &Quarantine{log: logging.For("quarantine"), mayTry: mayTry, list: qlist.NewList()}
 }
 
 // Admits reports whether a request of some content may be sent now, and what is known of
 // it if not. Sending asks once more, when the request has a place to go to.
-func (q *Quarantine) Admits(f quarantine.Fingerprint, now time.Time) (quarantine.Record, bool) {
+func (q *Quarantine) Admits(f qlist.Fingerprint, now time.Time) (qlist.Record, bool) {
 	if q.known.Load() == 0 {
-		return quarantine.Record{}, true
+		return qlist.Record{}, true
 	}
 	q.mu.Lock()
 	r, _ := q.list.Get(f)
@@ -51,7 +51,7 @@
 // Sending reports whether a request that was admitted may be sent, and notes the one that is
 // sent from quarantine. Noted when it was admitted, one that then found all groups full used
 // the only try up, and such requests were refused for an hour without having been tried.
-func (q *Quarantine) Sending(f quarantine.Fingerprint, now time.Time) bool {
+func (q *Quarantine) Sending(f qlist.Fingerprint, now time.Time) bool {
 	if q.known.Load() == 0 {
 		return true
 	}
@@ -70,19 +70,19 @@
 
 // endedBefore reports whether an incarnation is known to have ended under requests of some content
 // before a moment.
-func (q *Quarantine) endedBefore(f quarantine.Fingerprint, incarnation quarantine.Incarnation, at time.Time) bool {
+func (q *Quarantine) endedBefore(f qlist.Fingerprint, incarnation qlist.Incarnation, at time.Time) bool {
 	if q.known.Load() == 0 {
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r, _ := q.list.Get(f)
-	return slices.ContainsFunc(r.Ends, func(end quarantine.End) bool { return end.Incarnation == incarnation && end.At.Before(at) })
+	return slices.ContainsFunc(r.Ends, func(end qlist.End) bool { return end.Incarnation == incarnation && end.At.Before(at) })
 }
 
 // isBlockedByOneMore reports whether requests of some content are not sent any more once
 // they have ended one more endpoint.
-func (q *Quarantine) isBlockedByOneMore(f quarantine.Fingerprint, now time.Time) bool {
+func (q *Quarantine) isBlockedByOneMore(f qlist.Fingerprint, now time.Time) bool {
 	if q.known.Load() == 0 {
 		return false
 	}
@@ -93,14 +93,14 @@
 }
 
 // Served notes that a request was answered whole.
-func (q *Quarantine) Served(f quarantine.Fingerprint, now time.Time) {
+func (q *Quarantine) Served(f qlist.Fingerprint, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.list.Served(f, now)
 }
 
 // ended notes that an endpoint's incarnation has ended while it ran a request.
-func (q *Quarantine) ended(f quarantine.Fingerprint, incarnation quarantine.Incarnation, endpoint serving.EndpointID, now time.Time) {
+func (q *Quarantine) ended(f qlist.Fingerprint, incarnation qlist.Incarnation, endpoint serving.EndpointID, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	before, _ := q.list.Get(f)
@@ -115,12 +115,12 @@
 }
 
 // logBlocked logs that requests of some content are not sent any more, by whose word.
-func (q *Quarantine) logBlocked(r quarantine.Record, word string, now time.Time) {
+func (q *Quarantine) logBlocked(r qlist.Record, word string, now time.Time) {
 	q.log.Warn("a request is in quarantine", "content", r.Fingerprint, "ends", len(r.Ends), "first_age", now.Sub(r.Ends[0].At), "word", word)
 }
 
 // Take merges what another node or the table knows.
-func (q *Quarantine) Take(records []quarantine.Record, word string, now time.Time) {
+func (q *Quarantine) Take(records []qlist.Record, word string, now time.Time) {
 	if len(records) == 0 {
 		return
 	}
@@ -134,7 +134,7 @@
 
 // Changes returns at most a number of records that have changed after a version, and the
 // version up to which these are all.
-func (q *Quarantine) Changes(since uint64, most int) ([]quarantine.Record, uint64) {
+func (q *Quarantine) Changes(since uint64, most int) ([]qlist.Record, uint64) {
 	if q.known.Load() == 0 {
 		return nil, since
 	}
@@ -145,7 +145,7 @@
 
 // Unstored returns at most a number of records with so many ends that the platform's table
 // is to hold, and which of its rows are over.
-func (q *Quarantine) Unstored(ends, most int) (write []quarantine.Record, remove []quarantine.Fingerprint) {
+func (q *Quarantine) Unstored(ends, most int) (write []qlist.Record, remove []qlist.Fingerprint) {
 	if q.known.Load() == 0 {
 		return nil, nil
 	}
@@ -155,7 +155,7 @@
 }
 
 // Stored notes what the platform's table holds, and which rows it has no more.
-func (q *Quarantine) Stored(held []quarantine.Record, removed []quarantine.Fingerprint) {
+func (q *Quarantine) Stored(held []qlist.Record, removed []qlist.Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.list.Stored(held)
@@ -170,7 +170,7 @@
 }
 
 // Expire drops what is over and returns of what the table has a row.
-func (q *Quarantine) Expire(now time.Time) []quarantine.Fingerprint {
+func (q *Quarantine) Expire(now time.Time) []qlist.Fingerprint {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	rows := q.list.Expire(now)
--- a/internal/poison/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -1,4 +1,4 @@
-package poison
+package quarantine
 
 import (
 	"testing"
@@ -6,16 +6,16 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
 // An outage had ended three endpoints under a request. When it was to be tried again all
 // groups were full, and the try counted as made: it was refused for an hour.
 func TestATryThatFoundNoPlaceIsMadeAgain(t *testing.T) {
 	q := NewQuarantine(func() bool { return true })
-	f := quarantine.Fingerprint{1}
+	f := qlist.Fingerprint{1}
 	now := time.Now()
-	for incarnation := range quarantine.Incarnation(quarantine.Limit) {
+	for incarnation := range qlist.Incarnation(qlist.Limit) {
 		q.ended(f, incarnation, "e", now)
 	}
 	admits := func() bool {
@@ -23,7 +23,7 @@
 		return admitted
 	}
 	require.False(t, admits())
-	now = now.Add(quarantine.TrialAfter)
+	now = now.Add(qlist.TrialAfter)
 	for range 3 {
 		require.True(t, admits(), "none was sent yet")
 	}
@@ -38,11 +38,11 @@
 // Of all nodes one sends a request from quarantine.
 func TestNodesThatMayNotTryRefuse(t *testing.T) {
 	q := NewQuarantine(nobody)
-	f := quarantine.Fingerprint{1}
+	f := qlist.Fingerprint{1}
 	now := time.Now()
-	for incarnation := range quarantine.Incarnation(quarantine.Limit) {
+	for incarnation := range qlist.Incarnation(qlist.Limit) {
 		q.ended(f, incarnation, "e", now)
 	}
-	_, admitted := q.Admits(f, now.Add(quarantine.TrialAfter))
+	_, admitted := q.Admits(f, now.Add(qlist.TrialAfter))
 	require.False(t, admitted)
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/invariant"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/advisory"
@@ -115,7 +115,7 @@
 		f.note(true, now)
 	}
 	if cause == nil || errors.Is(cause, errStalled) {
-		c.crashProbe = c.crashes.Broken(c.content, poison.Incarnation{Endpoint: t.ID, StartedAt: t.StartedAt, Address: t.Address}, f.began, now)
+		c.crashProbe = c.crashes.ReportBroken(c.content, quarantine.Incarnation{Endpoint: t.ID, StartedAt: t.StartedAt, Address: t.Address}, f.began, now)
 	}
 }
 
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -10,14 +10,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
-	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 // What the table of endpoints tells of one at which requests broke off.
 func TestWhichLivesAreReplaced(t *testing.T) {
-	at := poison.Incarnation{Endpoint: "e", StartedAt: 5, Address: "a:1"}
+	at := quarantine.Incarnation{Endpoint: "e", StartedAt: 5, Address: "a:1"}
 	for _, test := range []struct {
 		name   string
 		listed []serving.Endpoint
@@ -39,7 +39,7 @@
 	}
 }
 
-func endsOf(q *poison.Quarantine, f quarantine.Fingerprint) int {
+func endsOf(q *quarantine.Quarantine, f qlist.Fingerprint) int {
 	r, _ := q.Admits(f, time.Now())
 	return len(r.Ends)
 }
@@ -80,18 +80,18 @@
 	pool := directory.Pool{Service: "llm", Model: "m"}
 	all := w.view.Heads[pool]
 	poison := request(hostStream)
-	f := quarantine.FingerprintOf([]byte("bakery"), []byte(poison.Host), []byte(poison.Method), []byte(poison.URI), poison.Body)
-	for i := range quarantine.Limit {
+	f := qlist.FingerprintOf([]byte("bakery"), []byte(poison.Host), []byte(poison.Method), []byte(poison.URI), poison.Body)
+	for i := range qlist.Limit {
 		w.view.Heads[pool] = all[i : i+1]
 		require.NotEqual(t, http.StatusServiceUnavailable, w.serve(poison).status)
 		require.Len(t, heads[i].arrivals(), 1)
 		require.Eventually(t, func() bool { return endsOf(w.relay.options.Quarantine, f) == i+1 }, patience, time.Millisecond)
 	}
-	w.view.Heads[pool] = all[quarantine.Limit:]
+	w.view.Heads[pool] = all[qlist.Limit:]
 	out := w.serve(poison)
 	require.Equal(t, http.StatusServiceUnavailable, out.status)
 	require.Equal(t, quarantineRetryAfter.String(), out.header.Get("After"))
-	require.Empty(t, heads[quarantine.Limit].arrivals())
+	require.Empty(t, heads[qlist.Limit].arrivals())
 	innocent := request(hostStream)
 	innocent.URI += "&other"
 	require.Equal(t, http.StatusOK, w.serve(innocent).status)
@@ -104,7 +104,7 @@
 	w := newWorld(t, endpoints, nil)
 	all := w.view.Plain["shop"]
 	poison := request(hostPlain)
-	f := quarantine.FingerprintOf([]byte("bakery"), []byte(poison.Host), []byte(poison.Method), []byte(poison.URI), poison.Body)
+	f := qlist.FingerprintOf([]byte("bakery"), []byte(poison.Host), []byte(poison.Method), []byte(poison.URI), poison.Body)
 	w.view.Plain["shop"] = all[:2]
 	w.serve(poison)
 	require.Eventually(t, func() bool { return endsOf(w.relay.options.Quarantine, f) == 2 }, patience, time.Millisecond)
@@ -124,7 +124,7 @@
 	pool := directory.Pool{Service: "llm", Model: "m"}
 	all := w.view.Heads[pool]
 	poison := request(hostStream)
-	f := quarantine.FingerprintOf([]byte("bakery"), []byte(poison.Host), []byte(poison.Method), []byte(poison.URI), poison.Body)
+	f := qlist.FingerprintOf([]byte("bakery"), []byte(poison.Host), []byte(poison.Method), []byte(poison.URI), poison.Body)
 	w.view.Heads[pool] = all[:1]
 	w.serve(poison)
 	require.Eventually(t, func() bool { return endsOf(w.relay.options.Quarantine, f) == 1 }, patience, time.Millisecond)
@@ -140,7 +140,7 @@
 	pool := directory.Pool{Service: "llm", Model: "m"}
 	all := w.view.Heads[pool]
 	popular := request(hostStream)
-	f := quarantine.FingerprintOf([]byte("bakery"), []byte(popular.Host), []byte(popular.Method), []byte(popular.URI), popular.Body)
+	f := qlist.FingerprintOf([]byte("bakery"), []byte(popular.Host), []byte(popular.Method), []byte(popular.URI), popular.Body)
 	for _, ending := range all[1:] {
 		w.view.Heads[pool] = []*directory.Head{ending}
 		w.serve(popular)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,7 +11,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -26,7 +26,7 @@
 	Balancer   *Balancer
 	Budget     *Budget
 	Demand     *Demand
-	Quarantine *poison.Quarantine
+	Quarantine *quarantine.Quarantine
 	// Throttle is what endpoints asked for in their answers.
 	Throttle *throttle.Tracker
 	Clock    *clock.Clock
@@ -69,7 +69,7 @@
 	stopping   atomic.Bool
 	draining   atomic.Bool
 	seen       atomic.Bool
-	crashes    *poison.Watch
+	crashes    *quarantine.Detector
 	// began is when this node started.
 	began time.Time
 
@@ -87,7 +87,7 @@
 		log:     logging.For("relay"),
 		classes: map[classKey]*metrics.Class{},
 	}
-	r.crashes = poison.NewWatch(o.Quarantine, r.replaced, o.Upstream.Reach)
+	r.crashes = quarantine.NewDetector(o.Quarantine, r.replaced, o.Upstream.Reach)
 	return r
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -23,7 +23,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/advisory"
@@ -250,7 +250,7 @@
 		Balancer:    balancer,
 		Demand:      NewDemand(),
 		Budget:      oldBudget(0.2, 1000, 1),
-		Quarantine:  poison.NewQuarantine(func() bool { return false }),
+		Quarantine:  quarantine.NewQuarantine(func() bool { return false }),
 		Throttle:    throttle.NewTracker(throttle.Options{}),
 		Clock:       clock.New(),
 		Metrics:     m,
--- a/internal/relay/replaced.go
+++ b/internal/relay/replaced.go
@@ -2,18 +2,18 @@
 
 import (
 	"github.com/ridgehinge/ridgehinge/internal/directory"
-	"github.com/ridgehinge/ridgehinge/internal/poison"
+	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 )
 
 // replaced returns those of some incarnations that have another one in their place, by this node's
 // view of the endpoints.
-func (r *Relay) replaced(incarnations []poison.Incarnation) []poison.Incarnation {
+func (r *Relay) replaced(incarnations []quarantine.Incarnation) []quarantine.Incarnation {
 	if len(incarnations) == 0 {
 		// A view is built when it is looked at.
 		return nil
 	}
 	view := r.options.View()
-	var out []poison.Incarnation
+	var out []quarantine.Incarnation
 	for _, incarnation := range incarnations {
 		if isReplaced(view, incarnation) {
 			out = append(out, incarnation)
@@ -23,7 +23,7 @@
 }
 
 // isReplaced reports whether another incarnation is listed under an endpoint's id or address.
-func isReplaced(view *directory.View, incarnation poison.Incarnation) bool {
+func isReplaced(view *directory.View, incarnation quarantine.Incarnation) bool {
 	if e := view.Endpoints[incarnation.Endpoint]; e != nil {
 		return e.StartedAt != incarnation.StartedAt
 	}
