--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/gossip"
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 	"github.com/ridgehinge/ridgehinge/internal/link"
@@ -49,10 +50,8 @@
 	// works harder: stacks and buffers of the kernel's count as well.
 	memoryShare = 0.75
 	// gcPercent is lower than Go's own: memory is priced, and small.
-	gcPercent = 100
-	// storeCallTimeout bounds a call of the store beyond its waiting.
-	storeCallTimeout = 1200 * time.Millisecond
-	housekeeping     = time.Second
+	gcPercent    = 100
+	housekeeping = time.Second
 	// idleTimeout is how long an unused connection is kept whose other end does not
 	// say how long it keeps it.
 	idleTimeout = 4 * time.Second
@@ -77,7 +76,7 @@
 	budget     *relay.Budget
 	upstream   *upstream.Client
 	controller *groupcontrol.Controller
-	share      *sharing
+	gossip     *gossip.Gossiper
 	store      table.Store
 	tracker    *httpserver.Tracker
 	servers    []*httpserver.Server
@@ -114,7 +113,15 @@
 	e.store = store
 	demand := relay.NewDemand()
 	e.budget = relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
-	e.share = newSharing(s, life, e.directory, e.balancer, demand, e.budget, e.store, links, e.metrics)
+	e.gossip = gossip.New(s.gossipConfig(life), gossip.Parts{
+		Directory: e.directory,
+		Balancer:  e.balancer,
+		Demand:    demand,
+		Budget:    e.budget,
+		Store:     e.store,
+		Links:     links,
+		Metrics:   e.metrics,
+	})
 	e.relay = relay.New(relay.Options{
 		DataCentre:  s.DataCentre,
 		Wire:        a.Wire,
@@ -123,38 +130,38 @@
 		Balancer:    e.balancer,
 		Demand:      demand,
 		Budget:      e.budget,
-		Quarantine:  e.share.quarantine.list,
-		Throttle:    e.share.throttle,
+		Quarantine:  e.gossip.Quarantine(),
+		Throttle:    e.gossip.Throttle(),
 		Clock:       e.clock,
 		Metrics:     e.metrics,
 		StallAfter:  s.StallAfter,
 		MaxRequests: s.MaxRequests,
 	})
-	store.answered = e.share.storeAnswered
+	store.answered = e.gossip.StoreAnswered
 	e.controller = groupcontrol.New(groupcontrol.Options{
 		Node:        life,
 		Address:     s.Peers,
 		DataCentre:  s.DataCentre,
 		DataCentres: s.DataCentres,
-		Unpaced:     func() bool { return s.FirstStart && !e.relay.Seen() && !e.share.asked.Load() },
-		HolderLives: e.share.controllerLives,
-		HolderKnown: func(row lease.Row) { e.share.meetHolder(row, s.DataCentre) },
-		Rank:        e.share.place,
+		Unpaced:     func() bool { return s.FirstStart && !e.relay.Seen() && !e.gossip.HeardRequests() },
+		HolderLives: e.gossip.ControllerAlive,
+		HolderKnown: func(row lease.Row) { e.gossip.LearnHolder(row, s.DataCentre) },
+		Rank:        e.gossip.Rank,
 		FirstLook:   s.firstLook(),
 		EarlierLife: func(holder string) bool { return holder != life && strings.HasPrefix(holder, s.Node+lifeMark) },
 		Now:         e.clock.Now,
-		Demand:      e.share.controlDemand,
+		Demand:      e.gossip.ControlDemand,
 		LastEvent:   e.lastEvent(),
-		Limit:       func(ep *serving.Endpoint) float64 { return e.share.throttle.RateLimit(ep.Incarnation()).PerSecond },
+		Limit:       func(ep *serving.Endpoint) float64 { return e.gossip.Throttle().RateLimit(ep.Incarnation()).PerSecond },
 		Weights:     s.Policy.Groups,
 		LeaseTTL:    s.LeaseTTL,
 		LeaseOutage: s.Policy.LeaseOutage,
 		CallTimeout: 250 * time.Millisecond,
 		Tick:        100 * time.Millisecond,
 		DrainWait:   2500 * time.Millisecond,
-	}, e.store, countedEndpoints{a.Endpoints(httpClient(links), e.observe), e.metrics}, e.directory, e.share.suspects)
-	e.share.controller = e.controller
-	e.directory.SetReports(e.share.reports)
+	}, e.store, countedEndpoints{a.Endpoints(httpClient(links), e.observe), e.metrics}, e.directory, e.gossip.Suspects)
+	e.gossip.SetController(e.controller)
+	e.directory.SetReports(e.gossip.Reports)
 	if err := e.listen(a, links); err != nil {
 		return nil, err
 	}
@@ -171,7 +178,7 @@
 			o.Endpoint = listed.Incarnation()
 		}
 	}
-	e.share.throttle.Observe(o, time.Now())
+	e.gossip.Throttle().Observe(o, time.Now())
 }
 
 // lastEvent returns what tells the controller which heads give events, or nil.
@@ -211,7 +218,7 @@
 		e.servers = append(e.servers, server)
 	}
 	var err error
-	e.peerSide, err = peers.ListenShare(s.Peers, []byte(s.PeerKey), links, e.share)
+	e.peerSide, err = peers.ListenShare(s.Peers, []byte(s.PeerKey), links, e.gossip)
 	return err
 }
 
@@ -220,36 +227,22 @@
 	e.cancel = cancel
 	control, cancelControl := context.WithCancel(ctx)
 	e.cancelControl = cancelControl
-	watcher := &directory.Watcher{Store: e.store, Directory: e.directory, Options: e.settings.Policy.watchOptions(), Duty: e.share.duty}
+	watcher := &directory.Watcher{Store: e.store, Directory: e.directory, Options: e.settings.Policy.watchOptions(), Duty: e.gossip.Duty}
 	e.running.Go(func() { watcher.Run(ctx) })
-	e.running.Go(func() { e.share.run(ctx) })
+	e.running.Go(func() { e.gossip.Run(ctx) })
 	e.running.Go(func() {
 		defer close(e.controlDone)
 		e.controller.Run(control)
 	})
-	e.running.Go(func() { every(ctx, housekeeping, e.keepHouse) })
-	e.running.Go(func() { every(ctx, refreshPause, e.refresh) })
-}
-
-// every does something at a pace until the context ends.
-func every(ctx context.Context, pause time.Duration, do func(now time.Time)) {
-	ticker := time.NewTicker(pause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			do(now)
-		}
-	}
+	e.running.Go(func() { clock.Every(ctx, housekeeping, e.keepHouse) })
+	e.running.Go(func() { clock.Every(ctx, refreshPause, e.refresh) })
 }
 
 // keepHouse drops what is over.
 func (e *Entry) keepHouse(now time.Time) {
 	listed := e.directory.View().Endpoints
 	e.balancer.Forget(listed)
-	e.share.throttle.Forget(listed, now)
+	e.gossip.Throttle().Forget(listed, now)
 	e.upstream.Prune(now)
 	e.reportState()
 }
@@ -279,17 +272,17 @@
 	e.metrics.Set("groups_open", float64(heads))
 	e.metrics.Set("groups_incomplete", float64(incomplete))
 	e.metrics.Set("endpoints_listed", float64(len(view.Endpoints)))
-	e.metrics.Set("endpoints_suspected", float64(len(e.share.suspects())))
+	e.metrics.Set("endpoints_suspected", float64(len(e.gossip.Suspects())))
 	e.metrics.Set("configuration_version", float64(e.ConfigurationVersion()))
 	e.metrics.Set("configuration_answer_age_seconds", time.Since(e.directory.ConfigurationAnswered()).Seconds())
 	budget := e.budget.Tightest(time.Now())
 	e.metrics.Set("retry_budget_repeats", float64(budget.Repeats))
 	e.metrics.Set("retry_budget_allowed", budget.Allowed())
-	known, blocked := e.share.quarantine.list.Counts()
+	known, blocked := e.gossip.Quarantine().Counts()
 	e.metrics.Set("contents_that_ended_endpoints", float64(known))
 	e.metrics.Set("contents_in_quarantine", float64(blocked))
-	e.metrics.Set("endpoints_limited", float64(e.share.throttle.RateLimited()))
-	e.metrics.Set("endpoints_cooling_down", float64(e.share.throttle.CoolingDown()))
+	e.metrics.Set("endpoints_limited", float64(e.gossip.Throttle().RateLimited()))
+	e.metrics.Set("endpoints_cooling_down", float64(e.gossip.Throttle().CoolingDown()))
 	e.metrics.Set("requests_in_progress", float64(e.relay.InProgress()))
 	e.metrics.Set("connections_opened", float64(e.upstream.Opened()))
 	e.metrics.Set("log_lines_dropped", float64(logging.Dropped()))
@@ -353,7 +346,7 @@
 		return
 	}
 	logging.SetLevel(s.LogLevel)
-	e.share.addSeeds(s.Seeds)
+	e.gossip.AddSeeds(s.Seeds)
 	e.log.Info("reloaded the settings", "file", path, "seeds", s.Seeds, "level", s.LogLevel.String())
 }
 
@@ -369,7 +362,7 @@
 	<-e.controlDone
 	release, cancel := context.WithTimeout(context.Background(), time.Second)
 	e.controller.Release(release)
-	e.share.leave(release)
+	e.gossip.Leave(release)
 	cancel()
 	time.Sleep(time.Until(began.Add(e.settings.StopNotice)))
 	// Callers may still be led here, while few other nodes are ready. What
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/gossip"
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/inicheck"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
@@ -76,7 +77,7 @@
 		},
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, least, most),
 		RelyOnPeers:   p.Duration("rely_on_peers", watch.RelyOnPeers, least, most),
-		ShareNodes:    p.Int("share_nodes", defaultShareNodes, 1, 10_000),
+		ShareNodes:    p.Int("share_nodes", gossip.DefaultFullRateNodes, 1, 10_000),
 	}
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/ridgehinge/ridgehinge/internal/gossip"
 	"github.com/ridgehinge/ridgehinge/internal/inicheck"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -194,3 +195,21 @@
 	}
 	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(address.Addr(), 0))
 }
+
+// gossipConfig is what the exchange between nodes takes of the settings, for one incarnation
+// of the node.
+func (s *Settings) gossipConfig(incarnation string) gossip.Config {
+	return gossip.Config{
+		Incarnation:     incarnation,
+		Address:         s.Peers,
+		Key:             s.PeerKey,
+		Seeds:           s.Seeds,
+		DataCentre:      s.DataCentre,
+		DataCentreNames: s.DataCentreNames,
+		Cores:           s.Cores,
+		Nodes:           s.Nodes,
+		FirstStart:      s.FirstStart,
+		RetryWindow:     s.RetryWindow,
+		FullRateNodes:   s.Policy.ShareNodes,
+	}
+}
--- a/internal/entry/suspension.go
+++ b/internal/entry/suspension.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/ridgehinge/ridgehinge/internal/clock"
 )
 
@@ -24,22 +22,6 @@
 	}
 	e.suspended = suspended
 	e.directory.Suspended(since)
-	e.share.suspended(since)
-	e.share.throttle.Suspended(since)
+	e.gossip.Suspended(since)
 	e.metrics.Set("suspended_seconds", suspended.Seconds())
 }
-
-// suspended makes what peers told older: loads, who controls and relays, and who is there.
-func (s *sharing) suspended(duration time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.peers {
-		for _, at := range []*time.Time{&p.heard, &p.called, &p.failed, &p.toldRelay, &p.storeSeen, &p.behindSince} {
-			clock.Age(at, duration)
-		}
-	}
-	for _, at := range []*time.Time{&s.heardController, &s.storeSeen, &s.rowsHeard} {
-		clock.Age(at, duration)
-	}
-	s.news = true
-}
--- a/internal/entry/shareconfiguration.go
+++ b/internal/gossip/configuration.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"bytes"
@@ -52,11 +52,11 @@
 }
 
 // takeConfiguration takes one that a peer sent.
-func (s *sharing) takeConfiguration(packed []byte, from string) {
+func (g *Gossiper) takeConfiguration(packed []byte, from string) {
 	value, err := unpack(packed)
 	if err != nil {
-		s.log.Error("a peer's configuration cannot be read; the last one stays in force", "peer", from, "error", err)
+		g.log.Error("a peer's configuration cannot be read; the last one stays in force", "peer", from, "error", err)
 		return
 	}
-	s.directory.TakeConfiguration(value, "peer "+from)
+	g.directory.TakeConfiguration(value, "peer "+from)
 }
--- a/internal/entry/shareduty.go
+++ b/internal/gossip/duty.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"time"
@@ -36,44 +36,44 @@
 	relaySlack = 300 * time.Millisecond
 )
 
-// place is this node's rank; until a relay has told one it acts as the first.
-func (s *sharing) place() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rank
+// Rank is this node's rank; until a relay has told one it acts as the first.
+func (g *Gossiper) Rank() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rank
 }
 
-// duty is what this node follows in the store for others.
-func (s *sharing) duty() directory.Duty {
+// Duty is what this node follows in the store for others.
+func (g *Gossiper) Duty() directory.Duty {
 	now := time.Now()
-	controls := s.controls()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	relays := s.relaysHere(controls, now)
-	word := s.wordOf(s.settings.DataCentre, now)
+	controls := g.controls()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	relays := g.relaysHere(controls, now)
+	word := g.wordOf(g.config.DataCentre, now)
 	d := directory.Duty{
-		Endpoints:     controls && s.readsEndpoints(now),
-		Configuration: s.watchesConfiguration(relays, now),
-		Wait:          s.settings.FirstStart && !controls && now.Sub(s.began) < firstWait,
+		Endpoints:     controls && g.readsEndpoints(now),
+		Configuration: g.watchesConfiguration(relays, now),
+		Wait:          g.config.FirstStart && !controls && now.Sub(g.began) < firstWait,
 	}
 	each := silentPatience
 	if word != nil {
 		each = placePatience
 	}
-	d.Patience = min(mostPatience, time.Duration(max(0, s.rank-firstPlaces))*each)
-	if s.ranked && !d.Configuration {
-		d.Configuration = word == nil || now.Sub(word.storeSeen) > 2*s.pace(relays)+storeCalls+relaySlack+d.Patience
+	d.Patience = min(mostPatience, time.Duration(max(0, g.rank-firstPlaces))*each)
+	if g.ranked && !d.Configuration {
+		d.Configuration = word == nil || now.Sub(word.storeSeen) > 2*g.pace(relays)+storeCalls+relaySlack+d.Patience
 	}
 	return d
 }
 
 // watchesConfiguration reports whether this node is one of those that watch the
 // configuration for its data centre; the caller holds the lock.
-func (s *sharing) watchesConfiguration(relays bool, now time.Time) bool {
-	if !s.ranked {
-		return now.Sub(s.began) > rankWait
+func (g *Gossiper) watchesConfiguration(relays bool, now time.Time) bool {
+	if !g.ranked {
+		return now.Sub(g.began) > rankWait
 	}
-	return relays || s.rank <= firstPlaces
+	return relays || g.rank <= firstPlaces
 }
 
 // readsEndpoints reports whether this node, a controller, reads the endpoint table at the
@@ -81,36 +81,36 @@
 // first by name; the caller holds the lock. Five that each read every 0.3 s made 930
 // of 1,536 calls of a calm day of 22 nodes. Once its news stays away all others read at the
 // pace: a notice to leave must be everywhere within two seconds on some platforms.
-func (s *sharing) readsEndpoints(now time.Time) bool {
-	if now.Sub(s.rowsHeard) > s.pace(true)+rowsSlack {
+func (g *Gossiper) readsEndpoints(now time.Time) bool {
+	if now.Sub(g.rowsHeard) > g.pace(true)+rowsSlack {
 		return true
 	}
-	return s.isFirst(now)
+	return g.isFirst(now)
 }
 
 // isFirst reports whether no data centre before this one by name has a live controller that
 // this node hears; the caller holds the lock.
-func (s *sharing) isFirst(now time.Time) bool {
-	for _, dc := range s.dataCentres() {
-		if dc >= s.settings.DataCentre {
+func (g *Gossiper) isFirst(now time.Time) bool {
+	for _, dc := range g.dataCentres() {
+		if dc >= g.config.DataCentre {
 			break
 		}
-		if s.controllerOf(dc, now) != nil {
+		if g.controllerOf(dc, now) != nil {
 			return false
 		}
 	}
 	return true
 }
 
-// reports reports whether this node logs each change of a data centre's endpoints: its
+// Reports reports whether this node logs each change of a data centre's endpoints: its
 // controller decides on them.
-func (s *sharing) reports(dataCentre serving.DataCentre) bool {
-	return dataCentre == s.settings.DataCentre && s.controls()
+func (g *Gossiper) Reports(dataCentre serving.DataCentre) bool {
+	return dataCentre == g.config.DataCentre && g.controls()
 }
 
-// storeAnswered notes that the store has answered this node.
-func (s *sharing) storeAnswered(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.storeSeen = now
+// StoreAnswered notes that the store has answered this node.
+func (g *Gossiper) StoreAnswered(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.storeSeen = now
 }
--- a/internal/entry/sharemessage.go
+++ b/internal/gossip/exchange.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"maps"
@@ -17,40 +17,40 @@
 )
 
 // take applies a peer's message.
-func (s *sharing) take(m *peers.ShareMessage, address string) *peer {
+func (g *Gossiper) take(m *peers.ShareMessage, address string) *peer {
 	now := time.Now()
 	if packed := m.GetConfiguration(); len(packed) > 0 {
-		s.takeConfiguration(packed, m.GetFrom().GetId())
+		g.takeConfiguration(packed, m.GetFrom().GetId())
 	}
-	before, _ := s.directory.Covered()
+	before, _ := g.directory.Covered()
 	if m.GetEndpointsVersion() > 0 {
-		s.directory.TakeChanges(fromRows(m.GetRows()), m.GetRowsSince(), m.GetEndpointsVersion(), now)
+		g.directory.TakeChanges(fromRows(m.GetRows()), m.GetRowsSince(), m.GetEndpointsVersion(), now)
 	}
-	after, _ := s.directory.Covered()
+	after, _ := g.directory.Covered()
 	for _, o := range m.GetObservations() {
-		s.directory.Observe(fromObservation(o), false, now)
+		g.directory.Observe(fromObservation(o), false, now)
 	}
 	if len(m.GetDemand())+len(m.GetRelayedDemand()) > 0 {
-		s.asked.Store(true)
+		g.asked.Store(true)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if after > before {
-		s.rowsHeard = now
+		g.rowsHeard = now
 	}
-	if known := s.peers[address]; known != nil && known.id != m.GetFrom().GetId() {
+	if known := g.peers[address]; known != nil && known.id != m.GetFrom().GetId() {
 		// A new life has nothing of what the last one was told.
 		known.observations, known.observationsSeen = 0, 0
 		known.quarantine = delta.Cursor{}
 		known.advisories = delta.Cursor{}
 	}
-	p := s.meet(address, m.GetFrom().GetId(), m.GetFrom().GetDataCentre())
+	p := g.meet(address, m.GetFrom().GetId(), m.GetFrom().GetDataCentre())
 	if p == nil {
 		return nil
 	}
 	p.cores = m.GetFrom().GetCores()
 	for _, named := range m.GetKnown() {
-		if known := s.meet(named.GetAddress(), named.GetId(), named.GetDataCentre()); known != nil {
+		if known := g.meet(named.GetAddress(), named.GetId(), named.GetDataCentre()); known != nil {
 			known.cores = named.GetCores()
 			if named.GetRelays() {
 				known.toldRelay = now
@@ -58,20 +58,20 @@
 		}
 	}
 	p.heard, p.spoke = now, true
-	s.news = true
-	s.takeRelayed(p, m, now)
-	if p.controls && p.dataCentre == s.settings.DataCentre {
-		s.controller.HeardController(p.epoch)
+	g.news = true
+	g.applyRelayed(p, m, now)
+	if p.controls && p.dataCentre == g.config.DataCentre {
+		g.controller.HeardController(p.epoch)
 		if !m.GetHoldsOver() {
-			s.heardController = now
+			g.heardController = now
 		}
 	}
 	p.configuration = m.GetConfigurationVersion()
 	p.rows = m.GetEndpointsVersion()
 	p.observations = m.GetObservationsVersion()
 	p.observationsSeen = m.GetObservationsSeen()
-	s.quarantine.list.ApplyDelta(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
-	s.throttle.ApplyDelta(&p.advisories, m.GetAdvisories(), "node "+m.GetFrom().GetId(), now)
+	g.quarantine.list.ApplyDelta(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
+	g.throttle.ApplyDelta(&p.advisories, m.GetAdvisories(), "node "+m.GetFrom().GetId(), now)
 	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand())}
 	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand())}
 	p.suspects = p.suspects[:0]
@@ -82,16 +82,16 @@
 	for _, dc := range m.GetCutOff() {
 		p.cutOff = append(p.cutOff, serving.DataCentre(dc))
 	}
-	p.hearsay = toHearsay(m)
+	p.peerReports = toPeerReports(m)
 	if m.GetLeaving() {
-		delete(s.peers, address)
+		delete(g.peers, address)
 	}
 	return p
 }
 
-// takeRelayed notes what a message says of the sender as a controller and a relay;
+// applyRelayed notes what a message says of the sender as a controller and a relay;
 // the caller holds the lock.
-func (s *sharing) takeRelayed(p *peer, m *peers.ShareMessage, now time.Time) {
+func (g *Gossiper) applyRelayed(p *peer, m *peers.ShareMessage, now time.Time) {
 	p.controls = m.GetControls()
 	p.relays = m.GetRelays()
 	if !p.relays {
@@ -100,45 +100,45 @@
 	p.epoch = m.GetEpoch()
 	p.homeNodes = int(m.GetHomeNodes())
 	p.storeSeen = clock.AtMillisAgo(m.GetStoreAgeMs(), now)
-	s.nodes = max(s.nodes, int(m.GetNodes()))
-	if p.dataCentre == s.settings.DataCentre && m.GetRank() > 0 {
-		s.rank, s.ranked = int(m.GetRank()), true
-		s.toldNodes = true
+	g.nodes = max(g.nodes, int(m.GetNodes()))
+	if p.dataCentre == g.config.DataCentre && m.GetRank() > 0 {
+		g.rank, g.ranked = int(m.GetRank()), true
+		g.toldNodes = true
 	}
 }
 
 // message is this node's side of a swap with a peer, with what it lacks.
-func (s *sharing) message(p *peer) *peers.ShareMessage {
+func (g *Gossiper) message(p *peer) *peers.ShareMessage {
 	now := time.Now()
-	m := &peers.ShareMessage{From: s.self().named()}
-	m.Loads = toLoads(s.balancer.Own(now), now)
-	m.Demand = toDemand(s.demand.Rates(now))
-	for _, id := range s.balancer.Suspects(now) {
+	m := &peers.ShareMessage{From: g.self().named()}
+	m.Loads = toLoads(g.balancer.Own(now), now)
+	m.Demand = toDemand(g.demand.Rates(now))
+	for _, id := range g.balancer.Suspects(now) {
 		m.Suspects = append(m.Suspects, string(id))
 	}
-	for _, dc := range s.balancer.CutOff(now) {
+	for _, dc := range g.balancer.CutOff(now) {
 		m.CutOff = append(m.CutOff, string(dc))
 	}
-	version, value := s.directory.Configuration()
+	version, value := g.directory.Configuration()
 	m.ConfigurationVersion = version
-	m.Epoch = s.controller.Epoch()
+	m.Epoch = g.controller.Epoch()
 	m.Controls = m.Epoch != 0
-	m.HoldsOver = s.controller.HoldsOver()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m.Leaving = s.leaving
+	m.HoldsOver = g.controller.HoldsOver()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.Leaving = g.leaving
 	if p == nil {
 		return m
 	}
-	s.addRelayed(m, p, now)
-	s.addObservations(m, p, now)
-	m.Quarantine = s.quarantine.list.Delta(&p.quarantine, now)
-	m.Advisories = s.throttle.Delta(&p.advisories, now)
+	g.addRelayed(m, p, now)
+	g.addObservations(m, p, now)
+	m.Quarantine = g.quarantine.list.Delta(&p.quarantine, now)
+	m.Advisories = g.throttle.Delta(&p.advisories, now)
 	if p.spoke && p.configuration < version && now.Sub(p.heard) < sayAllAfter {
-		m.Configuration = s.compressed.of(version, value)
+		m.Configuration = g.compressed.of(version, value)
 	}
-	late := s.mayNeedRows(p) && p.lacksRows(now)
-	rows, covered := s.directory.Changes(p.rows)
+	late := g.mayNeedRows(p) && p.lacksRows(now)
+	rows, covered := g.directory.Changes(p.rows)
 	m.EndpointsVersion, m.RowsSince = covered, p.rows
 	if now.Sub(p.heard) < sayAllAfter && (late || p.rows > 0) {
 		m.Rows = toRows(rows)
@@ -148,7 +148,7 @@
 	}
 	p.messages++
 	if p.messages%acquaintEvery == 1 {
-		s.addKnown(m, p, now)
+		g.addKnownNodes(m, p, now)
 	}
 	return m
 }
@@ -158,11 +158,11 @@
 	return &sharepb.Node{Id: p.id, DataCentre: string(p.dataCentre), Address: p.address, Cores: p.cores}
 }
 
-// addKnown names the relays of all data centres, and the next of the peer's own; the
+// addKnownNodes names the relays of all data centres, and the next of the peer's own; the
 // caller holds the lock.
-func (s *sharing) addKnown(m *peers.ShareMessage, to *peer, now time.Time) {
+func (g *Gossiper) addKnownNodes(m *peers.ShareMessage, to *peer, now time.Time) {
 	m.Known = m.Known[:0]
-	seen := map[string]bool{to.address: true, s.settings.Peers: true}
+	seen := map[string]bool{to.address: true, g.config.Address: true}
 	name := func(nodes []*peer, relay bool) {
 		for _, p := range nodes {
 			if !seen[p.address] {
@@ -173,27 +173,27 @@
 			}
 		}
 	}
-	for _, dc := range s.dataCentres() {
-		name(s.relaysOf(dc, m.Controls, now), true)
+	for _, dc := range g.dataCentres() {
+		name(g.relaysOf(dc, m.Controls, now), true)
 	}
-	ordered := s.ordered(to.dataCentre)
+	ordered := g.ordered(to.dataCentre)
 	name(ordered[:min(len(ordered), namedNodes)], false)
 }
 
 // nameRelays tells a peer that called this node, which does not relay, who does: it
 // takes this node for a relay. After the lease had passed to the third in rank, the nodes
 // of its data centre called the first two for eleven seconds, and heard no loads.
-func (s *sharing) nameRelays(m *peers.ShareMessage, to *peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.addKnown(m, to, time.Now())
+func (g *Gossiper) nameRelays(m *peers.ShareMessage, to *peer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.addKnownNodes(m, to, time.Now())
 }
 
 // addObservations adds what the peer has not seen of this node's observations; the
 // caller holds the lock. All of them in each message would be 13 KB, 219 of 60
 // bytes, to each of 59 nodes twice a second while groups are formed.
-func (s *sharing) addObservations(m *peers.ShareMessage, p *peer, now time.Time) {
-	observations, version := s.directory.Observations(p.observationsSeen, now)
+func (g *Gossiper) addObservations(m *peers.ShareMessage, p *peer, now time.Time) {
+	observations, version := g.directory.Observations(p.observationsSeen, now)
 	for _, o := range observations {
 		m.Observations = append(m.Observations, toObservation(o))
 	}
@@ -204,12 +204,12 @@
 // mayNeedRows reports whether a peer without any endpoints is to get them from this node:
 // one of its data centre, or a relay of another. Nodes that start call seeds of other
 // data centres, three each; 295 of them would have been sent 0.3 MB by each seed.
-func (s *sharing) mayNeedRows(p *peer) bool {
-	return p.relays || p.dataCentre == s.settings.DataCentre
+func (g *Gossiper) mayNeedRows(p *peer) bool {
+	return p.relays || p.dataCentre == g.config.DataCentre
 }
 
 // lacksRows reports whether a peer has lacked all endpoints for so long that it is to
-// be sent them; the caller holds the lock of the sharing.
+// be sent them; the caller holds the lock of the Gossiper.
 func (p *peer) lacksRows(now time.Time) bool {
 	if p.rows > 0 {
 		p.behindSince = time.Time{}
@@ -222,19 +222,19 @@
 }
 
 // addRelayed adds what a relay tells a peer of others; the caller holds the lock.
-func (s *sharing) addRelayed(m *peers.ShareMessage, p *peer, now time.Time) {
-	if !s.relaysHere(m.Controls, now) {
+func (g *Gossiper) addRelayed(m *peers.ShareMessage, p *peer, now time.Time) {
+	if !g.relaysHere(m.Controls, now) {
 		return
 	}
 	m.Relays = true
-	m.HomeNodes = uint32(s.homeNodes())
-	m.Nodes = uint32(s.nodes)
-	m.StoreAgeMs = clock.MillisAgo(s.storeSeen, now)
-	relayed := s.homeWork(now)
-	if p.dataCentre == s.settings.DataCentre {
-		m.Rank = uint32(s.ranks[p.address])
-		relayed = s.othersWork(true, p, now)
-		addHearsay(m, s.gathered)
+	m.HomeNodes = uint32(g.homeNodes())
+	m.Nodes = uint32(g.nodes)
+	m.StoreAgeMs = clock.MillisAgo(g.storeSeen, now)
+	relayed := g.homeWork(now)
+	if p.dataCentre == g.config.DataCentre {
+		m.Rank = uint32(g.ranks[p.address])
+		relayed = g.othersWork(true, p, now)
+		addPeerReports(m, g.aggregated)
 	}
 	m.Relayed, m.RelayedDemand = toLoads(relayed.loads, now), toDemand(relayed.demand)
 }
--- a/internal/entry/share.go
+++ b/internal/gossip/gossiper.go
@@ -1,4 +1,10 @@
-package entry
+// Package gossip keeps entry instances informed of each other, and of what each learns: loads,
+// demand, rows, observations, the configuration, advisories of endpoints and the quarantine.
+//
+// One node of each data centre relays: the others swap messages with it, and relays swap sums
+// with each other (relays.go). It also allocates permits at the endpoints of its data centre, and
+// keeps the quarantine in the platform's table.
+package gossip
 
 import (
 	"context"
@@ -24,29 +30,29 @@
 
 // Times of the exchanges between nodes. Each node talks to the relay of its data
 // centre alone, and relays talk to each other, so that the messages grow with the
-// nodes and not with their square (sharerelays.go).
+// nodes and not with their square (relays.go).
 const (
-	shareTick = 50 * time.Millisecond
-	// shareRelay is the time between two calls of a relay, for up to ShareNodes
-	// that call it; it grows with them to shareRelayMost.
-	shareRelay = 100 * time.Millisecond
+	tick = 50 * time.Millisecond
+	// relayInterval is the time between two calls of a relay, for up to ShareNodes
+	// that call it; it grows with them to maxRelayInterval.
+	relayInterval = 100 * time.Millisecond
 	// It is half of loadTTL.
-	shareRelayMost = time.Second
+	maxRelayInterval = time.Second
 	// relayBytes is what a relay is to send to the nodes of its data centre in a second.
 	// With 100 nodes and 3,000 endpoints, whose loads are 40 KB, calls by the number of
 	// nodes alone made it 11.7 MB and took 97 in 100 of its processor.
 	relayBytes = 2 << 20
-	// defaultShareNodes is how many nodes a relay hears ten times a second with three
+	// DefaultFullRateNodes is how many nodes a relay hears ten times a second with three
 	// hundredths of a core, at 0.1 ms to make a message (BenchmarkRelayMessage).
-	defaultShareNodes = 25
-	// shareFirst is for a node of which only the address is known.
-	shareFirst = 300 * time.Millisecond
-	// shareSilent is for nodes that should have called and have not.
-	shareSilent = 2 * time.Second
-	// shareNever is for nodes whose news comes through a relay.
-	shareNever  = math.MaxInt64
-	shareFailed = 2 * time.Second
-	shareCall   = 800 * time.Millisecond
+	DefaultFullRateNodes = 25
+	// introInterval is for a node of which only the address is known.
+	introInterval = 300 * time.Millisecond
+	// silentAfter is for nodes that should have called and have not.
+	silentAfter = 2 * time.Second
+	// never is for nodes whose news comes through a relay.
+	never         = math.MaxInt64
+	failedBackoff = 2 * time.Second
+	callTimeout   = 800 * time.Millisecond
 	// callsPerTick bounds the calls that begin at once, beside those of
 	// relays. Without it sixty nodes that had lost their controller, or were
 	// ten seconds old, called each other at the same moment, and none of them
@@ -107,7 +113,7 @@
 	relayed       work
 	suspects      []serving.EndpointID
 	cutOff        []serving.DataCentre
-	hearsay       relay.Hearsay
+	peerReports   relay.PeerReports
 	configuration uint64
 	// answerBytes is the size of its last answer to a call of this node.
 	answerBytes int
@@ -124,10 +130,9 @@
 	behindSince time.Time
 }
 
-// sharing keeps the nodes informed of each other.
-type sharing struct {
-	settings   *Settings
-	life       string
+// Gossiper keeps the nodes informed of each other.
+type Gossiper struct {
+	config     Config
 	directory  *directory.Directory
 	balancer   *relay.Balancer
 	demand     *relay.Demand
@@ -162,11 +167,11 @@
 	nodes     int
 	toldNodes bool
 	nodesOf   map[serving.DataCentre]int
-	// gathered is what several nodes of this data centre find, as a relay heard it.
-	gathered relay.Hearsay
+	// aggregated is what several nodes of this data centre find, as a relay heard it.
+	aggregated relay.PeerReports
 	// ranks is the place of each other node of this data centre, by address.
 	ranks      map[string]int
-	controller controller
+	controller Controller
 	// news is set when a message came since the sums were last made, and summed is
 	// when that was.
 	news   bool
@@ -177,9 +182,8 @@
 	asked atomic.Bool
 }
 
-// controller is what the sharing asks of the part that controls the data
-// centre, and tells it.
-type controller interface {
+// Controller is what a Gossiper asks of the part that controls the data centre, and tells it.
+type Controller interface {
 	// Epoch is that under which this node acts, or zero.
 	Epoch() uint64
 	// HoldsOver reports whether it acts past its lease.
@@ -189,59 +193,106 @@
 }
 
 // controls reports whether this node controls its data centre.
-func (s *sharing) controls() bool { return s.controller.Epoch() != 0 }
+func (g *Gossiper) controls() bool { return g.controller.Epoch() != 0 }
 
-// controllerLives reports whether the data centre's controller, another node,
+// ControllerAlive reports whether the data centre's controller, another node,
 // spoke lately.
-func (s *sharing) controllerLives() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.heardController) < controllerTTL
+func (g *Gossiper) ControllerAlive() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.heardController) < controllerTTL
 }
 
-func newSharing(s *Settings, life string, d *directory.Directory, b *relay.Balancer, demand *relay.Demand, budget *relay.Budget, store table.Store, links link.Bounds, m *metrics.Metrics) *sharing {
-	sh := &sharing{
-		settings:  s,
-		life:      life,
-		directory: d,
-		balancer:  b,
-		demand:    demand,
-		budget:    budget,
-		store:     store,
-		client:    peers.NewClient([]byte(s.PeerKey), links),
+// Config is what a Gossiper is set up with.
+type Config struct {
+	// Incarnation names this process, other than those before it on the same node.
+	Incarnation string
+	// Address is this node's for its peers, Key what all of them share, Seeds the addresses of
+	// some others.
+	Address string
+	Key     string
+	Seeds   []string
+	// DataCentre is this node's, DataCentreNames are all.
+	DataCentre      serving.DataCentre
+	DataCentreNames []serving.DataCentre
+	// Cores is the part of a processor that this node may use.
+	Cores float64
+	// Nodes is how many nodes there are at least, in all data centres.
+	Nodes int
+	// FirstStart is set if no node ran before.
+	FirstStart bool
+	// RetryWindow is that of the retry budget.
+	RetryWindow time.Duration
+	// FullRateNodes is up to how many nodes call a relay as often as they can.
+	FullRateNodes int
+}
+
+// Parts are those of an entry instance that a Gossiper reads, and tells what peers sent.
+type Parts struct {
+	Directory *directory.Directory
+	Balancer  *relay.Balancer
+	Demand    *relay.Demand
+	Budget    *relay.Budget
+	Store     table.Store
+	Links     link.Bounds
+	Metrics   *metrics.Metrics
+}
+
+// New returns a Gossiper that has not begun. SetController must be called before Run.
+func New(c Config, p Parts) *Gossiper {
+	g := &Gossiper{
+		config:    c,
+		directory: p.Directory,
+		balancer:  p.Balancer,
+		demand:    p.Demand,
+		budget:    p.Budget,
+		store:     p.Store,
+		client:    peers.NewClient([]byte(c.Key), p.Links),
 		log:       logging.For("peers"),
 		peers:     map[string]*peer{},
 		urgent:    make(chan struct{}, 1),
 		nodesOf:   map[serving.DataCentre]int{},
 		began:     time.Now(),
 	}
-	sh.quarantine = newQuarantineTable(quarantine.NewQuarantine(sh.triesQuarantined), store)
-	sh.throttle = throttle.NewTracker(throttle.Options{Ask: sh.askPermit, Nodes: sh.allNodes, OnDraining: d.Invalidate, Metrics: m})
-	d.SetDraining(sh.throttle.Draining)
-	b.OnSuspect(sh.hurry)
-	b.SetHold(sh.throttle.Hold)
-	sh.addSeeds(s.Seeds)
-	return sh
+	g.quarantine = newQuarantineTable(quarantine.NewQuarantine(g.triesQuarantined), p.Store)
+	g.throttle = throttle.NewTracker(throttle.Options{Ask: g.askPermit, Nodes: g.allNodes, OnDraining: p.Directory.Invalidate, Metrics: p.Metrics})
+	p.Directory.SetDraining(g.throttle.Draining)
+	p.Balancer.OnSuspect(g.callRelayNow)
+	p.Balancer.SetHold(g.throttle.Hold)
+	g.AddSeeds(c.Seeds)
+	return g
 }
 
-// addSeeds makes the addresses of the settings known.
-func (s *sharing) addSeeds(seeds []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// SetController sets the part that controls the data centre.
+func (g *Gossiper) SetController(c Controller) { g.controller = c }
+
+// Throttle returns what is known of endpoints' advisories.
+func (g *Gossiper) Throttle() *throttle.Tracker { return g.throttle }
+
+// Quarantine returns what is known of requests that crash endpoints.
+func (g *Gossiper) Quarantine() *quarantine.Quarantine { return g.quarantine.list }
+
+// HeardRequests reports whether a peer told of requests that callers send.
+func (g *Gossiper) HeardRequests() bool { return g.asked.Load() }
+
+// AddSeeds makes the addresses of the settings known.
+func (g *Gossiper) AddSeeds(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, seed := range seeds {
-		s.meet(seed, "", "")
+		g.meet(seed, "", "")
 	}
 }
 
 // meet makes a node known; the caller holds the lock.
-func (s *sharing) meet(address, id, dataCentre string) *peer {
-	if address == "" || address == s.settings.Peers {
+func (g *Gossiper) meet(address, id, dataCentre string) *peer {
+	if address == "" || address == g.config.Address {
 		return nil
 	}
-	p := s.peers[address]
+	p := g.peers[address]
 	if p == nil {
 		p = &peer{address: address, heard: time.Now()}
-		s.peers[address] = p
+		g.peers[address] = p
 	}
 	if id != "" {
 		p.id, p.dataCentre = id, serving.DataCentre(dataCentre)
@@ -249,12 +300,12 @@
 	return p
 }
 
-func (s *sharing) run(ctx context.Context) {
-	defer s.client.Close()
+func (g *Gossiper) Run(ctx context.Context) {
+	defer g.client.Close()
 	var running sync.WaitGroup
-	running.Go(func() { s.followRelays(ctx) })
-	running.Go(func() { s.keepQuarantine(ctx) })
-	ticker := time.NewTicker(shareTick)
+	running.Go(func() { g.followRelays(ctx) })
+	running.Go(func() { g.keepQuarantine(ctx) })
+	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -262,39 +313,39 @@
 			running.Wait()
 			return
 		case now := <-ticker.C:
-			for _, p := range s.due(now) {
-				running.Go(func() { s.call(ctx, p) })
+			for _, p := range g.due(now) {
+				running.Go(func() { g.call(ctx, p) })
 			}
-			if s.hasNews(now) {
-				s.sum(now)
+			if g.hasNews(now) {
+				g.sum(now)
 			}
-		case <-s.urgent:
-			if p := s.ownRelay(time.Now()); p != nil {
-				running.Go(func() { s.call(ctx, p) })
+		case <-g.urgent:
+			if p := g.ownRelay(time.Now()); p != nil {
+				running.Go(func() { g.call(ctx, p) })
 			}
 		}
 	}
 }
 
-// hurry has the relay of this data centre hear from this node at once:
+// callRelayNow has the relay of this data centre hear from this node at once:
 // what it is told of silent endpoints takes groups out of service.
-func (s *sharing) hurry() {
+func (g *Gossiper) callRelayNow() {
 	select {
-	case s.urgent <- struct{}{}:
+	case g.urgent <- struct{}{}:
 	default:
 	}
 }
 
 // call swaps messages with one peer.
-func (s *sharing) call(ctx context.Context, p *peer) {
-	ctx, cancel := context.WithTimeout(ctx, shareCall)
+func (g *Gossiper) call(ctx context.Context, p *peer) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer, err := s.client.Share(ctx, p.address, s.message(p))
+	answer, err := g.client.Share(ctx, p.address, g.message(p))
 	if err == nil {
-		s.take(answer, p.address)
+		g.take(answer, p.address)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	p.busy = false
 	p.answerBytes = proto.Size(answer)
 	if err != nil {
@@ -302,16 +353,16 @@
 	}
 	if lost := err != nil; lost != p.lost && ctx.Err() != context.Canceled {
 		p.lost = lost
-		s.log.Info("a peer's state has changed", "peer", p.id, "address", p.address, "lost", lost, "silent", time.Since(p.heard), "error", err)
+		g.log.Info("a peer's state has changed", "peer", p.id, "address", p.address, "lost", lost, "silent", time.Since(p.heard), "error", err)
 	}
 }
 
 // Share implements peers.ShareHandler.
-func (s *sharing) Share(_ context.Context, m *peers.ShareMessage) (*peers.ShareMessage, error) {
-	p := s.take(m, m.GetFrom().GetAddress())
-	answer := s.message(p)
+func (g *Gossiper) Share(_ context.Context, m *peers.ShareMessage) (*peers.ShareMessage, error) {
+	p := g.take(m, m.GetFrom().GetAddress())
+	answer := g.message(p)
 	if p != nil && !answer.Relays {
-		s.nameRelays(answer, p)
+		g.nameRelays(answer, p)
 	}
 	return answer, nil
 }
--- a/internal/entry/share_bench_test.go
+++ b/internal/gossip/gossiper_bench_test.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"fmt"
@@ -16,11 +16,10 @@
 
 // relaying returns the relay of a data centre of 59 nodes, one of five, each node with
 // work at four of a hundred heads.
-func relaying(now time.Time) *sharing {
-	s := &sharing{
+func relaying(now time.Time) *Gossiper {
+	s := &Gossiper{
 		quarantine: newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), nil),
-		settings:   &Settings{Node: "n", DataCentre: "dc0", Peers: "10.0.9.9:1"},
-		life:       "n/life",
+		config:     Config{Incarnation: "n/life", DataCentre: "dc0", Address: "10.0.9.9:1"},
 		directory:  directory.New(directory.Codec{}),
 		balancer:   relay.NewBalancer("dc0", rand.NewPCG(1, 1), relay.DefaultWeights),
 		demand:     relay.NewDemand(),
--- a/internal/entry/share_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"fmt"
@@ -13,17 +13,19 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 // acquainted returns a node that knows sixty others of three data centres.
-func acquainted(now time.Time) *sharing {
-	s := &sharing{
+func acquainted(now time.Time) *Gossiper {
+	s := &Gossiper{
 		quarantine: newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), nil),
-		settings:   &Settings{Node: "n", DataCentre: "dc0", Peers: "10.0.0.100:1"},
+		config:     Config{DataCentre: "dc0", Address: "10.0.0.100:1"},
 		peers:      map[string]*peer{},
 		nodesOf:    map[serving.DataCentre]int{},
+		throttle:   throttle.NewTracker(throttle.Options{}),
 		controller: standby{},
 	}
 	for i := range 60 {
@@ -44,7 +46,7 @@
 func TestNodesWithoutAControllerCallRelaysAlone(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
-	s.life = "n99"
+	s.config.Incarnation = "n99"
 	called := map[string]bool{}
 	for range 300 {
 		for _, p := range s.due(now) {
@@ -52,7 +54,7 @@
 			p.busy = false
 			p.heard = now
 		}
-		now = now.Add(shareTick)
+		now = now.Add(tick)
 	}
 	require.Equal(t, map[string]bool{"n0": true, "n12": true}, called, "the first two by name of its data centre")
 }
@@ -61,12 +63,12 @@
 func TestRelaysThatDoNotAnswerAreReplaced(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
-	s.life = "n99"
+	s.config.Incarnation = "n99"
 	for _, address := range []string{"10.0.0.0:1", "10.0.0.12:1"} {
 		s.peers[address].failed = now.Add(time.Millisecond)
 	}
 	require.Equal(t, "n15", s.relaysOf("dc0", false, now)[0].id)
-	s.life = "n14"
+	s.config.Incarnation = "n14"
 	require.True(t, s.relaysHere(false, now), "this node is the next")
 }
 
@@ -74,7 +76,7 @@
 // should have heard, a few at a time.
 func TestARelayCallsRelaysAndAFewThatAreSilent(t *testing.T) {
 	now := time.Now()
-	s := acquainted(now.Add(-2 * shareSilent))
+	s := acquainted(now.Add(-2 * silentAfter))
 	called := map[string]int{}
 	for range 40 {
 		due := s.due(now)
@@ -87,7 +89,7 @@
 			}
 		}
 		require.LessOrEqual(t, others, callsPerTick)
-		now = now.Add(shareTick)
+		now = now.Add(tick)
 	}
 	for id := range called {
 		p := s.peers["10.0.0."+id[1:]+":1"]
@@ -102,13 +104,13 @@
 func TestANodeIsToldWhoRelays(t *testing.T) {
 	now := time.Now()
 	first := acquainted(now)
-	first.settings.Peers, first.life = "10.0.0.0:1", "n0"
+	first.config.Address, first.config.Incarnation = "10.0.0.0:1", "n0"
 	delete(first.peers, "10.0.0.0:1")
 	third := first.peers["10.0.0.15:1"]
 	third.controls, third.relays = true, true
 
 	other := acquainted(now)
-	other.life = "n99"
+	other.config.Incarnation = "n99"
 	require.Equal(t, "n0", other.relaysOf("dc0", false, now)[0].id, "it knows of no controller")
 	m := &peers.ShareMessage{From: other.peers["10.0.0.0:1"].named()}
 	first.nameRelays(m, &peer{id: "n99", address: "10.0.0.100:1", dataCentre: "dc0"})
@@ -124,7 +126,7 @@
 func TestRelaysAreTheFastestNodes(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
-	s.life = "n99"
+	s.config.Incarnation = "n99"
 	s.peers["10.0.0.57:1"].cores = 0.8
 	require.Equal(t, "n57", s.relaysOf("dc0", false, now)[0].id)
 }
@@ -134,7 +136,7 @@
 	now := time.Now()
 	s := acquainted(now)
 	m := &peers.ShareMessage{}
-	s.addKnown(m, s.peers["10.0.0.1:1"], now)
+	s.addKnownNodes(m, s.peers["10.0.0.1:1"], now)
 	require.LessOrEqual(t, len(m.Known), 3*standbyRelays+namedNodes)
 	require.NotEmpty(t, m.Known)
 }
@@ -150,7 +152,7 @@
 			require.Equal(t, controller, p)
 			p.busy = false
 		}
-		now = now.Add(shareTick)
+		now = now.Add(tick)
 	}
 }
 
@@ -159,7 +161,7 @@
 func TestControllersReadThemselvesOnceNoRowsCome(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
-	s.settings.DataCentre = "dc1"
+	s.config.DataCentre = "dc1"
 	reader := s.peers["10.0.0.3:1"]
 	reader.controls, reader.epoch = true, 1
 	s.rowsHeard = now
@@ -182,21 +184,21 @@
 	s.peers["10.0.0.3:1"].suspects = []serving.EndpointID{"b"}
 	s.peers["10.0.0.6:1"].cutOff = []serving.DataCentre{"dc1"}
 	s.peers["10.0.0.1:1"].suspects = []serving.EndpointID{"a", "c"} // Of another data centre.
-	found := s.gather([]serving.EndpointID{"c"}, []serving.DataCentre{"dc1", "dc2"}, now)
+	found := s.aggregate([]serving.EndpointID{"c"}, []serving.DataCentre{"dc1", "dc2"}, now)
 	m := &peers.ShareMessage{}
-	addHearsay(m, found)
-	want := relay.Hearsay{Suspects: map[serving.EndpointID]bool{"b": true}, CutOff: map[serving.DataCentre]bool{"dc1": true}}
-	require.Equal(t, want, toHearsay(m))
+	addPeerReports(m, found)
+	want := relay.PeerReports{Suspects: map[serving.EndpointID]bool{"b": true}, CutOff: map[serving.DataCentre]bool{"dc1": true}}
+	require.Equal(t, want, toPeerReports(m))
 }
 
 // What a node finds silent is told at once, and not with the next message.
 func TestASuspicionIsToldToTheControllerAtOnce(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
-	s.life = "n99"
+	s.config.Incarnation = "n99"
 	s.urgent = make(chan struct{}, 1)
 	balancer := relay.NewBalancer("dc0", rand.NewPCG(1, 1), relay.DefaultWeights)
-	balancer.OnSuspect(s.hurry)
+	balancer.OnSuspect(s.callRelayNow)
 	balancer.Suspect("e", now)
 	require.Len(t, s.urgent, 1)
 	require.Equal(t, "n0", s.ownRelay(now).id, "no controller is known: the first in rank hears it")
@@ -267,11 +269,11 @@
 func TestLoadsAreToldWhileTheyCount(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
-	s.settings.Policy.ShareNodes = defaultShareNodes
+	s.config.FullRateNodes = DefaultFullRateNodes
 	for _, c := range []struct {
 		nodes int
 		want  time.Duration
-	}{{3, 100 * time.Millisecond}, {26, 100 * time.Millisecond}, {59, 232 * time.Millisecond}, {400, shareRelayMost}} {
+	}{{3, 100 * time.Millisecond}, {26, 100 * time.Millisecond}, {59, 232 * time.Millisecond}, {400, maxRelayInterval}} {
 		for address := range s.peers {
 			delete(s.peers, address)
 		}
@@ -285,7 +287,7 @@
 func TestLargeLoadsAreToldMoreSeldom(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
-	s.settings.Policy.ShareNodes = defaultShareNodes
+	s.config.FullRateNodes = DefaultFullRateNodes
 	for address := range s.peers {
 		delete(s.peers, address)
 	}
@@ -295,10 +297,10 @@
 	controller.answerBytes = 16 << 10
 	require.Equal(t, 781250*time.Microsecond, s.pace(false))
 	controller.answerBytes = 40 << 10
-	require.Equal(t, shareRelayMost, s.pace(false))
-	require.Less(t, 2*shareRelayMost, loadTTL+time.Millisecond, "what was told last still counts")
+	require.Equal(t, maxRelayInterval, s.pace(false))
+	require.Less(t, 2*maxRelayInterval, loadTTL+time.Millisecond, "what was told last still counts")
 	away := &peer{id: "n2", dataCentre: "dc1", heard: now, relays: true}
-	require.Equal(t, shareRelayMost, s.interval(away, true, true, shareRelayMost, now))
+	require.Equal(t, maxRelayInterval, s.interval(away, true, true, maxRelayInterval, now))
 }
 
 // Nodes that were cut off from the other data centres from their first moment split the
@@ -308,8 +310,8 @@
 	now := time.Now()
 	s := acquainted(now)
 	s.began = now
-	s.settings.RetryWindow = window
-	s.settings.DataCentreNames = []serving.DataCentre{"dc0", "dc1", "dc2"}
+	s.config.RetryWindow = window
+	s.config.DataCentreNames = []serving.DataCentre{"dc0", "dc1", "dc2"}
 	home := 21 // Twenty and itself.
 	require.Equal(t, home, s.countNodes(now), "a node that has just started does not guess")
 	require.Equal(t, 3*home, s.countNodes(now.Add(window)))
@@ -328,16 +330,16 @@
 func TestWhatPeersToldBeforeASuspensionIsOld(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
-	s.life = "n99"
+	s.config.Incarnation = "n99"
 	s.heardController = now
 	p := s.peers["10.0.0.0:1"]
 	p.controls, p.relays = true, true
 	p.own = work{loads: map[serving.EndpointID]relay.PeerLoad{"e": {Running: 4}}}
-	require.True(t, s.controllerLives())
+	require.True(t, s.ControllerAlive())
 	require.NotNil(t, s.controllerOf("dc0", now))
 	require.Equal(t, 4, s.othersWork(false, nil, now).loads["e"].Running)
-	s.suspended(5 * time.Second)
-	require.False(t, s.controllerLives())
+	s.Suspended(5 * time.Second)
+	require.False(t, s.ControllerAlive())
 	require.Nil(t, s.controllerOf("dc0", now))
 	require.Empty(t, s.othersWork(false, nil, now).loads)
 	require.True(t, p.storeSeen.IsZero(), "what was never seen stays so")
@@ -361,10 +363,10 @@
 // takes itself for the relay.
 func TestAllocator_IsTheRelayOfTheDataCentre(t *testing.T) {
 	now := time.Now()
-	other := func(s *sharing) { s.peers["10.0.0.1:1"].relays = true }
+	other := func(g *Gossiper) { g.peers["10.0.0.1:1"].relays = true }
 	tests := map[string]struct {
 		life    string
-		prepare func(*sharing)
+		prepare func(*Gossiper)
 		age     time.Duration
 		dc      serving.DataCentre
 		want    string
@@ -383,7 +385,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := acquainted(now)
-			s.life, s.began = test.life, now.Add(-test.age)
+			s.config.Incarnation, s.began = test.life, now.Add(-test.age)
 			if test.prepare != nil {
 				test.prepare(s)
 			}
--- a/internal/entry/shareloads.go
+++ b/internal/gossip/loads.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"time"
@@ -11,36 +11,36 @@
 
 // hasNews reports whether the sums have to be made anew. Made twenty times a second they
 // cost a node without requests as much as a busy one.
-func (s *sharing) hasNews(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.news || now.Sub(s.summed) >= sumPause
+func (g *Gossiper) hasNews(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.news || now.Sub(g.summed) >= sumPause
 }
 
 // sum tells the balancer and the budget what the peers told, and has a relay note
 // the places of the nodes that it tells.
-func (s *sharing) sum(now time.Time) {
-	controls := s.controls()
-	own, ownCutOff := s.balancer.Suspects(now), s.balancer.CutOff(now)
-	s.mu.Lock()
-	s.news, s.summed = false, now
-	relays := s.relaysHere(controls, now)
-	s.noteRanks(relays)
-	s.nodes = max(s.nodes, s.countNodes(now))
-	nodes := s.nodes
-	total := s.othersWork(relays, nil, now)
+func (g *Gossiper) sum(now time.Time) {
+	controls := g.controls()
+	own, ownCutOff := g.balancer.Suspects(now), g.balancer.CutOff(now)
+	g.mu.Lock()
+	g.news, g.summed = false, now
+	relays := g.relaysHere(controls, now)
+	g.assignRanks(relays)
+	g.nodes = max(g.nodes, g.countNodes(now))
+	nodes := g.nodes
+	total := g.othersWork(relays, nil, now)
 	if relays {
-		s.gathered = s.gather(own, ownCutOff, now)
-	} else if word := s.wordOf(s.settings.DataCentre, now); word != nil {
-		s.gathered = word.hearsay
+		g.aggregated = g.aggregate(own, ownCutOff, now)
+	} else if word := g.wordOf(g.config.DataCentre, now); word != nil {
+		g.aggregated = word.peerReports
 	} else {
-		s.gathered = relay.Hearsay{}
+		g.aggregated = relay.PeerReports{}
 	}
-	hearsay := s.gathered
-	s.mu.Unlock()
-	s.balancer.SetPeers(total.loads)
-	s.balancer.SetHearsay(hearsay)
-	s.budget.SetNodes(nodes)
+	peerReports := g.aggregated
+	g.mu.Unlock()
+	g.balancer.SetPeers(total.loads)
+	g.balancer.SetPeerReports(peerReports)
+	g.budget.SetNodes(nodes)
 }
 
 // countNodes counts the nodes of all data centres, as far as this node hears of them; the
@@ -48,20 +48,20 @@
 // relay, it takes as many as of its own: they spend their parts of the retry budget's slack
 // as well, and three data centres that are cut off from each other from their first moment
 // would each take the whole of it.
-func (s *sharing) countNodes(now time.Time) int {
-	home := s.homeNodes()
+func (g *Gossiper) countNodes(now time.Time) int {
+	home := g.homeNodes()
 	n := home
-	for _, dc := range s.settings.DataCentreNames {
-		if dc == s.settings.DataCentre {
+	for _, dc := range g.config.DataCentreNames {
+		if dc == g.config.DataCentre {
 			continue
 		}
-		if p := s.wordOf(dc, now); p != nil {
-			s.nodesOf[dc] = max(s.nodesOf[dc], p.homeNodes)
+		if p := g.wordOf(dc, now); p != nil {
+			g.nodesOf[dc] = max(g.nodesOf[dc], p.homeNodes)
 		}
 		switch {
-		case s.nodesOf[dc] > 0:
-			n += s.nodesOf[dc]
-		case !s.toldNodes && now.Sub(s.began) >= s.settings.RetryWindow:
+		case g.nodesOf[dc] > 0:
+			n += g.nodesOf[dc]
+		case !g.toldNodes && now.Sub(g.began) >= g.config.RetryWindow:
 			n += home
 		}
 	}
@@ -70,20 +70,20 @@
 
 // totalDemand is the work that callers ask for of each model, at this node and
 // all that it hears of.
-func (s *sharing) totalDemand() map[directory.Pool]relay.Asked {
+func (g *Gossiper) totalDemand() map[directory.Pool]relay.Asked {
 	now := time.Now()
-	controls := s.controls()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	total := s.othersWork(s.relaysHere(controls, now), nil, now)
-	total.add(work{demand: s.demand.Rates(now)})
+	controls := g.controls()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	total := g.othersWork(g.relaysHere(controls, now), nil, now)
+	total.add(work{demand: g.demand.Rates(now)})
 	return total.demand
 }
 
-// controlDemand is the total demand as the controller plans by it.
-func (s *sharing) controlDemand() map[directory.Pool]groupcontrol.Demand {
+// ControlDemand is the total demand as the controller plans by it.
+func (g *Gossiper) ControlDemand() map[directory.Pool]groupcontrol.Demand {
 	out := map[directory.Pool]groupcontrol.Demand{}
-	for pool, asked := range s.totalDemand() {
+	for pool, asked := range g.totalDemand() {
 		judged := asked.InTime + asked.Late
 		out[pool] = groupcontrol.Demand{Groups: asked.Groups, Requests: asked.Requests, InTime: asked.InTime / max(1, judged), Judged: judged}
 	}
@@ -114,20 +114,20 @@
 // othersWork sums up the work of others than this node, and than one peer; the
 // caller holds the lock. A relay takes what the nodes of its data centre told, and
 // the words of the other data centres' relays; others take the word of their relay.
-func (s *sharing) othersWork(relays bool, except *peer, now time.Time) work {
+func (g *Gossiper) othersWork(relays bool, except *peer, now time.Time) work {
 	total := newWork()
-	if word := s.wordOf(s.settings.DataCentre, now); word != nil && !relays {
+	if word := g.wordOf(g.config.DataCentre, now); word != nil && !relays {
 		total.add(word.own)
 		total.add(word.relayed)
 		return total
 	}
-	for _, p := range s.peers {
-		if p != except && p.dataCentre == s.settings.DataCentre && now.Sub(p.heard) <= loadTTL {
+	for _, p := range g.peers {
+		if p != except && p.dataCentre == g.config.DataCentre && now.Sub(p.heard) <= loadTTL {
 			total.add(p.own)
 		}
 	}
-	for _, dc := range s.dataCentres() {
-		if word := s.wordOf(dc, now); word != nil && word != except && dc != s.settings.DataCentre {
+	for _, dc := range g.dataCentres() {
+		if word := g.wordOf(dc, now); word != nil && word != except && dc != g.config.DataCentre {
 			total.add(word.own)
 			total.add(word.relayed)
 		}
@@ -137,23 +137,23 @@
 
 // homeWork sums up the work of the other nodes of this data centre; the caller
 // holds the lock.
-func (s *sharing) homeWork(now time.Time) work {
+func (g *Gossiper) homeWork(now time.Time) work {
 	total := newWork()
-	for _, p := range s.peers {
-		if p.dataCentre == s.settings.DataCentre && now.Sub(p.heard) <= loadTTL {
+	for _, p := range g.peers {
+		if p.dataCentre == g.config.DataCentre && now.Sub(p.heard) <= loadTTL {
 			total.add(p.own)
 		}
 	}
 	return total
 }
 
-// suspects returns what this node and its peers find silent or failing.
-func (s *sharing) suspects() []serving.EndpointID {
+// Suspects returns what this node and its peers find silent or failing.
+func (g *Gossiper) Suspects() []serving.EndpointID {
 	now := time.Now()
-	out := s.balancer.Suspects(now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.peers {
+	out := g.balancer.Suspects(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
 		if now.Sub(p.heard) < loadTTL {
 			out = append(out, p.suspects...)
 		}
--- a/internal/entry/sharepermits.go
+++ b/internal/gossip/permits.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"context"
@@ -30,37 +30,37 @@
 var errNoAllocator = errors.New("no allocator is known for the data centre")
 
 // allNodes is how many nodes there are.
-func (s *sharing) allNodes() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(s.nodes, s.settings.Nodes)
+func (g *Gossiper) allNodes() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.nodes, g.config.Nodes)
 }
 
 // allocator is the node to which a request for a permit at a data centre's endpoint goes
 // from here, and whether that is this node itself, which then allocates the permit. The relay of the
 // data centre allocates; others are on the way to it.
-func (s *sharing) allocator(dc serving.DataCentre, now time.Time) (address string, self bool, err error) {
-	controls := s.controls()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	own := s.relaysOf(s.settings.DataCentre, controls, now)[0]
-	if dc != s.settings.DataCentre && s.isSelf(own) {
-		relay := s.wordOf(dc, now)
+func (g *Gossiper) allocator(dc serving.DataCentre, now time.Time) (address string, self bool, err error) {
+	controls := g.controls()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := g.relaysOf(g.config.DataCentre, controls, now)[0]
+	if dc != g.config.DataCentre && g.isSelf(own) {
+		relay := g.wordOf(dc, now)
 		if relay == nil {
 			return "", false, errNoAllocator
 		}
 		return relay.address, false, nil
 	}
-	if s.isSelf(own) && now.Sub(s.began) < allocateAfter {
+	if g.isSelf(own) && now.Sub(g.began) < allocateAfter {
 		return "", false, errNoAllocator
 	}
-	return own.address, s.isSelf(own), nil
+	return own.address, g.isSelf(own), nil
 }
 
 // askPermit asks for a permit at an endpoint that limits how much it takes.
-func (s *sharing) askPermit(ctx context.Context, e *serving.Endpoint, known advisory.RateLimit) (throttle.Permit, error) {
+func (g *Gossiper) askPermit(ctx context.Context, e *serving.Endpoint, known advisory.RateLimit) (throttle.Permit, error) {
 	now := time.Now()
-	answer, err := s.AcquirePermit(ctx, &sharepb.PermitRequest{Advisory: throttle.ToWire(e.Incarnation(), known, now), DataCentre: string(e.DataCentre)})
+	answer, err := g.AcquirePermit(ctx, &sharepb.PermitRequest{Advisory: throttle.ToWire(e.Incarnation(), known, now), DataCentre: string(e.DataCentre)})
 	if err != nil {
 		return throttle.Permit{}, err
 	}
@@ -69,20 +69,20 @@
 }
 
 // AcquirePermit implements peers.ShareHandler.
-func (s *sharing) AcquirePermit(ctx context.Context, q *sharepb.PermitRequest) (*sharepb.PermitAnswer, error) {
+func (g *Gossiper) AcquirePermit(ctx context.Context, q *sharepb.PermitRequest) (*sharepb.PermitAnswer, error) {
 	now := time.Now()
-	address, self, err := s.allocator(serving.DataCentre(q.GetDataCentre()), now)
+	address, self, err := g.allocator(serving.DataCentre(q.GetDataCentre()), now)
 	switch {
 	case err != nil:
 		return nil, oops.In("throttle").Wrap(err)
 	case self:
 		inc, known := throttle.FromWire(q.GetAdvisory(), now)
-		return toPermitAnswer(inc, s.throttle.Allocate(inc, known, now), now), nil
+		return toPermitAnswer(inc, g.throttle.Allocate(inc, known, now), now), nil
 	case q.GetHops() >= maxHops:
 		return nil, oops.In("throttle").Wrap(errNoAllocator)
 	}
 	passed := &sharepb.PermitRequest{Advisory: q.GetAdvisory(), DataCentre: q.GetDataCentre(), Hops: q.GetHops() + 1}
-	return s.client.AcquirePermit(ctx, address, passed)
+	return g.client.AcquirePermit(ctx, address, passed)
 }
 
 // toPermitAnswer tells an answer; a wait of less than a millisecond counts as one.
--- a/internal/entry/sharequarantine.go
+++ b/internal/gossip/quarantine.go
@@ -1,8 +1,10 @@
-package entry
+package gossip
 
 import (
 	"context"
 	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/clock"
 )
 
 // Requests that end the endpoints that run them come again at any node, so what each node
@@ -21,24 +23,24 @@
 
 // triesQuarantined reports whether this node is the one that sends a request from quarantine
 // once: the controller of the first data centre by name, of those that hear each other.
-func (s *sharing) triesQuarantined() bool {
-	if !s.controls() {
+func (g *Gossiper) triesQuarantined() bool {
+	if !g.controls() {
 		return false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.isFirst(time.Now())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isFirst(time.Now())
 }
 
 // keepQuarantine keeps the table in step for as long as this node relays.
-func (s *sharing) keepQuarantine(ctx context.Context) {
-	every(ctx, quarantineTick, func(now time.Time) {
-		s.quarantine.over = append(s.quarantine.over, s.quarantine.list.Expire(now)...)
-		if duty := s.quarantineDuty(now); duty.keeps {
-			s.quarantine.step(ctx, duty, now)
+func (g *Gossiper) keepQuarantine(ctx context.Context) {
+	clock.Every(ctx, quarantineTick, func(now time.Time) {
+		g.quarantine.over = append(g.quarantine.over, g.quarantine.list.Expire(now)...)
+		if duty := g.quarantineDuty(now); duty.keeps {
+			g.quarantine.step(ctx, duty, now)
 		} else {
 			// Whoever relays next reads the table first.
-			s.quarantine.read = time.Time{}
+			g.quarantine.read = time.Time{}
 		}
 	})
 }
@@ -54,16 +56,16 @@
 }
 
 // quarantineDuty returns what this node does about the table now.
-func (s *sharing) quarantineDuty(now time.Time) quarantineDuty {
-	controls := s.controls()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Sub(s.began) < quarantineFirst || s.leaving || !s.relaysHere(controls, now) {
+func (g *Gossiper) quarantineDuty(now time.Time) quarantineDuty {
+	controls := g.controls()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.began) < quarantineFirst || g.leaving || !g.relaysHere(controls, now) {
 		return quarantineDuty{}
 	}
-	d := quarantineDuty{keeps: true, first: s.isFirst(now)}
-	for _, dc := range s.dataCentres() {
-		if dc != s.settings.DataCentre && s.wordOf(dc, now) == nil {
+	d := quarantineDuty{keeps: true, first: g.isFirst(now)}
+	for _, dc := range g.dataCentres() {
+		if dc != g.config.DataCentre && g.wordOf(dc, now) == nil {
 			d.apart = true
 		}
 	}
--- a/internal/entry/quarantinetable.go
+++ b/internal/gossip/quarantinetable.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"cmp"
--- a/internal/entry/quarantinetable_test.go
+++ b/internal/gossip/quarantinetable_test.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 	return &keeper{newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), store), quarantineDuty{keeps: true, first: first}, time.Now()}
 }
 
-// run lets time pass.
+// Run lets time pass.
 func (k *keeper) run(ctx context.Context, d time.Duration) {
 	for until := k.now.Add(d); k.now.Before(until); k.now = k.now.Add(quarantineTick) {
 		k.step(ctx, k.duty, k.now)
--- a/internal/entry/sharerelays.go
+++ b/internal/gossip/relays.go
@@ -1,4 +1,4 @@
-package entry
+package gossip
 
 import (
 	"cmp"
@@ -49,18 +49,18 @@
 }
 
 // self is this node as a peer.
-func (s *sharing) self() *peer {
-	return &peer{id: s.life, address: s.settings.Peers, dataCentre: s.settings.DataCentre, cores: float32(s.settings.Cores)}
+func (g *Gossiper) self() *peer {
+	return &peer{id: g.config.Incarnation, address: g.config.Address, dataCentre: g.config.DataCentre, cores: float32(g.config.Cores)}
 }
 
 // ordered returns the usable nodes of a data centre, this one among them, in the
 // order of rank; the caller holds the lock.
-func (s *sharing) ordered(dataCentre serving.DataCentre) []*peer {
+func (g *Gossiper) ordered(dataCentre serving.DataCentre) []*peer {
 	var out []*peer
-	if dataCentre == s.settings.DataCentre {
-		out = append(out, s.self())
+	if dataCentre == g.config.DataCentre {
+		out = append(out, g.self())
 	}
-	for _, p := range s.peers {
+	for _, p := range g.peers {
 		if p.dataCentre == dataCentre && p.usable() {
 			out = append(out, p)
 		}
@@ -71,14 +71,14 @@
 
 // relaysOf returns the nodes that relay for a data centre, as far as this node
 // knows, itself among them; the caller holds the lock.
-func (s *sharing) relaysOf(dataCentre serving.DataCentre, controls bool, now time.Time) []*peer {
-	if dataCentre == s.settings.DataCentre && controls {
-		return []*peer{s.self()}
+func (g *Gossiper) relaysOf(dataCentre serving.DataCentre, controls bool, now time.Time) []*peer {
+	if dataCentre == g.config.DataCentre && controls {
+		return []*peer{g.self()}
 	}
-	if p := s.controllerOf(dataCentre, now); p != nil {
+	if p := g.controllerOf(dataCentre, now); p != nil {
 		return []*peer{p}
 	}
-	ordered := s.ordered(dataCentre)
+	ordered := g.ordered(dataCentre)
 	slices.SortStableFunc(ordered, func(a, b *peer) int { return b.toldSince(now).Compare(a.toldSince(now)) })
 	return ordered[:min(len(ordered), standbyRelays)]
 }
@@ -93,9 +93,9 @@
 
 // controllerOf returns the live controller of a data centre among the peers,
 // of two that with the later epoch; the caller holds the lock.
-func (s *sharing) controllerOf(dataCentre serving.DataCentre, now time.Time) *peer {
+func (g *Gossiper) controllerOf(dataCentre serving.DataCentre, now time.Time) *peer {
 	var found *peer
-	for _, p := range s.peers {
+	for _, p := range g.peers {
 		if p.dataCentre == dataCentre && p.live(now) && (found == nil || p.epoch > found.epoch) {
 			found = p
 		}
@@ -104,17 +104,17 @@
 }
 
 // relaysHere reports whether this node relays; the caller holds the lock.
-func (s *sharing) relaysHere(controls bool, now time.Time) bool {
-	return slices.ContainsFunc(s.relaysOf(s.settings.DataCentre, controls, now), s.isSelf)
+func (g *Gossiper) relaysHere(controls bool, now time.Time) bool {
+	return slices.ContainsFunc(g.relaysOf(g.config.DataCentre, controls, now), g.isSelf)
 }
 
-func (s *sharing) isSelf(p *peer) bool { return p.address == s.settings.Peers }
+func (g *Gossiper) isSelf(p *peer) bool { return p.address == g.config.Address }
 
 // wordOf returns the node whose word counts for a data centre: of those that relay
 // for it the first that was heard lately, or nil; the caller holds the lock.
-func (s *sharing) wordOf(dataCentre serving.DataCentre, now time.Time) *peer {
+func (g *Gossiper) wordOf(dataCentre serving.DataCentre, now time.Time) *peer {
 	var found *peer
-	for _, p := range s.peers {
+	for _, p := range g.peers {
 		if p.dataCentre != dataCentre || !p.relays || !p.usable() || now.Sub(p.heard) > loadTTL {
 			continue
 		}
@@ -131,9 +131,9 @@
 }
 
 // dataCentres returns those of the known nodes; the caller holds the lock.
-func (s *sharing) dataCentres() []serving.DataCentre {
-	seen := map[serving.DataCentre]bool{s.settings.DataCentre: true}
-	for _, p := range s.peers {
+func (g *Gossiper) dataCentres() []serving.DataCentre {
+	seen := map[serving.DataCentre]bool{g.config.DataCentre: true}
+	for _, p := range g.peers {
 		if p.id != "" {
 			seen[p.dataCentre] = true
 		}
@@ -148,26 +148,26 @@
 
 // due returns the peers to be called now: the relays that this node talks to, and
 // a few others.
-func (s *sharing) due(now time.Time) []*peer {
-	controls := s.controls()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.forgetLost(now)
-	relays := s.relaysHere(controls, now)
+func (g *Gossiper) due(now time.Time) []*peer {
+	controls := g.controls()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.forgetLost(now)
+	relays := g.relaysHere(controls, now)
 	partners := map[string]bool{}
-	for _, dc := range s.dataCentres() {
-		if dc != s.settings.DataCentre && !relays {
+	for _, dc := range g.dataCentres() {
+		if dc != g.config.DataCentre && !relays {
 			continue
 		}
-		for _, p := range s.relaysOf(dc, controls, now) {
+		for _, p := range g.relaysOf(dc, controls, now) {
 			partners[p.address] = true
 		}
 	}
-	pace := s.pace(relays)
+	pace := g.pace(relays)
 	var out, others []*peer
-	for _, p := range s.peers {
-		interval := s.interval(p, partners[p.address], relays, pace, now)
-		if p.busy || interval == shareNever || now.Sub(p.failed) < shareFailed || now.Sub(p.called) < interval {
+	for _, p := range g.peers {
+		interval := g.interval(p, partners[p.address], relays, pace, now)
+		if p.busy || interval == never || now.Sub(p.failed) < failedBackoff || now.Sub(p.called) < interval {
 			continue
 		}
 		if partners[p.address] {
@@ -186,27 +186,27 @@
 }
 
 // forgetLost drops peers that have long not answered; the caller holds the lock.
-func (s *sharing) forgetLost(now time.Time) {
-	for address, p := range s.peers {
+func (g *Gossiper) forgetLost(now time.Time) {
+	for address, p := range g.peers {
 		if p.failed.After(p.heard) && now.Sub(p.heard) > forgetPeer {
-			delete(s.peers, address)
+			delete(g.peers, address)
 		}
 	}
 }
 
 // pace is the time between two calls of a relay; the caller holds the lock.
-func (s *sharing) pace(relays bool) time.Duration {
+func (g *Gossiper) pace(relays bool) time.Duration {
 	near := 0
 	if relays {
-		near = s.homeNodes()
+		near = g.homeNodes()
 	}
-	for _, p := range s.peers {
-		if p.dataCentre == s.settings.DataCentre && p.relays {
+	for _, p := range g.peers {
+		if p.dataCentre == g.config.DataCentre && p.relays {
 			near = max(near, p.homeNodes)
 		}
 	}
-	interval := scaled(shareRelay, near-1, max(1, s.settings.Policy.ShareNodes))
-	return min(shareRelayMost, max(interval, bearable(near, s.largestAnswer())))
+	interval := scaled(relayInterval, near-1, max(1, g.config.FullRateNodes))
+	return min(maxRelayInterval, max(interval, bearable(near, g.largestAnswer())))
 }
 
 // bearable is the time between two calls at which a relay sends no more than relayBytes
@@ -217,9 +217,9 @@
 
 // largestAnswer is the size of the last answers of relays, of the largest; the caller
 // holds the lock.
-func (s *sharing) largestAnswer() int {
+func (g *Gossiper) largestAnswer() int {
 	largest := 0
-	for _, p := range s.peers {
+	for _, p := range g.peers {
 		if p.relays {
 			largest = max(largest, p.answerBytes)
 		}
@@ -229,10 +229,10 @@
 
 // homeNodes counts the known nodes of this data centre, this one among them; the
 // caller holds the lock.
-func (s *sharing) homeNodes() int {
+func (g *Gossiper) homeNodes() int {
 	n := 1
-	for _, p := range s.peers {
-		if p.id != "" && p.dataCentre == s.settings.DataCentre {
+	for _, p := range g.peers {
+		if p.id != "" && p.dataCentre == g.config.DataCentre {
 			n++
 		}
 	}
@@ -240,21 +240,21 @@
 }
 
 // interval is the time between two calls of a peer; the caller holds the lock.
-func (s *sharing) interval(p *peer, partner, relays bool, pace time.Duration, now time.Time) time.Duration {
+func (g *Gossiper) interval(p *peer, partner, relays bool, pace time.Duration, now time.Time) time.Duration {
 	switch {
 	case p.id == "":
-		return shareFirst
+		return introInterval
 	case !p.usable():
-		return shareFailed
-	case partner && p.dataCentre != s.settings.DataCentre:
-		return min(shareRelayMost, acrossPause*pace)
+		return failedBackoff
+	case partner && p.dataCentre != g.config.DataCentre:
+		return min(maxRelayInterval, acrossPause*pace)
 	case partner:
 		return pace
-	case relays && p.dataCentre == s.settings.DataCentre && now.Sub(p.heard) > shareSilent:
+	case relays && p.dataCentre == g.config.DataCentre && now.Sub(p.heard) > silentAfter:
 		// It calls; if it does not, it may not know this node.
-		return shareSilent
+		return silentAfter
 	}
-	return shareNever
+	return never
 }
 
 // scaled lengthens an interval when there are more nodes than it is for.
@@ -264,12 +264,12 @@
 
 // ownRelay returns the relay of this data centre to be called now, or nil if it is
 // this node, is not known or is being called.
-func (s *sharing) ownRelay(now time.Time) *peer {
-	controls := s.controls()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := s.relaysOf(s.settings.DataCentre, controls, now)[0]
-	if s.isSelf(p) || p.busy {
+func (g *Gossiper) ownRelay(now time.Time) *peer {
+	controls := g.controls()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.relaysOf(g.config.DataCentre, controls, now)[0]
+	if g.isSelf(p) || p.busy {
 		return nil
 	}
 	p.busy = true
@@ -277,30 +277,30 @@
 	return p
 }
 
-// noteRanks has a relay note the places of the others of its data centre; the
+// assignRanks has a relay note the places of the others of its data centre; the
 // caller holds the lock.
-func (s *sharing) noteRanks(relays bool) {
+func (g *Gossiper) assignRanks(relays bool) {
 	if !relays {
-		s.ranks = nil
+		g.ranks = nil
 		return
 	}
-	s.ranks = map[string]int{}
+	g.ranks = map[string]int{}
 	place := 0
-	for _, p := range s.ordered(s.settings.DataCentre) {
-		if !s.isSelf(p) {
+	for _, p := range g.ordered(g.config.DataCentre) {
+		if !g.isSelf(p) {
 			place++
-			s.ranks[p.address] = place
+			g.ranks[p.address] = place
 		}
 	}
-	s.rank, s.ranked = 0, true
+	g.rank, g.ranked = 0, true
 }
 
-// leave has the relay hear that this node stops.
-func (s *sharing) leave(ctx context.Context) {
-	s.mu.Lock()
-	s.leaving = true
-	s.mu.Unlock()
-	if p := s.ownRelay(time.Now()); p != nil {
-		s.call(ctx, p)
+// Leave has the relay hear that this node stops.
+func (g *Gossiper) Leave(ctx context.Context) {
+	g.mu.Lock()
+	g.leaving = true
+	g.mu.Unlock()
+	if p := g.ownRelay(time.Now()); p != nil {
+		g.call(ctx, p)
 	}
 }
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -31,7 +31,7 @@
 	// remotes are the other data centres.
 	remotes map[serving.DataCentre]*remote
 	// told is what other nodes find.
-	told Hearsay
+	told PeerReports
 	// candidates is kept between choices, doubtful are those that only others
 	// found fault with.
 	candidates []candidate
@@ -61,7 +61,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	tally, _ := b.load(e.ID).found(e.Membership.Epoch, now)
-	return b.weights.Failures == health.Compare && tally.Failed > leastTold
+	return b.weights.Failures == health.Compare && tally.Failed > minReportedWeight
 }
 
 // LastEvent returns when an endpoint last sent any node something, as far as this
@@ -115,8 +115,8 @@
 	return out
 }
 
-// leastTold is the weight, in requests, below which results are not worth telling.
-const leastTold = 0.3
+// minReportedWeight is the weight, in requests, below which results are not worth telling.
+const minReportedWeight = 0.3
 
 // Own returns what this node has under way and finds, to tell its peers.
 func (b *Balancer) Own(now time.Time) map[serving.EndpointID]PeerLoad {
@@ -125,7 +125,7 @@
 	out := map[serving.EndpointID]PeerLoad{}
 	for id, l := range b.loads {
 		tally := l.results.Tally(now)
-		if l.running > 0 || tally.Served+tally.Failed > leastTold {
+		if l.running > 0 || tally.Served+tally.Failed > minReportedWeight {
 			out[id] = PeerLoad{Running: l.running, Unread: l.unread, Event: l.event, Epoch: l.epoch, Tally: tally, Pace: l.paces.Pace(now)}
 		}
 	}
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -73,7 +73,7 @@
 	}
 	sound, silent, remote := head("sound", "north"), head("silent", "north"), head("remote", "south")
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
-	b.SetHearsay(Hearsay{Suspects: map[serving.EndpointID]bool{"silent": true}, CutOff: map[serving.DataCentre]bool{"south": true}})
+	b.SetPeerReports(PeerReports{Suspects: map[serving.EndpointID]bool{"silent": true}, CutOff: map[serving.DataCentre]bool{"south": true}})
 	now := time.Now()
 	for range 100 {
 		require.Equal(t, sound, b.ChooseHead([]*directory.Head{silent, sound, remote}, Size{Prompt: 100}, nil, false, now).Head)
--- a/internal/relay/cutoff.go
+++ b/internal/relay/cutoff.go
@@ -6,22 +6,22 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-// Hearsay is what several other nodes of this data centre find.
-type Hearsay struct {
+// PeerReports is what several other nodes of this data centre find.
+type PeerReports struct {
 	// CutOff data centres are not reached, Suspects are silent or failing.
 	CutOff   map[serving.DataCentre]bool
 	Suspects map[serving.EndpointID]bool
 }
 
-// ownNews is for how long what an endpoint or a data centre has shown this node itself
+// ownEvidenceFor is for how long what an endpoint or a data centre has shown this node itself
 // counts against what others find.
-const ownNews = 300 * time.Millisecond
+const ownEvidenceFor = 300 * time.Millisecond
 
-// SetHearsay takes what other nodes find. Each node lost half a second of two requests
+// SetPeerReports takes what other nodes find. Each node lost half a second of two requests
 // to each group that had fallen silent and to each data centre that was cut off, and of
 // one more whenever it tried again: with 295 nodes 540 requests were late in the first
 // four seconds of a cut.
-func (b *Balancer) SetHearsay(h Hearsay) {
+func (b *Balancer) SetPeerReports(h PeerReports) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.told = h
@@ -30,7 +30,7 @@
 // isDoubtful reports whether other nodes find an endpoint silent, or its data centre cut
 // off, and it has shown no life to this node lately.
 func (b *Balancer) isDoubtful(id serving.EndpointID, dataCentre serving.DataCentre, l *load, now time.Time) bool {
-	if now.Sub(l.news) < ownNews {
+	if now.Sub(l.news) < ownEvidenceFor {
 		return false
 	}
 	return b.told.Suspects[id] || dataCentre != b.home && b.told.CutOff[dataCentre]
