--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -214,21 +214,23 @@
 	time.Sleep(herdPause)
 }
 
-// Watch looks at what holds only where nothing is amiss: both plain endpoints and a group's
-// head name limits, one of them and a worker shed load, another worker leaves, and requests
-// that end endpoints go on coming.
+// Watch looks at what holds only where nothing is amiss: both plain endpoints and a worker name
+// limits, a plain endpoint and a group's head shed load, another group's head leaves, and
+// requests that end endpoints go on coming.
 func (r *Run) Watch(for_ time.Duration) {
-	rejecting := []serving.EndpointID{"s-south", r.drawWorker()}
+	rejecting := []serving.EndpointID{"s-south", r.head("south")}
 	for _, id := range rejecting {
 		r.platform.SetRejecting(id, 0.5, "1.5")
 	}
-	leaving := r.drawWorker()
-	r.platform.SetLeavingMark(leaving, "1")
 	limited := []serving.EndpointID{"s-north", "s-south", r.drawWorker()}
 	for i, id := range limited {
 		r.platform.SetLimit(id, strconv.Itoa(1+i))
 	}
-	time.Sleep(for_)
+	// What is told before the grace has passed does not count.
+	time.Sleep(watchGrace)
+	leaving := r.head("north")
+	r.platform.SetLeavingMark(leaving, "1")
+	time.Sleep(for_ - watchGrace)
 	for _, id := range limited {
 		r.platform.SetLimit(id, "")
 	}
@@ -238,6 +240,17 @@
 	r.platform.Crash(leaving)
 }
 
+// watchGrace is a little longer than the grace of isCalm.
+var watchGrace = crashBound.Grace + 500*time.Millisecond
+
+// head returns the head of an open group of a data centre, or any worker while there is none.
+func (r *Run) head(centre string) serving.EndpointID {
+	if id, _ := r.platform.Head(centre); id != "" {
+		return id
+	}
+	return r.drawWorker()
+}
+
 // restart starts a process again, unless another fault has done so.
 func (r *Run) restart(p *process) {
 	if !p.ended() {
