relay: send callers back soon whose attempts endpoints shed

A request that four shedding endpoints had rejected was told to come back after 0.3 s, the time for a group to be repaired. Reports no longer decode the two fields that nobody reads.

TestCooldown_RejectedRequestsComeBackSoon fails without it (0.3 s).

--- a/internal/relay/cooldown_test.go
+++ b/internal/relay/cooldown_test.go
@@ -153,3 +153,28 @@
 		})
 	}
 }
+
+// A request that shedding endpoints rejected until its attempts were used up may be served at
+// once through another node.
+func TestCooldown_RejectedRequestsComeBackSoon(t *testing.T) {
+	for name, test := range map[string]struct {
+		cooldown time.Duration
+		want     time.Duration
+	}{
+		"shed":     {time.Minute, DefaultWeights.OverloadRetryAfter},
+		"rejected": {0, defaultRetryAfter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var all []*endpoint
+			for range 5 {
+				all = append(all, newEndpoint(t, notRun))
+			}
+			w := newWorld(t, nil, all)
+			w.useThrottle(throttle.NewTracker(throttle.Options{}))
+			w.relay.options.Wire = stating{statement: advisory.Statement{Cooldown: advisory.Advertised[time.Duration]{Value: test.cooldown}}}
+			out := w.serve(request(hostStream))
+			require.Equal(t, http.StatusServiceUnavailable, out.status)
+			require.Equal(t, test.want.String(), out.header.Get("After"))
+		})
+	}
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -52,6 +52,8 @@
 	// that said that they did not run it.
 	sends      int
 	rejections int
+	// shed is set once an endpoint has rejected the request and asked for a cooldown.
+	shed bool
 	// charge is what the attempt under way took of the retry budget.
 	charge     Charge
 	mayHaveRun bool
@@ -212,7 +214,7 @@
 			return
 		}
 		if c.attemptsUsed() {
-			c.giveUp(refusal{cause: causeAttempts, after: defaultRetryAfter})
+			c.giveUp(refusal{cause: causeAttempts, after: c.retryAfterAttempts()})
 			return
 		}
 		if c.left() < leastTime {
@@ -238,7 +240,7 @@
 			return
 		}
 		if !c.chargeRetry() {
-			c.giveUp(refusal{cause: causeBudget, after: defaultRetryAfter})
+			c.giveUp(refusal{cause: causeBudget, after: c.retryAfterAttempts()})
 			return
 		}
 		switch c.attempt(ctx, t) {
@@ -254,6 +256,16 @@
 	}
 }
 
+// retryAfterAttempts is when a caller may come back whose request is sent no more. What
+// endpoints rejected to shed load may be served at once through another node, to which they
+// have not said so; after other failures a group may have to be repaired.
+func (c *call) retryAfterAttempts() time.Duration {
+	if c.shed {
+		return c.options.Balancer.weights.OverloadRetryAfter
+	}
+	return defaultRetryAfter
+}
+
 // chargeRetry takes a retry out of the budget, and reports whether there was one. A first
 // attempt needs none.
 func (c *call) chargeRetry() bool {
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -263,13 +263,9 @@
 	Staged     []string
 	Domain     string
 	// Orders counts the orders that this incarnation of the endpoint has taken.
-	Orders uint64
-	// Busy is set while an order is under way.
-	Busy    bool
+	Orders  uint64
 	Queued  int
 	Running int
-	// Pace is above one for an endpoint that is slow.
-	Pace float64
 }
 
 // OrderKind is what an order asks of an endpoint.
