Rename places to permits in pkg/ratelimit, and what the relay and gossip left over

Constants of bounds begin with max, the balancer's "news" is lastActive, the gossiper's is dirty. The line "a request was turned away" is "request rejected as invalid". No behaviour changes.

--- a/internal/gossip/duty.go
+++ b/internal/gossip/duty.go
@@ -14,8 +14,8 @@
 	// relay.
 	placePatience  = 250 * time.Millisecond
 	silentPatience = 50 * time.Millisecond
-	// mostPatience bounds the wait: a node may be the only one that the store serves.
-	mostPatience = 8 * time.Second
+	// maxPatience bounds the wait: a node may be the only one that the store serves.
+	maxPatience = 8 * time.Second
 	// rankWait is how long after its start a node waits for its rank before it watches
 	// the configuration that it has just read.
 	rankWait = time.Second
@@ -60,7 +60,7 @@
 	if word != nil {
 		each = placePatience
 	}
-	d.Patience = min(mostPatience, time.Duration(max(0, g.rank-firstPlaces))*each)
+	d.Patience = min(maxPatience, time.Duration(max(0, g.rank-firstPlaces))*each)
 	if g.ranked && !d.Configuration {
 		d.Configuration = word == nil || now.Sub(word.storeSeen) > 2*g.pace(relays)+storeCalls+relaySlack+d.Patience
 	}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -39,7 +39,7 @@
 		g.rowsHeard = now
 	}
 	if known := g.peers[address]; known != nil && known.id != m.GetFrom().GetId() {
-		// A new life has nothing of what the last one was told.
+		// A restarted peer has nothing of what it was sent before.
 		known.observations, known.observationsSeen = 0, 0
 		known.quarantine = delta.Cursor{}
 		known.advisories = delta.Cursor{}
@@ -58,7 +58,7 @@
 		}
 	}
 	p.heard, p.spoke = now, true
-	g.news = true
+	g.dirty = true
 	g.applyRelayed(p, m, now)
 	if p.controls && p.dataCentre == g.config.DataCentre {
 		g.controller.HeardController(p.epoch)
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -172,9 +172,9 @@
 	// ranks is the place of each other node of this data centre, by address.
 	ranks      map[string]int
 	controller Controller
-	// news is set when a message came since the sums were last made, and summed is
+	// dirty is set when a message came since the sums were last made, and summed is
 	// when that was.
-	news   bool
+	dirty  bool
 	summed time.Time
 	// compressed is the configuration as it is sent.
 	compressed compressedConfiguration
@@ -316,7 +316,7 @@
 			for _, p := range g.due(now) {
 				running.Go(func() { g.call(ctx, p) })
 			}
-			if g.hasNews(now) {
+			if g.needsSum(now) {
 				g.sum(now)
 			}
 		case <-g.urgent:
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -9,12 +9,12 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-// hasNews reports whether the sums have to be made anew. Made twenty times a second they
+// needsSum reports whether the sums have to be made anew. Made twenty times a second they
 // cost a node without requests as much as a busy one.
-func (g *Gossiper) hasNews(now time.Time) bool {
+func (g *Gossiper) needsSum(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.news || now.Sub(g.summed) >= sumPause
+	return g.dirty || now.Sub(g.summed) >= sumPause
 }
 
 // sum tells the balancer and the budget what the peers told, and has a relay note
@@ -23,7 +23,7 @@
 	controls := g.controls()
 	own, ownCutOff := g.balancer.Suspects(now), g.balancer.CutOff(now)
 	g.mu.Lock()
-	g.news, g.summed = false, now
+	g.dirty, g.summed = false, now
 	relays := g.relaysHere(controls, now)
 	g.assignRanks(relays)
 	g.nodes = max(g.nodes, g.countNodes(now))
--- a/internal/gossip/quarantinetable.go
+++ b/internal/gossip/quarantinetable.go
@@ -120,7 +120,7 @@
 
 // quarantineRow is the value of a row.
 type quarantineRow struct {
-	// Ends are the lives of endpoints that ended.
+	// Ends are the incarnations of endpoints that crashed.
 	Ends []qlist.Incarnation `json:"ends"`
 	// Tried is set once a request was sent from quarantine.
 	Tried bool `json:"tried,omitempty"`
@@ -173,8 +173,8 @@
 		return qlist.Record{}, err
 	}
 	r := qlist.Record{Fingerprint: f, Tried: value.Tried}
-	for _, life := range value.Ends {
-		r.Ends = append(r.Ends, qlist.End{Incarnation: life, At: now})
+	for _, inc := range value.Ends {
+		r.Ends = append(r.Ends, qlist.End{Incarnation: inc, At: now})
 	}
 	return r, nil
 }
--- a/internal/gossip/suspension.go
+++ b/internal/gossip/suspension.go
@@ -20,5 +20,5 @@
 	for _, at := range []*time.Time{&g.heardController, &g.storeSeen, &g.rowsHeard} {
 		clock.Age(at, duration)
 	}
-	g.news = true
+	g.dirty = true
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -182,7 +182,7 @@
 		c.options.Balancer.Suspect(id, at)
 	}
 	if response.Status == http.StatusMisdirectedRequest {
-		// The head leads no group any more, or another life has its address.
+		// The head leads no group any more, or another endpoint has its address.
 		c.options.Balancer.Suspect(t.ID, at)
 	}
 	drain(response)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -11,7 +11,7 @@
 )
 
 // suspectFor is how long an endpoint that failed or fell silent is passed over,
-// unless it shows life.
+// unless it sends something.
 const suspectFor = 2 * time.Second
 
 // Balancer knows what is under way at each endpoint and chooses among them.
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -65,7 +65,7 @@
 }
 
 // What several other nodes find silent is passed over before this node has lost a request
-// to it, unless it shows life here, or nothing else is left.
+// to it, unless it sends something here, or nothing else is left.
 func TestWhatOthersFindSilentIsPassedOver(t *testing.T) {
 	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
 	head := func(id string, dc serving.DataCentre) *directory.Head {
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -30,25 +30,21 @@
 )
 
 // Budget limits how often requests are sent once more, for each service. All nodes share
-// the allowance without a shared counter, and a life of a node does not know what the one
-// before it has spent, so nothing may depend on that:
+// the allowance without a shared counter, and a restarted node does not know what it has spent
+// before, so nothing may depend on that:
 //
 //   - A request earns a part of a repeat, at the node that takes it and for a short time.
 //     However often nodes start again, each part is spent once at most.
-//   - The slack is split between the nodes. A life spends none of it until it is a whole
-//     window old: its earlier life may have spent it all.
+//   - The slack is split between the nodes. A process spends none of it until it is a whole
+//     window old: the one before it may have spent it all.
 //   - Of many nodes each has less than one repeat at any time. What there is gives a chance
 //     of one, and is spent whether it comes or not.
-//
-// With one count of each life's own window and the slack from its start, all nodes made
-// 687 repeats in ten seconds of 529 that were allowed when they were killed once, and 754
-// of 546 when killed twice.
 type Budget struct {
 	ratio  float64
 	slack  float64
 	window time.Duration
 	log    logging.Logger
-	// start is when this life began; windows count from it by the steady clock, since
+	// start is when this process began; windows count from it by the steady clock, since
 	// the time of day may jump.
 	start time.Time
 	// chance returns a number from 0 to 1; nil has parts of a repeat give none.
@@ -62,7 +58,7 @@
 // budgetWindow counts requests and repeats in a sliding window. It has a bucket more than
 // the window, since the newest is not full.
 type budgetWindow struct {
-	// newest numbers the newest bucket by the time since the life's start.
+	// newest numbers the newest bucket by the time since the process's start.
 	newest  int64
 	buckets [budgetBuckets + 1]budgetBucket
 }
@@ -83,7 +79,7 @@
 	return &w.buckets[(number%n+n)%n]
 }
 
-// NewBudget returns the budget of a life that begins now, of ratio times the requests plus
+// NewBudget returns the budget of a process that begins now, of ratio times the requests plus
 // a slack, in each window, for all nodes together.
 func NewBudget(ratio, slack float64, window time.Duration, nodes int) *Budget {
 	return &Budget{
@@ -173,7 +169,7 @@
 	Earned float64
 	Slack  float64
 	Nodes  int
-	// Age is how long this life of the node has lasted.
+	// Age is how long this process has run.
 	Age time.Duration
 }
 
--- a/internal/relay/cutoff.go
+++ b/internal/relay/cutoff.go
@@ -30,7 +30,7 @@
 // isDoubtful reports whether other nodes find an endpoint silent, or its data centre cut
 // off, and it has shown no life to this node lately.
 func (b *Balancer) isDoubtful(id serving.EndpointID, dataCentre serving.DataCentre, l *load, now time.Time) bool {
-	if now.Sub(l.news) < ownEvidenceFor {
+	if now.Sub(l.lastActive) < ownEvidenceFor {
 		return false
 	}
 	return b.told.Suspects[id] || dataCentre != b.home && b.told.CutOff[dataCentre]
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -12,7 +12,7 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-// Weights set how requests are spread and turned away.
+// Weights set how requests are spread and rejected.
 type Weights struct {
 	// RemotePenalty is added to the predicted time of an endpoint in another data
 	// centre: bytes between data centres cost.
@@ -21,7 +21,7 @@
 	// the predicted time, 2^DrawPower times.
 	DrawPower float64
 	// LateFactor times its objective is the predicted time to the first event
-	// beyond which a request is turned away: what it would add to a group that is
+	// beyond which a request is rejected: what it would add to a group that is
 	// behind makes those after it late as well.
 	LateFactor float64
 	// OverloadRetryAfter is after what time callers may come back that found all
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -31,7 +31,7 @@
 	l := b.load(e.ID)
 	if l.running == 0 {
 		// Silence counts from here: nothing was due before.
-		l.news = now
+		l.lastActive = now
 	}
 	l.running++
 	l.unread += s.Prompt
@@ -39,9 +39,9 @@
 	return &flight{balancer: b, endpoint: e.ID, epoch: e.Membership.Epoch, size: s, reading: true, began: now, last: now}
 }
 
-// mostPause bounds a pause that counts for an endpoint's pace: a longer one is a stall,
+// maxPause bounds a pause that counts for an endpoint's pace: a longer one is a stall,
 // and has its own remedy.
-const mostPause = time.Second
+const maxPause = time.Second
 
 // event notes that the endpoint has sent something of the request.
 func (f *flight) event(now time.Time) {
@@ -49,10 +49,10 @@
 	defer f.balancer.mu.Unlock()
 	l := f.balancer.load(f.endpoint)
 	if !f.reading && f.head != nil && l.leads(f.epoch) {
-		l.paces.Note(min(mostPause, now.Sub(f.last)), passTime(f.head, l), now)
+		l.paces.Note(min(maxPause, now.Sub(f.last)), passTime(f.head, l), now)
 	}
 	f.last = now
-	l.news, l.event = now, now
+	l.lastActive, l.event = now, now
 	l.suspectUntil = time.Time{}
 	if r := f.balancer.remotes[l.dataCentre]; r != nil {
 		r.failures = 0
@@ -95,7 +95,7 @@
 	f.balancer.mu.Lock()
 	defer f.balancer.mu.Unlock()
 	l := f.balancer.load(f.endpoint)
-	evidence := health.Evidence{Own: l.news, Waiting: f.reading}
+	evidence := health.Evidence{Own: l.lastActive, Waiting: f.reading}
 	if f.balancer.weights.SharedEvents {
 		evidence.Others = l.peers.Event
 	}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -16,10 +16,10 @@
 	context int
 	// peers is what the other nodes last told.
 	peers PeerLoad
-	// news is when the endpoint last showed life to this node, or had nothing to do
+	// lastActive is when the endpoint last sent this node something, or had nothing to do
 	// for it; event is when it last sent something.
-	news  time.Time
-	event time.Time
+	lastActive time.Time
+	event      time.Time
 	// epoch is that of the group that results are of: those of an earlier group say
 	// nothing of this one. Plain endpoints have none.
 	epoch   uint64
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -373,7 +373,7 @@
 func (c *call) invalid(status int, cause string) {
 	c.outcome = outcomeInvalid
 	c.answer(status, cause, 0)
-	c.log.Info("a request was turned away", "request", c.attrs.ID, "status", status, "cause", cause,
+	c.log.Info("request rejected as invalid", "request", c.attrs.ID, "status", status, "cause", cause,
 		"host", c.in.Host, "path", c.in.Path, "configuration", c.configurationVersion())
 }
 
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// mostRecords bounds the records: with the contents that were served lately they take
+	// maxRecords bounds the records: with the contents that were served lately they take
 	// 1.8 MB (TestAFloodStaysWithinItsBounds). A rack of nine endpoints that fails leaves
 	// 234 of requests that merely ran there.
-	mostRecords = 4096
+	maxRecords = 4096
 	// evictPart is the part of the records that makes room at once.
 	evictPart = 8
 	// keepFor is how long after its last end a record is kept: longer than a caller
@@ -191,7 +191,7 @@
 	if e != nil {
 		return e
 	}
-	if len(l.records) >= mostRecords {
+	if len(l.records) >= maxRecords {
 		l.evict()
 	}
 	e = &entry{Record: Record{Fingerprint: f, Served: l.served.at(f, now)}, changedAt: now}
@@ -210,7 +210,7 @@
 	slices.SortFunc(all, func(a, b *entry) int {
 		return cmp.Or(cmp.Compare(len(a.Ends), len(b.Ends)), a.changedAt.Compare(b.changedAt))
 	})
-	for _, e := range all[:mostRecords/evictPart] {
+	for _, e := range all[:maxRecords/evictPart] {
 		delete(l.records, e.Fingerprint)
 	}
 }
--- a/pkg/quarantine/list_test.go
+++ b/pkg/quarantine/list_test.go
@@ -61,8 +61,8 @@
 
 // swap tells each list what has changed in the other.
 func swap(a, b *List, now time.Time) {
-	fromA, _ := a.Changes(0, mostRecords)
-	fromB, _ := b.Changes(0, mostRecords)
+	fromA, _ := a.Changes(0, maxRecords)
+	fromB, _ := b.Changes(0, maxRecords)
 	a.Take(fromB, now)
 	b.Take(fromA, now)
 }
@@ -121,11 +121,11 @@
 	require.Len(t, seen, 10)
 	require.Empty(t, told)
 	other := NewList()
-	all, _ := l.Changes(0, mostRecords)
+	all, _ := l.Changes(0, maxRecords)
 	other.Take(all, at(21))
-	_, version := other.Changes(0, mostRecords)
+	_, version := other.Changes(0, maxRecords)
 	other.Take(all, at(22))
-	told, _ = other.Changes(version, mostRecords)
+	told, _ = other.Changes(version, maxRecords)
 	require.Empty(t, told, "what was known is no news")
 }
 
@@ -238,7 +238,7 @@
 	for incarnation := range Incarnation(3) {
 		l.Ended(content(1), incarnation, at(0))
 	}
-	const flood = 20 * mostRecords
+	const flood = 20 * maxRecords
 	for i := range uint64(flood) {
 		l.Ended(content(i+10), 1, at(1))
 		l.Served(content(i+10+flood), at(1))
@@ -247,7 +247,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	require.True(t, blocked(l, 1))
-	require.LessOrEqual(t, l.Len(), mostRecords)
+	require.LessOrEqual(t, l.Len(), maxRecords)
 	require.Len(t, l.served.times, servedKept)
 	took := int64(after.HeapAlloc) - int64(before.HeapAlloc)
 	t.Logf("%d records and %d contents served: %d KB", l.Len(), len(l.served.times), took>>10)
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -32,8 +32,8 @@
 	// sends from three seconds after the third; with two, streams that go on at another
 	// endpoint beside the request that ended theirs would be taken for it.
 	Limit = 3
-	// mostEnds bounds the ends that are kept of one record: more tell nothing.
-	mostEnds = 8
+	// maxEnds bounds the ends that are kept of one record: more tell nothing.
+	maxEnds = 8
 	// waveSpan is within what time ends count as one of a request that was served
 	// before: a rack or a data centre that fails ends many endpoints at once, and a
 	// popular request runs on several of them.
@@ -83,7 +83,7 @@
 // addEnd adds an end and reports whether it is a new one that counts.
 func (r *Record) addEnd(end End) bool {
 	known := func(other End) bool { return other.Incarnation == end.Incarnation }
-	if len(r.Ends) >= mostEnds || !end.At.After(r.Served) || slices.ContainsFunc(r.Ends, known) {
+	if len(r.Ends) >= maxEnds || !end.At.After(r.Served) || slices.ContainsFunc(r.Ends, known) {
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(r.Ends, end, func(a, b End) int { return a.At.Compare(b.At) })
--- a/pkg/ratelimit/ways_test.go
+++ b/pkg/ratelimit/ways_test.go
@@ -55,19 +55,19 @@
 	return worst, float64(len(sent)) / (tr.perSecond * tr.for_.Seconds())
 }
 
-// equalShares has each node keep an equal part of the limit by itself, saving up one place.
+// equalShares has each node keep an equal part of the limit by itself, saving up one permit.
 func (tr traffic) equalShares() way {
-	places := make([]float64, tr.nodes)
+	permits := make([]float64, tr.nodes)
 	last := make([]time.Time, tr.nodes)
 	return func(node int, now time.Time) bool {
 		if !last[node].IsZero() {
-			places[node] = min(1, places[node]+tr.perSecond/float64(tr.nodes)*now.Sub(last[node]).Seconds())
+			permits[node] = min(1, permits[node]+tr.perSecond/float64(tr.nodes)*now.Sub(last[node]).Seconds())
 		}
 		last[node] = now
-		if places[node] < 1 {
+		if permits[node] < 1 {
 			return false
 		}
-		places[node]--
+		permits[node]--
 		return true
 	}
 }
@@ -93,7 +93,7 @@
 	}
 }
 
-// placesAsked has one node give the places out.
+// placesAsked has one node give the permits out.
 func (tr traffic) placesAsked() way {
 	var pacer ratelimit.Pacer
 	return func(_ int, now time.Time) bool {
@@ -111,7 +111,7 @@
 	}
 }
 
-// How nodes can share a limit without a counter of their own. Only the places that one node
+// How nodes can share a limit without a counter of their own. Only the permits that one node
 // gives out keep what endpoints bear at every size and use the limit; this test prints how the
 // others do.
 func TestWaysToShareALimit(t *testing.T) {
