--- a/internal/gossip/duty.go
+++ b/internal/gossip/duty.go
@@ -78,9 +78,9 @@
 
 // readsEndpoints reports whether this node, a controller, reads the endpoint table at the
 // pace: one does for all data centres that hear each other, of the live ones that of the
-// first by name; the caller holds the lock. Five that each read every 0.3 s made 930
-// of 1,536 calls of a calm day of 22 nodes. Once its news stays away all others read at the
-// pace: a notice to leave must be everywhere within two seconds on some platforms.
+// first by name; the caller holds the lock. Calls of the store are priced. Once its rows stay
+// away all others read at the pace: a notice to leave must be everywhere within two seconds on
+// some platforms.
 func (g *Gossiper) readsEndpoints(now time.Time) bool {
 	if now.Sub(g.rowsHeard) > g.pace(true)+rowsSlack {
 		return true
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -190,8 +190,8 @@
 }
 
 // addObservations adds what the peer has not seen of this node's observations; the
-// caller holds the lock. All of them in each message would be 13 KB, 219 of 60
-// bytes, to each of 59 nodes twice a second while groups are formed.
+// caller holds the lock. All of them in each message would be most of its bytes while groups are
+// formed.
 func (g *Gossiper) addObservations(m *peers.ShareMessage, p *peer, now time.Time) {
 	observations, version := g.directory.Observations(p.observationsSeen, now)
 	for _, o := range observations {
@@ -203,7 +203,7 @@
 
 // mayNeedRows reports whether a peer without any endpoints is to get them from this node:
 // one of its data centre, or a relay of another. Nodes that start call seeds of other
-// data centres, three each; 295 of them would have been sent 0.3 MB by each seed.
+// data centres, each of which would send them the whole table.
 func (g *Gossiper) mayNeedRows(p *peer) bool {
 	return p.relays || p.dataCentre == g.config.DataCentre
 }
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -33,17 +33,16 @@
 // nodes and not with their square (relays.go).
 const (
 	tick = 50 * time.Millisecond
-	// relayInterval is the time between two calls of a relay, for up to ShareNodes
+	// relayInterval is the time between two calls of a relay, for up to FullRateNodes
 	// that call it; it grows with them to maxRelayInterval.
 	relayInterval = 100 * time.Millisecond
 	// It is half of loadTTL.
 	maxRelayInterval = time.Second
-	// relayBytes is what a relay is to send to the nodes of its data centre in a second.
-	// With 100 nodes and 3,000 endpoints, whose loads are 40 KB, calls by the number of
-	// nodes alone made it 11.7 MB and took 97 in 100 of its processor.
+	// relayBytes is what a relay is to send to the nodes of its data centre in a second: with
+	// many endpoints a message is large, and the number of nodes alone says too little.
 	relayBytes = 2 << 20
-	// DefaultFullRateNodes is how many nodes a relay hears ten times a second with three
-	// hundredths of a core, at 0.1 ms to make a message (BenchmarkRelayMessage).
+	// DefaultFullRateNodes is how many nodes a relay hears ten times a second with a small part
+	// of a core (BenchmarkRelayMessage).
 	DefaultFullRateNodes = 25
 	// introInterval is for a node of which only the address is known.
 	introInterval = 300 * time.Millisecond
--- a/internal/gossip/relays.go
+++ b/internal/gossip/relays.go
@@ -12,11 +12,7 @@
 // One node of each data centre relays: it hears all others of the data centre,
 // tells each what the rest have under way, and swaps sums with the relays of the
 // other data centres. That is the controller; while none is heard, the first two
-// nodes in the order of rank relay, so that a controller's end takes no news away.
-//
-// If nodes that hear no controller call each other instead, with the list of all nodes
-// in the first message to each, 295 nodes move 2.5 GB between data centres in a minute
-// with two outages of the store, and 0.3 GB with relays.
+// nodes in the order of rank relay, so that a controller's end interrupts nothing.
 
 const (
 	// standbyRelays relay while no controller speaks: the second in case that the
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -9,9 +9,7 @@
 	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
-// maxDeltaRecords bounds the records of one message: 4,352 bytes with three ends each
-// (TestWhatNewsCosts). A rack of nine endpoints that fails leaves 234 requests that merely
-// ran there, four messages.
+// maxDeltaRecords bounds the records of one message, and its bytes (TestWhatNewsCosts).
 const maxDeltaRecords = 64
 
 // Delta returns what the peer has not heard yet, and what this node has heard of it; nil is
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -23,9 +23,7 @@
 	// counted a little later, and traffic is not steady.
 	slackShare = 0.85
 	// chanceShare times what is left of less than one repeat is the chance of one. All of
-	// it would spend the whole allowance in the mean, and more in every other window; with
-	// this, thirty to three hundred nodes that want all they can get stay 10 in 100 under
-	// it in the worst of 48 plays.
+	// it would spend the whole allowance in the mean, and more in every other window.
 	chanceShare = 0.8
 )
 
--- a/internal/relay/cutoff.go
+++ b/internal/relay/cutoff.go
@@ -17,10 +17,8 @@
 // counts against what others find.
 const ownEvidenceFor = 300 * time.Millisecond
 
-// SetPeerReports takes what other nodes find. Each node lost half a second of two requests
-// to each group that had fallen silent and to each data centre that was cut off, and of
-// one more whenever it tried again: with 295 nodes 540 requests were late in the first
-// four seconds of a cut.
+// SetPeerReports takes what other nodes find. Without it each node loses half a second of some
+// requests to find out by itself.
 func (b *Balancer) SetPeerReports(h PeerReports) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -175,8 +175,8 @@
 
 // remoteWeight is what the weights of groups of other data centres are multiplied with:
 // together they weigh no more than those of usualRemotes as large as the own one would.
-// Of requests to equal groups in seven data centres 69 of 100 leave their own without this,
-// and 43 with it; they cost bytes and are lost when a data centre is cut off.
+// Otherwise most requests would leave their own where there are many data centres, cost bytes,
+// and be lost when one is cut off.
 func (b *Balancer) remoteWeight(candidates []candidate) float64 {
 	home := 0
 	for _, c := range candidates {
