throttle: log what is not kept, count only what changes

A draining mark beyond the bound of records was dropped without a line, and each answer of a leaving endpoint counted all records anew. Values that cannot be read are looked at without a map for each answer.

--- a/internal/throttle/hold.go
+++ b/internal/throttle/hold.go
@@ -11,6 +11,7 @@
 type Hold uint8
 
 const (
+	// HoldNone endpoints may be sent requests.
 	HoldNone Hold = iota
 	// HoldDraining endpoints take nothing new until they end.
 	HoldDraining
@@ -67,24 +68,32 @@
 
 // logUnreadable logs what an answer says that cannot be read. What is known stays in force.
 func (t *Tracker) logUnreadable(o advisory.Observation) {
-	for name, value := range map[string]string{
-		"rate limit": o.RateLimit.Unreadable,
-		"cooldown":   o.Cooldown.Unreadable,
-		"draining":   o.Draining.Unreadable,
-	} {
-		if value != "" {
-			t.log.Warn("endpoint's advisory cannot be read", "endpoint", string(o.Endpoint.ID), "advisory", name,
-				"value", value[:min(len(value), maxLogged)], "request", o.Request)
-		}
+	t.logValue(o, "rate limit", o.RateLimit.Unreadable)
+	t.logValue(o, "cooldown", o.Cooldown.Unreadable)
+	t.logValue(o, "draining", o.Draining.Unreadable)
+}
+
+// logValue logs one value that cannot be read, if there is one.
+func (t *Tracker) logValue(o advisory.Observation, name, value string) {
+	if value == "" {
+		return
 	}
+	t.log.Warn("endpoint's advisory cannot be read", "endpoint", string(o.Endpoint.ID), "advisory", name,
+		"value", value[:min(len(value), maxLogged)], "request", o.Request)
 }
 
 // markDraining notes that an incarnation drains, by its own word or that of a peer.
 func (t *Tracker) markDraining(inc serving.Incarnation, source string, now time.Time) {
 	t.mu.Lock()
 	changed := t.registry.MarkDraining(inc, now)
-	t.countLocked()
+	if changed {
+		t.countLocked()
+	}
+	full := !t.registry.Draining(inc)
 	t.mu.Unlock()
+	if full {
+		t.log.Warn("too many advisories are known; a draining mark is not kept", "endpoint", string(inc.ID), "started_at", inc.StartedAt, "source", source)
+	}
 	if !changed {
 		return
 	}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -10,7 +10,8 @@
 // themselves and by requests that come again and again, and start again under their ids;
 // machines are suspended; another writer leaves rows among those of the endpoints;
 // configurations follow each other; endpoints name limits of what they take, ask for cooldowns
-// and leave by their own word; the store comes back from an older copy. Faults come in series and overlap.
+// and leave by their own word; the store comes back from an older copy. Faults come in series
+// and overlap.
 //
 // Before them all entry instances are killed again and again while answers break off, and
 // after them the promises are looked at that hold only where nothing is amiss.
