--- a/internal/directory/incarnation_test.go
+++ b/internal/directory/incarnation_test.go
@@ -44,7 +44,7 @@
 // An endpoint may end and begin again under the id that it had. It holds and knows nothing of
 // before, and its counts begin anew: what it said then looked older than what was known, and
 // it stayed a member of its last group.
-func TestANewLifeUnderTheSameIDIsANewEndpoint(t *testing.T) {
+func TestIncarnation_RestartUnderTheSameIDIsANewEndpoint(t *testing.T) {
 	l := newIncarnations(t)
 	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup})
 	l.observed(100, true, openGroup, "m", 7)
@@ -58,7 +58,7 @@
 
 // The endpoint itself may tell of its new incarnation before its row does. Rows and peers' words
 // of the incarnation before change nothing then.
-func TestWhatTheNewLifeSaysCountsAgainstRowsOfTheOneBefore(t *testing.T) {
+func TestIncarnation_ObservationsCountAgainstOlderRows(t *testing.T) {
 	l := newIncarnations(t)
 	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup, Leaving: true})
 	joining := serving.Membership{Group: "h", Epoch: 3, State: serving.MemberJoining}
@@ -80,7 +80,7 @@
 }
 
 // A peer tells of an incarnation that is not known here yet.
-func TestAPeerTellsOfANewLife(t *testing.T) {
+func TestIncarnation_PeersReportRestarts(t *testing.T) {
 	l := newIncarnations(t)
 	l.row(serving.Endpoint{StartedAt: 100, Model: "m", Membership: openGroup})
 	l.observed(200, false, serving.Membership{}, "", 0)
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -43,7 +43,7 @@
 // Nodes that have lost their controller called all others, each with a list of all
 // nodes: 295 of them moved 3.4 GB in seven seconds. Only the first two in rank of each
 // data centre relay now, and the others call just them.
-func TestNodesWithoutAControllerCallRelaysAlone(t *testing.T) {
+func TestGossip_CallsOnlyStandbyRelaysWithoutAController(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.config.Incarnation = "n99"
@@ -60,7 +60,7 @@
 }
 
 // The next in rank relay once those before them do not answer.
-func TestRelaysThatDoNotAnswerAreReplaced(t *testing.T) {
+func TestGossip_ReplacesSilentRelays(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.config.Incarnation = "n99"
@@ -74,7 +74,7 @@
 
 // A relay calls the relays of the other data centres, and those of its own that it
 // should have heard, a few at a time.
-func TestARelayCallsRelaysAndAFewThatAreSilent(t *testing.T) {
+func TestGossip_RelayCallsRelaysAndSilentNodes(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now.Add(-2 * silentAfter))
 	called := map[string]int{}
@@ -101,7 +101,7 @@
 // A node that takes another for a relay is told who relays, and calls that one. After the
 // lease had passed to the third in rank, the nodes of its data centre called the first two
 // for eleven seconds and heard of nobody's load.
-func TestANodeIsToldWhoRelays(t *testing.T) {
+func TestGossip_NamesRelaysToMisdirectedNodes(t *testing.T) {
 	now := time.Now()
 	first := acquainted(now)
 	first.config.Address, first.config.Incarnation = "10.0.0.0:1", "n0"
@@ -123,7 +123,7 @@
 }
 
 // The nodes with the most processor come first.
-func TestRelaysAreTheFastestNodes(t *testing.T) {
+func TestGossip_FastestNodesRelay(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.config.Incarnation = "n99"
@@ -132,7 +132,7 @@
 }
 
 // A node names to another only those that it may need, however many it knows.
-func TestFewNodesAreNamed(t *testing.T) {
+func TestGossip_NamesFewNodes(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	m := &peers.ShareMessage{}
@@ -141,7 +141,7 @@
 	require.NotEmpty(t, m.Known)
 }
 
-func TestANodeThatHearsItsControllerCallsNobodyElse(t *testing.T) {
+func TestGossip_NodeWithAControllerCallsOnlyIt(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	controller := s.peers["10.0.0.3:1"]
@@ -158,7 +158,7 @@
 
 // One controller reads the endpoints for all, and all others do once its news stays away:
 // the store may turn just that one away.
-func TestControllersReadThemselvesOnceNoRowsCome(t *testing.T) {
+func TestDuty_ControllersReadOnceNoRowsCome(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.config.DataCentre = "dc1"
@@ -177,7 +177,7 @@
 }
 
 // A relay tells what two nodes find, and not what one does.
-func TestARelayTellsWhatSeveralNodesFind(t *testing.T) {
+func TestReports_RelayAggregatesSuspicions(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.peers["10.0.0.0:1"].suspects = []serving.EndpointID{"a", "b"}
@@ -192,7 +192,7 @@
 }
 
 // What a node finds silent is told at once, and not with the next message.
-func TestASuspicionIsToldToTheControllerAtOnce(t *testing.T) {
+func TestGossip_SendsANewSuspicionAtOnce(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.config.Incarnation = "n99"
@@ -212,7 +212,7 @@
 	require.Empty(t, s.urgent, "it is told once")
 }
 
-func TestAPeerThatDoesNotAnswerIsForgottenAndASilentOneIsNot(t *testing.T) {
+func TestGossip_ForgetsUnreachablePeersOnly(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	now = now.Add(forgetPeer + time.Second)
@@ -225,7 +225,7 @@
 // All endpoints are sent only to a peer that has lacked them for a while: most read
 // them from the store. Rolling restarts of sixty nodes took 1.3 GB between data
 // centres.
-func TestWhatIsLargeIsSentToWhoLacksItForAWhile(t *testing.T) {
+func TestGossip_SendsLargeSnapshotsOnlyToStalePeers(t *testing.T) {
 	now := time.Now()
 	p := &peer{configuration: 3, rows: 9}
 	require.False(t, p.lacksRows(now))
@@ -246,7 +246,7 @@
 func (standby) HeardController(uint64) {}
 
 // Loads are told with the ages of events, and come back as they were.
-func TestLoadsAreToldWithAges(t *testing.T) {
+func TestLoads_CarryAges(t *testing.T) {
 	now := time.Now().Round(time.Millisecond)
 	loads := map[serving.EndpointID]relay.PeerLoad{
 		"busy":   {Running: 3, Unread: 700, Event: now.Add(-40 * time.Millisecond), Epoch: 9, Tally: health.Tally{Served: 4, Failed: 0.5}, Pace: health.Pace{Took: 2, Reckoned: 0.5}},
@@ -266,7 +266,7 @@
 // under way. At 0.6 s, as long as a request runs, full groups were sent requests that
 // others had places for: of five days with trouble 15 in 100 requests were late, and 8
 // at 0.1 s.
-func TestLoadsAreToldWhileTheyCount(t *testing.T) {
+func TestLoads_AreSentWhileTheyCount(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.config.FullRateNodes = DefaultFullRateNodes
@@ -284,7 +284,7 @@
 
 // Where loads are large, a relay of many nodes is called more seldom: 100 nodes that each
 // fetched 40 KB two and a half times a second took all its processor.
-func TestLargeLoadsAreToldMoreSeldom(t *testing.T) {
+func TestLoads_LargeOnesAreSentLessOften(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.config.FullRateNodes = DefaultFullRateNodes
@@ -305,7 +305,7 @@
 
 // Nodes that were cut off from the other data centres from their first moment split the
 // slack of the retry budget between those that they heard, and so did the others.
-func TestNodesOfDataCentresThatWereNeverHeardCount(t *testing.T) {
+func TestCountNodes_IncludesUnheardDataCentres(t *testing.T) {
 	const window = 10 * time.Second
 	now := time.Now()
 	s := acquainted(now)
@@ -327,7 +327,7 @@
 
 // A machine is suspended for five seconds. What its peers had told before would look as if it
 // had just come: loads that were over, a controller that had ended.
-func TestWhatPeersToldBeforeASuspensionIsOld(t *testing.T) {
+func TestSuspended_AgesPeerReports(t *testing.T) {
 	now := time.Now()
 	s := acquainted(now)
 	s.config.Incarnation = "n99"
@@ -348,7 +348,7 @@
 // Loads are not paced before the first request of all. With three hundred nodes each gets less
 // than one a second: a controller that went by its own first request alone had 25 loads begin
 // in the first half second of traffic, which others had met already.
-func TestTheFirstRequestIsThatOfAnyNode(t *testing.T) {
+func TestHeardRequests_CountsPeers(t *testing.T) {
 	s := acquainted(time.Now())
 	s.directory = directory.New(directory.Codec{})
 	from := s.peers["10.0.0.0:1"].named()
--- a/internal/gossip/quarantinetable_test.go
+++ b/internal/gossip/quarantinetable_test.go
@@ -55,7 +55,7 @@
 
 // All nodes may be killed at once. If what they knew of a request that had ended three
 // endpoints were gone, it would end three more in each life of the whole.
-func TestTheQuarantineOutlivesAllNodes(t *testing.T) {
+func TestQuarantineTable_OutlivesAllNodes(t *testing.T) {
 	store := memtable.New()
 	before := newKeeper(store, true)
 	before.ended(1, 1, 2, 3)
@@ -73,7 +73,7 @@
 
 // While two data centres do not hear each other, each learns from the table what requests
 // have ended the endpoints of the other.
-func TestADataCentreThatHearsNobodyReadsTheTable(t *testing.T) {
+func TestQuarantineTable_IsReadByAnIsolatedDataCentre(t *testing.T) {
 	store := memtable.New()
 	north, south := newKeeper(store, true), newKeeper(store, true)
 	north.duty.apart, south.duty.apart = true, true
@@ -94,7 +94,7 @@
 
 // The store may be out, and lose what it was told: nothing is forgotten, and no more calls
 // are made than one a second.
-func TestTheQuarantineIsKeptOnceTheStoreIsBack(t *testing.T) {
+func TestQuarantineTable_IsWrittenOnceTheStoreIsBack(t *testing.T) {
 	for _, faults := range []memtable.Faults{{Down: true}, {LoseAnswers: true}} {
 		store := memtable.New()
 		k := newKeeper(store, true)
@@ -116,7 +116,7 @@
 }
 
 // The relays of all data centres know the same: one of them writes it.
-func TestOneNodeWritesWhatAllKnow(t *testing.T) {
+func TestQuarantineTable_OneNodeWrites(t *testing.T) {
 	store := memtable.New()
 	keepers := []*keeper{newKeeper(store, true), newKeeper(store, false), newKeeper(store, false)}
 	for range 40 {
@@ -147,7 +147,7 @@
 
 // A flood of requests that end endpoints costs a bounded number of calls and rows. Measured
 // here: 4,000 of them, ten seconds.
-func TestAFloodOfRecordsStaysWithinItsBounds(t *testing.T) {
+func TestQuarantineTable_BoundsItsRows(t *testing.T) {
 	store := memtable.New()
 	k := newKeeper(store, true)
 	for content := range uint64(4000) {
@@ -170,7 +170,7 @@
 }
 
 // Rows that another writer left say nothing, and the others hold.
-func TestRowsOfOtherWritersAreLeftAlone(t *testing.T) {
+func TestQuarantineTable_LeavesForeignRowsAlone(t *testing.T) {
 	store := memtable.New()
 	k := newKeeper(store, true)
 	k.ended(1, 1, 2, 3)
@@ -194,7 +194,7 @@
 }
 
 // What a row takes of the table: 102 bytes with three ends.
-func TestWhatARowCosts(t *testing.T) {
+func TestQuarantineTable_BytesOfARow(t *testing.T) {
 	row, err := json.Marshal(quarantineRow{Ends: []qlist.Incarnation{1 << 63, 1<<63 + 1, 1<<63 + 2}})
 	require.NoError(t, err)
 	rowBytes := len(row) + len(contentOf(1).String())
@@ -204,7 +204,7 @@
 
 // The store came back from a copy that was older than the rows: no node wrote them again, and
 // when all were killed a request that had ended three endpoints was sent on.
-func TestWhatAnOlderCopyLacksIsWrittenAgain(t *testing.T) {
+func TestQuarantineTable_RewritesWhatAnOlderCopyLacks(t *testing.T) {
 	store := memtable.New()
 	older := store.Copy()
 	k := newKeeper(store, true)
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -47,7 +47,7 @@
 const patience = 30 * time.Second
 
 // Only an endpoint that has ended speaks against the requests that broke off there.
-func TestWhichBreaksAreEndsOfEndpoints(t *testing.T) {
+func TestDetector_TellsCrashesFromBrokenAnswers(t *testing.T) {
 	at := Incarnation{Endpoint: "e", StartedAt: 5, Address: "a:1"}
 	for _, test := range []struct {
 		name     string
@@ -91,7 +91,7 @@
 
 // An endpoint broke one answer off and ended a moment later: the dial after the first break
 // says nothing of the second.
-func TestAnEndSoonAfterABreakIsFound(t *testing.T) {
+func TestDetector_FindsACrashSoonAfterABreak(t *testing.T) {
 	q := NewQuarantine(nobody)
 	network := &reach{}
 	c := NewDetector(q, none, network.dial)
@@ -116,7 +116,7 @@
 }
 
 // An endpoint that resets much of what it is sent is dialed at a pace, and not for each.
-func TestDialsOfOneEndpointArePaced(t *testing.T) {
+func TestDetector_PacesProbes(t *testing.T) {
 	network := &reach{}
 	c := NewDetector(NewQuarantine(nobody), none, network.dial)
 	began := time.Now()
@@ -131,7 +131,7 @@
 
 // An endpoint began anew under its id and was ended again before its row had come: two ends
 // counted as one, and a request that had ended three endpoints was sent on.
-func TestEndsOfLivesWhoseRowsHaveNotComeCount(t *testing.T) {
+func TestDetector_CountsCrashesBeforeTheNextRow(t *testing.T) {
 	q := NewQuarantine(nobody)
 	network := &reach{err: syscall.ECONNREFUSED}
 	c := NewDetector(q, none, network.dial)
@@ -150,7 +150,7 @@
 // One node saw an endpoint end under a request, another one saw it end again before the row of
 // its new incarnation had come: two ends counted as one, and after all nodes had been replaced the
 // request ended a fourth endpoint. By the log, both ends had the same "started_at", 1.5 s apart.
-func TestAnEndThatAnotherNodeSawIsOfAnEarlierLife(t *testing.T) {
+func TestDetector_AttributesCrashesOfPeersToThePreviousIncarnation(t *testing.T) {
 	network := &reach{err: syscall.ECONNREFUSED}
 	at := Incarnation{Endpoint: "e", StartedAt: 7, Address: "a:1"}
 	f := qlist.Fingerprint{1}
@@ -169,7 +169,7 @@
 	require.Eventually(t, func() bool { return endsOf(second, f) == 2 }, patience, time.Millisecond)
 }
 
-func TestBreaksAreBounded(t *testing.T) {
+func TestDetector_BoundsItsRecords(t *testing.T) {
 	block := make(chan struct{})
 	c := NewDetector(NewQuarantine(nobody), none, func(context.Context, string) error {
 		<-block
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -9,7 +9,7 @@
 	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
-// maxDeltaRecords bounds the records of one message, and its bytes (TestWhatNewsCosts).
+// maxDeltaRecords bounds the records of one message, and its bytes (TestDelta_BytesOfQuarantineRecords).
 const maxDeltaRecords = 64
 
 // Delta returns what the peer has not heard yet, and what this node has heard of it; nil is
--- a/internal/quarantine/gossip_test.go
+++ b/internal/quarantine/gossip_test.go
@@ -13,7 +13,7 @@
 
 // What a request is known by, when endpoints ended and when it was served reach the other
 // node as they were, whatever its clock says.
-func TestRecordsAreToldAsTheyAre(t *testing.T) {
+func TestDelta_RoundTripsRecords(t *testing.T) {
 	here, there := time.Unix(5000, 0), time.Unix(90, 0)
 	told := []qlist.Record{
 		{Fingerprint: qlist.Fingerprint{1}, Ends: []qlist.End{{Incarnation: 1 << 63, At: here.Add(-time.Second)}}, Tried: true},
@@ -30,7 +30,7 @@
 }
 
 // What the news of the quarantine adds to a message: 4,352 bytes if it is full.
-func TestWhatNewsCosts(t *testing.T) {
+func TestDelta_BytesOfQuarantineRecords(t *testing.T) {
 	now := time.Now()
 	q := NewQuarantine(nobody)
 	var known []qlist.Record
@@ -49,7 +49,7 @@
 }
 
 // Two nodes tell each other what each has seen, once, also after one of them has begun anew.
-func TestNodesTellEachOther(t *testing.T) {
+func TestDelta_SpreadsQuarantineRecords(t *testing.T) {
 	now := time.Now()
 	north, south := NewQuarantine(nobody), NewQuarantine(nobody)
 	var ofNorth, ofSouth delta.Cursor
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -11,7 +11,7 @@
 
 // An outage had ended three endpoints under a request. When it was to be tried again all
 // groups were full, and the try counted as made: it was refused for an hour.
-func TestATryThatFoundNoPlaceIsMadeAgain(t *testing.T) {
+func TestQuarantine_UnsentTrialIsRepeated(t *testing.T) {
 	q := NewQuarantine(func() bool { return true })
 	f := qlist.Fingerprint{1}
 	now := time.Now()
@@ -36,7 +36,7 @@
 }
 
 // Of all nodes one sends a request from quarantine.
-func TestNodesThatMayNotTryRefuse(t *testing.T) {
+func TestQuarantine_OnlyOneNodeTries(t *testing.T) {
 	q := NewQuarantine(nobody)
 	f := qlist.Fingerprint{1}
 	now := time.Now()
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -16,7 +16,7 @@
 // Sixty nodes that were told the same must not all send to the group that
 // looks best: first events of the large model took 0.7 s at the median while its
 // groups were half empty.
-func TestNodesThatWereToldTheSameSpread(t *testing.T) {
+func TestChooseHead_NodesWithTheSameLoadsSpread(t *testing.T) {
 	const nodes, groups = 600, 6
 	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
 	var heads []*directory.Head
@@ -41,7 +41,7 @@
 
 // An endpoint that is predicted to take long is not taken for a dead one after
 // the usual time.
-func TestSilenceIsMeasuredByThePrediction(t *testing.T) {
+func TestStall_ThresholdFollowsThePrediction(t *testing.T) {
 	c := &call{Relay: &Relay{options: Options{StallAfter: 500 * time.Millisecond}}}
 	require.Equal(t, 500*time.Millisecond, c.stallAfter(Prediction{First: 80 * time.Millisecond, Gap: 60 * time.Millisecond}))
 	require.Equal(t, 1200*time.Millisecond, c.stallAfter(Prediction{First: 400 * time.Millisecond, Gap: 60 * time.Millisecond}))
@@ -50,7 +50,7 @@
 
 // A request that every group would start far too late is refused at once, and
 // one that was under way elsewhere is not.
-func TestARequestThatWouldStartFarTooLateIsRefused(t *testing.T) {
+func TestChooseHead_RejectsRequestsThatWouldStartTooLate(t *testing.T) {
 	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
 	head := &directory.Head{Endpoint: &serving.Endpoint{ID: "h", DataCentre: "north", Slots: 30}, Engine: engine, Pace: 1}
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
@@ -66,7 +66,7 @@
 
 // What several other nodes find silent is passed over before this node has lost a request
 // to it, unless it sends something here, or nothing else is left.
-func TestWhatOthersFindSilentIsPassedOver(t *testing.T) {
+func TestPeerReports_SuspectsArePassedOver(t *testing.T) {
 	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
 	head := func(id string, dc serving.DataCentre) *directory.Head {
 		return &directory.Head{Endpoint: &serving.Endpoint{ID: serving.EndpointID(id), DataCentre: dc, Slots: 30}, Engine: engine, Pace: 1}
@@ -89,7 +89,7 @@
 }
 
 // However many other data centres there are, what they weigh together does not grow.
-func TestTheOwnDataCentreCountsForMoreAmongMany(t *testing.T) {
+func TestChooseHead_PrefersItsOwnDataCentreAmongMany(t *testing.T) {
 	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
 	share := func(dataCentres int) float64 {
 		var heads []*directory.Head
@@ -113,7 +113,7 @@
 
 // A data centre of which two groups in a row are silent is tried with single
 // requests, ever more seldom, until one of its groups shows life.
-func TestADataCentreThatIsCutOffIsTriedSeldom(t *testing.T) {
+func TestCutOff_ProbesWithBackoff(t *testing.T) {
 	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
 	var heads []*directory.Head
 	for i := range 9 {
@@ -183,7 +183,7 @@
 // tried again once its failures are old or it leads another group. Sixteen that did
 // so for six seconds cost 316 streams while a try without an answer put no doubt on
 // its endpoint.
-func TestEndpointsThatFailAreChosenSeldom(t *testing.T) {
+func TestHealth_FailingEndpointsAreChosenSeldom(t *testing.T) {
 	weights := DefaultWeights
 	now := time.Now()
 	for _, c := range []struct {
@@ -212,7 +212,7 @@
 }
 
 // What requests came to in an earlier group of the same head says nothing of this one.
-func TestFailuresOfAnEarlierGroupDoNotCount(t *testing.T) {
+func TestHealth_FailuresOfAnEarlierGroupDoNotCount(t *testing.T) {
 	now := time.Now()
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	before := testHead("a", 1)
@@ -227,7 +227,7 @@
 }
 
 // What other nodes met counts as what this one met.
-func TestFailuresThatOthersMetCount(t *testing.T) {
+func TestHealth_FailuresOfPeersCount(t *testing.T) {
 	now := time.Now()
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	heads := []*directory.Head{testHead("a", 1), testHead("b", 2)}
@@ -236,7 +236,7 @@
 }
 
 // A plain endpoint that goes down and up by turns is left to the others.
-func TestPlainEndpointsThatFailAreLeftToTheOthers(t *testing.T) {
+func TestChoosePlain_AvoidsFailingEndpoints(t *testing.T) {
 	now := time.Now()
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	endpoints := []*serving.Endpoint{{ID: "flapping", DataCentre: "north"}, {ID: "sound", DataCentre: "south"}}
@@ -255,7 +255,7 @@
 
 // A request that waits half a second at a full head which gives others their events
 // does not have the head taken for dead.
-func TestAHeadThatGivesOthersEventsIsNotSilent(t *testing.T) {
+func TestStall_EventsOfPeersShowLiveness(t *testing.T) {
 	now := time.Now()
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	f := b.begin(testHead("a", 1).Endpoint, Size{Prompt: 100}, now)
@@ -269,7 +269,7 @@
 }
 
 // Two nodes' words on an endpoint add up; what is of an earlier group is left out.
-func TestPeerLoadsAddUp(t *testing.T) {
+func TestPeerLoad_AddsUp(t *testing.T) {
 	now := time.Now()
 	sum := PeerLoad{Running: 1, Unread: 100, Event: now, Epoch: 4, Tally: health.Tally{Served: 2}}.
 		Plus(PeerLoad{Running: 2, Event: now.Add(-time.Second), Epoch: 3, Tally: health.Tally{Failed: 9}}).
@@ -279,7 +279,7 @@
 
 // A stream whose own connection has fallen silent for good, while its head gives others
 // their events, goes on elsewhere before its caller gives it up.
-func TestAStreamOnASilentConnectionIsNoticed(t *testing.T) {
+func TestStall_DetectsASilentConnection(t *testing.T) {
 	now := time.Now()
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	head := testHead("a", 1).Endpoint
@@ -296,7 +296,7 @@
 
 // Requests of a plain service whose last endpoint is in a data centre that is cut off are
 // refused at once, but for single tries.
-func TestNoPlainRequestIsHeldForADataCentreThatIsCutOff(t *testing.T) {
+func TestChoosePlain_SkipsADataCentreThatIsCutOff(t *testing.T) {
 	now := time.Now()
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	remote := []*serving.Endpoint{{ID: "p", DataCentre: "south"}}
@@ -315,7 +315,7 @@
 
 // A group with a member that runs ten times slower sends its events ten times slower,
 // which no row tells; it is left alone until it keeps its pace again.
-func TestSlowGroupsAreChosenSeldom(t *testing.T) {
+func TestChooseHead_SlowGroupsAreChosenSeldom(t *testing.T) {
 	now := time.Now()
 	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
 	heads := []*directory.Head{testHead("a", 1), testHead("b", 2)}
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -121,7 +121,7 @@
 //
 // Measured here, of the repeats that are wanted in 28 s: 0.58 before, 0.80 now; when all are
 // killed as it begins 0.43 before, 0.68 now.
-func TestManyNodesWithFewRequestsEachRepeat(t *testing.T) {
+func TestBudget_ManyNodesWithFewRequestsEachRetry(t *testing.T) {
 	many := crowd{nodes: 300, each: 20, wanted: 0.05}
 	for _, test := range []struct {
 		name   string
@@ -146,7 +146,7 @@
 
 // What is drawn by chance must keep the bound as well, also when every node wants all that it
 // can get all the time.
-func TestRepeatsByChanceKeepTheRetryBudget(t *testing.T) {
+func TestBudget_HoldsForRetriesByChance(t *testing.T) {
 	for _, c := range []crowd{{nodes: 300, each: 20, wanted: 1}, {nodes: 100, each: 5, wanted: 1}, {nodes: 30, each: 2, wanted: 1}} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprintf("%d nodes, seed %d", c.nodes, seed), func(t *testing.T) {
@@ -170,7 +170,7 @@
 // earlier life had spent on the same requests. Evidence: on the same day without the kill
 // the bound was kept, and with it each life logged that it was within its own bound, with
 // the right number of nodes.
-func TestLivesTogetherKeepTheRetryBudget(t *testing.T) {
+func TestBudget_HoldsAcrossRestarts(t *testing.T) {
 	all := func(times ...time.Duration) schedule {
 		return func(_ *rand.Rand, step, _ int) bool {
 			for _, killedAt := range times {
@@ -236,7 +236,7 @@
 	return n
 }
 
-func TestTheBudgetBoundsRepeats(t *testing.T) {
+func TestBudget_BoundsRetries(t *testing.T) {
 	b := oldBudget(0.2, 20, 2)
 	now := time.Now()
 	for range 100 {
@@ -254,7 +254,7 @@
 	require.Equal(t, 1, grants(b, now.Add(24*time.Second)))
 }
 
-func TestWhatARequestEarnsEndsAfterAWhile(t *testing.T) {
+func TestBudget_EarnedRetriesExpire(t *testing.T) {
 	b := certainBudget(0.2, 0, 1)
 	now := time.Now()
 	for range 100 {
@@ -264,7 +264,7 @@
 	require.False(t, repeats(b, "llm", now.Add(5*time.Second)))
 }
 
-func TestALifeSpendsNoSlackUntilItIsAWindowOld(t *testing.T) {
+func TestBudget_NoSlackForAYoungProcess(t *testing.T) {
 	b := certainBudget(0.2, 20, 2)
 	now := time.Now()
 	require.Zero(t, grants(b, now))
@@ -276,7 +276,7 @@
 	require.Equal(t, 8, grants(b, now.Add(10100*time.Millisecond)))
 }
 
-func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+func TestBudget_IsPerService(t *testing.T) {
 	b := oldBudget(0.2, 20, 2)
 	now := time.Now()
 	require.Equal(t, 8, grants(b, now))
@@ -286,7 +286,7 @@
 	require.InDelta(t, 8.5, state.Allowed(), 1e-9)
 }
 
-func TestTheBudgetBearsTimesOutOfOrder(t *testing.T) {
+func TestBudget_ToleratesTimesOutOfOrder(t *testing.T) {
 	b := oldBudget(0, 100, 1)
 	now := time.Now()
 	b.Request("llm", now)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -16,7 +16,7 @@
 )
 
 // What the table of endpoints tells of one at which requests broke off.
-func TestWhichLivesAreReplaced(t *testing.T) {
+func TestReplaced_FindsOtherIncarnations(t *testing.T) {
 	at := quarantine.Incarnation{Endpoint: "e", StartedAt: 5, Address: "a:1"}
 	for _, test := range []struct {
 		name   string
@@ -74,7 +74,7 @@
 
 // A request ended one endpoint in each of its caller's tries. The fourth endpoint never sees
 // it, its caller is told at once that it was not run, and others are served there.
-func TestARequestThatEndedThreeEndpointsIsRefusedAtOnce(t *testing.T) {
+func TestQuarantine_RejectsARequestThatCrashedThreeEndpoints(t *testing.T) {
 	heads := []*endpoint{crashing(t), crashing(t), crashing(t), newEndpoint(t, events(1, 3, whole))}
 	w := newWorld(t, nil, heads)
 	pool := directory.Pool{Service: "llm", Model: "m"}
@@ -99,7 +99,7 @@
 
 // A request that had ended two endpoints ended a third one and was sent on to a fourth within
 // the same try, before the dial had told that the third was gone.
-func TestARequestThatEndsItsThirdEndpointGoesOnNowhere(t *testing.T) {
+func TestQuarantine_StopsRetriesAfterTheThirdCrash(t *testing.T) {
 	endpoints := []*endpoint{crashing(t), crashing(t), crashing(t), crashing(t)}
 	w := newWorld(t, endpoints, nil)
 	all := w.view.Plain["shop"]
@@ -116,7 +116,7 @@
 // Streams that have no length and no last chunk end with their connection, and look whole when
 // their endpoint ends. A request that had ended three endpoints was taken for one that was
 // served, and was sent on: it needed three waves more each time.
-func TestAnAnswerThatEndsWithItsConnectionClearsNothing(t *testing.T) {
+func TestQuarantine_UnframedAnswersClearNothing(t *testing.T) {
 	w := newWorld(t, nil, []*endpoint{crashing(t), newEndpoint(t, func(c net.Conn, r *http.Request) {
 		_, _ = c.Write([]byte(head(r, 200) + "\r\n" + eventText(1)))
 		_ = c.Close()
@@ -135,7 +135,7 @@
 
 // A popular request runs at every endpoint that ends of another cause. Each answer that it
 // gets clears it.
-func TestAPopularRequestIsServedWhereEndpointsEndOfOtherCauses(t *testing.T) {
+func TestQuarantine_ServesAPopularRequestBesideUnrelatedCrashes(t *testing.T) {
 	w := newWorld(t, nil, []*endpoint{newEndpoint(t, events(1, 3, whole)), crashing(t), crashing(t), crashing(t), crashing(t)})
 	pool := directory.Pool{Service: "llm", Model: "m"}
 	all := w.view.Heads[pool]
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -25,7 +25,7 @@
 	w.relay.options.Throttle.SetLimit(w.view.Endpoints[id].Incarnation(), 1, time.Now())
 }
 
-func TestWhatALimitedEndpointCannotTakeGoesToAnother(t *testing.T) {
+func TestRateLimit_OverflowGoesToOtherEndpoints(t *testing.T) {
 	a, b := newEndpoint(t, events(1, 2, whole)), newEndpoint(t, events(1, 2, whole))
 	w := newWorld(t, nil, []*endpoint{a, b})
 	w.useThrottle(throttle.NewTracker(denied(time.Second)))
@@ -37,7 +37,7 @@
 	require.Len(t, b.arrivals(), 5)
 }
 
-func TestWhatNobodyCanTakeIsRefusedAtOnce(t *testing.T) {
+func TestRateLimit_RejectsAtOnceWhatNoEndpointTakes(t *testing.T) {
 	for _, host := range []string{hostStream, hostOnce} {
 		e := newEndpoint(t, events(1, 2, whole))
 		w := newWorld(t, []*endpoint{e}, []*endpoint{e})
@@ -57,7 +57,7 @@
 
 // A stream that breaks asks the limit for its next endpoint before it asks the retry budget:
 // what the limit keeps back is not counted as a repeat.
-func TestATryThatALimitKeepsBackIsNotTakenFromTheBudget(t *testing.T) {
+func TestRateLimit_DeniedRetriesAreNotCharged(t *testing.T) {
 	a, b := newEndpoint(t, events(1, 3, broken)), newEndpoint(t, events(4, 5, whole))
 	w := newWorld(t, nil, []*endpoint{a, b})
 	w.useThrottle(throttle.NewTracker(denied(10 * time.Second)))
@@ -94,7 +94,7 @@
 func (w stating) Statement(int, http.Header) advisory.Statement { return w.statement }
 
 // An answer tells of the limit also when it breaks off or says that the request did not run.
-func TestAnswersTellOfLimits(t *testing.T) {
+func TestObserve_RateLimits(t *testing.T) {
 	tests := map[string]struct {
 		answer advisory.Advertised[float64]
 		before float64
