--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -44,12 +44,7 @@
 		w.useThrottle(throttle.NewTracker(denied(time.Second)))
 		w.limited("h0")
 		w.limited("p0")
-		began := time.Now()
-		out := w.serve(request(host))
-		require.Less(t, time.Since(began), 500*time.Millisecond)
-		require.Equal(t, http.StatusServiceUnavailable, out.status)
-		after, err := time.ParseDuration(out.header.Get("After"))
-		require.NoError(t, err)
+		after := w.rejectedAtOnce(t, host)
 		require.InDelta(t, time.Second, after, float64(50*time.Millisecond), "the limit's next place")
 		require.Empty(t, e.arrivals())
 	}
@@ -130,6 +125,19 @@
 	}
 }
 
+// rejectedAtOnce sends a request, which must be rejected at once as not run, and returns its
+// Retry-After.
+func (w *world) rejectedAtOnce(t *testing.T, host string) time.Duration {
+	t.Helper()
+	began := time.Now()
+	out := w.serve(request(host))
+	require.Less(t, time.Since(began), 500*time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, out.status)
+	after, err := time.ParseDuration(out.header.Get("After"))
+	require.NoError(t, err)
+	return after
+}
+
 func (w *world) useThrottle(tracker *throttle.Tracker) {
 	w.relay.options.Throttle = tracker
 	w.relay.options.Balancer.SetHold(tracker.Hold)
