directory: keep readers from the previous view while the next is built

View cleared the mark of a change before it built the view that shows the change. A second reader in between saw no mark and took the previous view for current. The controller's tick could then find an endpoint that had just left its group, was released by its operation, and still looked like a member: it dissolved the group a second time, and the leave orders were rejected for the number of orders that they named.

Views now carry the count of changes that they show, set once they are built. TestView_ConcurrentReadersSeeLatestChange blocks a build and reads beside it: fails on the code before on each of three runs, passes with the change.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -66,8 +66,11 @@
 	codec Codec
 	log   logging.Logger
 	view  atomic.Pointer[View]
-	// stale is set when the view has to be rebuilt.
-	stale atomic.Bool
+	// changes counts the changes that a view has to show, and viewed is the count that the current
+	// view shows. It is set only once the view is built, so that no reader takes the previous one
+	// for current while another goroutine builds the next.
+	changes atomic.Uint64
+	viewed  atomic.Uint64
 
 	mu               sync.Mutex
 	configuration    *serving.Configuration
@@ -152,11 +155,12 @@
 // View returns the newest view. It is built on demand, because one message may bring hundreds of
 // observations.
 func (d *Directory) View() *View {
-	if d.stale.Load() {
+	if d.viewed.Load() != d.changes.Load() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if d.stale.Swap(false) {
+		if changes := d.changes.Load(); d.viewed.Load() != changes {
 			d.rebuildView()
+			d.viewed.Store(changes)
 		}
 	}
 	return d.view.Load()
@@ -292,7 +296,7 @@
 }
 
 // markStale makes the next View rebuild.
-func (d *Directory) markStale() { d.stale.Store(true) }
+func (d *Directory) markStale() { d.changes.Add(1) }
 
 // The caller holds d.mu.
 func (d *Directory) rebuildView() {
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,6 +45,36 @@
 }
 
 // BenchmarkObservations applies 219 observations and builds a view.
+// A goroutine that read the previous view while another one built the next took an endpoint that
+// had just left its group for a member, and dissolved the group a second time.
+func TestView_ConcurrentReadersSeeLatestChange(t *testing.T) {
+	d := newLargeDirectory(t)
+	before := d.View()
+	building, finish := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	d.SetDraining(func(serving.Incarnation) bool {
+		once.Do(func() {
+			close(building)
+			<-finish
+		})
+		return false
+	})
+	d.Observe(Observation{ID: "e0000", Membership: serving.Membership{Group: "g", Epoch: 1}, Orders: 1}, true, time.Now())
+	views := make(chan *View, 2)
+	go func() { views <- d.View() }()
+	<-building
+	go func() { views <- d.View() }()
+	select {
+	case stale := <-views:
+		require.True(t, before != stale, "the reader did not wait for the view that was being built")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(finish)
+	for range 2 {
+		require.Equal(t, "g", (<-views).Endpoints["e0000"].Membership.Group)
+	}
+}
+
 func BenchmarkObservations(b *testing.B) {
 	d := newLargeDirectory(b)
 	for epoch := range uint64(b.N) {
