Honour evacuations of data centres, and the limits of cold endpoints

Nothing read the operator's rows for evacuations, nor how long endpoints are cold.

Evacuations: platform/ decodes the rows of the operator's table; a registry holds all of them as of one version of the store, so that nodes which read the table and nodes that hear of it from peers agree on the newest list, an empty one included. Views leave the endpoints of an evacuated data centre out of what may be chosen, and the last check before the first byte looks again. What only evacuated data centres serve is rejected at once. Their groups are kept; the others plan as if they did not exist.

Cold endpoints: the limit of a cold endpoint goes through the permits that rate limits use. An endpoint is cold by its row, while its incarnation is only known from an observation, and after its data centre was taken back. Cold groups are chosen half as often.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,6 +7,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/table"
+	"github.com/ridgehinge/ridgehinge/pkg/evacuation"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -14,6 +15,9 @@
 type Codec struct {
 	Configuration func(value []byte) (*serving.Configuration, error)
 	Endpoint      func(key string, value []byte) (serving.Endpoint, error)
+	// Evacuation returns the data centre that a row of ConfigurationTable evacuates; ok is false
+	// for other rows. It may be nil.
+	Evacuation func(key string) (dc serving.DataCentre, ok bool)
 	// ConfigurationTable and ConfigurationKey name the row of the newest configuration,
 	// EndpointTable the table of endpoint rows.
 	ConfigurationTable string
@@ -59,6 +63,9 @@
 	// graceUntil is how long an endpoint whose row was removed during a gap in the table's updates
 	// still counts as listed.
 	graceUntil time.Time
+	// coldUntil is until when the current incarnation is cold by its rows, or by default while it
+	// is only known from an observation.
+	coldUntil time.Time
 }
 
 // Directory collects rows and observations. It is safe for concurrent use.
@@ -78,6 +85,7 @@
 	// configurationResponseAt is when the store last completed a configuration read or watch,
 	// changed or not, or when the node started.
 	configurationResponseAt time.Time
+	evacuations             *evacuation.Registry
 	endpoints               map[serving.EndpointID]*endpointRecord
 	// tableVersion is the version up to which the endpoint table is known, and tableVersionAt when
 	// it last rose.
@@ -142,13 +150,14 @@
 // New returns an empty directory.
 func New(codec Codec) *Directory {
 	d := &Directory{
-		codec:     codec,
-		log:       logging.For("directory"),
-		endpoints: map[serving.EndpointID]*endpointRecord{},
+		codec:       codec,
+		log:         logging.For("directory"),
+		evacuations: evacuation.NewRegistry(),
+		endpoints:   map[serving.EndpointID]*endpointRecord{},
 
 		configurationResponseAt: time.Now(),
 	}
-	d.view.Store(buildView(nil, nil, nil))
+	d.view.Store(buildView(viewInput{}))
 	return d
 }
 
@@ -269,6 +278,7 @@
 func (r *endpointRecord) resetForIncarnation(startedAt int64) {
 	r.startedAt = startedAt
 	r.maxEpoch, r.maxOrders, r.writes, r.lastModel, r.observed = 0, 0, 0, "", nil
+	r.coldUntil = time.Time{}
 }
 
 func (r *endpointRecord) raiseEpoch(epoch uint64) { r.maxEpoch = max(r.maxEpoch, epoch) }
@@ -300,19 +310,20 @@
 
 // The caller holds d.mu.
 func (d *Directory) rebuildView() {
+	now := time.Now()
 	endpoints := make(map[serving.EndpointID]*serving.Endpoint, len(d.endpoints))
 	lapsed := map[serving.EndpointID]*serving.Endpoint{}
 	for id, record := range d.endpoints {
 		switch {
 		case record.endpoint != nil:
-			endpoints[id] = d.withDraining(record.merged())
+			endpoints[id] = d.withCold(record, d.withDraining(record.merged()), now)
 		case record.lapsed != nil && d.isDraining(record.lapsed):
 			// It has advertised draining, so its removal is final.
 		case record.lapsed != nil && !record.graceUntil.IsZero():
-			endpoints[id] = record.lapsed
+			endpoints[id] = d.withCold(record, record.lapsed, now)
 		case record.lapsed != nil:
 			lapsed[id] = record.lapsed
 		}
 	}
-	d.view.Store(buildView(d.configuration, endpoints, lapsed))
+	d.view.Store(buildView(viewInput{d.configuration, endpoints, lapsed, d.evacuatedDataCentres()}))
 }
--- a/internal/directory/logs.go
+++ b/internal/directory/logs.go
@@ -61,3 +61,11 @@
 	}
 	d.log.Info("endpoint removed", "endpoint", row.Key, "version", row.Version)
 }
+
+// logCold logs that an endpoint has become cold, or is no longer; the caller holds d.mu.
+func (d *Directory) logCold(e *serving.Endpoint, row table.Row) {
+	if !d.logsEach(e.DataCentre) {
+		return
+	}
+	d.log.Info("endpoint's cold period changed", "endpoint", row.Key, "started_at", e.StartedAt, "version", row.Version, "cold_for", e.ColdFor)
+}
--- a/internal/directory/observe.go
+++ b/internal/directory/observe.go
@@ -48,7 +48,7 @@
 	if record == nil || record.endpoint == nil {
 		return
 	}
-	if o.StartedAt != record.startedAt && !d.observeIncarnation(record, o, local) {
+	if o.StartedAt != record.startedAt && !d.observeIncarnation(record, o, local, now) {
 		return
 	}
 	if o.Orders < record.maxOrders || isStaleObservation(o.Membership, record.merged().Membership) {
@@ -77,12 +77,14 @@
 
 // observeIncarnation handles an observation of another incarnation and reports whether it is a
 // later one. A local observation always is; a peer's may be old.
-func (d *Directory) observeIncarnation(record *endpointRecord, o Observation, local bool) bool {
+func (d *Directory) observeIncarnation(record *endpointRecord, o Observation, local bool, now time.Time) bool {
 	if o.StartedAt == 0 || !local && o.StartedAt < record.startedAt {
 		return false
 	}
 	d.log.Info("endpoint restarted under its id", "endpoint", string(o.ID), "started_at", o.StartedAt, "before", record.startedAt, "told_here", local)
 	record.resetForIncarnation(o.StartedAt)
+	// Its row, which shows whether it is cold, has not arrived yet.
+	record.coldUntil = now.Add(d.coldStart(record.endpoint.Service))
 	d.markStale()
 	return true
 }
--- a/internal/directory/rows.go
+++ b/internal/directory/rows.go
@@ -41,7 +41,7 @@
 		record.row.Version = row.Version
 		return false
 	}
-	return d.applyEndpoint(record, &e, row)
+	return d.applyEndpoint(record, &e, row, now)
 }
 
 func (d *Directory) applyRemoval(record *endpointRecord, row table.Row, now time.Time) bool {
@@ -60,19 +60,24 @@
 	return wasListed
 }
 
-func (d *Directory) applyEndpoint(record *endpointRecord, e *serving.Endpoint, row table.Row) bool {
+func (d *Directory) applyEndpoint(record *endpointRecord, e *serving.Endpoint, row table.Row, now time.Time) bool {
 	before := record.endpoint
 	if before != nil && before.StartedAt == e.StartedAt && e.StartedAt != 0 && before.Draining {
 		// Draining cannot be revoked: a row without it comes from an older copy.
 		e.Draining = true
 	}
-	if before != nil && before.Equal(e) {
-		record.writes = e.Writes
-		return false
-	}
 	if before == nil || before.StartedAt != e.StartedAt {
 		d.startIncarnation(record, e)
 	}
+	// A row of an incarnation before the observed one says nothing about that one.
+	coldChanged := record.startedAt == e.StartedAt && record.applyCold(e.ColdFor, now)
+	if coldChanged {
+		d.logCold(e, row)
+	}
+	if before != nil && before.Equal(e) && !coldChanged {
+		record.writes = e.Writes
+		return false
+	}
 	if before == nil || before.Draining != e.Draining || before.Membership != e.Membership {
 		d.logChanged(e, row)
 	}
--- a/internal/directory/suspension.go
+++ b/internal/directory/suspension.go
@@ -14,8 +14,9 @@
 	for _, at := range []*time.Time{&d.configurationResponseAt, &d.tableVersionAt, &d.resumedAt} {
 		clock.Backdate(at, duration)
 	}
+	d.evacuations.Backdate(duration)
 	for _, record := range d.endpoints {
-		for _, at := range []*time.Time{&record.observedAt, &record.removedAt, &record.graceUntil} {
+		for _, at := range []*time.Time{&record.observedAt, &record.removedAt, &record.graceUntil, &record.coldUntil} {
 			clock.Backdate(at, duration)
 		}
 	}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -22,6 +22,11 @@
 	Plain map[string][]*serving.Endpoint
 	// Heads has the heads of open groups by service and model.
 	Heads map[Pool][]*Head
+	// Evacuated has the data centres whose endpoints get no new requests; Plain and Heads are
+	// without them. Withheld has how many endpoints that is, by service and model; the model is
+	// empty for plain services.
+	Evacuated map[serving.DataCentre]bool
+	Withheld  map[Pool]int
 }
 
 // Pool identifies the groups of one model of one service.
@@ -44,19 +49,30 @@
 }
 
 // buildView indexes the endpoints for routing.
-func buildView(c *serving.Configuration, endpoints, lapsed map[serving.EndpointID]*serving.Endpoint) *View {
+// viewInput is what a view is built from.
+type viewInput struct {
+	configuration *serving.Configuration
+	endpoints     map[serving.EndpointID]*serving.Endpoint
+	lapsed        map[serving.EndpointID]*serving.Endpoint
+	evacuated     map[serving.DataCentre]bool
+}
+
+func buildView(in viewInput) *View {
+	c := in.configuration
 	v := &View{
 		Configuration: c,
-		Endpoints:     endpoints,
-		Lapsed:        lapsed,
+		Endpoints:     in.endpoints,
+		Lapsed:        in.lapsed,
 		Plain:         map[string][]*serving.Endpoint{},
 		Heads:         map[Pool][]*Head{},
+		Evacuated:     in.evacuated,
+		Withheld:      map[Pool]int{},
 	}
 	if c == nil {
 		return v
 	}
 	groups := map[serving.Membership][]*serving.Endpoint{}
-	for _, set := range []map[serving.EndpointID]*serving.Endpoint{endpoints, lapsed} {
+	for _, set := range []map[serving.EndpointID]*serving.Endpoint{in.endpoints, in.lapsed} {
 		for _, e := range set {
 			if e.Membership.Group != "" {
 				key := groupKey(e.Membership)
@@ -64,20 +80,9 @@
 			}
 		}
 	}
-	for _, e := range endpoints {
-		service, ok := c.Services[e.Service]
-		if !ok {
-			continue
-		}
-		if service.Engine == nil {
-			if !e.Draining {
-				v.Plain[e.Service] = append(v.Plain[e.Service], e)
-			}
-			continue
-		}
-		if head := newHead(e, service.Engine, groups[groupKey(e.Membership)]); head != nil {
-			pool := Pool{e.Service, head.Model.Name}
-			v.Heads[pool] = append(v.Heads[pool], head)
+	for _, e := range in.endpoints {
+		if service, ok := c.Services[e.Service]; ok {
+			v.addEndpoint(e, service.Engine, groups[groupKey(e.Membership)])
 		}
 	}
 	for _, heads := range v.Heads {
@@ -89,6 +94,31 @@
 	return v
 }
 
+// addEndpoint adds an endpoint of a known service to those that may get requests. members are
+// those of its group.
+func (v *View) addEndpoint(e *serving.Endpoint, engine *serving.Engine, members []*serving.Endpoint) {
+	if engine == nil {
+		switch {
+		case e.Draining:
+		case v.Evacuated[e.DataCentre]:
+			v.Withheld[Pool{Service: e.Service}]++
+		default:
+			v.Plain[e.Service] = append(v.Plain[e.Service], e)
+		}
+		return
+	}
+	head := newHead(e, engine, members)
+	if head == nil {
+		return
+	}
+	pool := Pool{e.Service, head.Model.Name}
+	if v.Evacuated[e.DataCentre] {
+		v.Withheld[pool]++
+		return
+	}
+	v.Heads[pool] = append(v.Heads[pool], head)
+}
+
 // groupKey identifies one formation of a group.
 func groupKey(m serving.Membership) serving.Membership {
 	return serving.Membership{Group: m.Group, Epoch: m.Epoch}
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -112,8 +112,10 @@
 			role := w.role()
 			return role.Wait || version > 0 && !role.Configuration
 		},
-		apply: func(rows []table.Row, _, _ uint64) {
-			w.Directory.recordConfigurationResponse(time.Now())
+		apply: func(rows []table.Row, since, version uint64) {
+			now := time.Now()
+			w.Directory.recordConfigurationResponse(now)
+			w.Directory.applyEvacuations(rows, since, version, now)
 			for _, row := range rows {
 				if row.Key == codec.ConfigurationKey && !row.Removed {
 					w.Directory.ApplyConfiguration(row.Value, "store")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,7 +154,7 @@
 		Now:                  e.clock.Now,
 		Demand:               e.gossip.ControlDemand,
 		LastEvent:            e.lastEvent(),
-		Limit:                func(ep *serving.Endpoint) float64 { return e.gossip.Throttle().RateLimit(ep.Incarnation()).PerSecond },
+		Limit:                func(ep *serving.Endpoint) float64 { return e.gossip.Throttle().EffectiveLimit(ep, time.Now()) },
 		Weights:              s.Policy.Groups,
 		LeaseTTL:             s.LeaseTTL,
 		LeaseOutageExtension: s.Policy.LeaseOutageExtension,
@@ -274,6 +274,8 @@
 	}
 	e.metrics.Set("groups_open", float64(heads))
 	e.metrics.Set("groups_incomplete", float64(incomplete))
+	e.metrics.Set("endpoints_cold", float64(countCold(view)))
+	e.metrics.Set("data_centres_evacuated", float64(len(view.Evacuated)))
 	e.metrics.Set("endpoints_listed", float64(len(view.Endpoints)))
 	e.metrics.Set("endpoints_suspected", float64(len(e.gossip.Suspects())))
 	e.metrics.Set("configuration_version", float64(e.ConfigurationVersion()))
@@ -292,6 +294,18 @@
 	e.metrics.Set("controls", controls)
 }
 
+// countCold returns the number of endpoints whose requests are limited because they are cold.
+func countCold(view *directory.View) int {
+	n := 0
+	now := time.Now()
+	for _, ep := range view.Endpoints {
+		if ep.ColdLimit(now) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // ready reports whether this node has a configuration and endpoints, and is not stopping.
 func (e *Entry) ready() bool {
 	view := e.directory.View()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -85,7 +85,10 @@
 const contextWindow = 5 * time.Second
 
 // subjectKeys are the keys of the fields that identify a line's subjects.
-var subjectKeys = []string{"request", "endpoint", "group", "at_fault"}
+var subjectKeys = []string{"request", "endpoint", "group", "at_fault", evacuatedKey}
+
+// evacuatedKey is the key of a field with the names of evacuated data centres, separated by commas.
+const evacuatedKey = "evacuated"
 
 // Select returns, ordered by time, the lines about an id and those about the
 // endpoints and groups that they mention.
@@ -98,7 +101,10 @@
 		}
 		own = append(own, l)
 		for _, key := range subjectKeys {
-			if value := l.Get(key); value != "" && key != "request" {
+			if key == "request" {
+				continue
+			}
+			for _, value := range l.values(key) {
 				related[value] = true
 			}
 		}
@@ -110,7 +116,9 @@
 	from, to := own[0].Time.Add(-contextWindow), own[len(own)-1].Time.Add(contextWindow)
 	out := own
 	for _, l := range lines {
-		if l.Get("request") != "" || l.Time.Before(from) || l.Time.After(to) || matchesSubject(l, func(value string) bool { return value == id }) {
+		// An evacuation may have been in force for long.
+		tooOld := l.Time.Before(from) && l.Get(evacuatedKey) == ""
+		if l.Get("request") != "" || tooOld || l.Time.After(to) || matchesSubject(l, func(value string) bool { return value == id }) {
 			continue
 		}
 		if matchesSubject(l, func(value string) bool { return related[value] }) {
@@ -123,11 +131,22 @@
 
 func matchesSubject(l Line, match func(string) bool) bool {
 	return slices.ContainsFunc(subjectKeys, func(key string) bool {
-		value := l.Get(key)
-		return value != "" && match(value)
+		return slices.ContainsFunc(l.values(key), match)
 	})
 }
 
+// values returns the values of a field, none if the line lacks it.
+func (l *Line) values(key string) []string {
+	value := l.Get(key)
+	switch {
+	case value == "":
+		return nil
+	case key == evacuatedKey:
+		return strings.Split(value, ",")
+	}
+	return []string{value}
+}
+
 func sortByTime(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -22,6 +22,7 @@
 	if packed := m.GetConfiguration(); len(packed) > 0 {
 		g.applyConfiguration(packed, m.GetFrom().GetId())
 	}
+	g.applyEvacuations(m, now)
 	before, _ := g.directory.TableVersion()
 	if m.GetEndpointsVersion() > 0 {
 		g.directory.ApplyChanges(fromRows(m.GetRows()), m.GetRowsSince(), m.GetEndpointsVersion(), now)
@@ -67,6 +68,7 @@
 		}
 	}
 	p.configuration = m.GetConfigurationVersion()
+	p.evacuations = m.GetEvacuationsVersion()
 	p.rows = m.GetEndpointsVersion()
 	p.observations = m.GetObservationsVersion()
 	p.observationsSeen = m.GetObservationsSeen()
@@ -132,6 +134,7 @@
 	}
 	g.addRelayed(m, p, now)
 	g.addObservations(m, p, now)
+	g.addEvacuations(m, p, now)
 	m.Quarantine = g.quarantine.list.Delta(&p.quarantine, now)
 	m.Advisories = g.throttle.Delta(&p.advisories, now)
 	if p.hasSent && p.configuration < version && now.Sub(p.lastHeard) < peerStateTTL {
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -99,13 +99,15 @@
 	// responded to it, both as it reported them.
 	localNodes int
 	storeSeen  time.Time
-	// own and what follows is from its last message; configuration and rows are versions.
+	// own and what follows is from its last message; configuration, evacuations and rows are
+	// versions.
 	own                    work
 	relayed                work
 	suspects               []serving.EndpointID
 	unreachableDataCentres []serving.DataCentre
 	peerReports            relay.PeerReports
 	configuration          uint64
+	evacuations            uint64
 	// responseBytes is the size of its last response to a call of this node.
 	responseBytes int
 	rows          uint64
--- a/internal/gossip/permits.go
+++ b/internal/gossip/permits.go
@@ -13,7 +13,7 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-// Permits for a rate-limited endpoint are allocated by the relay of its data centre; a node that
+// Permits for a rate-limited or cold endpoint are allocated by the relay of its data centre; a node that
 // cannot reach that data centre cannot reach its endpoints either. Other nodes send the request
 // to their own relay, which forwards it, so that they need to know no nodes elsewhere.
 
@@ -58,7 +58,11 @@
 // requestPermit requests a permit for a rate-limited endpoint.
 func (g *Gossiper) requestPermit(ctx context.Context, e *serving.Endpoint, knownLimit advisory.RateLimit) (throttle.Permit, error) {
 	now := time.Now()
-	answer, err := g.AcquirePermit(ctx, &sharepb.PermitRequest{Advisory: throttle.ToWire(e.Incarnation(), knownLimit, now), DataCentre: string(e.DataCentre)})
+	answer, err := g.AcquirePermit(ctx, &sharepb.PermitRequest{
+		Advisory:      throttle.ToWire(e.Incarnation(), knownLimit, now),
+		DataCentre:    string(e.DataCentre),
+		ColdPerSecond: e.ColdLimit(now),
+	})
 	if err != nil {
 		return throttle.Permit{}, err
 	}
@@ -75,11 +79,16 @@
 		return nil, oops.In("throttle").Wrap(err)
 	case self:
 		inc, knownLimit := throttle.FromWire(q.GetAdvisory(), now)
-		return toPermitResponse(inc, g.throttle.Allocate(inc, knownLimit, now), now), nil
+		return toPermitResponse(inc, g.throttle.Allocate(inc, knownLimit, q.GetColdPerSecond(), now), now), nil
 	case q.GetHops() >= maxHops:
 		return nil, oops.In("throttle").Wrap(errNoAllocator)
 	}
-	forwarded := &sharepb.PermitRequest{Advisory: q.GetAdvisory(), DataCentre: q.GetDataCentre(), Hops: q.GetHops() + 1}
+	forwarded := &sharepb.PermitRequest{
+		Advisory:      q.GetAdvisory(),
+		DataCentre:    q.GetDataCentre(),
+		Hops:          q.GetHops() + 1,
+		ColdPerSecond: q.GetColdPerSecond(),
+	}
 	return g.client.AcquirePermit(ctx, address, forwarded)
 }
 
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -37,7 +37,8 @@
 	// inUse counts, by domain and model, the endpoints of healthy groups and of groups being
 	// formed; members of groups across domains count for less.
 	inUse map[string]map[string]float64
-	// remote counts, by model, the endpoints of groups in other data centres.
+	// remote counts, by model, the endpoints of groups in other data centres, without those that
+	// are evacuated; dataCentres counts the data centres that get requests.
 	remote map[string]float64
 	// staging has the models that are being loaded to hosts.
 	staging map[serving.EndpointID]string
@@ -63,6 +64,9 @@
 	meanWork    map[string]float64
 	limit       func(*serving.Endpoint) float64
 	dataCentres int
+	// evacuated is set while this data centre gets no new requests. Its groups are kept and
+	// repaired, so that it serves at once when the evacuation is lifted.
+	evacuated bool
 	// open is set once a group of the data centre has served requests.
 	open bool
 }
--- a/internal/groupcontrol/plan_test.go
+++ b/internal/groupcontrol/plan_test.go
@@ -192,3 +192,15 @@
 		})
 	}
 }
+
+// An evacuated data centre gets no requests, so its groups look idle. They must be kept for its
+// return, while the others form what only it had.
+func TestPlan_KeepsGroupsOfEvacuatedDataCentre(t *testing.T) {
+	s := newSituation(rack{small: 9})
+	s.demand = map[string]float64{large.Name: 2, small.Name: 1}
+	require.NotEmpty(t, plan(s).takeovers, "a group of the model that nobody serves is formed")
+	s = newSituation(rack{small: 9})
+	s.demand = map[string]float64{large.Name: 2, small.Name: 1}
+	s.evacuated = true
+	require.Empty(t, plan(s).takeovers)
+}
--- a/internal/groupcontrol/situation.go
+++ b/internal/groupcontrol/situation.go
@@ -25,7 +25,8 @@
 
 		weights:     c.options.Weights,
 		inCooldown:  now.Sub(c.lastTakeover) < takeoverCooldown,
-		dataCentres: c.options.DataCentres,
+		dataCentres: max(1, c.options.DataCentres-len(view.Evacuated)),
+		evacuated:   view.Evacuated[c.options.DataCentre],
 		staging:     c.activeStagings(view, now),
 	}
 	// Formations wait for loads only until a first group is open.
@@ -48,7 +49,7 @@
 			continue
 		}
 		if e.DataCentre != c.options.DataCentre {
-			if e.Membership.Group != "" {
+			if e.Membership.Group != "" && !view.Evacuated[e.DataCentre] {
 				s.remote[e.Model]++
 			}
 			continue
--- a/internal/groupcontrol/takeover.go
+++ b/internal/groupcontrol/takeover.go
@@ -34,7 +34,7 @@
 
 // takeoverFor returns the takeover for a model that dissolves the fewest groups.
 func (s *situation) takeoverFor(model serving.Model, free freeByDomain) (best takeover, outcome takeoverOutcome) {
-	if slices.Contains(slices.Collect(maps.Values(s.reserved)), model.Name) {
+	if s.evacuated || slices.Contains(slices.Collect(maps.Values(s.reserved)), model.Name) {
 		return takeover{}, takeoverNone
 	}
 	for _, domain := range slices.Sorted(maps.Keys(s.candidateDomains(free))) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -79,14 +79,16 @@
 const errQuarantined holdError = "request is quarantined"
 
 // checkBeforeSend is the last check before the first byte of a request is sent. The endpoint may
-// have asked for a cooldown or started draining while the request waited for a permit or a
-// connection.
+// have asked for a cooldown, started draining or been evacuated while the request waited for a
+// permit or a connection.
 func (c *call) checkBeforeSend(t target) error {
 	now := time.Now()
 	hold := c.options.Throttle.Hold(t.Endpoint, now)
 	if hold == throttle.HoldDraining || hold == throttle.HoldCooldown {
-		c.options.Metrics.Inc("requests_held_back", map[string]string{"by": hold.String()})
-		return holdError("endpoint is on hold: " + hold.String())
+		return c.holdBack(hold.String())
+	}
+	if c.options.View().Evacuated[t.DataCentre] {
+		return c.holdBack("evacuation")
 	}
 	if !c.options.Quarantine.BeginAttempt(c.fingerprint, now) {
 		return errQuarantined
@@ -94,6 +96,12 @@
 	return nil
 }
 
+// holdBack counts a request that is not sent to the endpoint chosen for it.
+func (c *call) holdBack(reason string) error {
+	c.options.Metrics.Inc("requests_held_back", map[string]string{"by": reason})
+	return holdError("endpoint is on hold: " + reason)
+}
+
 // handleNotSent handles an attempt of which no byte was sent. The retry budget is refunded, and
 // the endpoint becomes suspect unless this node held the attempt back.
 func (c *call) handleNotSent(ctx context.Context, t target, err error) result {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
@@ -23,6 +24,8 @@
 	retryAfter time.Duration
 	// choice counts the groups by why they were not chosen.
 	choice Choice
+	// evacuated has the names of the evacuated data centres, for the log.
+	evacuated string
 }
 
 // Causes of rejected and failed requests.
@@ -37,6 +40,7 @@
 	causeDeadline   = "deadline"
 	causeQuarantine = "requests like this one have ended the endpoints that ran them"
 	causeLimited    = "the endpoints left have no permit of their rate limits"
+	causeEvacuated  = "the data centres that could serve it are evacuated"
 	causeCooldown   = "the endpoints left have asked for a cooldown"
 )
 
@@ -64,17 +68,22 @@
 	if service.Engine == nil {
 		e, ok := c.options.Balancer.ChoosePlain(view.Plain[c.service], c.failed, now)
 		if !ok {
-			return target{}, c.plainRejection(view.Plain[c.service], now)
+			reason := c.plainRejection(view, now)
+			reason.evacuated = evacuatedNames(view)
+			return target{}, reason
 		}
 		return target{Endpoint: e}, rejection{}
 	}
-	heads := view.Heads[directory.Pool{Service: c.service, Model: c.attrs.Model}]
+	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
+	heads := view.Heads[pool]
 	choice := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, c.attempts > 0, now)
 	if choice.Head != nil {
 		return target{choice.Head.Endpoint, choice.Predicted, choice.Head}, rejection{}
 	}
 	reason := rejection{cause: causeSuspected, retryAfter: defaultRetryAfter, choice: choice}
 	switch {
+	case choice.Groups == 0 && view.Withheld[pool] > 0:
+		reason.cause = causeEvacuated
 	case choice.Groups == 0:
 		reason.cause = causeNoGroup
 	case choice.Full+choice.Late > 0:
@@ -84,13 +93,18 @@
 		reason = c.holdRejection(endpointsOf(heads), now)
 		reason.choice = choice
 	}
+	reason.evacuated = evacuatedNames(view)
 	return target{}, reason
 }
 
 // plainRejection returns why a request to a plain service has no target.
-func (c *call) plainRejection(endpoints []*serving.Endpoint, now time.Time) rejection {
+func (c *call) plainRejection(view *directory.View, now time.Time) rejection {
+	endpoints := view.Plain[c.service]
 	isHeld := func(e *serving.Endpoint) bool { return c.options.Throttle.Hold(e, now).Temporary() }
-	if !slices.ContainsFunc(endpoints, isHeld) {
+	switch {
+	case len(endpoints) == 0 && view.Withheld[directory.Pool{Service: c.service}] > 0:
+		return rejection{cause: causeEvacuated, retryAfter: defaultRetryAfter}
+	case !slices.ContainsFunc(endpoints, isHeld):
 		return rejection{cause: causeNoEndpoint, retryAfter: defaultRetryAfter}
 	}
 	return c.holdRejection(endpoints, now)
@@ -108,6 +122,16 @@
 	return rejection{cause: causeLimited, retryAfter: limit}
 }
 
+// evacuatedNames returns the evacuated data centres for the log.
+func evacuatedNames(view *directory.View) string {
+	names := make([]string, 0, len(view.Evacuated))
+	for dc := range view.Evacuated {
+		names = append(names, string(dc))
+	}
+	slices.Sort(names)
+	return strings.Join(names, ",")
+}
+
 func endpointsOf(heads []*directory.Head) []*serving.Endpoint {
 	out := make([]*serving.Endpoint, 0, len(heads))
 	for _, h := range heads {
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -150,9 +150,16 @@
 	if b.weights.Failures == health.Compare {
 		c.health = health.Weight(tally.Rate())
 	}
+	if h.ColdLimit(now) > 0 {
+		c.health *= coldWeight
+	}
 	return c
 }
 
+// coldWeight reduces the weight of a cold group, so that its limit is not used up while warm groups
+// have room.
+const coldWeight = 0.5
+
 // score returns the time by which a group is ranked: the predicted time to the first event,
 // multiplied by its slowdown, plus penalties.
 func (b *Balancer) score(h *directory.Head, predicted Prediction, slowdown float64) time.Duration {
--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -76,6 +76,8 @@
 	terminated  bool
 	unreachable bool
 	unlisted    bool
+	// coldPeriods counts how often the endpoint became cold.
+	coldPeriods int
 }
 
 // Fleet is a set of endpoints that share a table.
@@ -96,7 +98,11 @@
 	epochs map[uint64]epochGroup
 	// orderDelay returns the delay after which an order takes effect without a response; 0 means
 	// that it is handled normally.
-	orderDelay     func() time.Duration
+	orderDelay func() time.Duration
+	// coldStart is how long restarted endpoints are cold, and onCold is called when an endpoint
+	// becomes cold or is no longer.
+	coldStart      time.Duration
+	onCold         func(id serving.EndpointID, cold bool)
 	loads          int
 	joinLoads      int
 	ordersSeen     int
@@ -142,6 +148,7 @@
 		formerMembers: map[memberKey]bool{},
 		epochs:        map[uint64]epochGroup{},
 		orderDelay:    func() time.Duration { return 0 },
+		onCold:        func(serving.EndpointID, bool) {},
 	}
 	for _, m := range models {
 		f.models[m.Name] = m
@@ -219,10 +226,58 @@
 	fresh := &Endpoint{Endpoint: before.Endpoint}
 	fresh.Model, fresh.Draining, fresh.Writes = "", false, 0
 	fresh.StartedAt = f.nextStart(before.StartedAt)
+	fresh.ColdFor = 0
 	f.endpoints[id] = fresh
+	if before.ColdFor > 0 {
+		f.onCold(id, false)
+	}
+	f.setCold(fresh, f.coldStart)
 	f.write(fresh)
 }
 
+// SetColdStart sets how long endpoints are cold after a restart. onCold is called when an endpoint
+// becomes cold or is no longer; it must not call the fleet.
+func (f *Fleet) SetColdStart(duration time.Duration, onCold func(id serving.EndpointID, cold bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.coldStart, f.onCold = duration, onCold
+}
+
+// SetCold makes an endpoint cold for a time, which its row shows.
+func (f *Fleet) SetCold(id serving.EndpointID, duration time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.endpoints[id]
+	f.setCold(e, duration)
+	if !e.terminated {
+		f.write(e)
+	}
+}
+
+// setCold makes an endpoint cold; f.mu must be held. The row shows the whole duration until it is
+// over, which takes it for cold no shorter than it is.
+func (f *Fleet) setCold(e *Endpoint, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	e.ColdFor = duration
+	e.coldPeriods++
+	period := e.coldPeriods
+	f.onCold(e.ID, true)
+	time.AfterFunc(duration, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if e.coldPeriods != period || f.endpoints[e.ID] != e {
+			return
+		}
+		e.ColdFor = 0
+		f.onCold(e.ID, false)
+		if !e.terminated {
+			f.write(e)
+		}
+	})
+}
+
 // StartedAt returns the start of an endpoint's current incarnation in Unix milliseconds.
 func (f *Fleet) StartedAt(id serving.EndpointID) int64 {
 	f.mu.Lock()
--- a/internal/throttle/hold.go
+++ b/internal/throttle/hold.go
@@ -29,7 +29,7 @@
 
 // Hold returns the reason why an endpoint may not be sent requests now, if there is one.
 func (t *Tracker) Hold(e *serving.Endpoint, now time.Time) Hold {
-	if t.rateLimited.Load()+t.coolingDown.Load()+t.draining.Load() == 0 {
+	if t.rateLimited.Load()+t.coolingDown.Load()+t.draining.Load() == 0 && e.ColdLimit(now) == 0 {
 		return HoldNone
 	}
 	t.mu.Lock()
--- a/internal/throttle/permits.go
+++ b/internal/throttle/permits.go
@@ -37,15 +37,15 @@
 }
 
 // Acquire reports whether a request may be sent to an endpoint, and takes a permit if the
-// endpoint is rate limited.
+// endpoint is rate limited or cold.
 func (t *Tracker) Acquire(ctx context.Context, e *serving.Endpoint) bool {
-	knownLimit := t.RateLimit(e.Incarnation())
-	if !knownLimit.InForce() {
+	if t.EffectiveLimit(e, time.Now()) == 0 {
 		return true
 	}
 	if t.isUnreachable(e.DataCentre) {
-		return t.acquireShare(e, knownLimit)
+		return t.acquireShare(e)
 	}
+	knownLimit := t.RateLimit(e.Incarnation())
 	askCtx, cancel := context.WithTimeout(ctx, allocatorTimeout)
 	defer cancel()
 	permit, err := t.options.RequestPermit(askCtx, e, knownLimit)
@@ -55,7 +55,7 @@
 	}
 	if err != nil {
 		t.markUnreachable(e.DataCentre, err)
-		return t.acquireShare(e, knownLimit)
+		return t.acquireShare(e)
 	}
 	now := time.Now()
 	t.mu.Lock()
@@ -90,9 +90,10 @@
 }
 
 // acquireShare takes a permit from this node's local share of the limit.
-func (t *Tracker) acquireShare(e *serving.Endpoint, knownLimit advisory.RateLimit) bool {
+func (t *Tracker) acquireShare(e *serving.Endpoint) bool {
 	now := time.Now()
 	nodes := t.nodes()
+	limit := t.EffectiveLimit(e, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	share := t.shares[e.Incarnation()]
@@ -100,7 +101,7 @@
 		share = &ratelimit.LocalShare{}
 		t.shares[e.Incarnation()] = share
 	}
-	if now.Sub(t.started) >= shareWarmup && share.Take(knownLimit.PerSecond, nodes, rand.Float64, now) {
+	if now.Sub(t.started) >= shareWarmup && share.Take(limit, nodes, rand.Float64, now) {
 		t.countPermit("own")
 		return true
 	}
@@ -117,13 +118,15 @@
 }
 
 // Allocate grants or denies a permit for an endpoint, after applying the limit known to the
-// node that requests it.
-func (t *Tracker) Allocate(inc serving.Incarnation, knownLimit advisory.RateLimit, now time.Time) Permit {
+// node that requests it. coldPerSecond is the limit of an endpoint that this node takes for cold,
+// or zero.
+func (t *Tracker) Allocate(inc serving.Incarnation, knownLimit advisory.RateLimit, coldPerSecond float64, now time.Time) Permit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.applyLimitLocked(inc, knownLimit, "permit request", now)
 	l := t.registry.Lookup(inc)
-	if !l.InForce() {
+	perSecond := lowerLimit(l.PerSecond, coldPerSecond)
+	if perSecond == 0 {
 		return Permit{Granted: true, Limit: l}
 	}
 	bucket := t.buckets[inc]
@@ -131,7 +134,7 @@
 		bucket = &ratelimit.TokenBucket{}
 		t.buckets[inc] = bucket
 	}
-	granted, wait := bucket.Take(l.PerSecond, now)
+	granted, wait := bucket.Take(perSecond, now)
 	return Permit{Granted: granted, Wait: wait, Limit: l}
 }
 
@@ -144,20 +147,22 @@
 	defer t.mu.Unlock()
 	var best serving.Incarnation
 	var at time.Time
+	bestLimit := 0.0
 	for _, e := range endpoints {
 		inc := e.Incarnation()
-		if !t.registry.Lookup(inc).InForce() {
+		limit := lowerLimit(t.registry.Lookup(inc).PerSecond, e.ColdLimit(now))
+		if limit == 0 {
 			continue
 		}
 		next := latest(t.exhausted[inc], t.nextRetry[inc], now)
 		if at.IsZero() || next.Before(at) {
-			best, at = inc, next
+			best, at, bestLimit = inc, next, limit
 		}
 	}
 	if at.IsZero() {
 		return 0
 	}
-	spacing := time.Duration(float64(nodes) / t.registry.Lookup(best).PerSecond * float64(time.Second))
+	spacing := time.Duration(float64(nodes) / bestLimit * float64(time.Second))
 	t.nextRetry[best] = at.Add(min(spacing, maxRetryAfter))
 	return min(maxRetryAfter, at.Sub(now))
 }
--- a/internal/throttle/tracker.go
+++ b/internal/throttle/tracker.go
@@ -82,7 +82,8 @@
 	}
 	if t.options.RequestPermit == nil {
 		t.options.RequestPermit = func(_ context.Context, e *serving.Endpoint, knownLimit advisory.RateLimit) (Permit, error) {
-			return t.Allocate(e.Incarnation(), knownLimit, time.Now()), nil
+			now := time.Now()
+			return t.Allocate(e.Incarnation(), knownLimit, e.ColdLimit(now), now), nil
 		}
 	}
 	return t
@@ -148,16 +149,20 @@
 	t.registry.Forget(startedAt, now)
 	t.updateCountsLocked()
 	t.expireCooldowns(now)
-	forgetUnlimited(t.exhausted, t.registry)
-	forgetUnlimited(t.nextRetry, t.registry)
-	forgetUnlimited(t.shares, t.registry)
-	forgetUnlimited(t.buckets, t.registry)
+	limited := func(inc serving.Incarnation) bool {
+		e := listed[inc.ID]
+		return t.registry.Lookup(inc).InForce() || e != nil && e.Incarnation() == inc && e.ColdLimit(now) > 0
+	}
+	forgetUnlimited(t.exhausted, limited)
+	forgetUnlimited(t.nextRetry, limited)
+	forgetUnlimited(t.shares, limited)
+	forgetUnlimited(t.buckets, limited)
 }
 
 // forgetUnlimited drops the entries of incarnations without a limit.
-func forgetUnlimited[V any](kept map[serving.Incarnation]V, registry *advisory.Registry) {
+func forgetUnlimited[V any](kept map[serving.Incarnation]V, limited func(serving.Incarnation) bool) {
 	for inc := range kept {
-		if !registry.Lookup(inc).InForce() {
+		if !limited(inc) {
 			delete(kept, inc)
 		}
 	}
--- a/internal/throttle/tracker_test.go
+++ b/internal/throttle/tracker_test.go
@@ -22,7 +22,7 @@
 func countGranted(t *Tracker, inc serving.Incarnation, knownLimit advisory.RateLimit, from time.Time, duration time.Duration) int {
 	granted := 0
 	for at := time.Duration(0); at < duration; at += time.Millisecond {
-		if t.Allocate(inc, knownLimit, from.Add(at)).Granted {
+		if t.Allocate(inc, knownLimit, 0, from.Add(at)).Granted {
 			granted++
 		}
 	}
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -132,6 +132,10 @@
 	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdStart is how long an endpoint is cold after its start, and ColdPerSec how many requests a
+	// second from all nodes together it accepts meanwhile; zero means no limit.
+	ColdStart  time.Duration
+	ColdPerSec float64
 }
 
 // Workspace is a customer.
@@ -232,6 +236,20 @@
 	Model      string
 	Staged     []string
 	Membership Membership
+	// ColdFor is how much longer the endpoint was cold when its row was written.
+	ColdFor time.Duration
+	// ColdUntil and ColdPerSec are set in views: until then the endpoint accepts only so many
+	// requests a second from all nodes together. A zero ColdPerSec means no limit.
+	ColdUntil  time.Time
+	ColdPerSec float64
+}
+
+// ColdLimit returns the limit of a cold endpoint in requests a second, or zero if it has none.
+func (e *Endpoint) ColdLimit(now time.Time) float64 {
+	if now.Before(e.ColdUntil) {
+		return e.ColdPerSec
+	}
+	return 0
 }
 
 // Incarnation identifies one incarnation of an endpoint. A restart loses all state, so reports
@@ -245,7 +263,8 @@
 // Incarnation returns the incarnation of a record.
 func (e *Endpoint) Incarnation() Incarnation { return Incarnation{e.ID, e.StartedAt} }
 
-// Equal reports whether two records describe the same state of an endpoint. Writes is ignored.
+// Equal reports whether two records describe the same state of an endpoint. Writes and the fields
+// on coldness are ignored.
 func (e *Endpoint) Equal(other *Endpoint) bool {
 	return e.ID == other.ID && e.StartedAt == other.StartedAt && e.Service == other.Service && e.Address == other.Address &&
 		e.DataCentre == other.DataCentre && e.Domain == other.Domain && e.Slots == other.Slots &&
