httpserver, relay: read responses no faster than their callers, and deliver their ends

A caller that read slowly was sent nothing back to: nbio buffered up to 1 MB for each connection and then closed it, with up to 2,048 of them, so a few hundred slow readers could take a node's memory. And a connection counted as idle once its handler had returned, although nbhttp writes the end of a response only after that, and nbio may still hold bytes that the caller has not read: a stopping process closed such connections in the middle of a response.

While an event waits for the caller, its endpoint is not taken for silent, and an endpoint that gives up an unread stream has not failed. What is buffered before it is relayed is bounded in all, too.

Tests: 40 callers of 1 KB a second with responses of 8 MB hold 1.1 MB at most where 1 MB is the total, and another caller is served beside them. TestCloseIdle_WaitsForEndOfResponse and TestClose_DeliversPendingResponse fail with the counting as before, the stream of a slow caller is cut without the change of the stall detector.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,9 @@
 	memoryLimitFraction = 0.75
 	gcPercent           = 100
 	cleanupInterval     = time.Second
+	// responseMemoryDivisor is the part of the memory limit that responses to slow callers may take,
+	// and also that of responses which are buffered before they are relayed.
+	responseMemoryDivisor = 8
 	// idleTimeout is how long an idle connection is kept if the server does not advertise a
 	// timeout.
 	idleTimeout = 4 * time.Second
@@ -136,6 +139,7 @@
 		Metrics:     e.metrics,
 		StallAfter:  s.StallAfter,
 		MaxRequests: s.MaxRequests,
+		MaxBuffered: s.MemoryBytes / responseMemoryDivisor,
 	})
 	store.onResponse = e.gossip.StoreResponded
 	e.controller = groupcontrol.New(groupcontrol.Options{
@@ -211,7 +215,13 @@
 	for _, o := range []httpserver.Options{
 		{Address: s.Ready, MaxBody: maxInternalBody, MaxRequests: maxInternalRequests, Handler: ready},
 		{Address: s.Metrics, MaxBody: maxInternalBody, MaxRequests: maxInternalRequests, Handler: metricsMux},
-		{Address: s.Callers, MaxBody: s.MaxBody, MaxRequests: 2 * s.MaxRequests, Handler: http.HandlerFunc(e.serve)},
+		{
+			Address:     s.Callers,
+			MaxBody:     s.MaxBody,
+			MaxRequests: 2 * s.MaxRequests,
+			MaxPending:  int(s.MemoryBytes / responseMemoryDivisor),
+			Handler:     http.HandlerFunc(e.serve),
+		},
 	} {
 		o.Link = links
 		server, err := httpserver.Serve(o)
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -17,10 +17,12 @@
 )
 
 const (
-	// maxWriteBuffer bounds the bytes buffered for a slow caller; beyond it the
-	// connection is closed.
+	// maxWriteBuffer is the write buffer beyond which nbio closes a connection; it is not
+	// reached, since writes wait for slow callers.
 	maxWriteBuffer = 1 << 20
-	idleTimeout    = 2 * time.Minute
+	// DefaultMaxPending is the default of Options.MaxPending.
+	DefaultMaxPending = 32 << 20
+	idleTimeout       = 2 * time.Minute
 	// maxHeaderBytes bounds an incomplete header. It is larger than one read of a
 	// connection, which may include part of the body.
 	maxHeaderBytes = 256 << 10
@@ -33,8 +35,18 @@
 	MaxBody int
 	// MaxRequests bounds the handlers that run concurrently.
 	MaxRequests int
-	Handler     http.Handler
-	Link        link.Bounds
+	// MaxPending bounds the bytes that are buffered for callers that read slowly, in all; zero
+	// means DefaultMaxPending. Each such caller may have a few kilobytes more.
+	MaxPending int
+	Handler    http.Handler
+	Link       link.Bounds
+}
+
+func (o Options) maxPending() int {
+	if o.MaxPending > 0 {
+		return o.MaxPending
+	}
+	return DefaultMaxPending
 }
 
 // newEngine returns an engine that is not started.
--- a/internal/httpserver/responder.go
+++ b/internal/httpserver/responder.go
@@ -38,11 +38,8 @@
 	if !ok || response.Parser == nil || response.Parser.Conn == nil {
 		return out
 	}
-	out.conn = response.Parser.Conn
-	conn := response.Parser.Conn
-	if wrapped, ok := conn.(*nbhttp.Conn); ok {
-		conn = wrapped.Conn
-	}
+	conn := unwrap(response.Parser.Conn)
+	out.conn = conn
 	out.checker, _ = conn.(closeChecker)
 	return out
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,14 +16,16 @@
 type Server struct {
 	engine  *nbhttp.Engine
 	started time.Time
+	pacing  pacing
 	mu      sync.Mutex
 	conns   map[*nbio.Conn]*connState
 }
 
 // connState tracks whether a connection has a request in flight.
 type connState struct {
-	// requests counts those that were read and are not finished.
+	// requests counts those that were read and whose responses are not completely written.
 	requests atomic.Int64
+	pace     *connPace
 	// mu is held while data is parsed.
 	mu sync.Mutex
 	// partial is set while a request is incompletely read.
@@ -32,14 +35,14 @@
 
 // Serve starts a server.
 func Serve(o Options) (*Server, error) {
-	s := &Server{conns: map[*nbio.Conn]*connState{}}
-	handler := o.Handler
-	o.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer s.requestDone(connOf(w))
-		handler.ServeHTTP(w, r)
-	})
+	s := &Server{conns: map[*nbio.Conn]*connState{}, pacing: pacing{max: int64(o.maxPending())}}
 	s.engine = newEngine(o, s)
-	s.engine.OnRequest = func(w http.ResponseWriter, _ *http.Request) { s.requestRead(connOf(w)) }
+	s.engine.OnRequest = func(w http.ResponseWriter, _ *http.Request) { s.requestRead(w) }
+	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if state := s.state(c); state != nil {
+			state.pace.written(n)
+		}
+	})
 	if err := s.engine.Start(); err != nil {
 		return nil, err
 	}
@@ -64,12 +67,19 @@
 	if !ok || response.Parser == nil {
 		return nil
 	}
-	conn := response.Parser.Conn
+	c, _ := unwrap(response.Parser.Conn).(*nbio.Conn)
+	return c
+}
+
+// unwrap returns nbio's connection of one that nbhttp uses.
+func unwrap(conn net.Conn) net.Conn {
+	if paced, ok := conn.(*pacedConn); ok {
+		return paced.raw
+	}
 	if wrapped, ok := conn.(*nbhttp.Conn); ok {
-		conn = wrapped.Conn
+		return wrapped.Conn
 	}
-	c, _ := conn.(*nbio.Conn)
-	return c
+	return conn
 }
 
 func (s *Server) state(c *nbio.Conn) *connState {
@@ -81,13 +91,17 @@
 func (s *Server) addConn(c *nbio.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[c] = &connState{}
+	s.conns[c] = &connState{pace: s.pacing.newConn()}
 }
 
 func (s *Server) removeConn(c *nbio.Conn) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	state := s.conns[c]
 	delete(s.conns, c)
+	s.mu.Unlock()
+	if state != nil {
+		state.pace.close()
+	}
 }
 
 // parse passes data to a connection's parser, unless the connection is closing.
@@ -107,22 +121,22 @@
 
 // requestRead counts a request that was read completely. It is called while data is
 // parsed, with the state's lock held.
-func (s *Server) requestRead(c *nbio.Conn) {
-	if state := s.state(c); state != nil {
-		state.requests.Add(1)
-		state.partial = false
+func (s *Server) requestRead(w http.ResponseWriter) {
+	c := connOf(w)
+	state := s.state(c)
+	if state == nil {
+		return
 	}
-}
-
-func (s *Server) requestDone(c *nbio.Conn) {
-	if state := s.state(c); state != nil {
-		state.requests.Add(-1)
+	state.requests.Add(1)
+	state.partial = false
+	if response, ok := w.(*nbhttp.Response); ok {
+		s.pace(response, c, state)
 	}
 }
 
 // CloseIdle closes the connections without a request in flight, and returns the
-// number of those with one. No byte of a request that arrives during the close is
-// parsed.
+// number of those with one. A response is in flight until its last byte was passed to
+// the kernel. No byte of a request that arrives during the close is parsed.
 func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	conns := make(map[*nbio.Conn]*connState, len(s.conns))
@@ -133,7 +147,7 @@
 	busy := 0
 	for c, state := range conns {
 		state.mu.Lock()
-		idle := state.requests.Load() == 0 && !state.partial
+		idle := state.requests.Load() == 0 && !state.partial && !state.pace.hasPending()
 		state.closing = state.closing || idle
 		state.mu.Unlock()
 		if idle {
--- a/internal/relay/active.go
+++ b/internal/relay/active.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
@@ -20,6 +21,11 @@
 	lastEventAt time.Time
 	// head is nil for plain endpoints.
 	head *directory.Head
+	// writing is set while an event is written to the caller. Meanwhile nothing is read from the
+	// endpoint, so that its silence means nothing.
+	writing atomic.Bool
+	// heldUp is set once an event waited for the caller: the next gap is not the endpoint's.
+	heldUp bool
 }
 
 // begin counts a request that is being sent to an endpoint.
@@ -46,10 +52,10 @@
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	l := a.balancer.load(a.endpoint)
-	if !a.prefilling && a.head != nil && l.advanceEpoch(a.epoch) {
+	if !a.prefilling && !a.heldUp && a.head != nil && l.advanceEpoch(a.epoch) {
 		l.paces.Record(min(maxEventGap, now.Sub(a.lastEventAt)), passTime(a.head, l), now)
 	}
-	a.lastEventAt = now
+	a.lastEventAt, a.heldUp = now, false
 	l.lastActive, l.lastEvent = now, now
 	l.suspectUntil = time.Time{}
 	if r := a.balancer.remotes[l.dataCentre]; r != nil {
@@ -61,6 +67,35 @@
 	}
 }
 
+// slowWrite is how long an event's write may take before the caller counts as the reason for what
+// follows.
+const slowWrite = 10 * time.Millisecond
+
+// write calls a function that writes to the caller, and returns how long the caller held it up.
+func (a *activeRequest) write(f func()) time.Duration {
+	a.writing.Store(true)
+	began := time.Now()
+	f()
+	now := time.Now()
+	took := now.Sub(began)
+	if took > slowWrite {
+		a.resumeReading(now)
+	}
+	a.writing.Store(false)
+	if took <= slowWrite {
+		return 0
+	}
+	return took
+}
+
+// resumeReading makes silence count from now on.
+func (a *activeRequest) resumeReading(now time.Time) {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	a.lastEventAt, a.heldUp = now, true
+	a.balancer.load(a.endpoint).lastActive = now
+}
+
 // end removes the request from the endpoint's load.
 func (a *activeRequest) end() {
 	a.balancer.mu.Lock()
@@ -90,6 +125,9 @@
 
 // endpointSilence returns how long the endpoint has sent nothing on any request.
 func (a *activeRequest) endpointSilence(now time.Time) time.Duration {
+	if a.writing.Load() {
+		return 0
+	}
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	l := a.balancer.load(a.endpoint)
@@ -102,6 +140,9 @@
 
 // requestSilence returns how long the endpoint has sent nothing on this request.
 func (a *activeRequest) requestSilence(now time.Time) time.Duration {
+	if a.writing.Load() {
+		return 0
+	}
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	return now.Sub(a.lastEventAt)
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -11,9 +11,13 @@
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 )
 
-// maxBuffered is the size in bytes up to which a response is buffered before it is relayed; a
-// larger one is relayed as it arrives.
-const maxBuffered = 256 << 10
+const (
+	// maxBuffered is the size in bytes up to which a response is buffered before it is relayed; a
+	// larger one is relayed as it arrives.
+	maxBuffered = 256 << 10
+	// minBuffered replaces maxBuffered while Options.MaxBuffered is used up.
+	minBuffered = 16 << 10
+)
 
 // copyBufferSize is the size of the buffer for large responses, in bytes.
 const copyBufferSize = 16 << 10
@@ -33,7 +37,8 @@
 // relayBuffered reads a response and relays it once it is complete: until then the request can
 // still be retried elsewhere.
 func (c *call) relayBuffered(ctx context.Context, t target, active *activeRequest, response *upstream.Response) result {
-	body, err := io.ReadAll(io.LimitReader(response, maxBuffered))
+	limit := c.reserveBuffer(response.Length)
+	body, err := io.ReadAll(io.LimitReader(response, limit+1))
 	active.recordEvent(time.Now())
 	if err != nil {
 		c.recordFailure(ctx, t, active)
@@ -41,7 +46,7 @@
 		return c.finishIfDone(ctx, resultIncomplete)
 	}
 	answer := &bufferedResponse{response.Status, c.options.Wire.CallerHeader(response.Header), body}
-	if len(body) == maxBuffered {
+	if int64(len(body)) > limit {
 		return c.relayUnbuffered(answer, response)
 	}
 	c.recordComplete(active, response, response.Status >= http.StatusInternalServerError)
@@ -58,6 +63,21 @@
 	return resultFailed
 }
 
+// reserveBuffer returns how many bytes of a response of the given length, -1 if unknown, may be
+// buffered until the request is finished.
+func (c *call) reserveBuffer(length int64) int64 {
+	limit := int64(maxBuffered)
+	if length >= 0 && length < limit {
+		limit = length
+	}
+	if c.buffered.Add(limit) > c.options.MaxBuffered {
+		c.buffered.Add(-limit)
+		return min(limit, minBuffered)
+	}
+	c.reserved += limit
+	return limit
+}
+
 // recordComplete counts a complete response. One that is no failure clears the request of
 // suspected crashes.
 func (c *call) recordComplete(active *activeRequest, response *upstream.Response, failed bool) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,9 @@
 	StallAfter time.Duration
 	// MaxRequests bounds the requests in flight.
 	MaxRequests int
+	// MaxBuffered bounds the bytes of responses that are buffered before they are relayed; larger
+	// ones are relayed as they arrive, and cannot be retried then.
+	MaxBuffered int64
 }
 
 // Responder writes the response to one caller.
@@ -63,9 +66,11 @@
 
 // Relay forwards callers' requests to endpoints. It is safe for concurrent use.
 type Relay struct {
-	options          Options
-	log              logging.Logger
-	inFlight         atomic.Int64
+	options  Options
+	log      logging.Logger
+	inFlight atomic.Int64
+	// buffered is how many bytes of responses are reserved for buffering.
+	buffered         atomic.Int64
 	closeConnections atomic.Bool
 	draining         atomic.Bool
 	hasRequests      atomic.Bool
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -255,6 +255,7 @@
 		Metrics:     m,
 		StallAfter:  300 * time.Millisecond,
 		MaxRequests: 100,
+		MaxBuffered: 64 << 20,
 	})
 	return fx
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -65,6 +65,8 @@
 	lastEvent       string
 	events          int
 	outcome         outcome
+	// reserved is the part of Relay.buffered that this call holds.
+	reserved int64
 	// endpointFailure is an endpoint's own error response, relayed if no other endpoint succeeds.
 	endpointFailure *bufferedResponse
 }
@@ -76,6 +78,7 @@
 	current := r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	c := &call{Relay: r, in: in, out: out, start: time.Now(), suspended: r.options.Clock.Suspended(), view: r.options.View()}
+	defer func() { r.buffered.Add(-c.reserved) }()
 	var err error
 	if c.attrs, err = r.options.Wire.Attributes(in.Header); err != nil {
 		c.rejectInvalid(http.StatusBadRequest, err.Error())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -10,10 +10,16 @@
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 )
 
+// callerHeldUp is the time for which a caller must have held up a stream so that the endpoint's end
+// of the stream is not taken for a failure of the endpoint.
+const callerHeldUp = time.Second
+
 // relayStream relays complete events as they arrive. If the stream is interrupted, the next attempt
 // resumes after the last complete event, within the same response.
 func (c *call) relayStream(ctx context.Context, t target, active *activeRequest, response *upstream.Response) result {
 	reader := newEventReader(response)
+	// heldUp is for how long the caller has kept this node from reading on.
+	heldUp := time.Duration(0)
 	for {
 		e, err := reader.next()
 		switch {
@@ -23,6 +29,10 @@
 			c.recordComplete(active, response, false)
 			c.out.End()
 			return resultDone
+		case heldUp > callerHeldUp:
+			// The endpoint may have given the stream up because nobody read it.
+			c.logAttempt(t, "a stream broken off while its caller read slowly", errors.Join(err, context.Cause(ctx)))
+			return c.finishIfDone(ctx, resultIncomplete)
 		default:
 			c.recordFailure(ctx, t, active)
 			c.logAttempt(t, "a broken stream", errors.Join(err, context.Cause(ctx)))
@@ -34,7 +44,9 @@
 			c.logAttempt(t, "a broken stream", errEventOrder)
 			return resultIncomplete
 		}
-		if !c.relayEvent(t, e, response.Header, now) {
+		relayed := false
+		heldUp += active.write(func() { relayed = c.relayEvent(t, e, response.Header, now) })
+		if !relayed {
 			c.outcome = outcomeCallerGone
 			c.out.Abort()
 			return resultDone
