soak: evacuations and cold endpoints

Model workers are cold after a restart, data centres are evacuated and taken back warm or cold, beside all other faults and once each without any. No request may reach an evacuated data centre after 2.5 s without faults; a cold endpoint may get no more than its bound in any second, whatever faults there are.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -29,6 +29,7 @@
 		r.drawLimit(&running)
 		r.drawRejecting(&running)
 		r.drawDraining(&running)
+		r.drawEvacuation(&running)
 		if step%restoreEvery == restoreEvery-1 {
 			r.drawRestore(&running, snapshot)
 			snapshot = r.platform.Table.Copy()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -10,7 +10,8 @@
 //     its history and is restored from an older copy.
 //   - Endpoints terminate, lose their rows, apply unanswered orders late, and crash and restart
 //     under their IDs, by themselves and because of repeated requests.
-//   - Endpoints advertise rate limits, cooldowns and draining.
+//   - Endpoints advertise rate limits, cooldowns and draining, and are cold after a restart.
+//   - The operator evacuates data centres, whose endpoints may be cold afterwards.
 //   - Another writer adds rows to the table of endpoints, and configurations change.
 //
 // Before these, all entry instances are killed several times while responses are truncated.
@@ -80,6 +81,9 @@
 // limitBound limits the requests to an endpoint that advertises a rate limit.
 var limitBound = limitlog.Bound{Factor: 1.5, Slack: 5, Window: 4 * time.Second, Grace: 3 * time.Second}
 
+// coldBound limits the requests to a cold endpoint, whatever faults there are.
+var coldBound = limitlog.Bound{Factor: 1.5, Slack: 5, Window: time.Second}
+
 // advisoryBound limits the requests to an endpoint that advertises a cooldown or draining.
 var advisoryBound = advisorylog.Bound{MaxRequests: 2, Grace: 500 * time.Millisecond, DrainGrace: 2 * time.Second}
 
@@ -113,7 +117,11 @@
 	restoreRandom *rand.Rand
 	// advisoryRandom draws which endpoints reject requests and drain.
 	advisoryRandom *rand.Rand
-	entries        []*process
+	// evacuationRandom draws evacuations.
+	evacuationRandom *rand.Rand
+	// evacuationMu is held while a data centre is evacuated.
+	evacuationMu sync.Mutex
+	entries      []*process
 	// proxies has the proxy of the store first, then those of the endpoints.
 	proxies              []*faultproxy.Proxy
 	configurationVersion uint64
@@ -130,12 +138,14 @@
 
 // Start starts the platform and the entry instances of a run.
 func Start(o Options) (*Run, error) {
-	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), silenceRandom: rand.New(rand.NewPCG(o.Seed, 2)), restoreRandom: rand.New(rand.NewPCG(o.Seed, 3)), advisoryRandom: rand.New(rand.NewPCG(o.Seed, 4)), configurationVersion: 1, counts: map[string]int{}}
+	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), silenceRandom: rand.New(rand.NewPCG(o.Seed, 2)), restoreRandom: rand.New(rand.NewPCG(o.Seed, 3)), advisoryRandom: rand.New(rand.NewPCG(o.Seed, 4)), evacuationRandom: rand.New(rand.NewPCG(o.Seed, 5)), configurationVersion: 1, counts: map[string]int{}}
 	var err error
 	r.platform, err = emulator.StartPlatform(o.Workers, r)
 	if err != nil {
 		return nil, err
 	}
+	r.platform.SetColdStart(coldTime)
+	r.configure()
 	var seeds []string
 	for i := range 2 * o.Entries {
 		p, peers, err := r.addEntry(i, seeds)
@@ -267,6 +277,12 @@
 	if err := r.platform.Limits.Check(limitBound, r.isFaultFree); err != nil {
 		violations = append(violations, err.Error())
 	}
+	if err := r.platform.Evacuations.Check(evacuationGrace, r.isFaultFree); err != nil {
+		violations = append(violations, err.Error())
+	}
+	if err := r.platform.Cold.Check(coldBound, func(time.Time) bool { return true }); err != nil {
+		violations = append(violations, "cold "+err.Error())
+	}
 	if err := r.platform.Advisories.Check(advisoryBound, r.isFaultFree); err != nil {
 		violations = append(violations, err.Error())
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -103,6 +103,7 @@
 	r.InjectFaults()
 	recoveryErr := r.WaitHealthy()
 	r.ExerciseAdvisories(advisoryPeriod)
+	r.ExerciseEvacuation()
 	outageDelay, outageErr := r.ConfigureAfterOutage(outage)
 	restoreDelay, restoreErr := r.ConfigureAfterRestore(outage / 2)
 	cancel()
