gossip: rank a starting node by the nodes that it knows

By reading, a large part are reads of the lease: until a relay has assigned a rank, each node took itself for the first in line and read the row every 0.7 s from 0.5 s after its start on.

A node without a rank now counts the nodes known to precede it. The number of calls in full is to be measured on the fleet.

--- a/internal/gossip/role.go
+++ b/internal/gossip/role.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
@@ -35,11 +36,16 @@
 	relaySlack = 300 * time.Millisecond
 )
 
-// Rank returns this node's rank, or zero until a relay has assigned one.
+// Rank returns this node's rank. Until a relay has assigned one, it is the number of known nodes
+// that precede this one, so that of many nodes which start together only those that know of no
+// better one read the lease at once.
 func (g *Gossiper) Rank() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rank
+	if g.ranked {
+		return g.rank
+	}
+	return slices.IndexFunc(g.byRank(g.config.DataCentre), g.isSelf)
 }
 
 // WatchRole returns what this node reads from the store on behalf of others.
