--- a/lab/soak/evacuation.go
+++ b/lab/soak/evacuation.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/ridgehinge/ridgehinge/platform/emulator"
 )
 
 const (
@@ -10,8 +12,6 @@
 	evacuateEvery = 6
 	// coldTime is how long endpoints are cold after a restart or an evacuation.
 	coldTime = 1500 * time.Millisecond
-	// evacuationGrace is how long after an evacuation requests may still arrive.
-	evacuationGrace = 2500 * time.Millisecond
 )
 
 // drawEvacuation occasionally evacuates a data centre for a time, after which its endpoints may be
@@ -47,7 +47,7 @@
 // cold endpoints.
 func (r *Run) ExerciseEvacuation() {
 	for _, dc := range dataCentres {
-		r.evacuate(dc, evacuationGrace+time.Second, true)
+		r.evacuate(dc, emulator.EvacuationBound.Grace+time.Second, true)
 		time.Sleep(coldTime)
 	}
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -81,9 +81,6 @@
 // limitBound limits the requests to an endpoint that advertises a rate limit.
 var limitBound = limitlog.Bound{Factor: 1.5, Slack: 5, Window: 4 * time.Second, Grace: 3 * time.Second}
 
-// coldBound limits the requests to a cold endpoint, whatever faults there are.
-var coldBound = limitlog.Bound{Factor: 1.5, Slack: 5, Window: time.Second}
-
 // advisoryBound limits the requests to an endpoint that advertises a cooldown or draining.
 var advisoryBound = advisorylog.Bound{MaxRequests: 2, Grace: 500 * time.Millisecond, DrainGrace: 2 * time.Second}
 
@@ -277,11 +274,12 @@
 	if err := r.platform.Limits.Check(limitBound, r.isFaultFree); err != nil {
 		violations = append(violations, err.Error())
 	}
-	if err := r.platform.Evacuations.Check(evacuationGrace, r.isFaultFree); err != nil {
-		violations = append(violations, err.Error())
+	if err := r.platform.Evacuations.Check(emulator.EvacuationBound, r.isFaultFree); err != nil {
+		violations = append(violations, "evacuated: "+err.Error())
 	}
-	if err := r.platform.Cold.Check(coldBound, func(time.Time) bool { return true }); err != nil {
-		violations = append(violations, "cold "+err.Error())
+	// Faults excuse nothing here.
+	if err := r.platform.Cold.Check(emulator.ColdBound, func(time.Time) bool { return true }); err != nil {
+		violations = append(violations, "cold: "+err.Error())
 	}
 	if err := r.platform.Advisories.Check(advisoryBound, r.isFaultFree); err != nil {
 		violations = append(violations, err.Error())
