gossip, directory: let starts and takeovers scale with the nodes of a data centre

Unknown peers are now called again after 0.3 s, growing to 2 s, and a node that has heard nobody yet reads the lease as one of the third rank. - A new relay called two silent nodes a tick: 5 s for 200 nodes. The number follows the nodes of the data centre, so that all are reached within 2 s. - Nodes took their call interval from the new relay's count of nodes, which is small at first, and called it ten times a second, all of them. - The backoff of a node that the store turned away grew by its rank to 10 s, from rank 34 on; a node that no relay reaches then learns of a configuration too late. It is 4 s at most.

Tests play 20 to 1,000 nodes. To be measured.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -200,6 +200,18 @@
 	require.True(t, w.configuration().skip(), "the state is to come from peers")
 }
 
+// A node of a high rank that the store turned away, and that no relay reaches, must learn of a
+// configuration within seconds of being served again.
+func TestFollower_BackoffIsBoundedForAnyRank(t *testing.T) {
+	for _, extra := range []time.Duration{0, time.Second, 8 * time.Second, time.Hour} {
+		w := &Watcher{Options: DefaultWatchOptions(), Role: func() WatchRole { return WatchRole{ExtraDelay: extra} }}
+		f := &follower{Watcher: w, failures: 100}
+		for range 100 {
+			require.LessOrEqual(t, f.backoff(), 4*time.Second)
+		}
+	}
+}
+
 func TestFollower_PausesBetweenConfigurations(t *testing.T) {
 	f := &follower{Watcher: &Watcher{Options: DefaultWatchOptions()}, longPoll: time.Minute, version: 1}
 	require.Zero(t, f.pauseAfter(nil), "a long poll is repeated immediately")
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -86,7 +86,7 @@
 // whose calls failed together do not retry together.
 func (f *follower) backoff() time.Duration {
 	role := f.role()
-	maxPause := f.Options.MaxRetryPause + role.ExtraDelay
+	maxPause := f.Options.MaxRetryPause + min(role.ExtraDelay, maxExtraBackoff)
 	if role.Endpoints {
 		maxPause = f.Options.MaxReaderRetryPause
 	}
@@ -95,6 +95,11 @@
 	return pause/2 + rand.N(pause/2+1)
 }
 
+// maxExtraBackoff bounds what a node's rank adds to its backoff: with many nodes in a data centre
+// most ranks are high, and a node that the store has served again has to learn of a configuration
+// soon, also if no relay reaches it.
+const maxExtraBackoff = 2 * time.Second
+
 // maxDoublings prevents an overflow of the shift.
 const maxDoublings = 16
 
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -59,6 +59,7 @@
 		}
 	}
 	p.lastHeard, p.hasSent = now, true
+	g.heard = true
 	g.dirty = true
 	g.applyRelayed(p, m, now)
 	if p.controls && p.dataCentre == g.config.DataCentre {
@@ -101,6 +102,9 @@
 	}
 	p.epoch = m.GetEpoch()
 	p.localNodes = int(m.GetHomeNodes())
+	if p.dataCentre == g.config.DataCentre {
+		g.maxLocalNodes = max(g.maxLocalNodes, p.localNodes)
+	}
 	p.storeSeen = clock.FromAgeMillis(m.GetStoreAgeMs(), now)
 	g.nodes = max(g.nodes, int(m.GetNodes()))
 	if p.dataCentre == g.config.DataCentre && m.GetRank() > 0 {
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -79,8 +79,10 @@
 	address    string
 	lastHeard  time.Time
 	// lastFailed is when it last did not respond to a call.
-	lastCalled  time.Time
-	lastFailed  time.Time
+	lastCalled time.Time
+	lastFailed time.Time
+	// failures counts the calls that failed since the last successful one.
+	failures    int
 	calling     bool
 	unreachable bool
 	// sentMessages counts the messages to it; hasSent is set once it has sent one.
@@ -157,6 +159,11 @@
 	nodes           int
 	nodesReported   bool
 	dataCentreNodes map[serving.DataCentre]int
+	// maxLocalNodes is the maximum number of nodes that any relay of this data centre has reported
+	// for it. A new relay knows only a few of them at first.
+	maxLocalNodes int
+	// heard is set once any peer has sent a message.
+	heard bool
 	// aggregated has the reports on which several nodes of this data centre agree.
 	aggregated relay.PeerReports
 	// ranks has the rank of each other node of this data centre by address, at a relay.
@@ -339,7 +346,10 @@
 	defer g.mu.Unlock()
 	p.calling = false
 	p.responseBytes = proto.Size(answer)
-	if err != nil {
+	p.failures++
+	if err == nil {
+		p.failures = 0
+	} else {
 		p.lastFailed = time.Now()
 	}
 	if unreachable := err != nil; unreachable != p.unreachable && ctx.Err() != context.Canceled {
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -270,7 +270,9 @@
 		for address := range s.peers {
 			delete(s.peers, address)
 		}
-		s.peers["10.0.0.1:1"] = &peer{id: "n1", dataCentre: "dc0", lastHeard: now, relays: true, localNodes: c.nodes}
+		relayNode := &peer{id: "n1", dataCentre: "dc0", lastHeard: now}
+		s.peers["10.0.0.1:1"] = relayNode
+		s.applyRelayed(relayNode, &peers.ShareMessage{Relays: true, HomeNodes: uint32(c.nodes)}, now)
 		require.Equal(t, c.want, s.callInterval(false), "%d nodes", c.nodes)
 	}
 }
@@ -283,8 +285,9 @@
 	for address := range s.peers {
 		delete(s.peers, address)
 	}
-	controller := &peer{id: "n1", dataCentre: "dc0", lastHeard: now, relays: true, localNodes: 100, responseBytes: 4 << 10}
+	controller := &peer{id: "n1", dataCentre: "dc0", lastHeard: now, responseBytes: 4 << 10}
 	s.peers["10.0.0.1:1"] = controller
+	s.applyRelayed(controller, &peers.ShareMessage{Relays: true, HomeNodes: 100}, now)
 	require.Equal(t, 396*time.Millisecond, s.callInterval(false))
 	controller.responseBytes = 16 << 10
 	require.Equal(t, 781250*time.Microsecond, s.callInterval(false))
@@ -385,3 +388,70 @@
 		})
 	}
 }
+
+// A new relay knows few nodes at first. If they all called it at the full rate until it knew the
+// others, several hundred would overload it.
+func TestCallInterval_KeepsSizeAcrossRelays(t *testing.T) {
+	now := time.Now()
+	s := newTestGossiper(now)
+	s.config.FullRateNodes = DefaultFullRateNodes
+	before, after := s.peers["10.0.0.0:1"], s.peers["10.0.0.3:1"]
+	s.applyRelayed(before, &peers.ShareMessage{Relays: true, HomeNodes: 214}, now)
+	interval := s.callInterval(false)
+	require.Greater(t, interval, 800*time.Millisecond)
+	s.applyRelayed(before, &peers.ShareMessage{}, now)
+	s.applyRelayed(after, &peers.ShareMessage{Relays: true, Controls: true, HomeNodes: 4}, now)
+	require.Equal(t, interval, s.callInterval(false))
+}
+
+// The nodes of a data centre do not know a new relay. It has to reach them all within the same time
+// however many they are, or they lack configurations meanwhile.
+func TestDuePeers_NewRelayReachesAllNodes(t *testing.T) {
+	for _, nodes := range []int{20, 214, 1000} {
+		now := time.Now()
+		s := newTestGossiper(now)
+		clear(s.peers)
+		s.config.Cores = 2
+		for i := range nodes {
+			address := fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
+			s.peers[address] = &peer{id: fmt.Sprintf("n%04d", i), address: address, dataCentre: "dc0", lastHeard: now.Add(-silenceTimeout)}
+		}
+		called := map[string]bool{}
+		most := 0
+		for at := time.Duration(0); at < silenceTimeout+2*tick; at += tick {
+			now = now.Add(tick)
+			due := s.duePeers(now)
+			most = max(most, len(due))
+			for _, p := range due {
+				called[p.id] = true
+				p.calling, p.lastHeard = false, now
+			}
+		}
+		require.Len(t, called, nodes)
+		require.LessOrEqual(t, most, max(callsPerTick, nodes/30)+standbyRelays, "they are spread over the time")
+	}
+}
+
+// The first calls to seeds that are starting as well are refused. With the backoff for known peers,
+// all nodes would know nobody for two seconds, and each would read the store.
+func TestBackoff_ShortForUnknownPeers(t *testing.T) {
+	p := &peer{failures: 1}
+	require.Equal(t, unknownPeerInterval, p.backoff())
+	p.failures = 3
+	require.Equal(t, 3*unknownPeerInterval, p.backoff())
+	p.failures = 1000
+	require.Equal(t, failedBackoff, p.backoff(), "a stale seed is called rarely")
+	p.id = "n1"
+	require.Equal(t, failedBackoff, p.backoff())
+}
+
+func TestRank_OfUnheardNode(t *testing.T) {
+	s := newTestGossiper(time.Now())
+	s.config.Incarnation = "n99"
+	require.Equal(t, unheardRank, s.Rank())
+	s.heard = true
+	require.Positive(t, s.Rank())
+	clear(s.peers)
+	s.heard = false
+	require.Zero(t, s.Rank(), "there is nobody to wait for")
+}
--- a/internal/gossip/relays.go
+++ b/internal/gossip/relays.go
@@ -164,7 +164,7 @@
 	var out, others []*peer
 	for _, p := range g.peers {
 		interval := g.interval(p, partners[p.address], relays, callInterval, now)
-		if p.calling || interval == never || now.Sub(p.lastFailed) < failedBackoff || now.Sub(p.lastCalled) < interval {
+		if p.calling || interval == never || now.Sub(p.lastFailed) < p.backoff() || now.Sub(p.lastCalled) < interval {
 			continue
 		}
 		if partners[p.address] {
@@ -176,7 +176,7 @@
 	slices.SortFunc(others, func(a, b *peer) int {
 		return cmp.Or(a.lastCalled.Compare(b.lastCalled), cmp.Compare(a.address, b.address))
 	})
-	out = append(out, others[:min(len(others), callsPerTick)]...)
+	out = append(out, others[:min(len(others), g.maxOtherCalls(relays))]...)
 	for _, p := range out {
 		p.calling = true
 		p.lastCalled = now
@@ -184,6 +184,26 @@
 	return out
 }
 
+// maxOtherCalls bounds the calls that start at once to nodes that are no relays. A new relay has to
+// reach all nodes of its data centre, which do not know it yet, within silenceTimeout however many
+// they are. The caller holds the lock.
+func (g *Gossiper) maxOtherCalls(relays bool) int {
+	if !relays {
+		return callsPerTick
+	}
+	ticks := int(silenceTimeout / tick)
+	return max(callsPerTick, (g.localNodes()+ticks-1)/ticks)
+}
+
+// backoff returns the time between a failed call to a peer and the next. One that was never heard
+// may be starting as well.
+func (p *peer) backoff() time.Duration {
+	if p.id != "" {
+		return failedBackoff
+	}
+	return min(failedBackoff, unknownPeerInterval*time.Duration(max(1, p.failures)))
+}
+
 // forgetUnreachable drops peers that have been unreachable for forgetPeerAfter; the caller holds
 // the lock.
 func (g *Gossiper) forgetUnreachable(now time.Time) {
@@ -196,14 +216,9 @@
 
 // callInterval returns the time between two calls to a relay; the caller holds the lock.
 func (g *Gossiper) callInterval(relays bool) time.Duration {
-	nodes := 0
+	nodes := g.maxLocalNodes
 	if relays {
-		nodes = g.localNodes()
-	}
-	for _, p := range g.peers {
-		if p.dataCentre == g.config.DataCentre && p.relays {
-			nodes = max(nodes, p.localNodes)
-		}
+		nodes = max(nodes, g.localNodes())
 	}
 	interval := scaleInterval(relayInterval, nodes-1, max(1, g.config.FullRateNodes))
 	return min(maxRelayInterval, max(interval, byteRateInterval(nodes, g.maxResponseBytes())))
--- a/internal/gossip/role.go
+++ b/internal/gossip/role.go
@@ -20,6 +20,9 @@
 	// rankTimeout is how long after its start a node waits for its rank from a relay before it
 	// watches the configuration.
 	rankTimeout = time.Second
+	// unheardRank is the rank of a node that has seeds but has heard no other node yet: it is most
+	// likely starting together with many.
+	unheardRank = 2
 	// firstStartWait is how long nodes wait for their controller to send the tables when the
 	// entire system starts for the first time, so that not every node reads them in full.
 	firstStartWait = 3 * time.Second
@@ -42,8 +45,11 @@
 func (g *Gossiper) Rank() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ranked {
+	switch {
+	case g.ranked:
 		return g.rank
+	case !g.heard && len(g.peers) > 0:
+		return unheardRank
 	}
 	return slices.IndexFunc(g.byRank(g.config.DataCentre), g.isSelf)
 }
