--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -346,11 +346,11 @@
 	defer g.mu.Unlock()
 	p.calling = false
 	p.responseBytes = proto.Size(answer)
-	p.failures++
-	if err == nil {
-		p.failures = 0
-	} else {
+	if err != nil {
 		p.lastFailed = time.Now()
+		p.failures++
+	} else {
+		p.failures = 0
 	}
 	if unreachable := err != nil; unreachable != p.unreachable && ctx.Err() != context.Canceled {
 		p.unreachable = unreachable
--- a/internal/gossip/permits.go
+++ b/internal/gossip/permits.go
@@ -13,8 +13,8 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-// Permits for a rate-limited or cold endpoint are allocated by the relay of its data centre; a node that
-// cannot reach that data centre cannot reach its endpoints either. Other nodes send the request
+// Permits for a rate-limited or cold endpoint are allocated by the relay of its data centre; a node
+// that cannot reach that data centre cannot reach its endpoints either. Other nodes send the request
 // to their own relay, which forwards it, so that they need to know no nodes elsewhere.
 
 const (
