--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -81,7 +81,8 @@
 			continue
 		}
 		version = max(version, c.Version)
-		if record, ok := r.set(c.DataCentre, c.Lifted, now); ok {
+		record := Record{DataCentre: c.DataCentre, Lifted: c.Lifted, ChangedAt: now}
+		if _, known := r.records[c.DataCentre]; (known || !c.Lifted) && r.set(record) {
 			changed = append(changed, record)
 		}
 	}
@@ -92,25 +93,11 @@
 // ApplySnapshot applies a complete read of the table as of a version and returns the records that
 // changed. Data centres that are not listed are no longer evacuated.
 func (r *Registry) ApplySnapshot(evacuated []serving.DataCentre, version uint64, now time.Time) []Record {
-	if version <= r.version {
-		return nil
-	}
-	r.version = version
-	var changed []Record
+	records := make([]Record, 0, len(evacuated))
 	for _, dc := range evacuated {
-		if record, ok := r.set(dc, false, now); ok {
-			changed = append(changed, record)
-		}
+		records = append(records, Record{DataCentre: dc, ChangedAt: now})
 	}
-	for dc := range r.records {
-		if slices.Contains(evacuated, dc) {
-			continue
-		}
-		if record, ok := r.set(dc, true, now); ok {
-			changed = append(changed, record)
-		}
-	}
-	return changed
+	return r.Merge(records, version, now)
 }
 
 // Merge applies a peer's records if those are complete as of a later version, and returns the
@@ -124,33 +111,27 @@
 	listed := map[serving.DataCentre]bool{}
 	for _, record := range records {
 		listed[record.DataCentre] = true
-		known, ok := r.records[record.DataCentre]
-		if ok && known.Lifted == record.Lifted || !ok && len(r.records) >= maxRecords {
-			continue
+		if r.set(record) {
+			changed = append(changed, record)
 		}
-		r.records[record.DataCentre] = record
-		changed = append(changed, record)
 	}
 	for dc := range r.records {
-		if listed[dc] {
-			continue
-		}
-		if record, ok := r.set(dc, true, now); ok {
-			changed = append(changed, record)
+		lifted := Record{DataCentre: dc, Lifted: true, ChangedAt: now}
+		if !listed[dc] && r.set(lifted) {
+			changed = append(changed, lifted)
 		}
 	}
 	return changed
 }
 
-// set records the state of a data centre and reports whether that changed it.
-func (r *Registry) set(dc serving.DataCentre, lifted bool, now time.Time) (Record, bool) {
-	before, known := r.records[dc]
-	if known && before.Lifted == lifted || !known && (lifted || len(r.records) >= maxRecords) {
-		return before, false
+// set applies a record and reports whether that changed the state of its data centre.
+func (r *Registry) set(record Record) bool {
+	before, known := r.records[record.DataCentre]
+	if known && before.Lifted == record.Lifted || !known && len(r.records) >= maxRecords {
+		return false
 	}
-	record := Record{DataCentre: dc, Lifted: lifted, ChangedAt: now}
-	r.records[dc] = record
-	return record, true
+	r.records[record.DataCentre] = record
+	return true
 }
 
 // Backdate makes all records older, after a suspension of the machine.
