httpserver: name the bound on unread responses after what it does

"Pace" is the speed of an endpoint's events elsewhere in the project, and meant the buffered bytes of a caller here. The types are writeBudget, pendingWrites and limitedConn now. Two waits for the same signal are one, an unused field and an exported default without a user outside are gone. No change of behaviour; the tests changed with the names only and pass, also with the race detector.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -20,8 +20,8 @@
 	// maxWriteBuffer is the write buffer beyond which nbio closes a connection; it is not
 	// reached, since writes wait for slow callers.
 	maxWriteBuffer = 1 << 20
-	// DefaultMaxPending is the default of Options.MaxPending.
-	DefaultMaxPending = 32 << 20
+	// defaultMaxPending is the default of Options.MaxPending.
+	defaultMaxPending = 32 << 20
 	idleTimeout       = 2 * time.Minute
 	// maxHeaderBytes bounds an incomplete header. It is larger than one read of a
 	// connection, which may include part of the body.
@@ -36,7 +36,7 @@
 	// MaxRequests bounds the handlers that run concurrently.
 	MaxRequests int
 	// MaxPending bounds the bytes that are buffered for callers that read slowly, in all; zero
-	// means DefaultMaxPending. Each such caller may have a few kilobytes more.
+	// means defaultMaxPending. Each such caller may have a few kilobytes more.
 	MaxPending int
 	Handler    http.Handler
 	Link       link.Bounds
@@ -46,7 +46,7 @@
 	if o.MaxPending > 0 {
 		return o.MaxPending
 	}
-	return DefaultMaxPending
+	return defaultMaxPending
 }
 
 // newEngine returns an engine that is not started.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -16,7 +16,7 @@
 type Server struct {
 	engine  *nbhttp.Engine
 	started time.Time
-	pacing  pacing
+	writes  writeBudget
 	mu      sync.Mutex
 	conns   map[*nbio.Conn]*connState
 }
@@ -25,7 +25,7 @@
 type connState struct {
 	// requests counts those that were read and whose responses are not completely written.
 	requests atomic.Int64
-	pace     *connPace
+	writes   *pendingWrites
 	// mu is held while data is parsed.
 	mu sync.Mutex
 	// partial is set while a request is incompletely read.
@@ -35,12 +35,12 @@
 
 // Serve starts a server.
 func Serve(o Options) (*Server, error) {
-	s := &Server{conns: map[*nbio.Conn]*connState{}, pacing: pacing{max: int64(o.maxPending())}}
+	s := &Server{conns: map[*nbio.Conn]*connState{}, writes: writeBudget{max: int64(o.maxPending())}}
 	s.engine = newEngine(o, s)
 	s.engine.OnRequest = func(w http.ResponseWriter, _ *http.Request) { s.requestRead(w) }
 	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
 		if state := s.state(c); state != nil {
-			state.pace.written(n)
+			state.writes.written(n)
 		}
 	})
 	if err := s.engine.Start(); err != nil {
@@ -73,8 +73,8 @@
 
 // unwrap returns nbio's connection of one that nbhttp uses.
 func unwrap(conn net.Conn) net.Conn {
-	if paced, ok := conn.(*pacedConn); ok {
-		return paced.raw
+	if limited, ok := conn.(*limitedConn); ok {
+		return limited.raw
 	}
 	if wrapped, ok := conn.(*nbhttp.Conn); ok {
 		return wrapped.Conn
@@ -91,7 +91,7 @@
 func (s *Server) addConn(c *nbio.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[c] = &connState{pace: s.pacing.newConn()}
+	s.conns[c] = &connState{writes: s.writes.newConn()}
 }
 
 func (s *Server) removeConn(c *nbio.Conn) {
@@ -100,7 +100,7 @@
 	delete(s.conns, c)
 	s.mu.Unlock()
 	if state != nil {
-		state.pace.close()
+		state.writes.close()
 	}
 }
 
@@ -130,7 +130,7 @@
 	state.requests.Add(1)
 	state.partial = false
 	if response, ok := w.(*nbhttp.Response); ok {
-		s.pace(response, c, state)
+		limitWrites(response, c, state)
 	}
 }
 
@@ -147,7 +147,7 @@
 	busy := 0
 	for c, state := range conns {
 		state.mu.Lock()
-		idle := state.requests.Load() == 0 && !state.partial && !state.pace.hasPending()
+		idle := state.requests.Load() == 0 && !state.partial && !state.writes.hasPending()
 		state.closing = state.closing || idle
 		state.mu.Unlock()
 		if idle {
--- a/internal/httpserver/pacing.go
+++ b/internal/httpserver/writes.go
@@ -27,16 +27,16 @@
 
 var errCallerStalled = errors.New("the caller has stopped reading its response")
 
-// pacing has the bytes that are buffered for all callers of a server.
-type pacing struct {
+// writeBudget has the bytes that are buffered for all callers of a server.
+type writeBudget struct {
 	max     int64
 	pending atomic.Int64
 }
 
-// connPace has the bytes that are buffered for one caller.
-type connPace struct {
-	total *pacing
-	mu    sync.Mutex
+// pendingWrites has the bytes that are buffered for one caller.
+type pendingWrites struct {
+	budget *writeBudget
+	mu     sync.Mutex
 	// pending counts the bytes that were passed to nbio and not yet to the kernel.
 	pending int
 	closed  bool
@@ -44,33 +44,42 @@
 	progress chan struct{}
 }
 
-func (p *pacing) newConn() *connPace {
-	return &connPace{total: p, progress: make(chan struct{}, 1)}
+func (b *writeBudget) newConn() *pendingWrites {
+	return &pendingWrites{budget: b, progress: make(chan struct{}, 1)}
 }
 
 // reserve waits until some of the given bytes may be passed to nbio, and returns how many.
-func (c *connPace) reserve(bytes int) (int, error) {
+func (c *pendingWrites) reserve(bytes int) (int, error) {
 	for {
 		n, err := c.tryReserve(bytes)
 		if n > 0 || err != nil {
 			return n, err
 		}
-		select {
-		case <-c.progress:
-		case <-time.After(writeStallTimeout):
+		if !c.awaitProgress() {
 			return 0, errCallerStalled
 		}
 	}
 }
 
-func (c *connPace) tryReserve(bytes int) (int, error) {
+// awaitProgress waits until the caller has read something or the connection was closed. It returns
+// false if the caller has stopped reading.
+func (c *pendingWrites) awaitProgress() bool {
+	select {
+	case <-c.progress:
+		return true
+	case <-time.After(writeStallTimeout):
+		return false
+	}
+}
+
+func (c *pendingWrites) tryReserve(bytes int) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return 0, net.ErrClosed
 	}
 	room := maxPendingPerConn - c.pending
-	if c.total.pending.Load() >= c.total.max {
+	if c.budget.pending.Load() >= c.budget.max {
 		room = minPendingPerConn - c.pending
 	}
 	n := min(bytes, room)
@@ -78,32 +87,32 @@
 		return 0, nil
 	}
 	c.pending += n
-	c.total.pending.Add(int64(n))
+	c.budget.pending.Add(int64(n))
 	return n, nil
 }
 
 // written records that bytes were passed to the kernel.
-func (c *connPace) written(bytes int) {
+func (c *pendingWrites) written(bytes int) {
 	c.mu.Lock()
 	// Bytes of nbio's own or of this package's error responses were not reserved.
 	bytes = min(bytes, c.pending)
 	c.pending -= bytes
-	c.total.pending.Add(-int64(bytes))
+	c.budget.pending.Add(-int64(bytes))
 	c.mu.Unlock()
 	c.signal()
 }
 
 // close drops what is pending, and ends the wait of a writer.
-func (c *connPace) close() {
+func (c *pendingWrites) close() {
 	c.mu.Lock()
 	c.closed = true
-	c.total.pending.Add(-int64(c.pending))
+	c.budget.pending.Add(-int64(c.pending))
 	c.pending = 0
 	c.mu.Unlock()
 	c.signal()
 }
 
-func (c *connPace) signal() {
+func (c *pendingWrites) signal() {
 	select {
 	case c.progress <- struct{}{}:
 	default:
@@ -111,42 +120,36 @@
 }
 
 // awaitDrained waits until nothing is pending or the caller has stopped reading.
-func (c *connPace) awaitDrained() {
-	for c.hasPending() {
-		select {
-		case <-c.progress:
-		case <-time.After(writeStallTimeout):
-			return
-		}
+func (c *pendingWrites) awaitDrained() {
+	for c.hasPending() && c.awaitProgress() {
 	}
 }
 
-func (c *connPace) hasPending() bool {
+func (c *pendingWrites) hasPending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.pending > 0
 }
 
-// pacedConn is a caller's connection as nbhttp writes responses to it.
-type pacedConn struct {
+// limitedConn is a caller's connection as nbhttp writes responses to it.
+type limitedConn struct {
 	net.Conn
-	raw    *nbio.Conn
-	server *Server
-	state  *connState
+	raw   *nbio.Conn
+	state *connState
 }
 
-// pace makes the responses on a connection go through a pacedConn.
-func (s *Server) pace(response *nbhttp.Response, c *nbio.Conn, state *connState) {
-	if _, paced := response.Parser.Conn.(*pacedConn); !paced {
-		response.Parser.Conn = &pacedConn{Conn: response.Parser.Conn, raw: c, server: s, state: state}
+// limitWrites makes the responses on a connection go through a limitedConn.
+func limitWrites(response *nbhttp.Response, c *nbio.Conn, state *connState) {
+	if _, limited := response.Parser.Conn.(*limitedConn); !limited {
+		response.Parser.Conn = &limitedConn{Conn: response.Parser.Conn, raw: c, state: state}
 	}
 }
 
 // Write implements net.Conn.
-func (p *pacedConn) Write(b []byte) (int, error) {
+func (p *limitedConn) Write(b []byte) (int, error) {
 	done := 0
 	for done < len(b) {
-		n, err := p.state.pace.reserve(len(b) - done)
+		n, err := p.state.writes.reserve(len(b) - done)
 		if err != nil {
 			_ = p.raw.CloseWithError(err)
 			return done, err
@@ -161,14 +164,14 @@
 
 // Close implements net.Conn. nbhttp calls it after the response to a request that asked for it; nbio
 // would drop what the caller has not read yet.
-func (p *pacedConn) Close() error {
-	p.state.pace.awaitDrained()
+func (p *limitedConn) Close() error {
+	p.state.writes.awaitDrained()
 	return p.Conn.Close()
 }
 
 // SetReadDeadline implements net.Conn. nbhttp calls it once it has written the end of a response,
 // which is after the handler has returned.
-func (p *pacedConn) SetReadDeadline(t time.Time) error {
+func (p *limitedConn) SetReadDeadline(t time.Time) error {
 	p.state.requests.Add(-1)
 	return p.Conn.SetReadDeadline(t)
 }
--- a/internal/httpserver/pacing_test.go
+++ b/internal/httpserver/writes_test.go
@@ -71,10 +71,10 @@
 			}
 		})
 	}
-	require.Eventually(t, func() bool { return s.pacing.pending.Load() >= maxTotal }, waitTimeout, time.Millisecond, "the total is used up")
+	require.Eventually(t, func() bool { return s.writes.pending.Load() >= maxTotal }, waitTimeout, time.Millisecond, "the total is used up")
 	highest := int64(0)
 	for range 200 {
-		highest = max(highest, s.pacing.pending.Load())
+		highest = max(highest, s.writes.pending.Load())
 		time.Sleep(5 * time.Millisecond)
 	}
 	// Writers that found room at the same moment may each use it.
@@ -104,7 +104,7 @@
 			s, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
 				// Fill what the kernel buffers, and a little more.
 				n := 0
-				for server.Load().pacing.pending.Load() == 0 {
+				for server.Load().writes.pending.Load() == 0 {
 					_, _ = w.Write(part)
 					w.(http.Flusher).Flush()
 					n += len(part)
