--- a/internal/httpserver/writes.go
+++ b/internal/httpserver/writes.go
@@ -9,6 +9,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/ridgehinge/ridgehinge/internal/logging"
 )
 
 // nbio buffers without a wait what a caller does not read. Writes of responses therefore wait here
@@ -150,6 +152,9 @@
 	done := 0
 	for done < len(b) {
 		n, err := p.state.writes.reserve(len(b) - done)
+		if errors.Is(err, errCallerStalled) {
+			logging.For("callers").Info("closed the connection of a caller that reads nothing", "caller", p.raw.RemoteAddr(), "for", writeStallTimeout, "unsent", len(b)-done)
+		}
 		if err != nil {
 			_ = p.raw.CloseWithError(err)
 			return done, err
