--- a/internal/throttle/permits.go
+++ b/internal/throttle/permits.go
@@ -39,13 +39,13 @@
 // Acquire reports whether a request may be sent to an endpoint, and takes a permit if the
 // endpoint is rate limited or cold.
 func (t *Tracker) Acquire(ctx context.Context, e *serving.Endpoint) bool {
-	if t.EffectiveLimit(e, time.Now()) == 0 {
+	knownLimit := t.RateLimit(e.Incarnation())
+	if lowerLimit(knownLimit.PerSecond, e.ColdLimit(time.Now())) == 0 {
 		return true
 	}
 	if t.isUnreachable(e.DataCentre) {
 		return t.acquireShare(e)
 	}
-	knownLimit := t.RateLimit(e.Incarnation())
 	askCtx, cancel := context.WithTimeout(ctx, allocatorTimeout)
 	defer cancel()
 	permit, err := t.options.RequestPermit(askCtx, e, knownLimit)
