gossip: keep the reported nodes of all data centres in one place

The maximum that a relay reported for its data centre was already kept for the others; a field beside it repeated that for the node's own. No change of behaviour.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -103,7 +103,7 @@
 	p.epoch = m.GetEpoch()
 	p.localNodes = int(m.GetHomeNodes())
 	if p.dataCentre == g.config.DataCentre {
-		g.maxLocalNodes = max(g.maxLocalNodes, p.localNodes)
+		g.dataCentreNodes[p.dataCentre] = max(g.dataCentreNodes[p.dataCentre], p.localNodes)
 	}
 	p.storeSeen = clock.FromAgeMillis(m.GetStoreAgeMs(), now)
 	g.nodes = max(g.nodes, int(m.GetNodes()))
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -155,13 +155,10 @@
 	startedAt time.Time
 	// nodes is the number of nodes of all data centres; nodesReported is set once a relay of
 	// this data centre has reported it. dataCentreNodes is the maximum number of nodes that
-	// the relay of each other data centre has reported for it.
+	// the relays of each data centre have reported for it.
 	nodes           int
 	nodesReported   bool
 	dataCentreNodes map[serving.DataCentre]int
-	// maxLocalNodes is the maximum number of nodes that any relay of this data centre has reported
-	// for it. A new relay knows only a few of them at first.
-	maxLocalNodes int
 	// heard is set once any peer has sent a message.
 	heard bool
 	// aggregated has the reports on which several nodes of this data centre agree.
--- a/internal/gossip/relays.go
+++ b/internal/gossip/relays.go
@@ -216,7 +216,8 @@
 
 // callInterval returns the time between two calls to a relay; the caller holds the lock.
 func (g *Gossiper) callInterval(relays bool) time.Duration {
-	nodes := g.maxLocalNodes
+	// A new relay knows only a few nodes at first, so the highest number reported counts.
+	nodes := g.dataCentreNodes[g.config.DataCentre]
 	if relays {
 		nodes = max(nodes, g.localNodes())
 	}
