--- a/internal/relay/active.go
+++ b/internal/relay/active.go
@@ -74,17 +74,15 @@
 // write calls a function that writes to the caller, and returns how long the caller held it up.
 func (a *activeRequest) write(f func()) time.Duration {
 	a.writing.Store(true)
+	defer a.writing.Store(false)
 	began := time.Now()
 	f()
 	now := time.Now()
 	took := now.Sub(began)
-	if took > slowWrite {
-		a.resumeReading(now)
-	}
-	a.writing.Store(false)
 	if took <= slowWrite {
 		return 0
 	}
+	a.resumeReading(now)
 	return took
 }
 
