--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -45,8 +45,8 @@
 }
 
 // BenchmarkObservations applies 219 observations and builds a view.
-// A goroutine that read the previous view while another one built the next took an endpoint that
-// had just left its group for a member, and dissolved the group a second time.
+// Guards against reading the previous view while another goroutine builds the next: an endpoint that
+// has just left its group would count as a member, and the group be dissolved a second time.
 func TestView_ConcurrentReadersSeeLatestChange(t *testing.T) {
 	d := newLargeDirectory(t)
 	before := d.View()
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -55,7 +55,7 @@
 	from.applyMessage(answer, to.config.Address)
 }
 
-// Each node used to read the lease until it had a rank: the calls of a start grew with the fleet.
+// Guards against reads of the lease by every node that starts, whose number grows with the fleet.
 func TestRank_FewNodesStartAtFront(t *testing.T) {
 	for _, n := range []int{3, 20, 100, 200} {
 		nodes := startingNodes(n)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -277,7 +277,7 @@
 	if err := r.platform.Evacuations.Check(emulator.EvacuationBound, r.isFaultFree); err != nil {
 		violations = append(violations, "evacuated: "+err.Error())
 	}
-	// Faults excuse nothing here.
+	// This bound holds during faults as well.
 	if err := r.platform.Cold.Check(emulator.ColdBound, func(time.Time) bool { return true }); err != nil {
 		violations = append(violations, "cold: "+err.Error())
 	}
