relay: treat failures of large responses like those of small ones

Callers saw a 503, "not run", of a request that had run; a 500 of a repeatable request that was not retried; and a request that crashed its endpoints in the middle of a response was never quarantined. All of it for responses of over 256 KiB, or over 16 KiB while the buffers are used up.

Cause: relayBuffered left for relayUnbuffered before it looked at the status, and relayUnbuffered recorded no outcome and started no crash probe.

Now only a final status is relayed as it arrives; a response that requires another attempt is read to its end and dropped. Outcomes and crashes are recorded by the same functions for both.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 )
 
@@ -35,22 +36,29 @@
 }
 
 // relayBuffered reads a response and relays it once it is complete: until then the request can
-// still be retried elsewhere.
+// still be retried elsewhere. A response that is too large to buffer is relayed as it arrives, unless
+// its status requires another attempt.
 func (c *call) relayBuffered(ctx context.Context, t target, active *activeRequest, response *upstream.Response) result {
 	limit := c.reserveBuffer(response.Length)
 	body, err := io.ReadAll(io.LimitReader(response, limit+1))
 	active.recordEvent(time.Now())
+	answer := &bufferedResponse{response.Status, c.options.Wire.CallerHeader(response.Header), body}
+	tooLarge := int64(len(body)) > limit
+	if err == nil && tooLarge && c.isFinal(response.Status) {
+		return c.relayUnbuffered(ctx, t, active, answer, response)
+	}
+	if err == nil && tooLarge {
+		// Its end shows whether the endpoint survived the request.
+		answer = nil
+		_, err = io.Copy(io.Discard, response)
+	}
 	if err != nil {
 		c.recordFailure(ctx, t, active)
 		c.logAttempt(t, "a broken answer", errors.Join(err, context.Cause(ctx)))
 		return c.finishIfDone(ctx, resultIncomplete)
 	}
-	answer := &bufferedResponse{response.Status, c.options.Wire.CallerHeader(response.Header), body}
-	if int64(len(body)) > limit {
-		return c.relayUnbuffered(answer, response)
-	}
-	c.recordComplete(active, response, response.Status >= http.StatusInternalServerError)
-	if response.Status < http.StatusInternalServerError && !impliesNotRun(response.Status) {
+	c.recordComplete(active, response)
+	if !isFailure(response.Status) {
 		c.sendBuffered(answer)
 		return resultDone
 	}
@@ -59,10 +67,20 @@
 		// The status would imply that the request has not run, but it has.
 		return resultIncomplete
 	}
-	c.endpointFailure = answer
+	if answer != nil {
+		c.endpointFailure = answer
+	}
 	return resultFailed
 }
 
+// isFinal reports whether a response with the given status is relayed without another attempt.
+func (c *call) isFinal(status int) bool {
+	if impliesNotRun(status) {
+		return false
+	}
+	return !isFailure(status) || !c.route.Repeatable() || c.attemptsUsed()
+}
+
 // reserveBuffer returns how many bytes of a response of the given length, -1 if unknown, may be
 // buffered until the request is finished.
 func (c *call) reserveBuffer(length int64) int64 {
@@ -80,8 +98,9 @@
 
 // recordComplete counts a complete response. One that is no failure clears the request of
 // suspected crashes.
-func (c *call) recordComplete(active *activeRequest, response *upstream.Response, failed bool) {
+func (c *call) recordComplete(active *activeRequest, response *upstream.Response) {
 	now := time.Now()
+	failed := response.Status >= http.StatusInternalServerError
 	active.recordOutcome(failed, now)
 	if !failed {
 		c.recordSuccess(response, now)
@@ -105,12 +124,22 @@
 	return false
 }
 
+// isFailure reports whether a request with this status may be retried elsewhere.
+func isFailure(status int) bool {
+	return status >= http.StatusInternalServerError || impliesNotRun(status)
+}
+
+// outcomeOf returns the outcome of a request whose caller gets a complete response with this status.
+func outcomeOf(status int) outcome {
+	if status >= http.StatusBadRequest {
+		return outcomeFailed
+	}
+	return outcomeServed
+}
+
 // sendBuffered sends the caller an endpoint's complete response.
 func (c *call) sendBuffered(a *bufferedResponse) {
-	c.outcome = outcomeServed
-	if a.status >= http.StatusBadRequest {
-		c.outcome = outcomeFailed
-	}
+	c.outcome = outcomeOf(a.status)
 	a.header.Set("Content-Length", strconv.Itoa(len(a.body)))
 	c.class.FirstToken.RecordDuration(time.Since(c.start))
 	c.beginResponse(a.status, a.header)
@@ -121,35 +150,54 @@
 }
 
 // relayUnbuffered sends what was read of a large response, and relays the rest as it arrives.
-func (c *call) relayUnbuffered(a *bufferedResponse, response *upstream.Response) result {
+func (c *call) relayUnbuffered(ctx context.Context, t target, active *activeRequest, a *bufferedResponse, response *upstream.Response) result {
 	if response.Length >= 0 {
 		a.header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
+	c.class.FirstToken.RecordDuration(time.Since(c.start))
 	c.beginResponse(a.status, a.header)
 	part := a.body
 	buffer := make([]byte, copyBufferSize)
+	ended := false
+	// heldUp is for how long the caller has kept this node from reading on.
+	heldUp := time.Duration(0)
 	for {
-		if len(part) > 0 && c.out.Write(part) != nil {
+		var writeErr error
+		if len(part) > 0 {
+			heldUp += active.write(func() { writeErr = c.out.Write(part) })
+		}
+		if writeErr != nil {
 			c.outcome = outcomeCallerGone
 			c.out.Abort()
 			return resultDone
 		}
-		n, err := response.Read(buffer)
-		part = buffer[:n]
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
-			c.outcome = outcomeServed
-			c.recordSuccess(response, time.Now())
-			if n > 0 {
-				_ = c.out.Write(part)
-			}
+		if ended {
+			c.outcome = outcomeOf(a.status)
 			c.out.End()
 			return resultDone
-		default:
-			c.outcome = outcomeIncomplete
-			c.out.Abort()
+		}
+		n, err := response.Read(buffer)
+		part = buffer[:n]
+		ended = errors.Is(err, io.EOF)
+		if ended {
+			c.recordComplete(active, response)
+		} else if err != nil {
+			c.handleCutOff(ctx, t, active, heldUp, err)
 			return resultDone
 		}
 	}
 }
+
+// handleCutOff aborts a response of which the caller has a part. The endpoint may have given it up
+// because the caller did not read it.
+func (c *call) handleCutOff(ctx context.Context, t target, active *activeRequest, heldUp time.Duration, err error) {
+	if heldUp <= callerHeldUp {
+		c.recordFailure(ctx, t, active)
+	}
+	c.logAttempt(t, "a broken answer", errors.Join(err, context.Cause(ctx)))
+	c.outcome = outcomeIncomplete
+	if errors.Is(context.Cause(ctx), httpserver.ErrCallerGone) {
+		c.outcome = outcomeCallerGone
+	}
+	c.out.Abort()
+}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -43,8 +43,9 @@
 	return len(r.Crashes)
 }
 
-// newCrashingEndpoint returns an endpoint that stops listening after the start of its first response.
-func newCrashingEndpoint(t *testing.T) *endpoint {
+// newCrashingEndpoint returns an endpoint that stops listening when it gets its first request, and
+// breaks off its response: by default a stream, after its first event.
+func newCrashingEndpoint(t *testing.T, response ...script) *endpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -64,7 +65,7 @@
 			e.received = append(e.received, r)
 			e.mu.Unlock()
 			_ = listener.Close()
-			events(1, 1, breakStream)(conn, r)
+			append(response, events(1, 1, breakStream))[0](conn, r)
 		}
 	}()
 	t.Cleanup(func() { _ = listener.Close() })
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -26,7 +26,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF) && c.events > 0:
 			c.outcome = outcomeServed
-			c.recordComplete(active, response, false)
+			c.recordComplete(active, response)
 			c.out.End()
 			return resultDone
 		case heldUp > callerHeldUp:
