quarantine: keep a crash of each burst in full records

A request that had succeeded and then lost eight endpoints in one burst, such as a rack, was never quarantined, however many endpoints it crashed after.

Cause: a record keeps eight crashes, and a full one dropped every further crash, so later bursts were not seen.

--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -78,15 +78,40 @@
 	return r.Crashes[len(r.Crashes)-1].At
 }
 
-// addCrash adds a crash and reports whether it is new and after the last success.
+// addCrash adds a crash and reports whether it is new and after the last success. A full record
+// keeps a crash of each burst: with the first burst alone, a request that has succeeded before would
+// never be blocked by later ones.
 func (r *Record) addCrash(crash Crash) bool {
 	sameIncarnation := func(other Crash) bool { return other.Incarnation == crash.Incarnation }
-	if len(r.Crashes) >= maxCrashesKept || !crash.At.After(r.Served) || slices.ContainsFunc(r.Crashes, sameIncarnation) {
+	if !crash.At.After(r.Served) || slices.ContainsFunc(r.Crashes, sameIncarnation) {
 		return false
 	}
+	bursts := r.bursts()
 	at, _ := slices.BinarySearchFunc(r.Crashes, crash, func(a, b Crash) int { return a.At.Compare(b.At) })
-	r.Crashes = slices.Insert(r.Crashes, at, crash)
-	return true
+	crashes := r.Crashes
+	r.Crashes = slices.Insert(slices.Clone(crashes), at, crash)
+	if len(r.Crashes) <= maxCrashesKept {
+		return true
+	}
+	if r.bursts() == bursts {
+		r.Crashes = crashes
+		return false
+	}
+	r.evictCrash()
+	return !slices.Equal(r.Crashes, crashes)
+}
+
+// evictCrash drops the oldest crash whose burst has another one, or else the oldest.
+func (r *Record) evictCrash() {
+	bursts := r.bursts()
+	for i := range r.Crashes {
+		rest := Record{Crashes: slices.Delete(slices.Clone(r.Crashes), i, i+1)}
+		if rest.bursts() == bursts {
+			r.Crashes = rest.Crashes
+			return
+		}
+	}
+	r.Crashes = r.Crashes[1:]
 }
 
 // markServed records a success and drops the crashes before it.
