relay, httpserver: abort a response that could not be written

A response after a failed write was ended like a complete one. On a connection that is still open the caller then reads the start of the next response as the rest of the body. By reading, all writes that fail in the product today do so on closed connections, so no caller is known to have seen it.

Cause: write errors were ignored before the end of a response, and the end does nothing with nbhttp.

The relay aborts such a response; the responder aborts at its end after a failed write, which covers the gateway's ignored errors as well.

--- a/internal/httpserver/responder.go
+++ b/internal/httpserver/responder.go
@@ -28,6 +28,8 @@
 	conn    io.Closer
 	checker closeChecker
 	sized   bool
+	// failed is set once a part of the body could not be written.
+	failed bool
 }
 
 // NewResponder returns a responder for one request. A Tracker calls cancel when
@@ -66,9 +68,11 @@
 // Content-Length.
 func (r *Responder) Write(p []byte) error {
 	if r.Closed() {
+		r.failed = true
 		return ErrCallerGone
 	}
 	if _, err := r.w.Write(p); err != nil {
+		r.failed = true
 		return err
 	}
 	if flusher, ok := r.w.(http.Flusher); ok && !r.sized {
@@ -77,8 +81,13 @@
 	return nil
 }
 
-// End completes the response; nbhttp does so when the handler returns.
-func (r *Responder) End() {}
+// End completes the response; nbhttp does so when the handler returns. After a failed write it
+// aborts: the next response on the connection would be read as the rest of this one.
+func (r *Responder) End() {
+	if r.failed {
+		r.Abort()
+	}
+}
 
 // Abort closes the connection, so that the caller sees that the response is incomplete.
 func (r *Responder) Abort() {
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -143,8 +143,15 @@
 	a.header.Set("Content-Length", strconv.Itoa(len(a.body)))
 	c.class.FirstToken.RecordDuration(time.Since(c.start))
 	c.beginResponse(a.status, a.header)
-	if c.out.Write(a.body) != nil {
+	c.sendBody(a.body)
+}
+
+// sendBody sends the complete body of a response.
+func (c *call) sendBody(body []byte) {
+	if c.out.Write(body) != nil {
 		c.outcome = outcomeCallerGone
+		c.out.Abort()
+		return
 	}
 	c.out.End()
 }
--- a/internal/relay/buffered_test.go
+++ b/internal/relay/buffered_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -144,3 +145,30 @@
 	tally, _ := fx.relay.options.Balancer.load("p0").observed(0, time.Now())
 	require.Zero(t, tally.Failed)
 }
+
+// failingRecorder is a caller whose connection fails during the body.
+type failingRecorder struct{ recorder }
+
+func (r *failingRecorder) Write([]byte) error { return errors.New("connection reset by peer") }
+
+// A response that could not be written must not be ended like a complete one.
+func TestServe_AbortsAfterFailedWrite(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		host   string
+		script script
+	}{
+		{"small", hostPlain, respondWith(200, "good")},
+		{"large", hostPlain, respondWith(200, strings.Repeat("x", maxBuffered+1))},
+		{"failure of the endpoint", hostOnce, respondWith(500, "oh")},
+		{"response of the relay", hostOnce, closeConn},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			fx := newFixture(t, []*endpoint{newEndpoint(t, test.script)}, nil)
+			out := &failingRecorder{}
+			fx.relay.Serve(t.Context(), request(test.host), out)
+			require.True(t, out.aborted)
+			require.False(t, out.ended)
+		})
+	}
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -334,11 +334,11 @@
 		c.reject(reason)
 		return
 	case reason.cause == causeDeadline:
-		c.respond(http.StatusGatewayTimeout, "the response did not arrive in time", 0)
 		c.outcome = outcomeFailed
+		c.respond(http.StatusGatewayTimeout, "the response did not arrive in time", 0)
 	default:
-		c.respond(http.StatusBadGateway, "the endpoint's response was cut off; the request may have run", 0)
 		c.outcome = outcomeFailed
+		c.respond(http.StatusBadGateway, "the endpoint's response was cut off; the request may have run", 0)
 	}
 	c.logUnserved(reason)
 }
@@ -391,8 +391,7 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	c.beginResponse(status, header)
-	_ = c.out.Write(body)
-	c.out.End()
+	c.sendBody(body)
 }
 
 func (c *call) beginResponse(status int, header http.Header) {
