faultproxy: combine the faults of a source instead of hiding them

The soak injected fewer faults than it drew: after a fault of one source had ended, faults for all sources passed that source by, and of two that overlapped the end of the first cleared the second.

Cause: one fault a source, that goes before the one for all sources, and an entry that stays when the fault is cleared.

A proxy now keeps a set of faults that add up; each is removed by itself.

Evidence: on the code before, a delay for all sources after a cleared fault of one source is not in force for it (scratch test: Delay 0 in place of 1s).

--- a/lab/faultproxy/faultproxy.go
+++ b/lab/faultproxy/faultproxy.go
@@ -24,10 +24,25 @@
 	Delay time.Duration
 }
 
-// AnySource is the source whose fault applies to all sources that were not passed to
-// SetFault since the last ClearFaults.
+// combine returns the fault that has the effects of both.
+func (f Fault) combine(other Fault) Fault {
+	return Fault{
+		Refuse:          f.Refuse || other.Refuse,
+		StallUpstream:   f.StallUpstream || other.StallUpstream,
+		StallDownstream: f.StallDownstream || other.StallDownstream,
+		Delay:           max(f.Delay, other.Delay),
+	}
+}
+
+// AnySource is the source whose faults apply to all sources, in addition to their own.
 var AnySource = netip.Addr{}
 
+// injectedFault is a fault of a source that has not been cleared.
+type injectedFault struct {
+	source netip.Addr
+	fault  Fault
+}
+
 // Proxy forwards connections to one target.
 type Proxy struct {
 	address string
@@ -36,7 +51,7 @@
 	mu sync.Mutex
 	// listener is nil while the proxy is down.
 	listener net.Listener
-	faults   map[netip.Addr]Fault
+	faults   map[*injectedFault]struct{}
 	conns    map[net.Conn]netip.Addr
 	// stalled connections never carry data again.
 	stalled map[net.Conn]bool
@@ -54,7 +69,7 @@
 		address:  listener.Addr().String(),
 		listener: listener,
 		target:   target,
-		faults:   map[netip.Addr]Fault{},
+		faults:   map[*injectedFault]struct{}{},
 		conns:    map[net.Conn]netip.Addr{},
 		stalled:  map[net.Conn]bool{},
 	}
@@ -90,19 +105,37 @@
 	return nil
 }
 
-// SetFault sets the fault of one source; the zero Fault clears it.
+// SetFault replaces all faults of one source; the zero Fault clears them.
 func (p *Proxy) SetFault(source netip.Addr, f Fault) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.faults[source] = f
-	if !f.Refuse {
-		return
+	for injected := range p.faults {
+		if injected.source == source {
+			delete(p.faults, injected)
+		}
 	}
+	p.mu.Unlock()
+	if f != (Fault{}) {
+		p.AddFault(source, f)
+	}
+}
+
+// AddFault adds a fault to those of one source, and returns a function that removes it. Faults of a
+// source that overlap have the effects of all of them.
+func (p *Proxy) AddFault(source netip.Addr, f Fault) (remove func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	injected := &injectedFault{source, f}
+	p.faults[injected] = struct{}{}
 	for conn, from := range p.conns {
-		if source == AnySource || from == source {
+		if f.Refuse && (source == AnySource || from == source) {
 			_ = conn.Close()
 		}
 	}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.faults, injected)
+	}
 }
 
 // StallOpenConnections stalls the connections of a source that are open now, permanently and
@@ -139,13 +172,17 @@
 	p.wg.Wait()
 }
 
+// faultOf returns the combined fault of a source.
 func (p *Proxy) faultOf(source netip.Addr) Fault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if f, ok := p.faults[source]; ok {
-		return f
+	var sum Fault
+	for injected := range p.faults {
+		if injected.source == source || injected.source == AnySource {
+			sum = sum.combine(injected.fault)
+		}
 	}
-	return p.faults[AnySource]
+	return sum
 }
 
 func (p *Proxy) accept(listener net.Listener) {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -370,9 +370,9 @@
 }
 
 func (r *Run) injectProxyFault(proxy *faultproxy.Proxy, source netip.Addr, f faultproxy.Fault, duration time.Duration) {
-	proxy.SetFault(source, f)
+	remove := proxy.AddFault(source, f)
 	time.Sleep(duration)
-	proxy.SetFault(source, faultproxy.Fault{})
+	remove()
 }
 
 // injectWorkerFault sets a worker's condition for a time.
