relay: log the load for which groups count as full

A rejection with "all groups are full" did not show by which load: whether the group was full, or loads of other nodes were old or counted twice.

The line now has the requests of this node and of the others at the full group with the fewest, its slots, and the age of the others' figures.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -30,6 +30,8 @@
 	hold func(e *serving.Endpoint, now time.Time) throttle.Hold
 	// remotes holds the state of the other data centres.
 	remotes map[serving.DataCentre]*remoteState
+	// peerLoadsAt is when the loads of the other nodes were last set.
+	peerLoadsAt time.Time
 	// peerReports is what other nodes report.
 	peerReports PeerReports
 	// candidates and peerSuspected are reused between choices; peerSuspected holds the
@@ -136,6 +138,7 @@
 func (b *Balancer) SetPeerLoads(loads map[serving.EndpointID]PeerLoad) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.peerLoadsAt = time.Now()
 	for id, l := range b.loads {
 		l.peers = loads[id]
 	}
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -70,6 +70,8 @@
 	Suspected    int
 	AlreadyTried int
 	Full         int
+	// LeastFull is the load of the full group with the fewest requests.
+	LeastFull FullLoad
 	// Late groups are predicted to send the first event too late.
 	Late int
 	// Limited groups have no permit of their rate limit, CoolingDown groups have asked this
@@ -79,6 +81,23 @@
 	Draining    int
 }
 
+// FullLoad is the load for which a group counts as full, for the log.
+type FullLoad struct {
+	// Own and Peers are the requests of this node and of the others.
+	Own, Peers int
+	Slots      int
+	// PeersAge is the time since the loads of the others were added up.
+	PeersAge time.Duration
+}
+
+// addFull counts a full group.
+func (c *Choice) addFull(load FullLoad) {
+	c.Full++
+	if c.Full == 1 || load.Own+load.Peers < c.LeastFull.Own+c.LeastFull.Peers {
+		c.LeastFull = load
+	}
+}
+
 // ChooseHead draws a group at random, weighted by the predicted time to the first event. The loads
 // of other nodes are known with a delay in which a group can process several prompts: if every node
 // chose the best group, it would be overloaded before the others see it. A retry may queue at a full
@@ -108,7 +127,7 @@
 		case now.Before(l.suspectUntil), b.isUnreachable(h.DataCentre, now):
 			c.Suspected++
 		case predicted.Running >= slots:
-			c.Full++
+			c.addFull(FullLoad{l.running, l.peers.Running, slots, now.Sub(b.peerLoadsAt)})
 		case hold == throttle.HoldRateLimit:
 			c.Limited++
 		case !isRetry && s.isLate(predicted, b.weights.LateFactor):
