--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -235,6 +235,15 @@
 	f.write(fresh)
 }
 
+// SetSlots sets the number of requests that an endpoint takes at a time.
+func (f *Fleet) SetSlots(id serving.EndpointID, slots int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.endpoints[id]
+	e.Slots = slots
+	f.write(e)
+}
+
 // SetColdStart sets how long endpoints are cold after a restart. onCold is called when an endpoint
 // becomes cold or is no longer; it must not call the fleet.
 func (f *Fleet) SetColdStart(duration time.Duration, onCold func(id serving.EndpointID, cold bool)) {
