placement: remove the action that resumes a draining group

It was never emitted: a group that drains is dissolved, and a new one is formed if it is needed again. Group.Matches says now why it ignores draining: the group of a draining member finishes its requests and must count as complete.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -178,7 +178,8 @@
 }
 
 // Matches reports whether a report shows the member serving in the group: same incarnation,
-// same group and generation, and ready.
+// same group and generation, and ready. A draining member matches: it finishes the requests of its
+// group, which must not be cut off.
 func (g Group) Matches(m Member, r Report) bool {
 	return r.Incarnation == m.Incarnation &&
 		r.Phase == PhaseReady &&
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -105,8 +105,6 @@
 	ActionRepair
 	// ActionDrain stops new requests to a group.
 	ActionDrain
-	// ActionResume lets a draining group serve again.
-	ActionResume
 	// ActionDissolve dissolves a group.
 	ActionDissolve
 	// ActionPreload loads weights on a spare instance.
@@ -115,7 +113,7 @@
 
 // String returns the kind in lower case for logs.
 func (k ActionKind) String() string {
-	return [...]string{"form", "repair", "drain", "resume", "end", "preload"}[k]
+	return [...]string{"form", "repair", "drain", "end", "preload"}[k]
 }
 
 // Action is one decision. Group is the complete group after the action; the caller fills in
