gossip: compress rows that are sent to peers

With 300 nodes and 3,000 endpoints, the calls of most nodes to their relay timed out while nodes started: 700 a second, and what they lost was sent again. Draining notices reached a node after 3.7 s (DRAIN), and controllers took endpoints for dead that had answered.

Cause: while groups are formed, each message has hundreds of rows of 316 bytes.

Messages with 16 rows and more carry them compressed, for peers that say that they read it: to a node of an earlier version the table would look known up to a version whose rows it never got.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -11,7 +11,6 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
-	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -24,9 +23,7 @@
 	}
 	g.applyEvacuations(m, now)
 	before, _ := g.directory.TableVersion()
-	if m.GetEndpointsVersion() > 0 {
-		g.directory.ApplyChanges(fromRows(m.GetRows()), m.GetRowsSince(), m.GetEndpointsVersion(), now)
-	}
+	g.applyRows(m, now)
 	after, _ := g.directory.TableVersion()
 	for _, o := range m.GetObservations() {
 		g.directory.Observe(fromObservation(o), false, now)
@@ -71,6 +68,7 @@
 	p.configuration = m.GetConfigurationVersion()
 	p.evacuations = m.GetEvacuationsVersion()
 	p.rows = m.GetEndpointsVersion()
+	p.readsCompressedRows = m.GetReadsCompressedRows()
 	p.observations = m.GetObservationsVersion()
 	p.observationsSeen = m.GetObservationsSeen()
 	g.quarantine.list.ApplyDelta(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
@@ -115,8 +113,17 @@
 
 // buildMessage returns this node's side of an exchange, with the changes that the peer lacks.
 func (g *Gossiper) buildMessage(p *peer) *peers.ShareMessage {
+	m, readsCompressedRows := g.collectChanges(p)
+	if readsCompressedRows {
+		compressRows(m)
+	}
+	return m
+}
+
+// collectChanges returns a message with uncompressed rows, and whether the peer reads compressed ones.
+func (g *Gossiper) collectChanges(p *peer) (m *peers.ShareMessage, readsCompressedRows bool) {
 	now := time.Now()
-	m := &peers.ShareMessage{From: g.self().toNode()}
+	m = &peers.ShareMessage{From: g.self().toNode(), ReadsCompressedRows: true}
 	m.Loads = toLoads(g.balancer.LocalLoads(now), now)
 	m.Demand = toDemand(g.demand.Rates(now))
 	for _, id := range g.balancer.Suspects(now) {
@@ -134,7 +141,7 @@
 	defer g.mu.Unlock()
 	m.Leaving = g.stopping
 	if p == nil {
-		return m
+		return m, false
 	}
 	g.addRelayed(m, p, now)
 	g.addObservations(m, p, now)
@@ -157,7 +164,7 @@
 	if p.sentMessages%knownNodesEvery == 1 {
 		g.addKnownNodes(m, p, now)
 	}
-	return m
+	return m, p.readsCompressedRows
 }
 
 // toNode returns a peer as it is encoded in messages.
@@ -318,22 +325,6 @@
 	return out
 }
 
-func toRows(rows []table.Row) []*sharepb.Row {
-	out := make([]*sharepb.Row, 0, len(rows))
-	for _, r := range rows {
-		out = append(out, &sharepb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
-	}
-	return out
-}
-
-func fromRows(rows []*sharepb.Row) []table.Row {
-	out := make([]table.Row, 0, len(rows))
-	for _, r := range rows {
-		out = append(out, table.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved()})
-	}
-	return out
-}
-
 func toObservation(o directory.Observation) *sharepb.Observation {
 	return &sharepb.Observation{
 		Endpoint:  string(o.ID),
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -111,8 +111,9 @@
 	configuration          uint64
 	evacuations            uint64
 	// responseBytes is the size of its last response to a call of this node.
-	responseBytes int
-	rows          uint64
+	responseBytes       int
+	rows                uint64
+	readsCompressedRows bool
 	// observations is the version of its observations that this node has received,
 	// observationsSeen the version of this node's observations that it has acknowledged.
 	observations     uint64
