directory: look up one endpoint without building a view

Operations look at each endpoint that they wait for some twenty times a second, through a view. With rows changing all the time, each look built a view of all endpoints: in a trial with 3,000 endpoints a controller built up to 354 views in half a second, which took 486 ms of it. Its relay calls and lease renewals came late, and the lease moved.

Directory.Endpoint returns one endpoint as the view would have it and builds nothing. Operations use it, and so do advisories in responses to control calls.

TestEndpoint_BuildsNoView compares it with the view for listed, observed, removed and draining endpoints.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -308,20 +308,40 @@
 // markStale makes the next View rebuild.
 func (d *Directory) markStale() { d.changes.Add(1) }
 
-// The caller holds d.mu.
+// Endpoint returns an endpoint as the newest view would have it, or nil. Unlike View it builds
+// nothing: operations look at the endpoints that they wait for many times a second, while rows
+// change all the time.
+func (d *Directory) Endpoint(id serving.EndpointID) *serving.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	record := d.endpoints[id]
+	if record == nil {
+		return nil
+	}
+	return d.listed(record, time.Now())
+}
+
+// listed returns the endpoint of a record, or nil if it is not listed; d.mu must be held.
+func (d *Directory) listed(record *endpointRecord, now time.Time) *serving.Endpoint {
+	switch {
+	case record.endpoint != nil:
+		return d.withCold(record, d.withDraining(record.merged()), now)
+	case record.lapsed != nil && !record.graceUntil.IsZero() && !d.isDraining(record.lapsed):
+		return d.withCold(record, record.lapsed, now)
+	}
+	return nil
+}
+
+// rebuildView builds the view; d.mu must be held.
 func (d *Directory) rebuildView() {
 	now := time.Now()
 	endpoints := make(map[serving.EndpointID]*serving.Endpoint, len(d.endpoints))
 	lapsed := map[serving.EndpointID]*serving.Endpoint{}
 	for id, record := range d.endpoints {
-		switch {
-		case record.endpoint != nil:
-			endpoints[id] = d.withCold(record, d.withDraining(record.merged()), now)
-		case record.lapsed != nil && d.isDraining(record.lapsed):
-			// It has advertised draining, so its removal is final.
-		case record.lapsed != nil && !record.graceUntil.IsZero():
-			endpoints[id] = d.withCold(record, record.lapsed, now)
-		case record.lapsed != nil:
+		if e := d.listed(record, now); e != nil {
+			endpoints[id] = e
+		} else if record.lapsed != nil && !d.isDraining(record.lapsed) {
+			// An endpoint that has advertised draining is not lapsed: its removal is final.
 			lapsed[id] = record.lapsed
 		}
 	}
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -84,3 +84,25 @@
 		_ = d.View()
 	}
 }
+
+// Operations look at single endpoints many times a second. With a view built for each look, the
+// controller of a thousand endpoints spends its processor on views while groups are formed.
+func TestEndpoint_BuildsNoView(t *testing.T) {
+	d := newLargeDirectory(t)
+	before := d.View()
+	draining := serving.EndpointID("e0003")
+	d.SetDraining(func(inc serving.Incarnation) bool { return inc.ID == draining })
+	d.Observe(Observation{ID: "e0001", Membership: serving.Membership{Group: "g", Epoch: 1}, Orders: 1}, true, time.Now())
+	d.ApplyChanges([]table.Row{{Key: "e0002", Version: 1 << 20, Removed: true}}, 0, 1<<20, time.Now())
+	looked := map[serving.EndpointID]*serving.Endpoint{}
+	for _, id := range []serving.EndpointID{"e0000", "e0001", "e0002", draining, "unknown"} {
+		looked[id] = d.Endpoint(id)
+	}
+	require.Same(t, before, d.view.Load())
+	for id, e := range looked {
+		require.Equal(t, d.View().Endpoints[id], e, id)
+	}
+	require.Equal(t, "g", looked["e0001"].Membership.Group)
+	require.Nil(t, looked["e0002"])
+	require.True(t, looked[draining].Draining)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,7 +180,7 @@
 // incarnation are attributed to the listed one.
 func (e *Entry) observe(o advisory.Observation) {
 	if o.Endpoint.StartedAt == 0 {
-		if listed := e.directory.View().Endpoints[o.Endpoint.ID]; listed != nil {
+		if listed := e.directory.Endpoint(o.Endpoint.ID); listed != nil {
 			o.Endpoint = listed.Incarnation()
 		}
 	}
--- a/internal/groupcontrol/ensure.go
+++ b/internal/groupcontrol/ensure.go
@@ -177,7 +177,7 @@
 	start := time.Now()
 	next := start.Add(expected)
 	for time.Since(start) < limit {
-		row := o.directory.View().Endpoints[e.ID]
+		row := o.directory.Endpoint(e.ID)
 		if row == nil {
 			o.markDead(e, "it is no longer listed")
 			return errMemberLost
