groupcontrol: keep the lease in the test of replacements without loads

TestController_ReplacesMemberWithoutLoading was red at times on busy machines: it waits for 18 loads, which were never seen.

Cause: its controller has a lease of 300 ms. When a renewal comes late the next epoch forms groups again, which takes other loads.

The test is about loads, so its lease is ten seconds now. Its checks and bounds are unchanged.

--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -1,6 +1,7 @@
 package groupcontrol_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -47,6 +48,8 @@
 	perDomain int
 	// paced turns on the rate limit of loads.
 	paced bool
+	// leaseTTL replaces the usual TTL unless it is zero.
+	leaseTTL time.Duration
 
 	// lastEvent is the controllers' Options.LastEvent.
 	lastEvent func(serving.EndpointID) time.Time
@@ -115,7 +118,7 @@
 		Weights:              groupcontrol.DefaultWeights,
 		Demand:               func() map[directory.Pool]groupcontrol.Demand { return nil },
 		LastEvent:            dc.lastEvent,
-		LeaseTTL:             leaseTTL,
+		LeaseTTL:             cmp.Or(dc.leaseTTL, leaseTTL),
 		LeaseOutageExtension: time.Minute,
 		CallTimeout:          40 * time.Millisecond,
 		Tick:                 5 * time.Millisecond,
@@ -177,6 +180,8 @@
 	for rank, name := range []string{"the head", "another member"} {
 		t.Run(name, func(t *testing.T) {
 			dc := newDataCentre(t, 9)
+			// A controller that loses its lease forms groups again, with other loads.
+			dc.leaseTTL = 10 * time.Second
 			dc.startController("n1")
 			dc.awaitOpen(1, 1)
 			dc.awaitStaged()
