quarantine: store one crash of each burst of a popular request

After a rack failure and a kill of all nodes, a popular request that had crashed nothing was rejected until its trial 30 s later.

Cause: rows of the platform's table have neither times nor successes, so each crash of the burst counted by itself when they were read.

Rows now have the crashes that count: one of each burst for a request that has succeeded.

--- a/internal/gossip/quarantinetable_test.go
+++ b/internal/gossip/quarantinetable_test.go
@@ -71,6 +71,32 @@
 	require.Equal(t, 2, after.blocked())
 }
 
+// Rows have no times and no successes. After all nodes are killed, a popular request whose rack failed
+// must not be blocked by that one burst, and one that crashed endpoints in three bursts must be.
+func TestQuarantineTable_RestoresBursts(t *testing.T) {
+	store := memtable.New()
+	before := newTestTable(store, true)
+	served := before.now
+	crash := func(fingerprint uint64, first, n int, after time.Duration) {
+		r := qlist.Record{Fingerprint: fingerprintOf(fingerprint), Served: served}
+		for i := range n {
+			r.Crashes = append(r.Crashes, qlist.Crash{Incarnation: qlist.Incarnation(first + i), At: served.Add(after)})
+		}
+		before.list.Merge([]qlist.Record{r}, "test", before.now)
+		before.run(t.Context(), time.Second)
+	}
+	crash(1, 1, 8, time.Millisecond)
+	crash(2, 1, 8, time.Millisecond)
+	crash(2, 11, 1, 2*time.Second)
+	crash(2, 12, 1, 4*time.Second)
+	require.Equal(t, 1, before.blocked())
+	after := newTestTable(store, true)
+	after.run(t.Context(), time.Second)
+	require.Equal(t, 1, after.blocked())
+	_, allowed := after.list.Allowed(fingerprintOf(1), after.now)
+	require.True(t, allowed)
+}
+
 // Partitioned data centres exchange records through the table.
 func TestQuarantineTable_BridgesPartition(t *testing.T) {
 	store := memtable.New()
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -36,11 +36,9 @@
 	Record
 	version   uint64
 	changedAt time.Time
-	// storedCrashes and storedBursts are the numbers of crashes and bursts that the platform's
-	// table is known to have, storedTrialUsed whether it has the trial, and hasRow whether it has a
-	// row at all.
+	// storedCrashes is the number of crashes that the platform's table is known to have,
+	// storedTrialUsed whether it has the trial, and hasRow whether it has a row at all.
 	storedCrashes   int
-	storedBursts    int
 	storedTrialUsed bool
 	hasRow          bool
 }
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -40,11 +40,15 @@
 )
 
 // Blocked reports whether requests with this fingerprint may not be sent.
-func (r *Record) Blocked() bool {
+func (r *Record) Blocked() bool { return len(r.countedCrashes()) >= MaxCrashes }
+
+// countedCrashes returns the crashes that count towards MaxCrashes: one of each burst if the request
+// has succeeded before, else all.
+func (r *Record) countedCrashes() []Crash {
 	if r.Served.IsZero() {
-		return len(r.Crashes) >= MaxCrashes
+		return r.Crashes
 	}
-	return r.bursts() >= MaxCrashes
+	return r.burstStarts()
 }
 
 // BlockedAfterNextCrash reports whether one more crash now would block the record.
@@ -54,19 +58,19 @@
 	return next.Blocked()
 }
 
-// bursts counts the crashes, those of one burst as one.
-func (r *Record) bursts() int {
-	bursts := 0
-	var start time.Time
+// burstStarts returns the first crash of each burst.
+func (r *Record) burstStarts() []Crash {
+	var starts []Crash
 	for _, crash := range r.Crashes {
-		if bursts == 0 || crash.At.Sub(start) >= burstWindow {
-			bursts++
-			start = crash.At
+		if len(starts) == 0 || crash.At.Sub(starts[len(starts)-1].At) >= burstWindow {
+			starts = append(starts, crash)
 		}
 	}
-	return bursts
+	return starts
 }
 
+func (r *Record) bursts() int { return len(r.burstStarts()) }
+
 // cleared reports whether the request succeeded after its last crash.
 func (r *Record) cleared() bool { return len(r.Crashes) == 0 }
 
--- a/pkg/quarantine/record_test.go
+++ b/pkg/quarantine/record_test.go
@@ -60,25 +60,3 @@
 		}
 	}
 }
-
-// The table must have each burst that decides: after all nodes are killed it alone remembers them.
-func TestUnstored_IncludesBurstsAfterRackFailure(t *testing.T) {
-	l := NewList()
-	rackFailure(l, maxCrashesKept)
-	store := func() []Record {
-		write, _ := l.Unstored(1, maxRecords)
-		l.MarkStored(write)
-		return write
-	}
-	require.Len(t, store(), 1)
-	require.Empty(t, store())
-	for i, second := range []float64{3, 5} {
-		l.RecordCrash(fingerprint(1), Incarnation(100+i), at(second))
-		rows := store()
-		require.Len(t, rows, 1)
-		restored := NewList()
-		restored.Merge(rows, at(10))
-		require.Equal(t, blocked(l, 1), blocked(restored, 1))
-	}
-	require.True(t, blocked(l, 1))
-}
--- a/pkg/quarantine/stored.go
+++ b/pkg/quarantine/stored.go
@@ -1,29 +1,29 @@
 package quarantine
 
+import "slices"
+
 // Unstored returns up to limit records with at least minCrashes that the platform's table lacks
 // or has in part, and the fingerprints of rows that are obsolete since the request succeeded.
-// The table preserves records when all nodes are killed.
+// The table preserves records when all nodes are killed. Rows have neither times nor successes, so
+// the records have only the crashes that count: all those of a rack would block a popular request.
 func (l *List) Unstored(minCrashes, limit int) (write []Record, remove []Fingerprint) {
 	for f, e := range l.records {
+		counted := e.countedCrashes()
+		incomplete := e.storedCrashes < min(len(counted), MaxCrashes) || e.TrialUsed && !e.storedTrialUsed
 		switch {
 		case e.hasRow && e.cleared():
 			remove = append(remove, f)
-		case len(write) < limit && !e.cleared() && len(e.Crashes) >= minCrashes && e.isIncompletelyStored():
-			write = append(write, e.clone())
+		case len(write) < limit && !e.cleared() && len(counted) >= minCrashes && incomplete:
+			record := e.clone()
+			record.Crashes = slices.Clone(counted)
+			write = append(write, record)
 		}
 	}
 	return write, remove
 }
 
-// isIncompletelyStored reports whether the table lacks what decides whether the record is blocked.
-func (e *entry) isIncompletelyStored() bool {
-	return e.storedCrashes < min(len(e.Crashes), MaxCrashes) ||
-		e.storedBursts < min(e.bursts(), MaxCrashes) ||
-		e.TrialUsed && !e.storedTrialUsed
-}
-
 func (e *entry) markUnstored() {
-	e.hasRow, e.storedCrashes, e.storedBursts, e.storedTrialUsed = false, 0, 0, false
+	e.hasRow, e.storedCrashes, e.storedTrialUsed = false, 0, false
 }
 
 // MarkStored records that the table has these records.
@@ -32,7 +32,6 @@
 		if e := l.records[r.Fingerprint]; e != nil {
 			e.hasRow = true
 			e.storedCrashes = max(e.storedCrashes, len(r.Crashes))
-			e.storedBursts = max(e.storedBursts, r.bursts())
 			e.storedTrialUsed = e.storedTrialUsed || r.TrialUsed
 		}
 	}
