quarantinetable: make the quarantine's table a package of its own

Nodes of the product's own interface need the table too, and gossip is only for those of the users' platform. Nothing else changes; the tests moved with it.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -71,7 +71,7 @@
 	p.readsCompressedRows = m.GetReadsCompressedRows()
 	p.observations = m.GetObservationsVersion()
 	p.observationsSeen = m.GetObservationsSeen()
-	g.quarantine.list.ApplyDelta(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
+	g.quarantine.ApplyDelta(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
 	g.throttle.ApplyDelta(&p.advisories, m.GetAdvisories(), "node "+m.GetFrom().GetId(), now)
 	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand())}
 	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand())}
@@ -146,7 +146,7 @@
 	g.addRelayed(m, p, now)
 	g.addObservations(m, p, now)
 	g.addEvacuations(m, p, now)
-	m.Quarantine = g.quarantine.list.Delta(&p.quarantine, now)
+	m.Quarantine = g.quarantine.Delta(&p.quarantine, now)
 	m.Advisories = g.throttle.Delta(&p.advisories, now)
 	if p.hasSent && p.configuration < version && now.Sub(p.lastHeard) < peerStateTTL {
 		m.Configuration = g.compressed.compress(version, value)
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -22,6 +22,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
+	"github.com/ridgehinge/ridgehinge/internal/quarantinetable"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
@@ -126,16 +127,17 @@
 
 // Gossiper exchanges state with the peers of one node.
 type Gossiper struct {
-	config     Config
-	directory  *directory.Directory
-	balancer   *relay.Balancer
-	demand     *relay.Demand
-	budget     *relay.Budget
-	quarantine *quarantineTable
-	throttle   *throttle.Tracker
-	store      table.Store
-	client     *peers.Client
-	log        logging.Logger
+	config          Config
+	directory       *directory.Directory
+	balancer        *relay.Balancer
+	demand          *relay.Demand
+	budget          *relay.Budget
+	quarantine      *quarantine.Quarantine
+	quarantineTable *quarantinetable.Table
+	throttle        *throttle.Tracker
+	store           table.Store
+	client          *peers.Client
+	log             logging.Logger
 
 	// urgent has an entry when the relay is to be called at once.
 	urgent chan struct{}
@@ -248,7 +250,8 @@
 		dataCentreNodes: map[serving.DataCentre]int{},
 		startedAt:       time.Now(),
 	}
-	g.quarantine = newQuarantineTable(quarantine.NewQuarantine(g.sendsTrials), p.Store)
+	g.quarantine = quarantine.NewQuarantine(g.sendsTrials)
+	g.quarantineTable = quarantinetable.New(g.quarantine, p.Store)
 	g.throttle = throttle.NewTracker(throttle.Options{RequestPermit: g.requestPermit, Nodes: g.nodeCount, OnDraining: p.Directory.Invalidate, Metrics: p.Metrics})
 	p.Directory.SetDraining(g.throttle.Draining)
 	p.Balancer.OnSuspect(g.callRelayNow)
@@ -264,7 +267,7 @@
 func (g *Gossiper) Throttle() *throttle.Tracker { return g.throttle }
 
 // Quarantine returns the records of requests that crash endpoints.
-func (g *Gossiper) Quarantine() *quarantine.Quarantine { return g.quarantine.list }
+func (g *Gossiper) Quarantine() *quarantine.Quarantine { return g.quarantine }
 
 // PeersHaveRequests reports whether any peer has reported demand.
 func (g *Gossiper) PeersHaveRequests() bool { return g.demandReported.Load() }
--- a/internal/gossip/gossiper_bench_test.go
+++ b/internal/gossip/gossiper_bench_test.go
@@ -18,7 +18,7 @@
 // four of a hundred heads.
 func newTestRelay(now time.Time) *Gossiper {
 	s := &Gossiper{
-		quarantine: newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), nil),
+		quarantine: quarantine.NewQuarantine(func() bool { return false }),
 		config:     Config{Incarnation: "n/inc1", DataCentre: "dc0", Address: "10.0.9.9:1"},
 		directory:  directory.New(directory.Codec{}),
 		balancer:   relay.NewBalancer("dc0", rand.NewPCG(1, 1), relay.DefaultWeights),
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -21,7 +21,7 @@
 // newTestGossiper returns a node that knows sixty others of three data centres.
 func newTestGossiper(now time.Time) *Gossiper {
 	s := &Gossiper{
-		quarantine:      newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), nil),
+		quarantine:      quarantine.NewQuarantine(func() bool { return false }),
 		config:          Config{DataCentre: "dc0", Address: "10.0.0.100:1"},
 		peers:           map[string]*peer{},
 		dataCentreNodes: map[serving.DataCentre]int{},
--- a/internal/gossip/quarantinetable.go
+++ b/internal/quarantinetable/table.go
@@ -1,4 +1,6 @@
-package gossip
+// Package quarantinetable keeps the quarantine in a table of the platform: all nodes may be killed at
+// once, and a partitioned data centre may still reach the table.
+package quarantinetable
 
 import (
 	"cmp"
@@ -14,29 +16,53 @@
 	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
 )
 
-// QuarantineTable has a row for each fingerprint, in one partition.
-const QuarantineTable = "ridgehinge-quarantine"
+// Name is the table, which has a row for each fingerprint, in one partition.
+const Name = "ridgehinge-quarantine"
+
+// Interval is the time between two calls of Sync.
+const Interval = 250 * time.Millisecond
 
 const (
 	// maxRowsPerChange is the platform's bound.
 	maxRowsPerChange = 100
-	// maxQuarantineRows bounds the rows of the table. Half of them are reserved for blocked
+	// maxRows bounds the rows of the table. Half of them are reserved for blocked
 	// requests; one with two crashes may have merely run there.
-	maxQuarantineRows = 1024
-	// quarantineReadInterval is the time between two reads while another data centre is
+	maxRows = 1024
+	// readInterval is the time between two reads while another data centre is
 	// unreachable, and between two attempts while the store is unavailable.
-	quarantineReadInterval = time.Second
-	quarantineCallTimeout  = time.Second
+	readInterval = time.Second
+	callTimeout  = time.Second
 	// secondaryWriteDelay is how long after a read the relays of other data centres leave
 	// writing to the first one, which may be unable to reach the store. They read the table
 	// again before they write.
 	secondaryWriteDelay = 2 * time.Second
 )
 
-// quarantineTable synchronizes the quarantine with its table.
-type quarantineTable struct {
+// Store has the table.
+type Store interface {
+	// Read returns all rows of one partition.
+	Read(ctx context.Context, table, partition string) (table.Page, error)
+	// Commit applies a change and returns its version. It fails with table.ErrConflict if a condition
+	// does not hold.
+	Commit(ctx context.Context, c table.Change) (uint64, error)
+	// Era returns the newest era of the store, in which it may lack earlier rows.
+	Era() uint64
+}
+
+// Role is what a node does with the table.
+type Role struct {
+	// FirstDataCentre is set for the node that writes. Others write what that one has not written
+	// some time after they have read the table.
+	FirstDataCentre bool
+	// Partitioned is set while another data centre is unreachable; its records then arrive
+	// through the table.
+	Partitioned bool
+}
+
+// Table synchronizes the quarantine of one node with its table. It is not safe for concurrent use.
+type Table struct {
 	list  *quarantine.Quarantine
-	store table.Store
+	store Store
 	log   logging.Logger
 	// lastRead is when the table was last read, lastAttempt when a read or write was last
 	// attempted; zero means never.
@@ -48,32 +74,39 @@
 	versions map[qlist.Fingerprint]uint64
 	// expired are rows that are to be removed.
 	expired []qlist.Fingerprint
-	// full is set while the table has maxQuarantineRows.
+	// full is set while the table has maxRows.
 	full bool
 }
 
-func newQuarantineTable(q *quarantine.Quarantine, store table.Store) *quarantineTable {
-	return &quarantineTable{list: q, store: store, log: logging.For("quarantine"), versions: map[qlist.Fingerprint]uint64{}}
+// New returns the table of a node's quarantine.
+func New(q *quarantine.Quarantine, store Store) *Table {
+	return &Table{list: q, store: store, log: logging.For("quarantine"), versions: map[qlist.Fingerprint]uint64{}}
 }
 
-// sync makes the calls that are due: an initial read, reads while another data centre is
+// Expire drops expired records. Their rows are removed by a later Sync.
+func (t *Table) Expire(now time.Time) { t.expired = append(t.expired, t.list.Expire(now)...) }
+
+// Suspend makes the next Sync read the table again. It is called while another node synchronizes it.
+func (t *Table) Suspend() { t.lastRead = time.Time{} }
+
+// Sync makes the calls that are due: an initial read, reads while another data centre is
 // unreachable, and a commit if there are pending changes.
-func (t *quarantineTable) sync(ctx context.Context, role quarantineRole, now time.Time) {
+func (t *Table) Sync(ctx context.Context, role Role, now time.Time) {
 	t.checkEra()
-	if now.Sub(t.lastAttempt) < quarantineReadInterval && (t.lastRead.IsZero() || t.lastAttempt.After(t.lastRead)) {
+	if now.Sub(t.lastAttempt) < readInterval && (t.lastRead.IsZero() || t.lastAttempt.After(t.lastRead)) {
 		return
 	}
 	write, remove := t.pending()
 	pending := len(write)+len(remove) > 0
 	switch since := now.Sub(t.lastRead); {
-	case t.lastRead.IsZero(), role.partitioned && since >= quarantineReadInterval, !role.firstDataCentre && pending && since >= secondaryWriteDelay:
+	case t.lastRead.IsZero(), role.Partitioned && since >= readInterval, !role.FirstDataCentre && pending && since >= secondaryWriteDelay:
 		t.lastAttempt = now
 		if !t.readTable(ctx) {
 			return
 		}
 		t.lastRead = now
 		write, remove = t.pending()
-	case !role.firstDataCentre:
+	case !role.FirstDataCentre:
 		return
 	}
 	if len(write)+len(remove) == 0 {
@@ -87,7 +120,7 @@
 
 // checkEra has the table read and written again after the store was restored from an older copy,
 // which may lack rows.
-func (t *quarantineTable) checkEra() {
+func (t *Table) checkEra() {
 	era := t.store.Era()
 	if era == t.era {
 		return
@@ -97,12 +130,12 @@
 }
 
 // pending returns the records to be written and the rows to be removed now.
-func (t *quarantineTable) pending() (write []qlist.Record, remove []qlist.Fingerprint) {
+func (t *Table) pending() (write []qlist.Record, remove []qlist.Fingerprint) {
 	minCrashes := qlist.MaxCrashes - 1
-	if len(t.versions) >= maxQuarantineRows/2 {
+	if len(t.versions) >= maxRows/2 {
 		minCrashes = qlist.MaxCrashes
 	}
-	limit := min(maxRowsPerChange, maxQuarantineRows-len(t.versions))
+	limit := min(maxRowsPerChange, maxRows-len(t.versions))
 	t.logFull(limit <= 0)
 	write, remove = t.list.Unstored(minCrashes, max(0, limit))
 	remove = append(remove, t.expired...)
@@ -110,16 +143,16 @@
 }
 
 // logFull logs when the table becomes full or has room again.
-func (t *quarantineTable) logFull(full bool) {
+func (t *Table) logFull(full bool) {
 	if full == t.full {
 		return
 	}
 	t.full = full
-	t.log.Warn("the quarantine's table became full or has room again", "full", full, "rows", len(t.versions), "bound", maxQuarantineRows)
+	t.log.Warn("the quarantine's table became full or has room again", "full", full, "rows", len(t.versions), "bound", maxRows)
 }
 
-// quarantineRow is the value of a row.
-type quarantineRow struct {
+// rowValue is the value of a row.
+type rowValue struct {
 	// Ends are the incarnations of endpoints that crashed.
 	Ends []qlist.Incarnation `json:"ends"`
 	// Tried is set once a request was sent from quarantine.
@@ -127,10 +160,10 @@
 }
 
 // readTable merges the table's records and reports whether it could be read.
-func (t *quarantineTable) readTable(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
+func (t *Table) readTable(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	page, err := t.store.Read(ctx, QuarantineTable, "")
+	page, err := t.store.Read(ctx, Name, "")
 	if err != nil {
 		t.log.Info("failed to read the quarantine's table; keeping the known records", "error", err)
 		return false
@@ -168,7 +201,7 @@
 // parseRecord decodes a row. Rows have no times of crashes, since clocks differ; crashes are
 // dated now.
 func parseRecord(f qlist.Fingerprint, text []byte, now time.Time) (qlist.Record, error) {
-	var value quarantineRow
+	var value rowValue
 	if err := json.Unmarshal(text, &value); err != nil {
 		return qlist.Record{}, err
 	}
@@ -181,23 +214,23 @@
 
 // commit writes and removes rows and reports whether it succeeded. On a conflict with another
 // node's change the table is read again.
-func (t *quarantineTable) commit(ctx context.Context, write []qlist.Record, remove []qlist.Fingerprint) bool {
+func (t *Table) commit(ctx context.Context, write []qlist.Record, remove []qlist.Fingerprint) bool {
 	change := table.Change{}
 	for _, r := range write {
-		value := quarantineRow{Tried: r.TrialUsed}
+		value := rowValue{Tried: r.TrialUsed}
 		for _, crash := range r.Crashes {
 			value.Ends = append(value.Ends, crash.Incarnation)
 		}
 		text, _ := json.Marshal(value) // Encoding a plain struct never fails.
-		row := table.Row{Table: QuarantineTable, Key: r.Fingerprint.String(), Value: text}
+		row := table.Row{Table: Name, Key: r.Fingerprint.String(), Value: text}
 		change.Writes = append(change.Writes, row)
 		row.Version = t.versions[r.Fingerprint]
 		change.Conditions = append(change.Conditions, row)
 	}
 	for _, f := range remove {
-		change.Removals = append(change.Removals, table.Row{Table: QuarantineTable, Key: f.String()})
+		change.Removals = append(change.Removals, table.Row{Table: Name, Key: f.String()})
 	}
-	ctx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	version, err := t.store.Commit(ctx, change)
 	if errors.Is(err, table.ErrConflict) {
--- a/internal/gossip/quarantinetable_test.go
+++ b/internal/quarantinetable/table_test.go
@@ -1,4 +1,4 @@
-package gossip
+package quarantinetable
 
 import (
 	"context"
@@ -17,19 +17,19 @@
 
 // testTable is a quarantineTable with a role and a simulated clock.
 type testTable struct {
-	*quarantineTable
-	role quarantineRole
+	*Table
+	role Role
 	now  time.Time
 }
 
 func newTestTable(store table.Store, firstDataCentre bool) *testTable {
-	return &testTable{newQuarantineTable(quarantine.NewQuarantine(func() bool { return false }), store), quarantineRole{active: true, firstDataCentre: firstDataCentre}, time.Now()}
+	return &testTable{New(quarantine.NewQuarantine(func() bool { return false }), store), Role{FirstDataCentre: firstDataCentre}, time.Now()}
 }
 
 // run syncs the table while the simulated clock advances.
 func (q *testTable) run(ctx context.Context, d time.Duration) {
-	for until := q.now.Add(d); q.now.Before(until); q.now = q.now.Add(quarantineInterval) {
-		q.sync(ctx, q.role, q.now)
+	for until := q.now.Add(d); q.now.Before(until); q.now = q.now.Add(Interval) {
+		q.Sync(ctx, q.role, q.now)
 	}
 }
 
@@ -101,11 +101,11 @@
 func TestQuarantineTable_BridgesPartition(t *testing.T) {
 	store := memtable.New()
 	north, south := newTestTable(store, true), newTestTable(store, true)
-	north.role.partitioned, south.role.partitioned = true, true
+	north.role.Partitioned, south.role.Partitioned = true, true
 	both := func(d time.Duration) {
 		for until := north.now.Add(d); north.now.Before(until); {
-			north.run(t.Context(), quarantineInterval)
-			south.run(t.Context(), quarantineInterval)
+			north.run(t.Context(), Interval)
+			south.run(t.Context(), Interval)
 		}
 	}
 	both(time.Second)
@@ -146,7 +146,7 @@
 	tables := []*testTable{newTestTable(store, true), newTestTable(store, false), newTestTable(store, false)}
 	for range 40 {
 		for _, q := range tables {
-			q.run(t.Context(), quarantineInterval)
+			q.run(t.Context(), Interval)
 		}
 		if time.Until(tables[0].now) > 3*time.Second {
 			for _, q := range tables {
@@ -162,7 +162,7 @@
 	}
 	for range 40 {
 		for _, q := range tables[1:] {
-			q.run(t.Context(), quarantineInterval)
+			q.run(t.Context(), Interval)
 		}
 	}
 	after := newTestTable(store, true)
@@ -179,14 +179,14 @@
 		q.addCrashes(n, incarnations[:2+n%2]...)
 	}
 	q.run(t.Context(), 10*time.Second)
-	page, err := store.Read(t.Context(), QuarantineTable, "")
+	page, err := store.Read(t.Context(), Name, "")
 	require.NoError(t, err)
 	t.Logf("%d calls, %d rows", store.Calls(), len(page.Rows))
 	require.LessOrEqual(t, store.Calls(), 41)
-	require.LessOrEqual(t, len(page.Rows), maxQuarantineRows)
+	require.LessOrEqual(t, len(page.Rows), maxRows)
 	after := newTestTable(store, true)
 	after.run(t.Context(), time.Second)
-	require.GreaterOrEqual(t, after.blocked(), maxQuarantineRows/2, "at least half of the rows are for blocked requests")
+	require.GreaterOrEqual(t, after.blocked(), maxRows/2, "at least half of the rows are for blocked requests")
 	q.list.Expire(time.Now())
 	calls := store.Calls()
 	q.run(t.Context(), 10*time.Second)
@@ -200,10 +200,10 @@
 	q.addCrashes(1, 1, 2, 3)
 	q.run(t.Context(), time.Second)
 	rows := []table.Row{
-		{Table: QuarantineTable, Key: "another", Value: []byte(`{"ends":[1,2,3]}`)},
-		{Table: QuarantineTable, Key: fingerprintOf(7).String(), Value: []byte{0xff, 0xfe}},
-		{Table: QuarantineTable, Key: fingerprintOf(8).String(), Value: []byte(`{"ends":"all"}`)},
-		{Table: QuarantineTable, Key: fingerprintOf(9).String(), Value: nil},
+		{Table: Name, Key: "another", Value: []byte(`{"ends":[1,2,3]}`)},
+		{Table: Name, Key: fingerprintOf(7).String(), Value: []byte{0xff, 0xfe}},
+		{Table: Name, Key: fingerprintOf(8).String(), Value: []byte(`{"ends":"all"}`)},
+		{Table: Name, Key: fingerprintOf(9).String(), Value: nil},
 	}
 	require.NoError(t, store.CommitIgnoringFaults(table.Change{Writes: rows}))
 	after := newTestTable(store, true)
@@ -219,7 +219,7 @@
 
 // Guards against rows of more than 128 bytes with their key.
 func TestQuarantineTable_BoundsRowBytes(t *testing.T) {
-	row, err := json.Marshal(quarantineRow{Ends: []qlist.Incarnation{1 << 63, 1<<63 + 1, 1<<63 + 2}})
+	row, err := json.Marshal(rowValue{Ends: []qlist.Incarnation{1 << 63, 1<<63 + 1, 1<<63 + 2}})
 	require.NoError(t, err)
 	rowBytes := len(row) + len(fingerprintOf(1).String())
 	t.Logf("%d bytes of a row with its key", rowBytes)
@@ -239,7 +239,7 @@
 
 	store.Restore(older)
 	require.Empty(t, rowsOf(t, store))
-	q.run(t.Context(), quarantineInterval)
+	q.run(t.Context(), Interval)
 	require.LessOrEqual(t, len(rowsOf(t, store)), maxRowsPerChange, "one change at a time")
 	q.run(t.Context(), 2*time.Second)
 	require.Len(t, rowsOf(t, store), 250)
@@ -247,7 +247,7 @@
 
 func rowsOf(t *testing.T, store *memtable.Table) []table.Row {
 	t.Helper()
-	page, err := store.Read(t.Context(), QuarantineTable, "")
+	page, err := store.Read(t.Context(), Name, "")
 	require.NoError(t, err)
 	return page.Rows
 }
