node: keep the quarantine of the own interface in the platform's table

After a kill of all entry instances, a quarantined request crashed three more endpoints: on the product's own interface its record was exchanged between nodes and stored nowhere.

Each node reads the table when it starts, and the controller writes it, with the package that nodes of the users' platform use. Records are expired by the table, which then removes their rows.

Evidence: found by reading.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -98,7 +98,8 @@
 	Platform  *platform.Client
 	Engine    *engine.Client
 	Peers     *peers.Client
-	// Quarantine lists the requests that crash the endpoints that run them.
+	// Quarantine lists the requests that crash the endpoints that run them. The caller expires its
+	// records.
 	Quarantine *quarantine.Quarantine
 	// Load returns the current load by pool.
 	Load func() map[string]PoolLoad
@@ -228,7 +229,7 @@
 	if now.After(l.next.expire) {
 		l.next.expire = now.Add(time.Minute)
 		l.tracker.Forget(now, 5*time.Minute)
-		l.expireQuarantine(now)
+		l.expireQuarantineSyncs(now)
 	}
 }
 
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -47,9 +47,8 @@
 	return sync
 }
 
-// expireQuarantine drops expired records and the state for silent peers.
-func (l *Loop) expireQuarantine(now time.Time) {
-	l.options.Quarantine.Expire(now)
+// expireQuarantineSyncs drops the state for silent peers.
+func (l *Loop) expireQuarantineSyncs(now time.Time) {
 	for id, sync := range l.quarantineSyncs {
 		if now.Sub(sync.lastReceived) > quarantineSyncTTL {
 			delete(l.quarantineSyncs, id)
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -57,8 +57,8 @@
 	l := newTestLoop(0)
 	now := time.Now()
 	l.quarantineSyncOf(now, membership.NodeID("gone"))
-	l.expireQuarantine(now.Add(quarantineSyncTTL))
+	l.expireQuarantineSyncs(now.Add(quarantineSyncTTL))
 	require.Len(t, l.quarantineSyncs, 1)
-	l.expireQuarantine(now.Add(2 * quarantineSyncTTL))
+	l.expireQuarantineSyncs(now.Add(2 * quarantineSyncTTL))
 	require.Empty(t, l.quarantineSyncs)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
+	"github.com/ridgehinge/ridgehinge/internal/quarantinetable"
 	"github.com/ridgehinge/ridgehinge/internal/settings"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
 )
@@ -133,6 +134,8 @@
 	n.cancel = cancel
 	n.running.Go(func() { n.loop.Run(ctx) })
 	n.running.Go(func() { n.gateway.Run(ctx) })
+	quarantineTable := quarantinetable.New(requestQuarantine, quarantineStore{n.platform})
+	n.running.Go(func() { n.runQuarantine(ctx, quarantineTable) })
 	n.log.Info("serving", "callers", s.Callers, "operator", s.Operator, "peers", s.Peers)
 	return n, nil
 }
--- a/internal/quarantinetable/table.go
+++ b/internal/quarantinetable/table.go
@@ -86,6 +86,9 @@
 // Expire drops expired records. Their rows are removed by a later Sync.
 func (t *Table) Expire(now time.Time) { t.expired = append(t.expired, t.list.Expire(now)...) }
 
+// Load reads the table and reports whether that succeeded.
+func (t *Table) Load(ctx context.Context) bool { return t.readTable(ctx) }
+
 // Suspend makes the next Sync read the table again. It is called while another node synchronizes it.
 func (t *Table) Suspend() { t.lastRead = time.Time{} }
 
