gossip: compress the same rows once

The table is read a few times a second, so nodes have few different versions: compressed rows are cached by the versions that they lead from and to.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -115,7 +115,7 @@
 func (g *Gossiper) buildMessage(p *peer) *peers.ShareMessage {
 	m, readsCompressedRows := g.collectChanges(p)
 	if readsCompressedRows {
-		compressRows(m)
+		g.compressedRows.compress(m)
 	}
 	return m
 }
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -174,6 +174,7 @@
 	dirty          bool
 	lastAggregated time.Time
 	compressed     compressedConfiguration
+	compressedRows compressedRows
 	// demandReported is set once a peer has reported demand.
 	demandReported atomic.Bool
 }
--- a/internal/gossip/gossiper_bench_test.go
+++ b/internal/gossip/gossiper_bench_test.go
@@ -66,3 +66,20 @@
 	}
 	b.ReportMetric(float64(size), "bytes/message")
 }
+
+// BenchmarkRowsMessage measures a relay's response with a thousand changed rows, to a node whose
+// version of the table many others have as well.
+func BenchmarkRowsMessage(b *testing.B) {
+	now := time.Now()
+	g := newRowsGossiper(now)
+	g.directory.SetLogsEachChange(func(serving.DataCentre) bool { return false })
+	g.directory.ApplySnapshot(endpointRows(endpointsOfFleet), endpointsOfFleet, now)
+	p := &peer{id: "n/1", address: "10.0.0.1:1", dataCentre: g.config.DataCentre, lastHeard: now, hasSent: true, readsCompressedRows: true, rows: endpointsOfFleet - 1000}
+	size := 0
+	b.ResetTimer()
+	for range b.N {
+		p.lastHeard = time.Now()
+		size = proto.Size(g.buildMessage(p))
+	}
+	b.ReportMetric(float64(size), "bytes/message")
+}
--- a/internal/gossip/rows.go
+++ b/internal/gossip/rows.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -16,14 +17,50 @@
 // nodes saturates its link, and the calls of most nodes time out.
 const minCompressedRows = 16
 
-// compressRows compresses the rows of a message, if there are many.
-func compressRows(m *peers.ShareMessage) {
+// compressedRows caches the rows that change the table from one version to another in compressed
+// form. The nodes of a data centre have few different versions, as the table is read a few times a
+// second, so a relay would compress the same rows for most of them.
+type compressedRows struct {
+	mu sync.Mutex
+	// until is the version to which all entries lead, bySince has them by the version before.
+	until   uint64
+	bySince map[uint64][]byte
+}
+
+// compress compresses the rows of a message, if there are many.
+func (c *compressedRows) compress(m *peers.ShareMessage) {
 	if len(m.Rows) < minCompressedRows {
 		return
 	}
-	// A message that was just built always encodes.
-	encoded, _ := proto.Marshal(&sharepb.RowList{Rows: m.Rows})
-	m.CompressedRows, m.Rows = compress(encoded), nil
+	compressed := c.get(m.RowsSince, m.EndpointsVersion)
+	if compressed == nil {
+		// A message that was just built always encodes.
+		encoded, _ := proto.Marshal(&sharepb.RowList{Rows: m.Rows})
+		compressed = compress(encoded)
+		c.put(m.RowsSince, m.EndpointsVersion, compressed)
+	}
+	m.CompressedRows, m.Rows = compressed, nil
+}
+
+func (c *compressedRows) get(since, until uint64) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.until != until {
+		return nil
+	}
+	return c.bySince[since]
+}
+
+func (c *compressedRows) put(since, until uint64, compressed []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.until > until {
+		return
+	}
+	if c.until < until {
+		c.until, c.bySince = until, map[uint64][]byte{}
+	}
+	c.bySince[since] = compressed
 }
 
 // decodeRows returns the rows of a message.
--- a/internal/gossip/rows_test.go
+++ b/internal/gossip/rows_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -107,3 +108,29 @@
 		})
 	}
 }
+
+// A relay that compresses the same rows for each of its nodes spends most of its processor on it while
+// nodes start. Another version, of either side, must get its own rows.
+func TestBuildMessage_CompressesRowsOncePerVersion(t *testing.T) {
+	now := time.Now()
+	g := newRowsGossiper(now)
+	rows := endpointRows(2000)
+	g.directory.ApplySnapshot(rows[:1000], 1000, now)
+	message := func(since uint64) *peers.ShareMessage {
+		p := &peer{id: "n/1", address: "10.0.0.1:1", dataCentre: g.config.DataCentre, lastHeard: now, hasSent: true, readsCompressedRows: true, rows: since}
+		return g.buildMessage(p)
+	}
+	rowsOfMessage := func(m *peers.ShareMessage) []table.Row {
+		rows, err := decodeRows(m)
+		require.NoError(t, err)
+		return rows
+	}
+	first := message(100)
+	require.Same(t, &first.CompressedRows[0], &message(100).CompressedRows[0])
+	require.ElementsMatch(t, rows[100:1000], rowsOfMessage(first))
+	require.ElementsMatch(t, rows[200:1000], rowsOfMessage(message(200)))
+
+	g.directory.ApplyChanges(rows[1000:], 1000, 2000, now)
+	require.ElementsMatch(t, rows[100:2000], rowsOfMessage(message(100)))
+	require.Len(t, g.compressedRows.bySince, 1, "rows up to an earlier version are dropped")
+}
