--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -48,7 +48,6 @@
 	TimeFactor float64
 }
 
-// buildView indexes the endpoints for routing.
 // viewInput is what a view is built from.
 type viewInput struct {
 	configuration *serving.Configuration
@@ -57,6 +56,7 @@
 	evacuated     map[serving.DataCentre]bool
 }
 
+// buildView indexes the endpoints for routing.
 func buildView(in viewInput) *View {
 	c := in.configuration
 	v := &View{
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -44,7 +44,6 @@
 	require.Same(t, d.View(), d.View())
 }
 
-// BenchmarkObservations applies 219 observations and builds a view.
 // Guards against reading the previous view while another goroutine builds the next: an endpoint that
 // has just left its group would count as a member, and the group be dissolved a second time.
 func TestView_ConcurrentReadersSeeLatestChange(t *testing.T) {
