--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -124,7 +124,8 @@
 	return false
 }
 
-// isFailure reports whether a request with this status may be retried elsewhere.
+// isFailure reports whether a response with this status is a failure, after which the request may be
+// retried elsewhere.
 func isFailure(status int) bool {
 	return status >= http.StatusInternalServerError || impliesNotRun(status)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,8 +36,8 @@
 	StallAfter time.Duration
 	// MaxRequests bounds the requests in flight.
 	MaxRequests int
-	// MaxBuffered bounds the bytes of responses that are buffered before they are relayed; larger
-	// ones are relayed as they arrive, and cannot be retried then.
+	// MaxBuffered bounds the bytes of responses that are buffered before they are relayed. Larger
+	// ones are relayed as they arrive, and cannot be retried then, unless their status is a failure.
 	MaxBuffered int64
 }
 
