quarantinetable: forget expired rows while another node synchronizes

A node that reads the table when it starts and never writes it collected the fingerprints of all rows that expired. The node that writes removes them.

TestQuarantineTable_SuspendForgetsExpiredRows.

--- a/internal/quarantinetable/table.go
+++ b/internal/quarantinetable/table.go
@@ -89,8 +89,9 @@
 // Load reads the table and reports whether that succeeded.
 func (t *Table) Load(ctx context.Context) bool { return t.readTable(ctx) }
 
-// Suspend makes the next Sync read the table again. It is called while another node synchronizes it.
-func (t *Table) Suspend() { t.lastRead = time.Time{} }
+// Suspend makes the next Sync read the table again. It is called while another node synchronizes it,
+// which also removes the rows of expired records.
+func (t *Table) Suspend() { t.lastRead, t.expired = time.Time{}, nil }
 
 // Sync makes the calls that are due: an initial read, reads while another data centre is
 // unreachable, and a commit if there are pending changes.
--- a/internal/quarantinetable/table_test.go
+++ b/internal/quarantinetable/table_test.go
@@ -97,6 +97,23 @@
 	require.True(t, allowed)
 }
 
+// A node that reads the table and never writes it must not collect the rows that expire.
+func TestQuarantineTable_SuspendForgetsExpiredRows(t *testing.T) {
+	store := memtable.New()
+	writer := newTestTable(store, true)
+	writer.addCrashes(1, 1, 2, 3)
+	writer.run(t.Context(), time.Second)
+	reader := newTestTable(store, true)
+	require.True(t, reader.Load(t.Context()))
+	reader.Expire(reader.now.Add(2 * time.Hour))
+	require.Len(t, reader.expired, 1)
+	reader.Suspend()
+	require.Empty(t, reader.expired)
+	writer.Expire(writer.now.Add(2 * time.Hour))
+	writer.run(t.Context(), time.Second)
+	require.Empty(t, rowsOf(t, store))
+}
+
 // Partitioned data centres exchange records through the table.
 func TestQuarantineTable_BridgesPartition(t *testing.T) {
 	store := memtable.New()
