--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,7 +50,6 @@
 	// memoryLimitFraction is the fraction of the memory limit that is given to the Go runtime;
 	// kernel buffers count towards the limit as well.
 	memoryLimitFraction = 0.75
-	gcPercent           = 100
 	cleanupInterval     = time.Second
 	// responseMemoryDivisor is the part of the memory limit that responses to slow callers may take,
 	// and also that of responses which are buffered before they are relayed.
@@ -96,7 +95,6 @@
 
 // Start starts an entry instance.
 func Start(s *Settings, a Adapter) (*Entry, error) {
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	links := link.Bounds{Source: s.source(), DialTimeout: link.DefaultDialTimeout, SilenceTimeout: s.Silence}
 	incarnation := s.Node + incarnationSeparator + xid.New().String()
