--- a/internal/gossip/rows_test.go
+++ b/internal/gossip/rows_test.go
@@ -16,13 +16,13 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-// endpointRows returns the rows of model workers in groups of twelve, as the platform has them.
+// endpointRows returns the rows of endpoints in groups of twelve, about as large as a platform's.
 func endpointRows(n int) []table.Row {
 	rows := make([]table.Row, 0, n)
 	for i := range n {
-		value := fmt.Sprintf(`{"model_list":[{"name":"xaxa259685","generation_id":1}],"pending":[],"fault_domain":"wien-a-rack-%d",`+
-			`"group":{"name":"wien-a-1-%d","epoch":%d,"rank":%d,"lifecycle":"open"},"born":%d,"backend":"lm-pool","address":"10.3.%d.%d:8425",`+
-			`"zone_name":"wien-a","capacity_slots":48,"lifecycle":"available","sequence":%d,"cold_remaining_ms":0}`,
+		value := fmt.Sprintf(`{"loaded_models":[{"model":"xaxa259685","version":1}],"staged_models":[],"domain":"wien-a-rack-%d",`+
+			`"group":{"name":"wien-a-1-%d","epoch":%d,"rank":%d,"state":"open"},"started_at":%d,"service":"lm-pool","address":"10.3.%d.%d:8425",`+
+			`"data_centre":"wien-a","slots":48,"state":"available","writes":%d,"cold_for_milliseconds":0}`,
 			i/14, i/12, 100_000+i/12, i%12, 1_776_800_000_000+i*7919, i/250, i%250, i%20)
 		rows = append(rows, table.Row{Key: fmt.Sprintf("i-%010x", i*2654435761%(1<<40)), Value: []byte(value), Version: uint64(i + 1)})
 	}
