admission: plan and gate for overload

No decision limited what all nodes together send to a pool, priorities had no effect, and nothing bounded the share of a workspace. Plan computes from the pool's state the fraction of the arrivals that is admitted, by level and workspace, and Gate applies it to single requests by error diffusion.

The limit ends at once below Occupancy, so the utilization swings.

--- /dev/null
+++ b/pkg/admission/levels.go
@@ -0,0 +1,104 @@
+package admission
+
+// levelPlan holds the fractions of one level.
+type levelPlan struct {
+	level Level
+	// precedence is the fraction of the returning requests that are admitted
+	// before the workspaces' shares are computed.
+	precedence float64
+	named      []workspaceFraction
+	unnamed    float64 // the fraction of all other workspaces
+}
+
+type workspaceFraction struct {
+	workspace uint32
+	fraction  float64
+}
+
+func (l *levelPlan) fraction(workspace uint32, returning bool) (fraction float64, named bool) {
+	fraction = l.unnamed
+	for i := range l.named {
+		if l.named[i].workspace == workspace {
+			fraction, named = l.named[i].fraction, true
+			break
+		}
+	}
+	if returning {
+		fraction = l.precedence + (1-l.precedence)*fraction
+	}
+	return fraction, named
+}
+
+// allocate divides the admissible rate among the levels. Each level first gets
+// its minimum; the rest is allocated in order of urgency.
+func (p *Plan) allocate(demand []LevelDemand, policy Policy, limit limit) {
+	total := 0.0
+	for i := range demand {
+		total += demandOf(&demand[i], limit.byTokens)
+	}
+	admissible := limit.fraction * total
+	minimum := admissible * min(policy.MinShare, 1/float64(len(demand)))
+	rest := admissible
+	for i := range demand {
+		rest -= min(demandOf(&demand[i], limit.byTokens), minimum)
+	}
+	for i := range demand {
+		wanted := demandOf(&demand[i], limit.byTokens)
+		granted := min(wanted, minimum)
+		extra := min(wanted-granted, max(rest, 0))
+		rest -= extra
+		p.addLevel(&demand[i], ratio(granted+extra, wanted), policy)
+	}
+}
+
+// demandOf returns the demand of a level in units of the scarcer resource.
+func demandOf(d *LevelDemand, byTokens bool) float64 {
+	if byTokens {
+		return d.Tokens
+	}
+	return d.requests()
+}
+
+// addLevel appends the fractions of a level that gets the given fraction of its
+// demand. Returning requests have precedence in a part of it.
+func (p *Plan) addLevel(d *LevelDemand, fraction float64, policy Policy) {
+	l := p.nextLevel()
+	l.level = d.Level
+	granted := fraction * d.requests()
+	preferred := min(d.Returning, policy.ReturnShare*granted)
+	l.precedence = ratio(preferred, d.Returning)
+	// The evidence doesn't separate a workspace's returning requests, so the
+	// preferred ones are deducted from all workspaces in proportion.
+	remaining := ratio(d.requests()-preferred, d.requests())
+	p.claims = appendClaims(p.claims[:0], d, remaining)
+	share := maxMinShare(p.claims, granted-preferred)
+	for i := range d.Workspaces {
+		w := &d.Workspaces[i]
+		own := min(ratio(share, w.Requests*remaining), 1)
+		l.named = append(l.named, workspaceFraction{w.Workspace, own})
+	}
+	l.unnamed = fraction
+	if len(p.claims) > 0 {
+		l.unnamed = min(ratio(share, p.claims[0].demand), 1)
+	}
+}
+
+// nextLevel extends the levels by one that keeps the memory of an earlier plan.
+func (p *Plan) nextLevel() *levelPlan {
+	n := len(p.levels)
+	if n == cap(p.levels) {
+		p.levels = append(p.levels, levelPlan{})
+	}
+	p.levels = p.levels[:n+1]
+	l := &p.levels[n]
+	l.named = l.named[:0]
+	return l
+}
+
+// ratio returns part/whole, or 1 if there is no whole.
+func ratio(part, whole float64) float64 {
+	if whole <= 0 {
+		return 1
+	}
+	return part / whole
+}
--- /dev/null
+++ b/pkg/admission/plan_test.go
@@ -0,0 +1,131 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// overloaded returns the state of a pool of which slots admit 80 requests/s.
+func overloaded(demand ...LevelDemand) PoolState {
+	return PoolState{Slots: 100, Running: 95, Starts: 100, Demand: demand, ReadRate: 1000, Slack: 250 * time.Millisecond}
+}
+
+func level(l Level, requests, returning float64, workspaces ...WorkspaceDemand) LevelDemand {
+	rates := Rates{New: requests - returning, Returning: returning, Tokens: 10 * requests}
+	return LevelDemand{Level: l, Rates: rates, Workspaces: workspaces}
+}
+
+// A calm pool must not shed, and wrong evidence must not stop a pool for good.
+func TestPlanUpdate_Limit(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*PoolState)
+		want   float64
+	}{
+		{"slots short", func(*PoolState) {}, 0.4},
+		{"at occupancy", func(s *PoolState) { s.Running = 85 }, 1},
+		{"a fifth of the starts remains", func(s *PoolState) { s.Running = 10000 }, 0.1},
+		{"no starts", func(s *PoolState) { s.Starts = 0 }, 1},
+		{"no slots", func(s *PoolState) { s.Slots = 0 }, 0.1},
+		{"enough for all", func(s *PoolState) { s.Starts = 300 }, 1},
+		{"prompts short", func(s *PoolState) { s.TokensRead, s.Unread = 600, 150 }, 0.25},
+		{"prompts at target", func(s *PoolState) { s.Running, s.TokensRead, s.Unread = 80, 600, 100 }, 1},
+		{"a fifth of the tokens remains", func(s *PoolState) { s.TokensRead, s.Unread = 600, 10000 }, 0.06},
+		{"least slack", func(s *PoolState) { s.Slack, s.Running, s.TokensRead, s.Unread = 0, 0, 600, 8 }, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := overloaded(level(1, 200, 0))
+			test.change(&s)
+			var p Plan
+			p.Update(s, DefaultPolicy())
+			assert.InDelta(t, test.want, p.Fraction(1, 7, false), 1e-9)
+			assert.Equal(t, test.want < 1, p.Short())
+		})
+	}
+}
+
+// The admissible rate must be used in full, by urgency, with a minimum for each level.
+func TestPlanFraction_Classes(t *testing.T) {
+	workspaces := []WorkspaceDemand{{1, 60}, {2, 10}}
+	s := overloaded(level(0, 50, 0), level(1, 100, 50, workspaces...), level(2, 80, 0), level(3, 2, 0))
+	var p Plan
+	for range 2 { // the second time in used memory
+		p.Update(s, DefaultPolicy())
+	}
+	assert.Equal(t, 1.0, p.Fraction(0, 1, false))
+	assert.InDelta(t, 4.0/80, p.Fraction(2, 1, false), 1e-9, "minimum of a level")
+	assert.Equal(t, 1.0, p.Fraction(3, 1, false), "demand below the minimum")
+	assert.Equal(t, 1.0, p.Fraction(9, 1, false), "level without demand")
+	// Level 1 gets 24, of which 3.6 is for returning requests first. The rest is
+	// five equal shares: workspace 1, workspace 2 and three of its size for others.
+	assert.InDelta(t, 20.4/5/(60*0.964), p.Fraction(1, 1, false), 1e-9)
+	assert.InDelta(t, 20.4/5/(10*0.964), p.Fraction(1, 2, false), 1e-9)
+	assert.Equal(t, p.Fraction(1, 2, false), p.Fraction(1, 99, false), "workspace that is not named")
+	first := 3.6 / 50
+	assert.InDelta(t, first+(1-first)*p.Fraction(1, 1, false), p.Fraction(1, 1, true), 1e-9)
+}
+
+// Small demands must be met in full and nothing of the capacity be lost.
+func TestMaxMinShare(t *testing.T) {
+	claims := []claim{{1, 1, 1}, {2, 4, 2}, {3, 10, 1}}
+	for capacity, want := range map[float64]float64{-1: 0, 0: 0, 2: 0.5, 10: 3, 14: 5, 50: 10} {
+		assert.InDelta(t, want, maxMinShare(claims, capacity), 1e-9, "capacity %v", capacity)
+	}
+}
+
+// A node with three requests per second must keep to the fraction, and nodes
+// must not all reject their first request.
+func TestGateAdmit_KeepsToFraction(t *testing.T) {
+	var p Plan
+	p.Update(overloaded(level(1, 200, 0)), DefaultPolicy())
+	first, random := 0, rand.New(rand.NewPCG(1, 2))
+	for range 85 {
+		admitted, gate := 0, NewGate(random)
+		for i := range 3 * 10 {
+			if gate.Admit(&p, 1, uint32(i), false) {
+				admitted++
+			}
+			if i == 0 {
+				first += admitted
+			}
+		}
+		assert.InDelta(t, 0.4*30, admitted, 1)
+	}
+	assert.InDelta(t, 0.4*85, first, 12)
+}
+
+// largeState returns the evidence of 24 workspaces at 3 levels.
+func largeState() PoolState {
+	s := overloaded()
+	for l := range Level(3) {
+		d := level(l, 100, 10)
+		for i := range 24 {
+			d.Workspaces = append(d.Workspaces, WorkspaceDemand{uint32(i * 7 % 24), float64(i * 5 % 17)})
+		}
+		s.Demand = append(s.Demand, d)
+	}
+	return s
+}
+
+func BenchmarkPlanUpdate(b *testing.B) {
+	b.ReportAllocs()
+	var p Plan
+	s := largeState()
+	for b.Loop() {
+		p.Update(s, DefaultPolicy())
+	}
+}
+
+func BenchmarkGateAdmit(b *testing.B) {
+	b.ReportAllocs()
+	var p Plan
+	p.Update(largeState(), DefaultPolicy())
+	gate := NewGate(rand.New(rand.NewPCG(1, 2)))
+	for b.Loop() {
+		gate.Admit(&p, 2, 5, false)
+	}
+}
