admission: schedule of return times with promises

Retry-After was a constant, so all callers rejected in a peak returned during that peak. Returns gives the drain time if there is a backlog only, else a time spread over a window, and limits by time slots what a node promises. Machine reserves its retry times with the same type; its behaviour is unchanged.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -7,7 +7,12 @@
 // on arrival with a Retry-After time. These times are reserved one after the
 // other, so that callers who obey them find a free slot.
 //
-// Machine is pure: it has no clock, goroutine or socket.
+// The second core decides under overload on requests that are relayed to pools
+// shared by all nodes, without a queue. Plan computes which fraction of the
+// arrivals a pool can serve, Gate applies it to single requests, and Returns
+// schedules when rejected callers return.
+//
+// The package is pure: it has no clock, goroutine or socket.
 package admission
 
 import (
@@ -145,8 +150,8 @@
 	// retryShare is the moving average of the share of retries among started
 	// requests; new requests get the rest of the rate.
 	retryShare float64
-	// nextRetryAt is the first retry time that is not reserved yet.
-	nextRetryAt time.Time
+	// retries holds the retry times that are reserved.
+	retries reservation
 }
 
 func (w *workspace) queued() int {
@@ -269,11 +274,7 @@
 // reserves a later time, so that rejected callers don't retry all at once.
 func (p *pool) reserveRetryTime(now time.Time, w *workspace, wait time.Duration) time.Duration {
 	step := time.Duration(float64(time.Second) / p.rate(w))
-	at := now.Add(wait)
-	if w.nextRetryAt.After(at) {
-		at = w.nextRetryAt
-	}
-	w.nextRetryAt = at.Add(step)
+	at := w.retries.reserve(now.Add(wait), step)
 	return clampRetry(at.Sub(now))
 }
 
