gossip: exchange the rates of pools between nodes

Overload control needs the demand and the starts of a pool at all nodes. Rates travel as demand does: each node sends its own, relays the sum of others. A sum carries the time of its evidence, so that a node without a relay finds it stale. Messages are unchanged while no source or callback is set. Invalid entries are dropped with one log line for a message.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -26,6 +26,7 @@
 	if len(m.GetDemand())+len(m.GetRelayedDemand()) > 0 {
 		g.demandReported.Store(true)
 	}
+	ownRates, relayedRates := g.decodeRates(m)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if after > before {
@@ -68,8 +69,8 @@
 	p.observationsSeen = m.GetObservationsSeen()
 	g.quarantine.ApplyDelta(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
 	g.throttle.ApplyDelta(&p.advisories, m.GetAdvisories(), "node "+m.GetFrom().GetId(), now)
-	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand())}
-	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand())}
+	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand()), ownRates}
+	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand()), relayedRates}
 	p.suspects = p.suspects[:0]
 	for _, id := range m.GetSuspects() {
 		p.suspects = append(p.suspects, serving.EndpointID(id))
@@ -121,6 +122,7 @@
 	m = &peers.ShareMessage{From: g.self().toNode(), ReadsCompressedRows: true}
 	m.Loads = toLoads(g.balancer.LocalLoads(now), now)
 	m.Demand = toDemand(g.demand.Rates(now))
+	g.addOwnRates(m, now)
 	for _, id := range g.balancer.Suspects(now) {
 		m.Suspects = append(m.Suspects, string(id))
 	}
@@ -245,4 +247,5 @@
 		addPeerReports(m, g.aggregated)
 	}
 	m.Relayed, m.RelayedDemand = toLoads(relayed.loads, now), toDemand(relayed.demand)
+	g.addRelayedRates(m, relayed.rates)
 }
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -132,6 +132,7 @@
 	directory       *directory.Directory
 	balancer        *relay.Balancer
 	demand          *relay.Demand
+	rates           RateExchange
 	budget          *relay.Budget
 	quarantine      *quarantine.Quarantine
 	quarantineTable *quarantinetable.Table
@@ -230,6 +231,7 @@
 	Directory *directory.Directory
 	Balancer  *relay.Balancer
 	Demand    *relay.Demand
+	Rates     RateExchange
 	Budget    *relay.Budget
 	Store     table.Store
 	Links     link.Bounds
@@ -243,6 +245,7 @@
 		directory:       p.Directory,
 		balancer:        p.Balancer,
 		demand:          p.Demand,
+		rates:           p.Rates,
 		budget:          p.Budget,
 		store:           p.Store,
 		client:          peers.NewClient([]byte(c.Key), p.Links),
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -17,8 +17,8 @@
 	return g.dirty || now.Sub(g.lastAggregated) >= maxAggregateAge
 }
 
-// updateAggregates passes the peers' totals and reports to the balancer and the retry budget, and
-// assigns ranks if this node is a relay.
+// updateAggregates passes the peers' totals and reports to the balancer, the retry budget and the
+// user of rates, and assigns ranks if this node is a relay.
 func (g *Gossiper) updateAggregates(now time.Time) {
 	controls := g.controls()
 	own, ownUnreachable := g.balancer.Suspects(now), g.balancer.UnreachableDataCentres(now)
@@ -37,9 +37,11 @@
 		g.aggregated = relay.PeerReports{}
 	}
 	peerReports := g.aggregated
+	ratesAt := g.ratesComputedAt(relays, now)
 	g.mu.Unlock()
 	g.balancer.SetPeerLoads(total.loads)
 	g.balancer.SetPeerReports(peerReports)
+	g.reportPeerRates(total.rates, ratesAt)
 	g.budget.SetNodes(nodes)
 }
 
@@ -88,14 +90,15 @@
 	return out
 }
 
-// work has the loads of endpoints and the demand for models of some nodes.
+// work has the loads of endpoints, the demand for models and the rates of pools of some nodes.
 type work struct {
 	loads  map[serving.EndpointID]relay.PeerLoad
 	demand map[directory.Pool]relay.ModelDemand
+	rates  poolRates
 }
 
 func newWork() work {
-	return work{map[serving.EndpointID]relay.PeerLoad{}, map[directory.Pool]relay.ModelDemand{}}
+	return work{map[serving.EndpointID]relay.PeerLoad{}, map[directory.Pool]relay.ModelDemand{}, poolRates{}}
 }
 
 func (w work) add(other work) {
@@ -105,6 +108,9 @@
 	for pool, d := range other.demand {
 		w.demand[pool] = w.demand[pool].Add(d)
 	}
+	for pool, r := range other.rates {
+		w.rates[pool] = w.rates[pool].Add(r)
+	}
 }
 
 // peerWork sums the work of all nodes except this one and one peer; the caller holds the lock. A
--- /dev/null
+++ b/internal/gossip/rates.go
@@ -0,0 +1,72 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/relay"
+)
+
+// RateExchange connects the exchange of rates to the components that measure and use them. Rates are
+// exchanged only if both Own and OnPeerRates are set. The functions must not call the Gossiper.
+type RateExchange struct {
+	// Own returns the rates measured at this node.
+	Own func(now time.Time) map[directory.Pool]relay.PoolRates
+	// OnPeerRates receives the sum of the rates of all other nodes and the time at which it was
+	// computed: at this node if it is a relay, else that of the relay's last message. It is not
+	// called while this node is no relay and does not hear one, so that its evidence becomes stale.
+	OnPeerRates func(rates map[directory.Pool]relay.PoolRates, at time.Time)
+	// NearlyShort reports whether a pool has little capacity left. Workspaces are sent only then;
+	// they are never sent if it is nil.
+	NearlyShort func(directory.Pool) bool
+}
+
+// enabled reports whether rates are exchanged.
+func (r RateExchange) enabled() bool { return r.Own != nil && r.OnPeerRates != nil }
+
+// addOwnRates adds this node's rates to a message.
+func (g *Gossiper) addOwnRates(m *peers.ShareMessage, now time.Time) {
+	if g.rates.enabled() {
+		m.Rates = toRates(g.rates.Own(now), g.rates.NearlyShort)
+	}
+}
+
+// addRelayedRates adds a sum of other nodes' rates to a message; the caller holds the lock.
+func (g *Gossiper) addRelayedRates(m *peers.ShareMessage, rates poolRates) {
+	if g.rates.enabled() {
+		m.RelayedRates = toRates(rates, g.rates.NearlyShort)
+	}
+}
+
+// decodeRates returns the rates in a message, none if rates are not exchanged.
+func (g *Gossiper) decodeRates(m *peers.ShareMessage) (own, relayed poolRates) {
+	if !g.rates.enabled() {
+		return nil, nil
+	}
+	own, invalidOwn := fromRates(m.GetRates())
+	relayed, invalidRelayed := fromRates(m.GetRelayedRates())
+	if invalid := invalidOwn + invalidRelayed; invalid > 0 {
+		g.log.Warn("invalid rates in a peer's message were dropped", "peer", m.GetFrom().GetId(), "entries", invalid)
+	}
+	return own, relayed
+}
+
+// ratesComputedAt returns when the sum of the peers' rates was computed, zero if no relay is heard;
+// the caller holds the lock.
+func (g *Gossiper) ratesComputedAt(relays bool, now time.Time) time.Time {
+	if relays {
+		return now
+	}
+	if relayNode := g.activeRelay(g.config.DataCentre, now); relayNode != nil {
+		return relayNode.lastHeard
+	}
+	return time.Time{}
+}
+
+// reportPeerRates passes the sum of the peers' rates on.
+func (g *Gossiper) reportPeerRates(rates poolRates, at time.Time) {
+	if g.rates.enabled() && !at.IsZero() {
+		g.rates.OnPeerRates(rates, at)
+	}
+}
