--- a/internal/gossip/gossiper_bench_test.go
+++ b/internal/gossip/gossiper_bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
@@ -25,6 +26,7 @@
 		demand:     relay.NewDemand(),
 		peers:      map[string]*peer{},
 		controller: controls{},
+		throttle:   throttle.NewTracker(throttle.Options{}),
 	}
 	heads := func(first, n int) map[serving.EndpointID]relay.PeerLoad {
 		out := map[serving.EndpointID]relay.PeerLoad{}
