--- a/internal/gossip/gossiper_bench_test.go
+++ b/internal/gossip/gossiper_bench_test.go
@@ -69,6 +69,32 @@
 	b.ReportMetric(float64(size), "bytes/message")
 }
 
+// BenchmarkRelayMessageRates measures a relay's response to one call with rates of all nodes.
+func BenchmarkRelayMessageRates(b *testing.B) {
+	for name, short := range map[string]bool{"calm": false, "short": true} {
+		b.Run(name, func(b *testing.B) {
+			s := newTestRelay(time.Now())
+			s.rates = RateExchange{
+				Own:         func(time.Time) map[directory.Pool]relay.PoolRates { return sampleRates() },
+				OnPeerRates: func(map[directory.Pool]relay.PoolRates, time.Time) {},
+				NearlyShort: func(directory.Pool) bool { return short },
+			}
+			p := s.peers["10.0.0.7:1"]
+			size := 0
+			for range b.N {
+				for _, other := range s.peers {
+					other.lastHeard = time.Now()
+					if other.own.rates == nil {
+						other.own.rates, _ = fromRates(toRates(sampleRates(), s.rates.NearlyShort))
+					}
+				}
+				size = proto.Size(s.buildMessage(p))
+			}
+			b.ReportMetric(float64(size), "bytes/message")
+		})
+	}
+}
+
 // BenchmarkRowsMessage measures a relay's response with a thousand changed rows, to a node whose
 // version of the table many others have as well.
 func BenchmarkRowsMessage(b *testing.B) {
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -101,6 +101,7 @@
 	return work{map[serving.EndpointID]relay.PeerLoad{}, map[directory.Pool]relay.ModelDemand{}, poolRates{}}
 }
 
+// add adds other work to a sum, which must be from newWork since it is modified in place.
 func (w work) add(other work) {
 	for id, l := range other.loads {
 		w.loads[id] = w.loads[id].Add(l)
@@ -109,7 +110,9 @@
 		w.demand[pool] = w.demand[pool].Add(d)
 	}
 	for pool, r := range other.rates {
-		w.rates[pool] = w.rates[pool].Add(r)
+		sum := w.rates[pool]
+		sum.Accumulate(r)
+		w.rates[pool] = sum
 	}
 }
 
--- a/internal/relay/poolrates.go
+++ b/internal/relay/poolrates.go
@@ -8,8 +8,7 @@
 	"github.com/ridgehinge/ridgehinge/pkg/admission"
 )
 
-// PoolRates has the rates of one pool at one or more nodes, per second. Its slices are shared
-// between values and must not be modified.
+// PoolRates has the rates of one pool at one or more nodes, per second.
 type PoolRates struct {
 	// Starts counts first events, TokensRead the prompt tokens of their requests.
 	Starts, TokensRead float64
@@ -23,62 +22,54 @@
 
 // Add returns the sum of the rates of different nodes. Offset becomes the weighted mean.
 func (r PoolRates) Add(other PoolRates) PoolRates {
-	sum := PoolRates{
-		Starts:       r.Starts + other.Starts,
-		TokensRead:   r.TokensRead + other.TokensRead,
-		Levels:       addLevels(r.Levels, other.Levels),
-		OffsetWeight: r.OffsetWeight + other.OffsetWeight,
-	}
-	if sum.OffsetWeight > 0 {
+	var sum PoolRates
+	sum.Accumulate(r)
+	sum.Accumulate(other)
+	return sum
+}
+
+// Accumulate is Add in place, without allocations once r has all levels and workspaces. The slices of
+// r must not be shared.
+func (r *PoolRates) Accumulate(other PoolRates) {
+	r.Starts += other.Starts
+	r.TokensRead += other.TokensRead
+	r.Levels = accumulate(r.Levels, other.Levels, compareLevels, addLevel)
+	if weight := r.OffsetWeight + other.OffsetWeight; weight > 0 {
 		weighted := float64(r.Offset)*r.OffsetWeight + float64(other.Offset)*other.OffsetWeight
-		sum.Offset = time.Duration(weighted / sum.OffsetWeight)
+		r.Offset = time.Duration(weighted / weight)
+		r.OffsetWeight = weight
 	}
-	return sum
 }
 
-// addLevels merges two lists sorted by level.
-func addLevels(a, b []admission.LevelDemand) []admission.LevelDemand {
-	return merge(a, b, compareLevels, func(x, y admission.LevelDemand) admission.LevelDemand {
-		x.New += y.New
-		x.Returning += y.Returning
-		x.Tokens += y.Tokens
-		x.Workspaces = addWorkspaces(x.Workspaces, y.Workspaces)
-		return x
-	})
+// accumulate adds the elements of a sorted list to those of another that compare as equal. Missing
+// elements are inserted with a zero value first.
+func accumulate[T any](sum, other []T, compare func(a, b T) int, add func(sum *T, other T)) []T {
+	i := 0
+	for _, element := range other {
+		for i < len(sum) && compare(sum[i], element) < 0 {
+			i++
+		}
+		if i == len(sum) || compare(sum[i], element) != 0 {
+			var zero T
+			sum = slices.Insert(sum, i, zero)
+		}
+		add(&sum[i], element)
+		i++
+	}
+	return sum
 }
 
-// addWorkspaces merges two lists sorted by hash.
-func addWorkspaces(a, b []admission.WorkspaceDemand) []admission.WorkspaceDemand {
-	return merge(a, b, compareWorkspaces, func(x, y admission.WorkspaceDemand) admission.WorkspaceDemand {
-		x.Requests += y.Requests
-		return x
-	})
+func addLevel(sum *admission.LevelDemand, other admission.LevelDemand) {
+	sum.Level = other.Level
+	sum.New += other.New
+	sum.Returning += other.Returning
+	sum.Tokens += other.Tokens
+	sum.Workspaces = accumulate(sum.Workspaces, other.Workspaces, compareWorkspaces, addWorkspace)
 }
 
-// merge merges two sorted lists without duplicates and adds up equal elements. It returns one of
-// the lists if the other is empty.
-func merge[T any](a, b []T, compare func(T, T) int, add func(T, T) T) []T {
-	if len(a) == 0 {
-		return b
-	}
-	if len(b) == 0 {
-		return a
-	}
-	out := make([]T, 0, max(len(a), len(b)))
-	for len(a) > 0 && len(b) > 0 {
-		order := compare(a[0], b[0])
-		switch {
-		case order < 0:
-			out, a = append(out, a[0]), a[1:]
-		case order > 0:
-			out, b = append(out, b[0]), b[1:]
-		default:
-			out = append(out, add(a[0], b[0]))
-			a, b = a[1:], b[1:]
-		}
-	}
-	out = append(out, a...)
-	return append(out, b...)
+func addWorkspace(sum *admission.WorkspaceDemand, other admission.WorkspaceDemand) {
+	sum.Workspace = other.Workspace
+	sum.Requests += other.Requests
 }
 
 // LargestWorkspaces returns the n workspaces with the highest rates, sorted by hash. Of equal ones
