--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -26,6 +26,7 @@
 	if len(m.GetDemand())+len(m.GetRelayedDemand()) > 0 {
 		g.demandReported.Store(true)
 	}
+	ownRates, relayedRates := g.decodeRates(m)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if after > before {
@@ -68,8 +69,8 @@
 	p.observationsSeen = m.GetObservationsSeen()
 	g.quarantine.ApplyDelta(&p.quarantine, m.GetQuarantine(), "node "+m.GetFrom().GetId(), now)
 	g.throttle.ApplyDelta(&p.advisories, m.GetAdvisories(), "node "+m.GetFrom().GetId(), now)
-	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand())}
-	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand())}
+	p.own = work{fromLoads(m.GetLoads(), now), fromDemand(m.GetDemand()), ownRates}
+	p.relayed = work{fromLoads(m.GetRelayed(), now), fromDemand(m.GetRelayedDemand()), relayedRates}
 	p.suspects = p.suspects[:0]
 	for _, id := range m.GetSuspects() {
 		p.suspects = append(p.suspects, serving.EndpointID(id))
@@ -121,6 +122,8 @@
 	m = &peers.ShareMessage{From: g.self().toNode(), ReadsCompressedRows: true}
 	m.Loads = toLoads(g.balancer.LocalLoads(now), now)
 	m.Demand = toDemand(g.demand.Rates(now))
+	ownRates := g.ownRates(now)
+	m.Rates = toRates(ownRates, g.rates.NearlyShort)
 	for _, id := range g.balancer.Suspects(now) {
 		m.Suspects = append(m.Suspects, string(id))
 	}
@@ -138,7 +141,7 @@
 	if p == nil {
 		return m, false
 	}
-	g.addRelayed(m, p, now)
+	g.addRelayed(m, p, ownRates, now)
 	g.addObservations(m, p, now)
 	g.addEvacuations(m, p, now)
 	m.Quarantine = g.quarantine.Delta(&p.quarantine, now)
@@ -230,7 +233,7 @@
 }
 
 // addRelayed adds the totals and reports that a relay sends to a peer; the caller holds the lock.
-func (g *Gossiper) addRelayed(m *peers.ShareMessage, p *peer, now time.Time) {
+func (g *Gossiper) addRelayed(m *peers.ShareMessage, p *peer, ownRates poolRates, now time.Time) {
 	if !g.isRelay(m.Controls, now) {
 		return
 	}
@@ -245,4 +248,5 @@
 		addPeerReports(m, g.aggregated)
 	}
 	m.Relayed, m.RelayedDemand = toLoads(relayed.loads, now), toDemand(relayed.demand)
+	g.addRelayedRates(m, p, ownRates, relayed)
 }
