relay: predict first events with the learnt offset

Requests were admitted that the engine's unstated constant time made late: the predicted 45 ms were 163 ms at empty groups.

With first_offset the prediction includes the offset of the pool. Only first attempts at groups that were idle as far as known are samples, so that queueing is not taken for a constant. The setting is off by default.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -24,6 +24,8 @@
 	rotation int
 	random   *rand.Rand
 	weights  Weights
+	// offsets is used only with Weights.FirstOffset.
+	offsets *Offsets
 	// onSuspect is called when an endpoint becomes suspect.
 	onSuspect func()
 	// hold returns why an endpoint must not be sent requests now.
@@ -43,7 +45,7 @@
 // NewBalancer returns a balancer for a node in the given data centre. Each node must pass a
 // differently seeded source, so that nodes choose independently.
 func NewBalancer(home serving.DataCentre, source rand.Source, weights Weights) *Balancer {
-	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remoteState{}, random: rand.New(source), weights: weights, onSuspect: func() {},
+	return &Balancer{home: home, loads: map[serving.EndpointID]*load{}, remotes: map[serving.DataCentre]*remoteState{}, random: rand.New(source), weights: weights, offsets: NewOffsets(), onSuspect: func() {},
 		hold: func(*serving.Endpoint, time.Time) throttle.Hold { return throttle.HoldNone }}
 }
 
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -76,7 +76,9 @@
 	}
 	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
 	heads := view.Heads[pool]
-	choice := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, c.attempts > 0, now)
+	size := c.size()
+	size.Offset = c.options.Balancer.FirstOffset(pool, now)
+	choice := c.options.Balancer.ChooseHead(heads, size, c.failed, c.attempts > 0, now)
 	if choice.Head != nil {
 		return target{choice.Head.Endpoint, choice.Predicted, choice.Head}, rejection{}
 	}
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -36,6 +36,9 @@
 	ObservedPace bool
 	// SharedEvents counts events that an endpoint sends to other nodes as signs of liveness.
 	SharedEvents bool
+	// FirstOffset adds to the predicted time to the first event by how much earlier ones of the
+	// pool exceeded it: an engine may need a constant time that its description does not state.
+	FirstOffset bool
 }
 
 // DefaultWeights are the weights used unless settings override them.
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -13,6 +13,8 @@
 	Output int
 	// Objective is the target for the time to the first event.
 	Objective time.Duration
+	// Offset is the time by which first events of the pool usually exceed the engine's description.
+	Offset time.Duration
 }
 
 // isLate reports whether the first event is predicted so late that the caller should retry instead.
@@ -25,6 +27,8 @@
 	// First is the time to the first event, Gap the longest usual time between events.
 	First time.Duration
 	Gap   time.Duration
+	// Offset is the part of First that is learnt from earlier requests.
+	Offset time.Duration
 	// Running is the number of requests there, Unread the number of their prompt tokens that
 	// are not processed yet.
 	Running int
@@ -65,9 +69,37 @@
 	first := steps/2 + reading(unread+s.Prompt) + time.Duration(passes)*steps
 	gap := steps + reading(min(chunk, unread+s.Prompt))
 	return Prediction{
-		First:   time.Duration(float64(first) * h.TimeFactor),
+		First:   time.Duration(float64(first)*h.TimeFactor) + s.Offset,
 		Gap:     time.Duration(float64(gap) * h.TimeFactor),
+		Offset:  s.Offset,
 		Running: running,
 		Unread:  unread,
 	}
 }
+
+// idleFraction is the fraction of its slots below which a group counts as idle.
+const idleFraction = 0.25
+
+// isIdle reports whether a group had so little work, as far as known, that the load is no reason
+// for a first event later than predicted.
+func isIdle(p Prediction, slots int) bool {
+	return p.Unread == 0 && float64(p.Running) < idleFraction*float64(slots)
+}
+
+// Offsets returns the learnt offsets, for the exchange with other nodes.
+func (b *Balancer) Offsets() *Offsets { return b.offsets }
+
+// FirstOffset returns the offset that predictions for a pool include, zero if it is turned off.
+func (b *Balancer) FirstOffset(pool directory.Pool, now time.Time) time.Duration {
+	if !b.weights.FirstOffset {
+		return 0
+	}
+	return b.offsets.InUse(pool, now)
+}
+
+// recordOffset adds a sample of the time to the first event.
+func (b *Balancer) recordOffset(pool directory.Pool, predicted Prediction, took time.Duration, now time.Time) {
+	if b.weights.FirstOffset {
+		b.offsets.Record(pool, took-(predicted.First-predicted.Offset), now)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 )
 
@@ -40,6 +41,7 @@
 		}
 		now := time.Now()
 		active.recordEvent(now)
+		c.recordOffset(t, active, now)
 		if !follows(e.id, c.lastEvent) {
 			c.logAttempt(t, "a broken stream", errEventOrder)
 			return resultIncomplete
@@ -63,7 +65,7 @@
 		if c.attempts == 1 {
 			c.recordInTime(now.Sub(c.start) <= c.route.Objective, now)
 		}
-		c.log.Debug("first event", "request", c.attrs.ID, "model", c.attrs.Model, "endpoint", string(t.ID), "predicted", t.predicted.First,
+		c.log.Debug("first event", "request", c.attrs.ID, "model", c.attrs.Model, "endpoint", string(t.ID), "predicted", t.predicted.First, "offset", t.predicted.Offset,
 			"running", t.predicted.Running, "unread", t.predicted.Unread, "prompt", c.attrs.PromptTokens, "took", now.Sub(c.start))
 		c.beginResponse(http.StatusOK, answer)
 	}
@@ -76,3 +78,12 @@
 	}
 	return true
 }
+
+// recordOffset adds the time to the first event of a first attempt to the samples of its pool.
+func (c *call) recordOffset(t target, active *activeRequest, now time.Time) {
+	if c.responseStarted || c.attempts != 1 || t.head == nil || !isIdle(t.predicted, t.head.Slots) {
+		return
+	}
+	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
+	c.options.Balancer.recordOffset(pool, t.predicted, now.Sub(active.sentAt), now)
+}
