relay: draw groups with few free slots less often

The loads of other nodes are up to 0.4 s old. In that time all nodes sent to the few groups that seemed to have free slots, and what exceeded the slots waited in the engines' queues.

With free_weight the draw multiplies a group's weight by twice its fraction of free slots, between 0.1 and 1. The setting is off by default.

--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -74,6 +74,7 @@
 			ObservedPace:       p.Bool("observed_pace", relay.DefaultWeights.ObservedPace),
 			SharedEvents:       p.Bool("shared_events", relay.DefaultWeights.SharedEvents),
 			FirstOffset:        p.Bool("first_offset", relay.DefaultWeights.FirstOffset),
+			FreeWeight:         p.Bool("free_weight", relay.DefaultWeights.FreeWeight),
 		},
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, minDuration, maxDuration),
 		RelyOnPeers:   p.Duration("rely_on_peers", watch.RelyOnPeers, minDuration, maxDuration),
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -46,12 +46,13 @@
 	require.False(t, s.Policy.Relay.SkipUnreachable)
 	require.Equal(t, time.Second, s.Policy.watchOptions().EndpointPause)
 
-	s, err = Parse("entry.ini", []byte(minimal+"failures = suspect\nshared_events = no\nobserved_pace = no\ncorrected_demand = no\nshare_nodes = 4\nfirst_offset = yes\n"))
+	s, err = Parse("entry.ini", []byte(minimal+"failures = suspect\nshared_events = no\nobserved_pace = no\ncorrected_demand = no\nshare_nodes = 4\nfirst_offset = yes\nfree_weight = yes\n"))
 	require.NoError(t, err)
 	require.Equal(t, health.Suspect, s.Policy.Relay.Failures)
 	require.False(t, s.Policy.Relay.SharedEvents)
 	require.False(t, s.Policy.Relay.ObservedPace)
 	require.True(t, s.Policy.Relay.FirstOffset)
+	require.True(t, s.Policy.Relay.FreeWeight)
 	require.False(t, s.Policy.Groups.CorrectForLateness)
 	require.Equal(t, 4, s.Policy.FullRateNodes)
 }
@@ -68,7 +69,7 @@
 }
 
 func TestParse_RejectsInvalidPolicy(t *testing.T) {
-	for _, wrong := range []string{"headroom = 0.5", "headroom = many", "home_weight = 2", "takeover_gain = -1", "late_factor = 0", "overload_return = 0s", "across_domains = maybe", "lease_outage = 2h", "headrom = 2", "failures = sometimes", "shared_events = perhaps", "observed_pace = 2", "corrected_demand = 0.5", "share_nodes = 0", "first_offset = 20ms"} {
+	for _, wrong := range []string{"headroom = 0.5", "headroom = many", "home_weight = 2", "takeover_gain = -1", "late_factor = 0", "overload_return = 0s", "across_domains = maybe", "lease_outage = 2h", "headrom = 2", "failures = sometimes", "shared_events = perhaps", "observed_pace = 2", "corrected_demand = 0.5", "share_nodes = 0", "first_offset = 20ms", "free_weight = 2"} {
 		t.Run(wrong, func(t *testing.T) {
 			_, err := Parse("entry.ini", []byte(minimal+wrong))
 			require.ErrorContains(t, err, "policy")
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -39,6 +39,8 @@
 	// FirstOffset adds to the predicted time to the first event by how much earlier ones of the
 	// pool exceeded it: an engine may need a constant time that its description does not state.
 	FirstOffset bool
+	// FreeWeight draws groups with few free slots less often: they may be full already.
+	FreeWeight bool
 }
 
 // DefaultWeights are the weights used unless settings override them.
@@ -158,7 +160,7 @@
 	head      *directory.Head
 	predicted Prediction
 	score     time.Duration
-	// health is the factor by which failures reduce the weight.
+	// health is the factor by which failures, a cold period and few free slots reduce the weight.
 	health float64
 }
 
@@ -175,9 +177,26 @@
 	if h.ColdLimit(now) > 0 {
 		c.health *= coldWeight
 	}
+	if b.weights.FreeWeight {
+		c.health *= freeWeight(predicted.Running, h.Slots)
+	}
 	return c
 }
 
+const (
+	// fullFreeWeightFraction is the fraction of free slots from which a group has its full weight.
+	fullFreeWeightFraction = 0.5
+	// minFreeWeight keeps groups usable that are known to be nearly full.
+	minFreeWeight = 0.1
+)
+
+// freeWeight returns the factor for the weight of a group by its free slots. The loads of other
+// nodes are known with a delay, in which all nodes together can fill the few free slots.
+func freeWeight(running, slots int) float64 {
+	free := float64(slots-running) / float64(max(1, slots))
+	return min(1, max(minFreeWeight, free/fullFreeWeightFraction))
+}
+
 // coldWeight reduces the weight of a cold group, so that its limit is not used up while warm groups
 // have room.
 const coldWeight = 0.5
