entry: show the learnt offset of first events as a metric

The gauge first_offset_seconds has the offset in use by service and model, so that a rejection as late can be compared with what the node has learnt.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -300,6 +300,9 @@
 	e.metrics.Set("connections_opened", float64(e.upstream.Opened()))
 	e.metrics.Set("log_lines_dropped", float64(logging.Dropped()))
 	e.metrics.Set("controls", controls)
+	for pool, offset := range e.balancer.FirstOffsets(time.Now()) {
+		e.metrics.SetTagged("first_offset_seconds", map[string]string{"service": pool.Service, "model": pool.Model}, offset.Seconds())
+	}
 }
 
 // countCold returns the number of endpoints whose requests are limited because they are cold.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -86,6 +86,11 @@
 	m.scope.Gauge(name).Update(value)
 }
 
+// SetTagged sets a gauge with tags. The tags must have few distinct values.
+func (m *Metrics) SetTagged(name string, tags map[string]string, value float64) {
+	m.scope.Tagged(tags).Gauge(name).Update(value)
+}
+
 // AddByteCounter adds a byte counter of one kind of control connection to the metrics.
 func (m *Metrics) AddByteCounter(link string, counter *bytecount.Counter) {
 	m.mu.Lock()
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -97,6 +97,14 @@
 	return b.offsets.InUse(pool, now)
 }
 
+// FirstOffsets returns the offset that predictions include for each pool, none if it is turned off.
+func (b *Balancer) FirstOffsets(now time.Time) map[directory.Pool]time.Duration {
+	if !b.weights.FirstOffset {
+		return nil
+	}
+	return b.offsets.AllInUse(now)
+}
+
 // recordOffset adds a sample of the time to the first event.
 func (b *Balancer) recordOffset(pool directory.Pool, predicted Prediction, took time.Duration, now time.Time) {
 	if b.weights.FirstOffset {
--- a/internal/relay/predict_test.go
+++ b/internal/relay/predict_test.go
@@ -57,10 +57,12 @@
 			after := choose()
 			if !enabled {
 				require.Equal(t, before, after)
+				require.Empty(t, b.FirstOffsets(now))
 				return
 			}
 			require.Nil(t, after.Head)
 			require.Equal(t, 1, after.Late)
+			require.Equal(t, b.FirstOffset(testPool, now), b.FirstOffsets(now)[testPool])
 		})
 	}
 }
