relay: shed load of short pools by priority and fair share (wiring)

Callers of a peak were all late, because nothing limited what all nodes together sent to a pool. Each node now admits its part of what the pool's groups can begin, from rates and loads that the nodes exchange; the rest is rejected at once with a return time. Not measured yet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,10 +114,12 @@
 	e.store = store
 	demand := relay.NewDemand()
 	e.budget = relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
+	overload, rates := e.newOverload()
 	e.gossip = gossip.New(s.gossipConfig(incarnation), gossip.Parts{
 		Directory: e.directory,
 		Balancer:  e.balancer,
 		Demand:    demand,
+		Rates:     rates,
 		Budget:    e.budget,
 		Store:     e.store,
 		Links:     links,
@@ -131,6 +133,7 @@
 		Balancer:    e.balancer,
 		Demand:      demand,
 		Budget:      e.budget,
+		Overload:    overload,
 		Quarantine:  e.gossip.Quarantine(),
 		Throttle:    e.gossip.Throttle(),
 		Clock:       e.clock,
@@ -174,6 +177,21 @@
 	return e, nil
 }
 
+// newOverload returns the overload control and its exchange with the peers, nothing if it is turned
+// off.
+func (e *Entry) newOverload() (*relay.Overload, gossip.RateExchange) {
+	if !e.settings.Policy.OverloadControl {
+		return nil, gossip.RateExchange{}
+	}
+	source := rand.NewPCG(rand.Uint64(), rand.Uint64())
+	overload := relay.NewOverload(e.settings.Policy.Overload, relay.NewArrivals(), e.balancer, source)
+	return overload, gossip.RateExchange{
+		Own:         overload.OwnRates,
+		OnPeerRates: overload.SetPeerRates,
+		NearlyShort: overload.NearlyShort,
+	}
+}
+
 // observe applies the advisories in the response to a control call. Responses without an
 // incarnation are attributed to the listed one.
 func (e *Entry) observe(o advisory.Observation) {
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -8,6 +8,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/inicheck"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/pkg/admission"
 	"github.com/ridgehinge/ridgehinge/pkg/health"
 )
 
@@ -24,6 +25,9 @@
 	Groups groupcontrol.Weights
 	// Relay has the weights for distributing and rejecting requests.
 	Relay relay.Weights
+	// OverloadControl sheds load while a pool has more demand than it can serve, by Overload.
+	OverloadControl bool
+	Overload        admission.Policy
 	// EndpointPause is the time between two reads of the endpoint table by the node that reads
 	// it for its data centre; RelyOnPeers is how long the others wait for its rows before they
 	// read the table themselves.
@@ -76,9 +80,24 @@
 			FirstOffset:        p.Bool("first_offset", relay.DefaultWeights.FirstOffset),
 			FreeWeight:         p.Bool("free_weight", relay.DefaultWeights.FreeWeight),
 		},
-		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, minDuration, maxDuration),
-		RelyOnPeers:   p.Duration("rely_on_peers", watch.RelyOnPeers, minDuration, maxDuration),
-		FullRateNodes: p.Int("share_nodes", gossip.DefaultFullRateNodes, 1, 10_000),
+		OverloadControl: p.Bool("overload_control", false),
+		Overload:        readOverload(p),
+		EndpointPause:   p.Duration("endpoint_pause", watch.EndpointPause, minDuration, maxDuration),
+		RelyOnPeers:     p.Duration("rely_on_peers", watch.RelyOnPeers, minDuration, maxDuration),
+		FullRateNodes:   p.Int("share_nodes", gossip.DefaultFullRateNodes, 1, 10_000),
+	}
+}
+
+// readOverload reads the settings of overload control.
+func readOverload(p *inicheck.Section) admission.Policy {
+	const minCorrection, maxCorrection = 10 * time.Millisecond, time.Minute
+	d := admission.DefaultPolicy()
+	return admission.Policy{
+		Occupancy:   p.Float("overload_occupancy", d.Occupancy, 0.1, 2),
+		Backlog:     p.Float("overload_backlog", d.Backlog, 0.01, 10),
+		Correction:  p.Duration("overload_correction", d.Correction, minCorrection, maxCorrection),
+		MinShare:    p.Float("min_share", d.MinShare, 0, 0.5),
+		ReturnShare: p.Float("return_share", d.ReturnShare, 0, 1),
 	}
 }
 
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -34,7 +34,6 @@
 type poolArrivals struct {
 	starts, tokensRead decayingSum
 	levels             [maxLevel + 1]*levelArrivals
-	offset             offsetEstimate
 }
 
 // levelArrivals has the rates of one level of a pool.
@@ -69,13 +68,6 @@
 	p.tokensRead.add(perSecond(tokens), arrivalWindow, now)
 }
 
-// RecordOffset records by how much the time to one first event exceeded its prediction.
-func (a *Arrivals) RecordOffset(pool directory.Pool, offset time.Duration, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.pool(pool).offset.record(offset, now)
-}
-
 // Rates returns the rates of each pool, with the MaxNamedWorkspaces largest workspaces of each
 // level.
 func (a *Arrivals) Rates(now time.Time) map[directory.Pool]PoolRates {
@@ -88,6 +80,16 @@
 	return out
 }
 
+// PoolRates returns the rates of one pool.
+func (a *Arrivals) PoolRates(pool directory.Pool, now time.Time) PoolRates {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p := a.pools[pool]; p != nil {
+		return p.rates(now)
+	}
+	return PoolRates{}
+}
+
 // perSecond returns what a count adds to a rate.
 func perSecond(count int) float64 { return float64(max(0, count)) / arrivalWindow.Seconds() }
 
@@ -113,10 +115,8 @@
 // rates returns the rates as of now.
 func (p *poolArrivals) rates(now time.Time) PoolRates {
 	out := PoolRates{
-		Starts:       p.starts.at(arrivalWindow, now),
-		TokensRead:   p.tokensRead.at(arrivalWindow, now),
-		Offset:       p.offset.estimate,
-		OffsetWeight: p.offset.weight.at(offsetWindow, now),
+		Starts:     p.starts.at(arrivalWindow, now),
+		TokensRead: p.tokensRead.at(arrivalWindow, now),
 	}
 	for level, l := range p.levels {
 		if l != nil {
--- a/internal/relay/arrivals_test.go
+++ b/internal/relay/arrivals_test.go
@@ -58,33 +58,6 @@
 	require.Empty(t, l.workspaces)
 }
 
-// Guards against an estimate that follows the mean instead of a low percentile, or leaves its bounds.
-func TestArrivals_TracksOffset(t *testing.T) {
-	tests := map[string]struct {
-		sample   func(i int) time.Duration
-		low, top time.Duration
-	}{
-		"constant":        {func(int) time.Duration { return 115 * time.Millisecond }, 95 * time.Millisecond, 135 * time.Millisecond},
-		"half are late":   {func(i int) time.Duration { return time.Duration(i%2) * time.Second }, 0, 20 * time.Millisecond},
-		"early":           {func(int) time.Duration { return -time.Second }, 0, 0},
-		"beyond maximum":  {func(int) time.Duration { return time.Minute }, maxOffset, maxOffset},
-		"exact forecasts": {func(int) time.Duration { return 0 }, 0, 0},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			a := NewArrivals()
-			now := time.Unix(1000, 0)
-			for i := range 1000 {
-				a.RecordOffset(arrivalsPool, test.sample(i), now)
-			}
-			r := a.Rates(now.Add(offsetWindow))[arrivalsPool]
-			require.InEpsilon(t, 368, r.OffsetWeight, 0.01)
-			require.GreaterOrEqual(t, r.Offset, test.low)
-			require.LessOrEqual(t, r.Offset, test.top)
-		})
-	}
-}
-
 // Guards against sums that lose or repeat a level or workspace, and that change their operands.
 func TestPoolRates_Add(t *testing.T) {
 	level := func(l admission.Level, rate float64, workspaces ...admission.WorkspaceDemand) admission.LevelDemand {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,6 +52,7 @@
 			Workspace: c.workspace,
 			LastEvent: c.lastEvent,
 			Urgent:    c.attempts > 0,
+			Priority:  c.priority(),
 		}),
 		Body:          c.in.Body,
 		NewConnection: c.attempts > 0 || !c.route.Repeatable() && c.options.Balancer.isFailing(t.Endpoint, now),
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -41,6 +41,7 @@
 	causeQuarantine = "requests like this one have ended the endpoints that ran them"
 	causeLimited    = "the endpoints left have no permit of their rate limits"
 	causeEvacuated  = "the data centres that could serve it are evacuated"
+	causeOverload   = "the pool has more demand than it can serve"
 	causeCooldown   = "the endpoints left have asked for a cooldown"
 )
 
@@ -76,9 +77,7 @@
 	}
 	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
 	heads := view.Heads[pool]
-	size := c.size()
-	size.Offset = c.options.Balancer.FirstOffset(pool, now)
-	choice := c.options.Balancer.ChooseHead(heads, size, c.failed, c.attempts > 0, now)
+	choice := c.options.Balancer.ChooseHead(heads, c.sizeFor(pool, now), c.failed, c.attempts > 0, now)
 	if choice.Head != nil {
 		return target{choice.Head.Endpoint, choice.Predicted, choice.Head}, rejection{}
 	}
@@ -90,7 +89,7 @@
 		reason.cause = causeNoGroup
 	case choice.Full+choice.Late > 0:
 		reason.cause = causeFull
-		reason.retryAfter = c.options.Balancer.weights.OverloadRetryAfter
+		reason.retryAfter = c.overloadRetryAfter(now)
 	case choice.CoolingDown+choice.Limited > 0:
 		reason = c.holdRejection(endpointsOf(heads), now)
 		reason.choice = choice
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -15,10 +15,15 @@
 	Objective time.Duration
 	// Offset is the time by which first events of the pool usually exceed the engine's description.
 	Offset time.Duration
+	// Strict counts a first event after the objective as too late.
+	Strict bool
 }
 
 // isLate reports whether the first event is predicted so late that the caller should retry instead.
 func (s RequestSize) isLate(p Prediction, factor float64) bool {
+	if s.Strict {
+		factor = 1
+	}
 	return s.Objective > 0 && float64(p.First) > factor*float64(s.Objective)
 }
 
@@ -111,3 +116,21 @@
 		b.offsets.Record(pool, took-(predicted.First-predicted.Offset), now)
 	}
 }
+
+// earliestFirst returns the earliest time to the first event predicted for any group that can serve
+// requests, and false if there is none.
+func (b *Balancer) earliestFirst(heads []*directory.Head, s RequestSize, now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	earliest, found := time.Duration(0), false
+	for _, h := range heads {
+		l := b.load(h.ID)
+		if h.Incomplete || now.Before(l.suspectUntil) || b.isUnreachable(h.DataCentre, now) {
+			continue
+		}
+		if first := predict(h, l, s).First; !found || first < earliest {
+			earliest, found = first, true
+		}
+	}
+	return earliest, found
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,8 @@
 	View       func() *directory.View
 	Balancer   *Balancer
 	Budget     *Budget
+	// Overload sheds load while a pool is short; nil turns it off.
+	Overload   *Overload
 	Demand     *Demand
 	Quarantine *quarantine.Quarantine
 	// Throttle tracks the cooldowns, rate limits and draining that endpoints advertise.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -14,6 +14,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 	"github.com/ridgehinge/ridgehinge/internal/invariant"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
+	"github.com/ridgehinge/ridgehinge/pkg/admission"
 	"github.com/ridgehinge/ridgehinge/pkg/quarantine"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -40,6 +41,8 @@
 	route     *serving.Route
 	service   string
 	workspace string
+	// level is the urgency of the request: the priority of its workspace, else of its route.
+	level admission.Level
 	// fingerprint is the same for all requests by which a caller retries the same work.
 	fingerprint quarantine.Fingerprint
 	class       *metrics.Class
@@ -102,7 +105,9 @@
 	defer cancel()
 	c.lastEvent = c.attrs.LastEvent
 	r.options.Budget.RecordRequest(c.service, c.start)
-	c.attemptAll(ctx)
+	if !c.shed(time.Now()) {
+		c.attemptAll(ctx)
+	}
 	c.class.Total.RecordDuration(time.Since(c.start))
 	c.class.Outcome(string(c.outcome))
 }
@@ -163,6 +168,9 @@
 			return false
 		}
 		c.workspace = workspace.Name
+		c.level = level(c.route, workspace)
+	} else {
+		c.level = level(c.route, serving.Workspace{})
 	}
 	c.service = c.route.Service(xxh3.HashString(c.attrs.ID))
 	c.fingerprint = c.computeFingerprint()
@@ -356,7 +364,7 @@
 		route = c.route.Name
 	}
 	c.log.Info("a request was not served", "request", c.attrs.ID, "content", c.fingerprint, "route", route, "model", c.attrs.Model, "workspace", c.workspace,
-		"outcome", string(c.outcome), "cause", reason.cause, "retry_after", reason.retryAfter, "sends", c.attempts, "may_have_run", c.mayHaveRun, "events", c.events,
+		"outcome", string(c.outcome), "cause", reason.cause, "level", c.level, "returning", c.route != nil && c.isReturning(), "retry_after", reason.retryAfter, "sends", c.attempts, "may_have_run", c.mayHaveRun, "events", c.events,
 		"failed", c.failed, "took", time.Since(c.start), "configuration", c.configurationVersion(),
 		"groups", reason.choice.Groups, "full", reason.choice.Full, "late", reason.choice.Late, "suspected", reason.choice.Suspected, "incomplete", reason.choice.Incomplete, "limited", reason.choice.Limited, "evacuated", reason.evacuated, "cooling_down", reason.choice.CoolingDown, "draining", reason.choice.Draining,
 		"full_own", reason.choice.LeastFull.Own, "full_peers", reason.choice.LeastFull.Peers, "full_slots", reason.choice.LeastFull.Slots, "peers_age", reason.choice.LeastFull.PeersAge)
@@ -366,6 +374,9 @@
 func (c *call) reject(reason rejection) {
 	invariant.Check(!c.mayHaveRun, invariant.NotRun, "request %s, %s", c.attrs.ID, reason.cause)
 	c.outcome = outcomeRejected
+	if c.route != nil {
+		c.countReturn("rejected")
+	}
 	c.respond(http.StatusServiceUnavailable, reason.cause, reason.retryAfter)
 	c.logUnserved(reason)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -62,6 +62,7 @@
 		answer := c.options.Wire.CallerHeader(header)
 		delete(answer, "Content-Length")
 		c.class.FirstToken.RecordDuration(now.Sub(c.start))
+		c.recordStart(now)
 		if c.attempts == 1 {
 			c.recordInTime(now.Sub(c.start) <= c.route.Objective, now)
 		}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/pkg/admission"
 	"github.com/ridgehinge/ridgehinge/pkg/advisory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
@@ -65,6 +66,8 @@
 	LastEvent string
 	// Urgent is set for retries, which are admitted first.
 	Urgent bool
+	// Priority orders requests at the endpoint if it is set.
+	Priority *admission.Level
 }
 
 // Verdict is what an endpoint's response states about the request.
--- a/pkg/admission/plan.go
+++ b/pkg/admission/plan.go
@@ -72,9 +72,9 @@
 // DefaultPolicy returns the default settings.
 func DefaultPolicy() Policy {
 	return Policy{
-		Occupancy:   0.85,
+		Occupancy:   0.95,
 		Backlog:     0.4,
-		Correction:  500 * time.Millisecond,
+		Correction:  time.Second,
 		MinShare:    0.05,
 		ReturnShare: 0.15,
 	}
@@ -92,10 +92,10 @@
 // Plan holds the fractions of arriving requests that a pool admits. The zero
 // value admits all requests. A plan is not safe for use during Update.
 //
-// The limit on slots applies above Occupancy only. With evidence that is 0.3 s
-// old, a pool that falls below Occupancy admits all requests for as long, so a
-// demand far above the capacity makes the utilization swing, and urgent requests
-// are rejected as well while the excess is corrected.
+// A pool becomes short above the targets only. While it is short, the same
+// formula applies below them: without it, a pool with a demand far above its
+// capacity would admit all requests for as long as the evidence is old, and the
+// utilization would swing.
 type Plan struct {
 	short   bool
 	outlook Outlook
@@ -107,7 +107,7 @@
 func (p *Plan) Update(s PoolState, policy Policy) {
 	p.levels = p.levels[:0]
 	arrivals := s.arrivals()
-	limit := limitOf(&s, policy, arrivals)
+	limit := limitOf(&s, policy, arrivals, p.short)
 	p.short = limit.fraction < 1
 	p.outlook = newOutlook(&s, policy, arrivals, limit.fraction)
 	if !p.short {
@@ -144,15 +144,15 @@
 	byTokens bool // the scarcer resource is prompt reading
 }
 
-func limitOf(s *PoolState, policy Policy, arrivals Rates) limit {
+func limitOf(s *PoolState, policy Policy, arrivals Rates, wasShort bool) limit {
 	if s.Starts <= 0 || arrivals.requests() <= 0 {
 		return limit{fraction: math.Inf(1)}
 	}
-	bySlots := slotRate(s, policy) / arrivals.requests()
+	bySlots := slotRate(s, policy, wasShort) / arrivals.requests()
 	if s.TokensRead <= 0 || arrivals.Tokens <= 0 {
 		return limit{fraction: bySlots}
 	}
-	byTokens := tokenRate(s, policy) / arrivals.Tokens
+	byTokens := tokenRate(s, policy, wasShort) / arrivals.Tokens
 	if byTokens < bySlots {
 		return limit{fraction: byTokens, byTokens: true}
 	}
@@ -160,19 +160,19 @@
 }
 
 // slotRate returns the requests per second that the slots admit.
-func slotRate(s *PoolState, policy Policy) float64 {
-	return correctedRate(s.Starts, excessRunning(s, policy), policy)
+func slotRate(s *PoolState, policy Policy, wasShort bool) float64 {
+	return correctedRate(s.Starts, excessRunning(s, policy), policy, wasShort)
 }
 
 // tokenRate returns the prompt tokens per second that prompt reading admits.
-func tokenRate(s *PoolState, policy Policy) float64 {
-	return correctedRate(s.TokensRead, excessUnread(s, policy), policy)
+func tokenRate(s *PoolState, policy Policy, wasShort bool) float64 {
+	return correctedRate(s.TokensRead, excessUnread(s, policy), policy, wasShort)
 }
 
 // correctedRate returns the rate that removes the excess within the
-// correction time. Without excess there is no limit.
-func correctedRate(current, excess float64, policy Policy) float64 {
-	if excess <= 0 {
+// correction time. Without excess there is no limit unless the pool was short.
+func correctedRate(current, excess float64, policy Policy, wasShort bool) float64 {
+	if excess <= 0 && !wasShort {
 		return math.Inf(1)
 	}
 	corrected := current - excess/policy.Correction.Seconds()
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -26,6 +26,11 @@
 	// minReturn is the least return time. Plans are updated at this interval, so
 	// a caller that returns sooner meets the same decision.
 	minReturn = 100 * time.Millisecond
+	// minAdmittedFraction of the callers must be admitted for a return within the objective. Below
+	// it, many callers would be rejected twice, and few return a second time.
+	minAdmittedFraction = 0.6
+	// minObjectiveSlack is the least time that the objective must leave for a second attempt.
+	minObjectiveSlack = 60 * time.Millisecond
 	// goldenRatio is the fractional part of the golden ratio. Its multiples
 	// modulo 1 cover an interval evenly at any count.
 	goldenRatio = 0.6180339887498949
@@ -53,6 +58,7 @@
 	Timeout    time.Duration // of the route, 0 for none
 	Objective  time.Duration // of the route for the first event, 0 for none
 	FirstEvent time.Duration // predicted time to first event
+	Returning  bool          // it has been rejected before
 }
 
 // drains reports whether there is a backlog only.
@@ -95,11 +101,26 @@
 			return drained, true
 		}
 		begin = min(max(begin, drained), end)
+	} else if after, ok := r.withinObjective(o, c); ok {
+		r.book(now.Add(after), step)
+		return after, true
 	}
 	after = r.spread(now, begin, end, step)
 	return after, o.drains() && o.Drain <= after
 }
 
+// withinObjective returns a time that leaves a second attempt enough time to meet the objective, if
+// most callers are admitted: nearly all of them are served in time then.
+func (r *Returns) withinObjective(o Outlook, c Caller) (time.Duration, bool) {
+	slack := c.Objective - c.FirstEvent
+	if c.Returning || slack < minObjectiveSlack || o.Admissible < minAdmittedFraction*o.Arrivals {
+		return 0, false
+	}
+	r.position = fractional(r.position + goldenRatio)
+	begin := slack / 3
+	return begin + scaled(slack/2-begin, r.position), true
+}
+
 // promiseStep returns the time that one promise takes up at a rate of returns
 // per second.
 func promiseStep(rate float64) time.Duration {
