admission: return callers within their objective under mild overload

While most requests are admitted, a second attempt within the objective is nearly always served in time; a caller that returns seconds later is late in any case.

--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -113,7 +113,7 @@
 // most callers are admitted: nearly all of them are served in time then.
 func (r *Returns) withinObjective(o Outlook, c Caller) (time.Duration, bool) {
 	slack := c.Objective - c.FirstEvent
-	if c.Returning || slack < minObjectiveSlack || o.Admissible < minAdmittedFraction*o.Arrivals {
+	if c.Returning || slack < minObjectiveSlack || o.Arrivals <= 0 || o.Admissible < minAdmittedFraction*o.Arrivals {
 		return 0, false
 	}
 	r.position = fractional(r.position + goldenRatio)
--- a/pkg/admission/returns_test.go
+++ b/pkg/admission/returns_test.go
@@ -20,6 +20,10 @@
 	drains := func(d time.Duration) Outlook {
 		return Outlook{Arrivals: 200, Admissible: math.Inf(1), ReturnShare: 0.15, Drain: d}
 	}
+	mild := overload
+	mild.Admissible = 150
+	back := caller
+	back.Returning = true
 	late := caller
 	late.Remaining = 900 * ms
 	tests := []struct {
@@ -30,6 +34,8 @@
 		predicted bool
 	}{
 		{"overload", overload, caller, 1200 * ms, 2 * time.Second, false},
+		{"most are admitted", mild, caller, 80 * ms, 120 * ms, true},
+		{"most are admitted, second time", mild, back, 1200 * ms, 2 * time.Second, false},
 		{"no evidence", Outlook{}, caller, 1200 * ms, 2 * time.Second, false},
 		{"window ends before it begins", overload, late, 300 * ms, 300 * ms, false},
 		{"deadline passed", overload, Caller{Remaining: -1}, 0, 0, false},
