--- a/pkg/admission/feedback_test.go
+++ b/pkg/admission/feedback_test.go
@@ -87,7 +87,7 @@
 		s.observe()
 		for i, n := range s.nodes {
 			if (step+i)%simPlanEvery == 0 {
-				n.plan.Update(n.group.history[0], DefaultPolicy())
+				n.plan.Update(n.group.history[0], testPolicy)
 			}
 		}
 		if surge {
@@ -207,7 +207,7 @@
 		s := newSimulation(nodes, 0, workspaces(0.8*simCapacity, 1.3/0.8))
 		s.run()
 		assert.Greater(t, s.foundSlot/s.admitted, 0.9, "%d nodes", nodes)
-		assert.InDelta(t, DefaultPolicy().Occupancy, s.utilization/s.steps, 0.07, "%d nodes", nodes)
+		assert.InDelta(t, testPolicy.Occupancy, s.utilization/s.steps, 0.07, "%d nodes", nodes)
 	}
 }
 
--- a/pkg/admission/plan_test.go
+++ b/pkg/admission/plan_test.go
@@ -8,6 +8,9 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// testPolicy keeps the expected figures independent of the default settings.
+var testPolicy = Policy{Occupancy: 0.85, Backlog: 0.4, Correction: 500 * time.Millisecond, MinShare: 0.05, ReturnShare: 0.15}
+
 // overloaded returns the state of a pool of which slots admit 80 requests/s.
 func overloaded(demand ...LevelDemand) PoolState {
 	return PoolState{Slots: 100, Running: 95, Starts: 100, Demand: demand, ReadRate: 1000, Slack: 250 * time.Millisecond}
@@ -41,7 +44,7 @@
 			s := overloaded(level(1, 200, 0))
 			test.change(&s)
 			var p Plan
-			p.Update(s, DefaultPolicy())
+			p.Update(s, testPolicy)
 			assert.InDelta(t, test.want, p.Fraction(1, 7, false), 1e-9)
 			assert.Equal(t, test.want < 1, p.Short())
 		})
@@ -54,7 +57,7 @@
 	s := overloaded(level(0, 50, 0), level(1, 100, 50, workspaces...), level(2, 80, 0), level(3, 2, 0))
 	var p Plan
 	for range 2 { // the second time in used memory
-		p.Update(s, DefaultPolicy())
+		p.Update(s, testPolicy)
 	}
 	assert.Equal(t, 1.0, p.Fraction(0, 1, false))
 	assert.InDelta(t, 4.0/80, p.Fraction(2, 1, false), 1e-9, "minimum of a level")
@@ -81,7 +84,7 @@
 // must not all reject their first request.
 func TestGateAdmit_KeepsToFraction(t *testing.T) {
 	var p Plan
-	p.Update(overloaded(level(1, 200, 0)), DefaultPolicy())
+	p.Update(overloaded(level(1, 200, 0)), testPolicy)
 	first, random := 0, rand.New(rand.NewPCG(1, 2))
 	for range 85 {
 		admitted, gate := 0, NewGate(random)
@@ -116,14 +119,14 @@
 	var p Plan
 	s := largeState()
 	for b.Loop() {
-		p.Update(s, DefaultPolicy())
+		p.Update(s, testPolicy)
 	}
 }
 
 func BenchmarkGateAdmit(b *testing.B) {
 	b.ReportAllocs()
 	var p Plan
-	p.Update(largeState(), DefaultPolicy())
+	p.Update(largeState(), testPolicy)
 	gate := NewGate(rand.New(rand.NewPCG(1, 2)))
 	for b.Loop() {
 		gate.Admit(&p, 2, 5, false)
