--- /dev/null
+++ b/pkg/serving/region.go
@@ -0,0 +1,4 @@
+package serving
+
+// Region is the name of a region. Each data centre is in at most one region.
+type Region string
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -57,6 +57,9 @@
 	Public bool
 	// Resumable streams may be resumed at another endpoint.
 	Resumable bool
+	// AllowedRegions limits the route's requests to endpoints in data centres of these regions. Nil
+	// means no limit; an empty list allows no region.
+	AllowedRegions []Region
 }
 
 // Repeatable reports whether a request may be sent again after it may have
@@ -144,6 +147,8 @@
 	// Priority takes precedence over the route's if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions limits the workspace's requests as Route.AllowedRegions does; both limits apply.
+	AllowedRegions []Region
 }
 
 // Limits bound callers' requests.
