relay: limit requests to the allowed regions

Routes and workspaces may name the regions whose endpoints may get their requests. The settings give the region of each data centre ([node] regions). The relay chooses only among allowed endpoints at each attempt, checks again before the first byte, and rejects what none of them can serve with a cause of its own. A line names allowed regions that no data centre has.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,8 @@
 	stopping   atomic.Bool
 	// totalSuspended is the time for which the machine was suspended, at the last check.
 	totalSuspended time.Duration
+	// regionsChecked is the configuration whose allowed regions were checked last.
+	regionsChecked *serving.Configuration
 	cancel         context.CancelFunc
 	// cancelControl stops the controller before the rest.
 	cancelControl context.CancelFunc
@@ -125,6 +127,7 @@
 	})
 	e.relay = relay.New(relay.Options{
 		DataCentre:  s.DataCentre,
+		Regions:     s.Regions,
 		Wire:        a.Wire,
 		Upstream:    e.upstream,
 		View:        e.directory.View,
@@ -255,6 +258,7 @@
 	e.balancer.Forget(listed)
 	e.gossip.Throttle().Forget(listed, now)
 	e.upstream.Prune(now)
+	e.checkRegions()
 	e.reportState()
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -22,6 +22,8 @@
 	DataCentres int
 	// DataCentreNames has the names of all data centres.
 	DataCentreNames []serving.DataCentre
+	// Regions has the region of each data centre, as far as known.
+	Regions map[serving.DataCentre]serving.Region
 	// Cores is the number of processor cores that the process may use.
 	Cores float64
 	// FirstStart is set when the whole system starts for the first time.
@@ -105,6 +107,7 @@
 		s.DataCentreNames = append(s.DataCentreNames, serving.DataCentre(name))
 	}
 	s.DataCentres = max(1, len(s.DataCentreNames))
+	s.Regions = readRegions(node)
 	s.FirstStart = node.Bool("first_start", false)
 	listen := f.Section("listen")
 	s.Callers = listen.Address("callers")
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -79,17 +79,21 @@
 const errQuarantined holdError = "request is quarantined"
 
 // checkBeforeSend is the last check before the first byte of a request is sent. The endpoint may
-// have asked for a cooldown, started draining or been evacuated while the request waited for a
-// permit or a connection.
+// have asked for a cooldown, started draining or been evacuated, or the allowed regions may have
+// changed, while the request waited for a permit or a connection.
 func (c *call) checkBeforeSend(t target) error {
 	now := time.Now()
 	hold := c.options.Throttle.Hold(t.Endpoint, now)
 	if hold == throttle.HoldDraining || hold == throttle.HoldCooldown {
 		return c.holdBack(hold.String())
 	}
-	if c.options.View().Evacuated[t.DataCentre] {
+	view := c.options.View()
+	if view.Evacuated[t.DataCentre] {
 		return c.holdBack("evacuation")
 	}
+	if !c.regionLimit(view.Configuration).allows(t.DataCentre) {
+		return c.holdBack("region")
+	}
 	if !c.options.Quarantine.BeginAttempt(c.fingerprint, now) {
 		return errQuarantined
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -26,6 +26,8 @@
 	choice Choice
 	// evacuated has the names of the evacuated data centres, for the log.
 	evacuated string
+	// regions describes the regions that the request is limited to, for the log.
+	regions string
 }
 
 // Causes of rejected and failed requests.
@@ -42,6 +44,7 @@
 	causeLimited    = "the endpoints left have no permit of their rate limits"
 	causeEvacuated  = "the data centres that could serve it are evacuated"
 	causeCooldown   = "the endpoints left have asked for a cooldown"
+	causeRegion     = "no endpoint is left in the allowed regions"
 )
 
 // maxPermitRequests bounds the endpoints for which one request asks for a permit: each takes a
@@ -65,23 +68,31 @@
 func (c *call) pick(now time.Time) (target, rejection) {
 	view := c.options.View()
 	service := view.Configuration.Services[c.service]
+	limit := c.regionLimit(view.Configuration)
 	if service.Engine == nil {
-		e, ok := c.options.Balancer.ChoosePlain(view.Plain[c.service], c.failed, now)
+		endpoints := limit.endpoints(view.Plain[c.service])
+		e, ok := c.options.Balancer.ChoosePlain(endpoints, c.failed, now)
 		if !ok {
-			reason := c.plainRejection(view, now)
+			reason := c.plainRejection(view, endpoints, now)
+			if limit.leavesNone(view.Plain[c.service], c.failed) {
+				reason = rejection{cause: causeRegion, retryAfter: defaultRetryAfter}
+			}
 			reason.evacuated = evacuatedNames(view)
+			reason.regions = limit.String()
 			return target{}, reason
 		}
 		return target{Endpoint: e}, rejection{}
 	}
 	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
-	heads := view.Heads[pool]
+	heads := limit.heads(view.Heads[pool])
 	choice := c.options.Balancer.ChooseHead(heads, c.size(), c.failed, c.attempts > 0, now)
 	if choice.Head != nil {
 		return target{choice.Head.Endpoint, choice.Predicted, choice.Head}, rejection{}
 	}
 	reason := rejection{cause: causeSuspected, retryAfter: defaultRetryAfter, choice: choice}
 	switch {
+	case limit.isSet() && limit.leavesNone(endpointsOf(view.Heads[pool]), c.failed):
+		reason.cause = causeRegion
 	case choice.Groups == 0 && view.Withheld[pool] > 0:
 		reason.cause = causeEvacuated
 	case choice.Groups == 0:
@@ -94,12 +105,12 @@
 		reason.choice = choice
 	}
 	reason.evacuated = evacuatedNames(view)
+	reason.regions = limit.String()
 	return target{}, reason
 }
 
 // plainRejection returns why a request to a plain service has no target.
-func (c *call) plainRejection(view *directory.View, now time.Time) rejection {
-	endpoints := view.Plain[c.service]
+func (c *call) plainRejection(view *directory.View, endpoints []*serving.Endpoint, now time.Time) rejection {
 	isHeld := func(e *serving.Endpoint) bool { return c.options.Throttle.Hold(e, now).Temporary() }
 	switch {
 	case len(endpoints) == 0 && view.Withheld[directory.Pool{Service: c.service}] > 0:
@@ -149,13 +160,13 @@
 
 // awaitTarget picks an endpoint, waiting a little if a stream was interrupted at another one. It
 // does not wait for a cooldown before the response has started: the end of the cooldown is known,
-// and the caller may reach another node.
+// and the caller may reach another node. Nor does it wait then for an endpoint in the allowed regions.
 func (c *call) awaitTarget(ctx context.Context) (target, rejection) {
 	t, reason := c.choose(ctx, time.Now())
 	if t.Endpoint != nil || c.attempts == 0 || c.route.Kind != serving.KindStream {
 		return t, reason
 	}
-	if reason.cause == causeCooldown && !c.responseStarted {
+	if (reason.cause == causeCooldown || reason.cause == causeRegion) && !c.responseStarted {
 		return t, reason
 	}
 	limit := time.NewTimer(resumeWait)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,9 @@
 // Options configures a Relay.
 type Options struct {
 	DataCentre serving.DataCentre
+	// Regions has the region of each data centre. Requests that are limited to regions are not sent
+	// to data centres that are missing here.
+	Regions    map[serving.DataCentre]serving.Region
 	Wire       Wire
 	Upstream   *upstream.Client
 	View       func() *directory.View
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -358,7 +358,7 @@
 	c.log.Info("a request was not served", "request", c.attrs.ID, "content", c.fingerprint, "route", route, "model", c.attrs.Model, "workspace", c.workspace,
 		"outcome", string(c.outcome), "cause", reason.cause, "retry_after", reason.retryAfter, "sends", c.attempts, "may_have_run", c.mayHaveRun, "events", c.events,
 		"failed", c.failed, "took", time.Since(c.start), "configuration", c.configurationVersion(),
-		"groups", reason.choice.Groups, "full", reason.choice.Full, "late", reason.choice.Late, "suspected", reason.choice.Suspected, "incomplete", reason.choice.Incomplete, "limited", reason.choice.Limited, "evacuated", reason.evacuated, "cooling_down", reason.choice.CoolingDown, "draining", reason.choice.Draining,
+		"groups", reason.choice.Groups, "full", reason.choice.Full, "late", reason.choice.Late, "suspected", reason.choice.Suspected, "incomplete", reason.choice.Incomplete, "limited", reason.choice.Limited, "evacuated", reason.evacuated, "regions", reason.regions, "cooling_down", reason.choice.CoolingDown, "draining", reason.choice.Draining,
 		"full_own", reason.choice.LeastFull.Own, "full_peers", reason.choice.LeastFull.Peers, "full_slots", reason.choice.LeastFull.Slots, "peers_age", reason.choice.LeastFull.PeersAge)
 }
 
