upstream: bound the open connections to an endpoint

Cause: nothing limited how many connections a node opens to one endpoint, so many nodes together could exceed what its service allows.

Change: the client counts open connections by address, idle ones and dials included. A request may carry a bound; if it is reached, Send returns an error that wraps ErrNotSent and ErrConnectionBound. A request that needs a new connection takes the place of an idle one. HasIdle and Reused tell about idle connections.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,9 @@
 var (
 	// ErrNotSent means that no byte of the request left this process.
 	ErrNotSent = errors.New("the request was not sent")
+	// ErrConnectionBound means that no more connections to the endpoint may be opened. Errors that
+	// wrap it wrap ErrNotSent too.
+	ErrConnectionBound = errors.New("the bound of open connections is reached")
 	// ErrUnknown means that the request may have run.
 	ErrUnknown = errors.New("the request may have run")
 	// ErrIncomplete means that a response ended before it was complete.
@@ -64,11 +68,14 @@
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	opened  uint64
+	reused  uint64
+	// open has a lock of its own, since connections are closed with and without mu held.
+	open openCounter
 }
 
 // New returns a client without open connections.
 func New(o Options) *Client {
-	return &Client{options: o, idle: map[string][]*conn{}}
+	return &Client{options: o, idle: map[string][]*conn{}, open: openCounter{byAddress: map[string]int{}}}
 }
 
 // Request is one request to an endpoint.
@@ -83,6 +90,9 @@
 	// NewConnection requires a new connection. A failure on a dead reused connection
 	// leaves open whether the request ran; a failed dial does not.
 	NewConnection bool
+	// MaxConnections bounds the open connections to the address, idle ones included; 0 means no
+	// bound. If it is reached, Send returns an error that wraps ErrNotSent and ErrConnectionBound.
+	MaxConnections int
 	// BeforeSend, if set, is called once a connection is open, before the first byte is
 	// written, since the endpoint may have become ineligible during the dial. Send
 	// returns its error wrapped in ErrNotSent.
@@ -94,6 +104,14 @@
 	reader *bufio.Reader
 	// expiresAt is when the endpoint may close the idle connection.
 	expiresAt time.Time
+	// release is called once, when the connection is first closed.
+	release func()
+}
+
+// Close closes the connection, which then no longer counts as open.
+func (k *conn) Close() error {
+	k.release()
+	return k.Conn.Close()
 }
 
 // Opened returns the number of connections opened so far.
@@ -103,6 +121,25 @@
 	return c.opened
 }
 
+// Reused returns the number of requests sent on an idle connection so far.
+func (c *Client) Reused() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reused
+}
+
+// HasIdle reports whether an idle connection to an address exists that has not expired.
+func (c *Client) HasIdle(address string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, kept := range c.idle[address] {
+		if now.Before(kept.expiresAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -149,6 +186,9 @@
 		c.idle[address] = conns[:len(conns)-1]
 		c.mu.Unlock()
 		if time.Now().Before(kept.expiresAt) && kept.alive() {
+			c.mu.Lock()
+			c.reused++
+			c.mu.Unlock()
 			return kept
 		}
 		_ = kept.Close()
@@ -193,21 +233,49 @@
 	c.putIdle(address, k)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+// dial opens a connection, unless limit connections to the address are open; 0 means no limit.
+func (c *Client) dial(ctx context.Context, address string, limit int) (*conn, error) {
+	if !c.acquire(address, limit) {
+		return nil, ErrConnectionBound
+	}
 	raw, err := c.options.Link.Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
+		c.open.release(address)
 		return nil, err
 	}
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	release := sync.OnceFunc(func() { c.open.release(address) })
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), release: release}, nil
+}
+
+// acquire counts a connection that is about to be opened. If the limit is reached, it closes an idle
+// connection instead: a request that needs a new connection does not use the idle ones.
+func (c *Client) acquire(address string, limit int) bool {
+	if c.open.acquire(address, limit) {
+		return true
+	}
+	return c.closeOldestIdle(address) && c.open.acquire(address, limit)
+}
+
+// closeOldestIdle closes the connection to an address that has been idle the longest, if any.
+func (c *Client) closeOldestIdle(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.idle[address]
+	if len(conns) == 0 {
+		return false
+	}
+	_ = conns[0].Close()
+	c.idle[address] = slices.Delete(conns, 0, 1)
+	return true
 }
 
 // Probe opens a connection to an address and closes it. It fails if nothing
 // listens there or the address is unreachable.
 func (c *Client) Probe(ctx context.Context, address string) error {
-	k, err := c.dial(ctx, address)
+	k, err := c.dial(ctx, address, 0)
 	if err != nil {
 		return err
 	}
@@ -226,7 +294,7 @@
 	reused := k != nil
 	if k == nil {
 		var err error
-		if k, err = c.dial(ctx, q.Address); err != nil {
+		if k, err = c.dial(ctx, q.Address, q.MaxConnections); err != nil {
 			return nil, wrapError(ErrNotSent, err)
 		}
 	}
