relay: keep the connections to an endpoint within its service's bound

Cause: the connections of all nodes to an endpoint could exceed max_connections of its service.

A request that finds none goes to another endpoint; if there is none, it is rejected like one that found all groups full. The endpoint does not become suspect. The number of nodes comes from the Gossiper. Off by default. New metric: connections_reused.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -123,6 +123,7 @@
 		Links:     links,
 		Metrics:   e.metrics,
 	})
+	e.balancer.SetNodes(s.Nodes)
 	e.relay = relay.New(relay.Options{
 		DataCentre:  s.DataCentre,
 		Wire:        a.Wire,
@@ -298,6 +299,7 @@
 	e.metrics.Set("endpoints_cooling_down", float64(e.gossip.Throttle().CoolingDown()))
 	e.metrics.Set("requests_in_progress", float64(e.relay.InFlight()))
 	e.metrics.Set("connections_opened", float64(e.upstream.Opened()))
+	e.metrics.Set("connections_reused", float64(e.upstream.Reused()))
 	e.metrics.Set("log_lines_dropped", float64(logging.Dropped()))
 	e.metrics.Set("controls", controls)
 }
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -53,6 +53,10 @@
 	require.False(t, s.Policy.Relay.ObservedPace)
 	require.False(t, s.Policy.Groups.CorrectForLateness)
 	require.Equal(t, 4, s.Policy.FullRateNodes)
+
+	s, err = Parse("entry.ini", []byte(minimal+"connection_bound = yes\n"))
+	require.NoError(t, err)
+	require.True(t, s.Policy.Relay.ConnectionBound)
 }
 
 func TestParse_SilenceSetting(t *testing.T) {
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -41,6 +41,7 @@
 	g.balancer.SetPeerLoads(total.loads)
 	g.balancer.SetPeerReports(peerReports)
 	g.budget.SetNodes(nodes)
+	g.balancer.SetNodes(nodes)
 }
 
 // countNodes estimates the number of nodes of all data centres; the caller holds the lock. A data
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -56,6 +56,8 @@
 		Body:          c.in.Body,
 		NewConnection: c.attempts > 0 || !c.route.Repeatable() && c.options.Balancer.isFailing(t.Endpoint, now),
 		BeforeSend:    func() error { return c.checkBeforeSend(t) },
+
+		MaxConnections: c.options.Balancer.connectionBound(c.view.Configuration.Services[c.service].MaxConnections),
 	}, func(h http.Header) bool { return c.options.Wire.Verdict(h).ID == c.attrs.ID })
 	if errors.Is(err, upstream.ErrNotSent) {
 		return c.handleNotSent(ctx, t, err)
@@ -103,11 +105,16 @@
 }
 
 // handleNotSent handles an attempt of which no byte was sent. The retry budget is refunded, and
-// the endpoint becomes suspect unless this node held the attempt back.
+// the endpoint becomes suspect unless this node held the attempt back or has too many connections to it.
 func (c *call) handleNotSent(ctx context.Context, t target, err error) result {
 	c.options.Budget.Refund(c.service, c.charge, time.Now())
 	c.charge = Charge{}
-	if held := holdError(""); !errors.As(err, &held) {
+	held := holdError("")
+	switch {
+	case errors.Is(err, upstream.ErrConnectionBound):
+		c.atConnectionBound = true
+		c.options.Metrics.Inc("requests_held_back", map[string]string{"by": "connection bound"})
+	case !errors.As(err, &held):
 		c.options.Balancer.Suspect(t.ID, time.Now())
 	}
 	c.logAttempt(t, "not sent", err)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -38,6 +38,8 @@
 	// candidates that only other nodes suspect.
 	candidates    []candidate
 	peerSuspected []candidate
+	// nodes is the number of nodes of all data centres.
+	nodes int
 }
 
 // NewBalancer returns a balancer for a node in the given data centre. Each node must pass a
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -86,7 +86,7 @@
 		reason.cause = causeEvacuated
 	case choice.Groups == 0:
 		reason.cause = causeNoGroup
-	case choice.Full+choice.Late > 0:
+	case choice.Full+choice.Late > 0, c.atConnectionBound:
 		reason.cause = causeFull
 		reason.retryAfter = c.options.Balancer.weights.OverloadRetryAfter
 	case choice.CoolingDown+choice.Limited > 0:
@@ -104,6 +104,8 @@
 	switch {
 	case len(endpoints) == 0 && view.Withheld[directory.Pool{Service: c.service}] > 0:
 		return rejection{cause: causeEvacuated, retryAfter: defaultRetryAfter}
+	case c.atConnectionBound:
+		return rejection{cause: causeFull, retryAfter: c.options.Balancer.weights.OverloadRetryAfter}
 	case !slices.ContainsFunc(endpoints, isHeld):
 		return rejection{cause: causeNoEndpoint, retryAfter: defaultRetryAfter}
 	}
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -36,6 +36,9 @@
 	ObservedPace bool
 	// SharedEvents counts events that an endpoint sends to other nodes as signs of liveness.
 	SharedEvents bool
+	// ConnectionBound bounds the connections of all nodes to an endpoint by its service's
+	// MaxConnections.
+	ConnectionBound bool
 }
 
 // DefaultWeights are the weights used unless settings override them.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -54,6 +54,8 @@
 	rejections int
 	// wasShed is set once an endpoint has rejected the request and asked for a cooldown.
 	wasShed bool
+	// atConnectionBound is set once an endpoint was not used because of the bound on connections.
+	atConnectionBound bool
 	// charge is what the current attempt consumed of the retry budget.
 	charge     Charge
 	mayHaveRun bool
