relay: prefer a stable subset of heads, so that connections are reused

Cause: each request goes to a head drawn from all heads, so with many nodes idle connections expire unused.

Change: with affinity above 1, the weight of preferred heads is multiplied by it, and that of heads with an idle connection. The preferred heads are chosen by rendezvous hashing of node and endpoint among the heads of the pool in the node's data centre; their number follows the node's demand. Off by default.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,6 +124,7 @@
 		Metrics:   e.metrics,
 	})
 	e.balancer.SetNodes(s.Nodes)
+	e.balancer.SetAffinitySources(relay.AffinitySources{Node: s.Node, Demand: demand.Requests, HasIdle: e.upstream.HasIdle})
 	e.relay = relay.New(relay.Options{
 		DataCentre:  s.DataCentre,
 		Wire:        a.Wire,
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -73,6 +73,7 @@
 			Failures:           readFailures(p),
 			ObservedPace:       p.Bool("observed_pace", relay.DefaultWeights.ObservedPace),
 			SharedEvents:       p.Bool("shared_events", relay.DefaultWeights.SharedEvents),
+			Affinity:           p.Float("affinity", relay.DefaultWeights.Affinity, 1, 100),
 			ConnectionBound:    p.Bool("connection_bound", relay.DefaultWeights.ConnectionBound),
 		},
 		EndpointPause: p.Duration("endpoint_pause", watch.EndpointPause, minDuration, maxDuration),
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -54,8 +54,9 @@
 	require.False(t, s.Policy.Groups.CorrectForLateness)
 	require.Equal(t, 4, s.Policy.FullRateNodes)
 
-	s, err = Parse("entry.ini", []byte(minimal+"connection_bound = yes\n"))
+	s, err = Parse("entry.ini", []byte(minimal+"affinity = 8\nconnection_bound = yes\n"))
 	require.NoError(t, err)
+	require.InDelta(t, 8, s.Policy.Relay.Affinity, 0)
 	require.True(t, s.Policy.Relay.ConnectionBound)
 }
 
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -38,6 +38,7 @@
 	// candidates that only other nodes suspect.
 	candidates    []candidate
 	peerSuspected []candidate
+	affinity      affinity
 	// nodes is the number of nodes of all data centres.
 	nodes int
 }
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -109,6 +109,18 @@
 	return out
 }
 
+// Requests returns the requests per second for one pool.
+func (d *Demand) Requests(pool directory.Pool, now time.Time) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rate := d.pools[pool]
+	if rate == nil {
+		return 0
+	}
+	rate.decay(now)
+	return rate.requests / rate.observedFraction(now)
+}
+
 // minObservedFraction bounds the correction of a rate that has just started.
 const minObservedFraction = 0.2
 
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -36,6 +36,9 @@
 	ObservedPace bool
 	// SharedEvents counts events that an endpoint sends to other nodes as signs of liveness.
 	SharedEvents bool
+	// Affinity multiplies the weight of the heads that a node prefers so that connections are
+	// reused, and of those with an idle connection; 1 turns it off.
+	Affinity float64
 	// ConnectionBound bounds the connections of all nodes to an endpoint by its service's
 	// MaxConnections.
 	ConnectionBound bool
@@ -51,6 +54,7 @@
 	Failures:           health.Compare,
 	ObservedPace:       true,
 	SharedEvents:       true,
+	Affinity:           1,
 }
 
 // degradedPenalty keeps requests off a group with a draining member while there is another.
@@ -109,6 +113,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := Choice{Groups: len(heads)}
+	b.selectSubset(heads, now)
 	candidates, peerSuspected := b.candidates[:0], b.peerSuspected[:0]
 	for _, h := range heads {
 		l := b.load(h.ID)
@@ -158,7 +163,7 @@
 	head      *directory.Head
 	predicted Prediction
 	score     time.Duration
-	// health is the factor by which failures reduce the weight.
+	// health is the factor by which failures, a cold start and affinity change the weight.
 	health float64
 }
 
@@ -175,6 +180,7 @@
 	if h.ColdLimit(now) > 0 {
 		c.health *= coldWeight
 	}
+	c.health *= b.affinityWeight(h, now)
 	return c
 }
 
