relay: prefer heads with an idle connection over other preferred heads

Change: the factor of a head with an idle connection is the square of affinity.

Measured in the simulation (85 nodes of 3 requests per second each, 20 heads, idle limit 1.5 s, requests of 0.5 s): 0.27 new connections per request with affinity 8, 0.82 without.

--- a/internal/relay/affinity_test.go
+++ b/internal/relay/affinity_test.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// Guards against connections that expire unused because requests are spread over all heads.
+func TestAffinity_ReusesConnections(t *testing.T) {
+	start := time.Now()
+	rates := make([]float64, 85)
+	for i := range rates {
+		rates[i] = 3
+	}
+	opened := map[float64]float64{}
+	for _, affinity := range []float64{1, 8} {
+		s := newSimulation(20, rates, affinity, start)
+		s.run(start, simWarmUp, simLength)
+		opened[affinity] = s.openedPerRequest()
+		t.Logf("affinity %g: %.2f new connections per request", affinity, opened[affinity])
+	}
+	require.LessOrEqual(t, opened[8], 0.3)
+	require.Greater(t, opened[1], 0.6)
+}
+
 // Guards against a change of one head that moves the connections to others.
 func TestSubset_ChangesByOneHead(t *testing.T) {
 	preferred := func(node string, heads []*directory.Head) map[string]bool {
--- a/internal/relay/prefer.go
+++ b/internal/relay/prefer.go
@@ -68,13 +68,17 @@
 }
 
 // affinityWeight returns the factor for the weight of a head: Weights.Affinity if the head is
-// preferred or has an idle connection.
+// preferred, and its square if the head has an idle connection. With the same factor for both, a
+// preferred head whose connections are all in use competes equally with those that have an idle
+// one, and 0.56 instead of 0.27 connections were opened per request in a simulation of 85 nodes.
 func (b *Balancer) affinityWeight(h *directory.Head, now time.Time) float64 {
 	s := b.affinity.current
-	if s == nil {
+	switch {
+	case s == nil:
 		return 1
-	}
-	if s.preferred[h.ID] || b.affinity.sources.HasIdle(h.Address, now) {
+	case b.affinity.sources.HasIdle(h.Address, now):
+		return b.weights.Affinity * b.weights.Affinity
+	case s.preferred[h.ID]:
 		return b.weights.Affinity
 	}
 	return 1
