upstream: drop idle connections that the endpoint has closed

Cause: an endpoint that closes idle connections earlier than it advertises left them counted as idle and open for up to the idle timeout, so HasIdle reported connections that can't be reused.

Change: Prune closes them as well.

--- a/internal/upstream/bound_test.go
+++ b/internal/upstream/bound_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -36,8 +37,8 @@
 	third, err := sendBounded(t, c, address, false)
 	require.NoError(t, err)
 	for _, r := range []*Response{second, third} {
-		_, _ = r.Read(make([]byte, 10))
-		_, _ = r.Read(make([]byte, 10))
+		_, err = io.ReadAll(r)
+		require.NoError(t, err)
 		r.Close()
 	}
 	require.True(t, c.HasIdle(address, time.Now()))
@@ -67,3 +68,27 @@
 	}
 	require.Zero(t, c.open.count(address))
 }
+
+// Guards against a preference for endpoints whose idle connections are already closed.
+func TestPrune_DropsClosedConnections(t *testing.T) {
+	hangUp := make(chan struct{})
+	address := scriptedServer(t, func(c net.Conn, _ *http.Request, _ int) {
+		_, _ = c.Write([]byte(responseText("1", "yes")))
+		<-hangUp
+		_ = c.Close()
+	})
+	c := testClient()
+	response, err := sendBounded(t, c, address, false)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response)
+	require.NoError(t, err)
+	response.Close()
+	c.Prune(time.Now())
+	require.True(t, c.HasIdle(address, time.Now()), "an open connection is kept")
+	close(hangUp)
+	require.Eventually(t, func() bool {
+		c.Prune(time.Now())
+		return !c.HasIdle(address, time.Now())
+	}, 5*time.Second, 10*time.Millisecond)
+	require.Zero(t, c.open.count(address))
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -152,14 +152,15 @@
 	}
 }
 
-// Prune closes the idle connections that have expired.
+// Prune closes the idle connections that have expired, and those that the endpoint has closed: an
+// endpoint may close them earlier than it advertises, and HasIdle would report them until they expire.
 func (c *Client) Prune(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, conns := range c.idle {
 		kept := conns[:0]
 		for _, candidate := range conns {
-			if now.After(candidate.expiresAt) {
+			if now.After(candidate.expiresAt) || !candidate.alive() {
 				_ = candidate.Close()
 				continue
 			}
