--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -37,7 +37,7 @@
 	// SharedEvents counts events that an endpoint sends to other nodes as signs of liveness.
 	SharedEvents bool
 	// Affinity multiplies the weight of the heads that a node prefers so that connections are
-	// reused, and of those with an idle connection; 1 turns it off.
+	// reused, and its square that of heads with an idle connection; 1 turns it off.
 	Affinity float64
 	// ConnectionBound bounds the connections of all nodes to an endpoint by its service's
 	// MaxConnections.
