--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -79,6 +79,8 @@
 			SharedEvents:       p.Bool("shared_events", relay.DefaultWeights.SharedEvents),
 			FirstOffset:        p.Bool("first_offset", relay.DefaultWeights.FirstOffset),
 			FreeWeight:         p.Bool("free_weight", relay.DefaultWeights.FreeWeight),
+			Affinity:           p.Float("affinity", relay.DefaultWeights.Affinity, 1, 100),
+			ConnectionBound:    p.Bool("connection_bound", relay.DefaultWeights.ConnectionBound),
 		},
 		OverloadControl: p.Bool("overload_control", false),
 		Overload:        readOverload(p),
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -43,6 +43,7 @@
 	g.balancer.SetPeerReports(peerReports)
 	g.reportPeerRates(total.rates, ratesAt)
 	g.budget.SetNodes(nodes)
+	g.balancer.SetNodes(nodes)
 }
 
 // countNodes estimates the number of nodes of all data centres; the caller holds the lock. A data
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -41,6 +41,12 @@
 	FirstOffset bool
 	// FreeWeight draws groups with few free slots less often: they may be full already.
 	FreeWeight bool
+	// Affinity multiplies the weight of the heads that a node prefers so that connections are
+	// reused, and its square that of heads with an idle connection; 1 turns it off.
+	Affinity float64
+	// ConnectionBound bounds the connections of all nodes to an endpoint by its service's
+	// MaxConnections.
+	ConnectionBound bool
 }
 
 // DefaultWeights are the weights used unless settings override them.
@@ -53,6 +59,7 @@
 	Failures:           health.Compare,
 	ObservedPace:       true,
 	SharedEvents:       true,
+	Affinity:           1,
 }
 
 // degradedPenalty keeps requests off a group with a draining member while there is another.
@@ -111,6 +118,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := Choice{Groups: len(heads)}
+	b.selectSubset(heads, now)
 	candidates, peerSuspected := b.candidates[:0], b.peerSuspected[:0]
 	for _, h := range heads {
 		l := b.load(h.ID)
@@ -160,7 +168,8 @@
 	head      *directory.Head
 	predicted Prediction
 	score     time.Duration
-	// health is the factor by which failures, a cold period and few free slots reduce the weight.
+	// health is the factor by which failures, a cold period, few free slots and affinity change the
+	// weight.
 	health float64
 }
 
@@ -180,6 +189,7 @@
 	if b.weights.FreeWeight {
 		c.health *= freeWeight(predicted.Running, h.Slots)
 	}
+	c.health *= b.affinityWeight(h, now)
 	return c
 }
 
