--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,12 +22,12 @@
 	DataCentre serving.DataCentre
 	// Regions has the region of each data centre. Requests that are limited to regions are not sent
 	// to data centres that are missing here.
-	Regions    map[serving.DataCentre]serving.Region
-	Wire       Wire
-	Upstream   *upstream.Client
-	View       func() *directory.View
-	Balancer   *Balancer
-	Budget     *Budget
+	Regions  map[serving.DataCentre]serving.Region
+	Wire     Wire
+	Upstream *upstream.Client
+	View     func() *directory.View
+	Balancer *Balancer
+	Budget   *Budget
 	// Overload sheds load while a pool is short; nil turns it off.
 	Overload   *Overload
 	Demand     *Demand
