relay: follow steps of the demand sooner, and never take idle groups for late

In a trial with logs, the admitted fraction lagged a burst by a second: 703 requests were in flight at 612 slots. The time constant of the rates is half a second now.

--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// arrivalWindow is the time constant of the rates.
-	arrivalWindow = time.Second
+	// arrivalWindow is the time constant of the rates. With a second, the admitted fraction lagged a
+	// step of the demand by so much that 15 in 100 requests beyond the slots were admitted.
+	arrivalWindow = 500 * time.Millisecond
 	// maxLevel is the least urgent level; higher values count as this one.
 	maxLevel = 9
 	// MaxNamedWorkspaces is the number of workspaces that are named for a pool and level.
--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -143,7 +143,7 @@
 			c.addFull(FullLoad{l.running, l.peers.Running, slots, now.Sub(b.peerLoadsAt)})
 		case hold == throttle.HoldRateLimit:
 			c.Limited++
-		case !isRetry && s.isLate(predicted, b.weights.LateFactor):
+		case !isRetry && b.isLate(h, s, predicted):
 			c.Late++
 		case b.isPeerSuspected(h.ID, h.DataCentre, l, now):
 			peerSuspected = append(peerSuspected, b.candidate(h, l, predicted, now))
@@ -163,6 +163,16 @@
 	return c
 }
 
+// isLate reports whether the first event is predicted too late. An idle group never is: no other
+// group could be earlier, and a learned offset that is too large would otherwise keep all requests
+// away that could correct it.
+func (b *Balancer) isLate(h *directory.Head, s RequestSize, predicted Prediction) bool {
+	if b.weights.FirstOffset && isIdle(predicted, h.Slots) {
+		return false
+	}
+	return s.isLate(predicted, b.weights.LateFactor)
+}
+
 // candidate is a group that a request may be sent to.
 type candidate struct {
 	head      *directory.Head
--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -122,14 +122,6 @@
 	return p.gate.Admit(&p.plan, q.level, q.workspace, q.returning)
 }
 
-// IsShort reports whether a pool has more demand than it can serve.
-func (o *Overload) IsShort(pool directory.Pool) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	p := o.pools[pool]
-	return p != nil && p.plan.Short()
-}
-
 // RetryAfter returns when a rejected caller is to return.
 func (o *Overload) RetryAfter(pool directory.Pool, c admission.Caller, now time.Time) time.Duration {
 	o.mu.Lock()
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -15,15 +15,10 @@
 	Objective time.Duration
 	// Offset is the time by which first events of the pool usually exceed the engine's description.
 	Offset time.Duration
-	// Strict counts a first event after the objective as too late.
-	Strict bool
 }
 
 // isLate reports whether the first event is predicted so late that the caller should retry instead.
 func (s RequestSize) isLate(p Prediction, factor float64) bool {
-	if s.Strict {
-		factor = 1
-	}
 	return s.Objective > 0 && float64(p.First) > factor*float64(s.Objective)
 }
 
--- a/internal/relay/predict_test.go
+++ b/internal/relay/predict_test.go
@@ -60,6 +60,11 @@
 				require.Empty(t, b.FirstOffsets(now))
 				return
 			}
+			require.NotNil(t, after.Head, "no other group can be earlier than an idle one")
+			for range head.Slots / 3 {
+				b.begin(head.Endpoint, RequestSize{}, now)
+			}
+			after = choose()
 			require.Nil(t, after.Head)
 			require.Equal(t, 1, after.Late)
 			require.Equal(t, b.FirstOffset(testPool, now), b.FirstOffsets(now)[testPool])
--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -90,6 +90,5 @@
 func (c *call) sizeFor(pool directory.Pool, now time.Time) RequestSize {
 	size := c.size()
 	size.Offset = c.options.Balancer.FirstOffset(pool, now)
-	size.Strict = c.options.Overload != nil && c.options.Overload.IsShort(pool)
 	return size
 }
--- a/pkg/admission/plan.go
+++ b/pkg/admission/plan.go
@@ -73,10 +73,10 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Occupancy:   0.95,
-		Backlog:     0.4,
-		Correction:  time.Second,
+		Backlog:     0.65,
+		Correction:  700 * time.Millisecond,
 		MinShare:    0.05,
-		ReturnShare: 0.15,
+		ReturnShare: 0.3,
 	}
 }
 
