relay: count no arrivals for pools without groups

The model of a request is any text that the caller sent. Each name was kept in the arrivals for ever and sent to the peers, which dropped real pools beyond 256.

--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -106,12 +106,13 @@
 	returning bool
 }
 
-// Admit counts a request and reports whether it is admitted.
+// Admit counts a request and reports whether it is admitted. A request for a pool without groups is
+// not counted: its model is any text that the caller sent, and each counted pool takes up memory.
 func (o *Overload) Admit(q overloadRequest, now time.Time) bool {
-	o.arrivals.RecordArrival(q.pool, q.level, q.workspace, q.tokens, q.returning, now)
 	if len(q.heads) == 0 {
 		return true
 	}
+	o.arrivals.RecordArrival(q.pool, q.level, q.workspace, q.tokens, q.returning, now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.pool(q.pool)
