--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -67,7 +67,7 @@
 func (o *Overload) SetPeerRates(rates map[directory.Pool]PoolRates, at time.Time) {
 	offsets := make(map[directory.Pool]WeightedOffset, len(rates))
 	for pool, r := range rates {
-		offsets[pool] = WeightedOffset{r.Offset, r.OffsetWeight}
+		offsets[pool] = r.weightedOffset()
 	}
 	o.balancer.Offsets().SetPeers(offsets, at)
 	o.mu.Lock()
--- a/internal/relay/poolrates.go
+++ b/internal/relay/poolrates.go
@@ -34,13 +34,12 @@
 	r.Starts += other.Starts
 	r.TokensRead += other.TokensRead
 	r.Levels = accumulate(r.Levels, other.Levels, compareLevels, addLevel)
-	if weight := r.OffsetWeight + other.OffsetWeight; weight > 0 {
-		weighted := float64(r.Offset)*r.OffsetWeight + float64(other.Offset)*other.OffsetWeight
-		r.Offset = time.Duration(weighted / weight)
-		r.OffsetWeight = weight
-	}
+	mean := r.weightedOffset().Add(other.weightedOffset())
+	r.Offset, r.OffsetWeight = mean.Value, mean.Weight
 }
 
+func (r *PoolRates) weightedOffset() WeightedOffset { return WeightedOffset{r.Offset, r.OffsetWeight} }
+
 // accumulate adds the elements of a sorted list to those of another that compare as equal. Missing
 // elements are inserted with a zero value first.
 func accumulate[T any](sum, other []T, compare func(a, b T) int, add func(sum *T, other T)) []T {
