relay: admit all requests while the rates of the peers are stale

The plan was computed from the rates of this node and the loads of all nodes, since the loads of peers count for two seconds and their rates for one.

--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -13,7 +13,7 @@
 const (
 	// planInterval is how long a plan is in force. Peers report about as often.
 	planInterval = 100 * time.Millisecond
-	// maxEvidenceAge is the age from which the rates of the peers no longer count.
+	// maxEvidenceAge is the age of the peers' rates beyond which all requests are admitted.
 	maxEvidenceAge = time.Second
 	// nearlyShort is the fraction of the slots in use from which workspaces are told to peers.
 	nearlyShort = 0.7
@@ -153,10 +153,7 @@
 // update computes the plan of a pool; the caller must hold the lock.
 func (o *Overload) update(p *poolPlan, q overloadRequest, now time.Time) {
 	own := o.arrivals.PoolRates(q.pool, now)
-	total := own
-	if now.Sub(o.peersAt) <= maxEvidenceAge {
-		total = own.Add(o.peers[q.pool])
-	}
+	total := own.Add(o.peers[q.pool])
 	load := o.balancer.poolLoad(q.heads, now)
 	state := admission.PoolState{
 		Slots:      load.slots,
@@ -168,6 +165,9 @@
 		TokensRead: total.TokensRead,
 		Demand:     total.Levels,
 	}
+	if o.isStale(now) {
+		state = admission.PoolState{}
+	}
 	wasShort := p.plan.Short()
 	p.plan.Update(state, o.policy)
 	p.updatedAt = now
@@ -182,6 +182,14 @@
 	}
 }
 
+// isStale reports whether the rates of the peers are too old to be used; the caller must hold the
+// lock. A node that never received any uses its own, and its loads then cover its own requests only.
+// Once peers were heard, their loads count for longer than their rates, and a plan from the loads of
+// all nodes and the rates of one would reject nearly everything.
+func (o *Overload) isStale(now time.Time) bool {
+	return !o.peersAt.IsZero() && now.Sub(o.peersAt) > maxEvidenceAge
+}
+
 // logPlan logs that a pool became short or has capacity again.
 func (o *Overload) logPlan(p *poolPlan, pool directory.Pool, s admission.PoolState, now time.Time) {
 	outlook := p.plan.Outlook()
--- a/internal/relay/overload_evidence_test.go
+++ b/internal/relay/overload_evidence_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/pkg/admission"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 func newTestOverload() *Overload {
@@ -27,3 +28,50 @@
 	require.Empty(t, o.OwnRates(time.Now()))
 	require.Empty(t, o.pools)
 }
+
+// crowdedPool returns a request for a pool of which other nodes use the given number of 10 slots, and
+// have sent the given number of prompt tokens that the engine has not read.
+func (o *Overload) crowdedPool(running, unread int) overloadRequest {
+	engine := &serving.Engine{Slots: 10, TokensPerSec: 10_000}
+	head := &directory.Head{Endpoint: &serving.Endpoint{ID: "h", DataCentre: "north", Slots: 10}, Engine: engine, TimeFactor: 1}
+	o.balancer.SetPeerLoads(map[serving.EndpointID]PeerLoad{"h": {Running: running, Unread: unread}})
+	pool := directory.Pool{Service: "llm", Model: "m"}
+	return overloadRequest{pool: pool, heads: []*directory.Head{head}, tokens: 10, objective: time.Second}
+}
+
+// rejected returns how many of 40 requests are rejected, of which half had their first event.
+func (o *Overload) rejected(q overloadRequest, now time.Time) int {
+	rejected := 0
+	for i := range 40 {
+		at := now.Add(time.Duration(i) * 20 * time.Millisecond)
+		if i%2 == 0 {
+			o.arrivals.RecordStart(q.pool, q.tokens, at)
+		}
+		if !o.Admit(q, at) {
+			rejected++
+		}
+	}
+	return rejected
+}
+
+// Guards against a plan from the loads of all nodes and the rates of one, after the relay failed: it
+// rejected four of five requests.
+func TestAdmit_StaleEvidenceAdmitsAll(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		heardAt  time.Time
+		rejected bool
+	}{
+		"peers report":           {now, true},
+		"no report for a second": {now.Add(-maxEvidenceAge - time.Millisecond), false},
+		"never any report":       {time.Time{}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newTestOverload()
+			if !test.heardAt.IsZero() {
+				o.SetPeerRates(nil, test.heardAt)
+			}
+			require.Equal(t, test.rejected, o.rejected(o.crowdedPool(12, 0), now) > 0)
+		})
+	}
+}
