--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -19,6 +19,8 @@
 	nearlyShort = 0.7
 	// shortLogInterval bounds the log lines about the plan of one pool.
 	shortLogInterval = time.Second
+	// noObjectiveSlack is the slack of pools whose routes have no objective.
+	noObjectiveSlack = time.Hour
 )
 
 // Overload decides which requests are shed while a pool has more demand than its groups can begin
@@ -160,7 +162,7 @@
 		Running:    load.running,
 		Unread:     load.unread,
 		ReadRate:   load.readRate,
-		Slack:      p.objective.value(now) - o.balancer.FirstOffset(q.pool, now),
+		Slack:      o.slack(p, q.pool, now),
 		Starts:     total.Starts,
 		TokensRead: total.TokensRead,
 		Demand:     total.Levels,
@@ -190,6 +192,16 @@
 	return !o.peersAt.IsZero() && now.Sub(o.peersAt) > maxEvidenceAge
 }
 
+// slack returns the tightest recent objective of a pool minus the engine's constant time; the caller
+// must hold the lock. Without an objective no backlog is too long.
+func (o *Overload) slack(p *poolPlan, pool directory.Pool, now time.Time) time.Duration {
+	objective := p.objective.value(now)
+	if objective <= 0 {
+		return noObjectiveSlack
+	}
+	return objective - o.balancer.FirstOffset(pool, now)
+}
+
 // logPlan logs that a pool became short or has capacity again.
 func (o *Overload) logPlan(p *poolPlan, pool directory.Pool, s admission.PoolState, now time.Time) {
 	outlook := p.plan.Outlook()
--- a/internal/relay/overload_evidence_test.go
+++ b/internal/relay/overload_evidence_test.go
@@ -75,3 +75,15 @@
 		})
 	}
 }
+
+// Guards against shedding at calm pools whose routes have no objective.
+func TestAdmit_NoObjectiveSetsNoBacklogLimit(t *testing.T) {
+	now := time.Now()
+	for objective, rejected := range map[time.Duration]bool{0: false, 100 * time.Millisecond: true} {
+		o := newTestOverload()
+		o.SetPeerRates(nil, now)
+		q := o.crowdedPool(2, 2000)
+		q.objective = objective
+		require.Equal(t, rejected, o.rejected(q, now) > 0, "objective %v", objective)
+	}
+}
