--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -46,7 +46,9 @@
 	returns   *admission.Returns
 	objective recentMinimum
 	updatedAt time.Time
-	loggedAt  time.Time
+	// loggedShort is what the last log line about the plan, at loggedAt, stated.
+	loggedShort bool
+	loggedAt    time.Time
 	// nearlyShort is set while the pool has little capacity left.
 	nearlyShort bool
 	// part is this node's part of the demand, 0 to 1.
@@ -170,7 +172,6 @@
 	if o.isStale(now) {
 		state = admission.PoolState{}
 	}
-	wasShort := p.plan.Short()
 	p.plan.Update(state, o.policy)
 	p.updatedAt = now
 	p.nearlyShort = p.plan.Short() || float64(load.running) > nearlyShort*float64(load.slots)
@@ -178,8 +179,8 @@
 	if all := requestRate(total.Levels); all > 0 {
 		p.part = requestRate(own.Levels) / all
 	}
-	if p.plan.Short() != wasShort && now.Sub(p.loggedAt) >= shortLogInterval {
-		p.loggedAt = now
+	if p.plan.Short() != p.loggedShort && now.Sub(p.loggedAt) >= shortLogInterval {
+		p.loggedShort, p.loggedAt = p.plan.Short(), now
 		o.logPlan(p, q.pool, state, now)
 	}
 }
--- a/internal/relay/overload_evidence_test.go
+++ b/internal/relay/overload_evidence_test.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,3 +90,22 @@
 		require.Equal(t, rejected, o.rejected(q, now) > 0, "objective %v", objective)
 	}
 }
+
+// Guards against a last line that says the opposite of the pool's state, after a change within the
+// interval of the lines.
+func TestUpdate_LogsLastState(t *testing.T) {
+	var log bytes.Buffer
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	o := newTestOverload()
+	now := time.Now()
+	o.rejected(o.crowdedPool(12, 0), now)
+	require.Equal(t, 1, strings.Count(log.String(), "short=true"))
+	for range 100 {
+		o.arrivals.RecordStart(o.crowdedPool(0, 0).pool, 10, now.Add(900*time.Millisecond))
+	}
+	o.Admit(o.crowdedPool(0, 0), now.Add(900*time.Millisecond))
+	require.False(t, o.IsShort(o.crowdedPool(0, 0).pool))
+	o.Admit(o.crowdedPool(0, 0), now.Add(2*time.Second))
+	require.Equal(t, 1, strings.Count(log.String(), "short=false"), log.String())
+}
