relay: never reject under overload without a Retry-After

A caller without time left got a return time of zero, which the header left out. The metric returns no longer counts rejections of plain services, whose other outcomes it does not count.

--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -14,6 +14,10 @@
 // callers under overload are told to return after a fifth of it.
 const returningFraction = 0.8
 
+// minRetryAfter is the least Retry-After that the schedule of return times may give. Without time left
+// it gives zero, which the header can't express, and every rejection must have the header.
+const minRetryAfter = time.Millisecond
+
 // pool returns the pool of the request, and false for a plain service.
 func (c *call) pool() (directory.Pool, bool) {
 	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
@@ -56,18 +60,22 @@
 		return c.options.Balancer.weights.OverloadRetryAfter
 	}
 	first, _ := c.options.Balancer.earliestFirst(c.view.Heads[pool], c.sizeFor(pool, now), now)
-	return c.options.Overload.RetryAfter(pool, admission.Caller{
+	after := c.options.Overload.RetryAfter(pool, admission.Caller{
 		Remaining:  c.remaining(),
 		Timeout:    c.route.Timeout,
 		Objective:  c.route.Objective,
 		FirstEvent: first,
 		Returning:  c.isReturning(),
 	}, now)
+	if after < minRetryAfter {
+		return c.options.Balancer.weights.OverloadRetryAfter
+	}
+	return after
 }
 
-// countReturn counts the outcome of a request that returned after a rejection.
+// countReturn counts the outcome of a request for a pool that returned after a rejection.
 func (c *call) countReturn(outcome string) {
-	if c.options.Overload != nil && c.isReturning() {
+	if _, ok := c.pool(); ok && c.options.Overload != nil && c.isReturning() {
 		c.options.Metrics.Inc("returns", map[string]string{"outcome": outcome})
 	}
 }
