--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -44,6 +44,9 @@
 	active.recordEvent(time.Now())
 	answer := &bufferedResponse{response.Status, c.options.Wire.CallerHeader(response.Header), body}
 	tooLarge := int64(len(body)) > limit
+	if err == nil && response.Status == http.StatusOK {
+		c.recordStart(time.Now())
+	}
 	if err == nil && tooLarge && c.isFinal(response.Status) {
 		return c.relayUnbuffered(ctx, t, active, answer, response)
 	}
--- a/internal/relay/overload_call_test.go
+++ b/internal/relay/overload_call_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/pkg/admission"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 // overloadFixture has one head and one plain endpoint, and overload control.
@@ -25,3 +27,17 @@
 	c.deadline = time.Now().Add(testTimeout)
 	require.Greater(t, c.overloadRetryAfter(time.Now()), time.Second)
 }
+
+// Guards against a plan that takes served requests for excess: responses that are no streams did not
+// count as starts, but their requests as arrivals.
+func TestServe_CountsBufferedResponsesAsStarts(t *testing.T) {
+	fx := overloadFixture(t)
+	for i := range fx.view.Configuration.Routes {
+		fx.view.Configuration.Routes[i].Kind = serving.KindRepeatable
+	}
+	require.Equal(t, 200, fx.serve(request(hostStream)).status)
+	require.Equal(t, 200, fx.serve(request(hostPlain)).status)
+	rates := fx.relay.options.Overload.OwnRates(time.Now())
+	require.Len(t, rates, 1)
+	require.InDelta(t, 1, rates[directory.Pool{Service: "llm", Model: "m"}].Starts, 0.2)
+}
--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// recordStart counts the first event of the request.
+// recordStart counts the first event of the request, or its response if that is no stream.
 func (c *call) recordStart(now time.Time) {
 	pool, ok := c.pool()
 	if c.options.Overload == nil || !ok {
