--- a/internal/relay/overload_call_test.go
+++ b/internal/relay/overload_call_test.go
@@ -41,3 +41,18 @@
 	require.Len(t, rates, 1)
 	require.InDelta(t, 1, rates[directory.Pool{Service: "llm", Model: "m"}].Starts, 0.2)
 }
+
+// Guards against a limit under overload that is looser than the configured one.
+func TestIsLate_StrictIsNotLooser(t *testing.T) {
+	for _, test := range []struct {
+		factor float64
+		strict bool
+		late   bool
+	}{
+		{1.5, false, false}, {1.5, true, true}, {0.5, false, true}, {0.5, true, true},
+	} {
+		s := RequestSize{Objective: time.Second, Strict: test.strict}
+		require.Equal(t, test.late, s.isLate(Prediction{First: 1200 * time.Millisecond}, test.factor), "%+v", test)
+		require.Equal(t, test.factor < 1, s.isLate(Prediction{First: 800 * time.Millisecond}, test.factor), "%+v", test)
+	}
+}
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -22,7 +22,7 @@
 // isLate reports whether the first event is predicted so late that the caller should retry instead.
 func (s RequestSize) isLate(p Prediction, factor float64) bool {
 	if s.Strict {
-		factor = 1
+		factor = min(factor, 1)
 	}
 	return s.Objective > 0 && float64(p.First) > factor*float64(s.Objective)
 }
