relay: use no shares of workspaces that the peers have not named

While the peers had most of a level's requests and had named no workspace, their requests counted as many small workspaces. They took the whole pool, and a node rejected nearly all of its own.

--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -158,6 +158,7 @@
 func (o *Overload) update(p *poolPlan, q overloadRequest, now time.Time) {
 	own := o.arrivals.PoolRates(q.pool, now)
 	total := own.Add(o.peers[q.pool])
+	removeUnshared(total.Levels, o.peers[q.pool].Levels)
 	load := o.balancer.poolLoad(q.heads, now)
 	state := admission.PoolState{
 		Slots:      load.slots,
@@ -211,6 +212,23 @@
 		"unread", s.Unread, "read_rate", s.ReadRate, "slack", s.Slack, "evidence_age", now.Sub(o.peersAt))
 }
 
+// removeUnshared removes the workspaces of levels of which the peers have most requests and name no
+// workspace, since they name them only once the pool is nearly short. Shares computed from the names of
+// this node alone would give the pool to the peers' requests, which count as many small workspaces.
+func removeUnshared(total, peers []admission.LevelDemand) {
+	for i := range peers {
+		p := &peers[i]
+		if len(p.Workspaces) > 0 {
+			continue
+		}
+		for j := range total {
+			if total[j].Level == p.Level && requestRate(peers[i:i+1]) > requestRate(total[j:j+1])/2 {
+				total[j].Workspaces = nil
+			}
+		}
+	}
+}
+
 // requestRate returns the requests per second of all levels.
 func requestRate(levels []admission.LevelDemand) float64 {
 	sum := 0.0
