gossip: relay the workspaces that other nodes named

A relay without requests of its own for a pool does not know that it is nearly short, and dropped them. The test of the traffic between data centres gave peers workspaces that they don't send; it now gives them what they send. Its bound is unchanged.

--- a/internal/gossip/rates.go
+++ b/internal/gossip/rates.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
@@ -34,17 +35,33 @@
 }
 
 // addRelayedRates adds a sum of other nodes' rates to a message. A relay of another data centre only
-// needs the sum of them and of this node's own, which saves half of the bytes; the caller holds the
-// lock.
+// needs the sum of them and of this node's own, which saves half of the bytes. The workspaces that
+// others named are passed on as they are: a relay without requests for a pool does not know that it is
+// nearly short. The caller holds the lock.
 func (g *Gossiper) addRelayedRates(m *peers.ShareMessage, p *peer, own poolRates, others work) {
 	if !g.rates.enabled() {
 		return
 	}
 	if p.dataCentre != "" && p.dataCentre != g.config.DataCentre {
-		others.add(work{rates: own})
+		others.add(work{rates: g.withoutCalmWorkspaces(own)})
 		m.Rates = nil
 	}
-	m.RelayedRates = toRates(others.rates, g.rates.NearlyShort)
+	m.RelayedRates = toRates(others.rates, func(directory.Pool) bool { return true })
+}
+
+// withoutCalmWorkspaces returns rates without the workspaces of pools that have enough capacity.
+func (g *Gossiper) withoutCalmWorkspaces(rates poolRates) poolRates {
+	out := make(poolRates, len(rates))
+	for pool, r := range rates {
+		if g.rates.NearlyShort == nil || !g.rates.NearlyShort(pool) {
+			r.Levels = slices.Clone(r.Levels)
+			for i := range r.Levels {
+				r.Levels[i].Workspaces = nil
+			}
+		}
+		out[pool] = r
+	}
+	return out
 }
 
 // decodeRates returns the rates in a message, none if rates are not exchanged.
--- a/internal/gossip/rates_test.go
+++ b/internal/gossip/rates_test.go
@@ -185,8 +185,10 @@
 	size := func(rates RateExchange) float64 {
 		g := newTestRelay(now)
 		g.rates = rates
+		// What peers send depends on what they know of the pool, as for this node.
+		received, _ := fromRates(toRates(sampleRates(), rates.NearlyShort))
 		for _, p := range g.peers {
-			p.own = work{loads, demand, sampleRates()}
+			p.own = work{loads, demand, received}
 		}
 		m := g.buildMessage(g.peers["10.0.0.60:1"])
 		m.Loads = toLoads(loads, now)[:15]
@@ -309,3 +311,29 @@
 	require.Equal(t, off, encode(RateExchange{Own: sender.rates.Own}))
 	require.Equal(t, off, encode(RateExchange{OnPeerRates: sender.rates.OnPeerRates}))
 }
+
+// Guards against a relay without requests of its own for a pool that drops the workspaces that others
+// named, and against one that names its own ones of a calm pool.
+func TestBuildMessage_RelaysNamedWorkspaces(t *testing.T) {
+	level := func(workspaces ...uint32) poolRates {
+		l := admission.LevelDemand{Rates: admission.Rates{New: 10}}
+		for _, w := range workspaces {
+			l.Workspaces = append(l.Workspaces, admission.WorkspaceDemand{Workspace: w, Requests: 2})
+		}
+		return poolRates{ratesPool: {Starts: 5, Levels: []admission.LevelDemand{l}}}
+	}
+	n := newRateNode(0, "north", 1, 1)
+	n.rates.Own = func(time.Time) map[directory.Pool]relay.PoolRates { return level(1, 2) }
+	n.rates.NearlyShort = func(directory.Pool) bool { return false }
+	sender := newRateNode(1, "north", 0.2, 1)
+	m := sender.buildMessage(nil)
+	m.Rates = toRates(level(3, 4), func(directory.Pool) bool { return true })
+	n.applyMessage(m, sender.config.Address)
+	far := n.applyMessage(newRateNode(4, "south", 1, 1).buildMessage(nil), "10.0.0.4:1")
+	n.updateAggregates(time.Now())
+	message := n.buildMessage(far)
+	require.True(t, message.Relays)
+	got, _ := fromRates(message.RelayedRates)
+	require.InDelta(t, 20, got[ratesPool].Levels[0].New, 1e-3)
+	require.Equal(t, level(3, 4)[ratesPool].Levels[0].Workspaces, got[ratesPool].Levels[0].Workspaces)
+}
