--- a/internal/relay/affinity.go
+++ b/internal/relay/affinity.go
@@ -55,8 +55,9 @@
 
 // subset holds the preferred heads of a pool.
 type subset struct {
-	// heads is the view's list for which ranked was computed; views are immutable.
-	heads []*directory.Head
+	// heads is the list for which ranked was computed, home its part in this node's data centre.
+	// Views are immutable.
+	heads, home []*directory.Head
 	// ranked has the heads of this node's data centre, highest score first.
 	ranked    []rankedHead
 	preferred map[serving.EndpointID]bool
@@ -64,9 +65,34 @@
 	sizedAt   time.Time
 }
 
-// isCurrent reports whether the ranking is that of the given heads.
-func (s *subset) isCurrent(heads []*directory.Head) bool {
-	return len(s.heads) == len(heads) && &s.heads[0] == &heads[0]
+// isCurrent reports whether the ranking holds for the given heads. A request that is limited to regions
+// has a list of its own, which contains either all heads of a data centre or none.
+func (s *subset) isCurrent(heads []*directory.Head, home serving.DataCentre) bool {
+	if len(s.heads) == len(heads) && &s.heads[0] == &heads[0] {
+		return true
+	}
+	found := 0
+	for _, h := range heads {
+		if h.DataCentre != home {
+			continue
+		}
+		if found == len(s.home) || s.home[found] != h {
+			return false
+		}
+		found++
+	}
+	return found == len(s.home) || found == 0
+}
+
+// setHeads ranks new heads.
+func (s *subset) setHeads(heads []*directory.Head, node uint64, home serving.DataCentre) {
+	s.heads, s.home = heads, s.home[:0]
+	for _, h := range heads {
+		if h.DataCentre == home {
+			s.home = append(s.home, h)
+		}
+	}
+	s.ranked = rankHeads(s.ranked[:0], node, home, heads)
 }
 
 // setSize prefers the first heads of the ranking.
--- a/internal/relay/affinity_test.go
+++ b/internal/relay/affinity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 const (
@@ -127,3 +129,26 @@
 	b.selectSubset(nil, now)
 	require.InDelta(t, 1, b.affinityWeight(heads[0], now), 0)
 }
+
+// Guards against a ranking for each request, where some requests are limited to regions and have lists
+// of heads of their own.
+func TestSelectSubset_CachesForLimitedRequests(t *testing.T) {
+	weights := DefaultWeights
+	weights.Affinity = 8
+	b := NewBalancer("north", maxSource{}, weights)
+	b.SetAffinitySources(AffinitySources{Node: "n",
+		Demand:  func(directory.Pool, time.Time) float64 { return 3 },
+		HasIdle: func(string, time.Time) bool { return false }})
+	home, now := simHeads(20), time.Now()
+	remote := &directory.Head{Endpoint: &serving.Endpoint{ID: "far", DataCentre: "south", Service: home[0].Service}, Model: home[0].Model}
+	lists := [][]*directory.Head{append(slices.Clone(home), remote), slices.Clone(home), {remote}}
+	b.selectSubset(lists[0], now)
+	s := b.affinity.current
+	s.ranked[0].score = 7 // lost by a new ranking
+	for _, heads := range lists {
+		b.selectSubset(heads, now)
+		require.Same(t, s, b.affinity.current)
+		require.EqualValues(t, 7, s.ranked[0].score)
+		require.Len(t, s.preferred, 3)
+	}
+}
--- a/internal/relay/prefer.go
+++ b/internal/relay/prefer.go
@@ -51,10 +51,9 @@
 		s = &subset{preferred: map[serving.EndpointID]bool{}}
 		b.affinity.subsets[pool] = s
 	}
-	isCurrent := s.isCurrent(heads)
+	isCurrent := s.isCurrent(heads, b.home)
 	if !isCurrent {
-		s.heads = heads
-		s.ranked = rankHeads(s.ranked[:0], b.affinity.node, b.home, heads)
+		s.setHeads(heads, b.affinity.node, b.home)
 	}
 	if isCurrent && now.Sub(s.sizedAt) < subsetInterval {
 		b.affinity.current = s
