relay: bound the prompt tokens that count for one request

Callers state them. One absurd number dominated the rates of all nodes until it had decayed, so that a short pool rejected nearly everything meanwhile.

--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -19,6 +19,9 @@
 	// maxWorkspaces bounds the workspaces that are measured for a pool and level, and thereby the
 	// memory. The requests of others count only for their level.
 	maxWorkspaces = 256
+	// maxCountedTokens bounds the prompt tokens that are counted for one request. Callers state them, and
+	// a single absurd number would dominate the rates of all nodes until it has decayed.
+	maxCountedTokens = 1 << 20
 	// minWorkspaceRate is the rate per second below which a workspace is no longer measured.
 	minWorkspaceRate = 0.01
 )
@@ -55,7 +58,7 @@
 		kind = &l.returning
 	}
 	kind.add(perSecond(1), arrivalWindow, now)
-	l.tokens.add(perSecond(tokens), arrivalWindow, now)
+	l.tokens.add(perSecond(min(tokens, maxCountedTokens)), arrivalWindow, now)
 	l.recordWorkspace(workspace, now)
 }
 
@@ -65,7 +68,7 @@
 	defer a.mu.Unlock()
 	p := a.pool(pool)
 	p.starts.add(perSecond(1), arrivalWindow, now)
-	p.tokensRead.add(perSecond(tokens), arrivalWindow, now)
+	p.tokensRead.add(perSecond(min(tokens, maxCountedTokens)), arrivalWindow, now)
 }
 
 // Rates returns the rates of each pool, with the MaxNamedWorkspaces largest workspaces of each
--- a/internal/relay/arrivals_test.go
+++ b/internal/relay/arrivals_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -82,3 +83,14 @@
 		a.RecordArrival(arrivalsPool, admission.Level(i%3), uint32(i%24), 600, i%8 == 0, now)
 	}
 }
+
+// Guards against one request with an absurd number of prompt tokens that makes a pool look short.
+func TestArrivals_BoundsTokens(t *testing.T) {
+	a, now := NewArrivals(), time.Now()
+	pool := directory.Pool{Service: "llm", Model: "m"}
+	a.RecordArrival(pool, 0, 1, math.MaxInt, false, now)
+	a.RecordStart(pool, math.MaxInt, now)
+	rates := a.PoolRates(pool, now)
+	require.InDelta(t, maxCountedTokens, rates.Levels[0].Tokens, 1)
+	require.InDelta(t, maxCountedTokens, rates.TokensRead, 1)
+}
