--- a/internal/relay/overload_call_test.go
+++ b/internal/relay/overload_call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -56,3 +57,17 @@
 		require.Equal(t, test.factor < 1, s.isLate(Prediction{First: 800 * time.Millisecond}, test.factor), "%+v", test)
 	}
 }
+
+// Guards against a share of rejected returns that contains plain services, whose other outcomes are not
+// counted.
+func TestReject_CountsNoReturnsOfPlainServices(t *testing.T) {
+	fx := overloadFixture(t)
+	fx.relay.Drain()
+	for _, host := range []string{hostPlain, hostStream} {
+		require.Equal(t, 503, fx.serve(request(host)).status)
+	}
+	fx.relay.options.Metrics.Close()
+	out := httptest.NewRecorder()
+	fx.relay.options.Metrics.Handler().ServeHTTP(out, httptest.NewRequest("GET", "/", nil))
+	require.Regexp(t, `ridgehinge_returns\{[^}]*outcome="rejected"\} 1\n`, out.Body.String())
+}
