--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -189,7 +189,7 @@
 // isStale reports whether the rates of the peers are too old to be used; the caller must hold the
 // lock. A node that never received any uses its own, and its loads then cover its own requests only.
 // Once peers were heard, their loads count for longer than their rates, and a plan from the loads of
-// all nodes and the rates of one would reject nearly everything.
+// all nodes and the rates of one would correct the excess of all by the requests of one.
 func (o *Overload) isStale(now time.Time) bool {
 	return !o.peersAt.IsZero() && now.Sub(o.peersAt) > maxEvidenceAge
 }
--- a/internal/relay/overload_evidence_test.go
+++ b/internal/relay/overload_evidence_test.go
@@ -57,8 +57,8 @@
 	return rejected
 }
 
-// Guards against a plan from the loads of all nodes and the rates of one, after the relay failed: it
-// rejected four of five requests.
+// Guards against a plan from the loads of all nodes and the rates of one, after the relay failed: a node
+// corrected the excess of all nodes by its own requests alone.
 func TestAdmit_StaleEvidenceAdmitsAll(t *testing.T) {
 	now := time.Now()
 	for name, test := range map[string]struct {
