relay: try at most four endpoints without a connection left; bound the named workspaces

A request tried every head at its bound of connections, each with a choice and a log line. A sum of named workspaces over nodes could have a tiny smallest one, which made the rest of the demand count as very many workspaces.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -117,7 +117,7 @@
 	held := holdError("")
 	switch {
 	case errors.Is(err, upstream.ErrConnectionBound):
-		c.atConnectionBound = true
+		c.connectionBounds++
 		c.options.Metrics.Inc("requests_held_back", map[string]string{"by": "connection bound"})
 	case !errors.As(err, &held):
 		c.options.Balancer.Suspect(t.ID, time.Now())
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -98,7 +98,7 @@
 		reason.cause = causeEvacuated
 	case choice.Groups == 0:
 		reason.cause = causeNoGroup
-	case choice.Full+choice.Late > 0, c.atConnectionBound:
+	case choice.Full+choice.Late > 0, c.connectionBounds > 0:
 		reason.cause = causeFull
 		reason.retryAfter = c.overloadRetryAfter(now)
 	case choice.CoolingDown+choice.Limited > 0:
@@ -116,7 +116,7 @@
 	switch {
 	case len(endpoints) == 0 && view.Withheld[directory.Pool{Service: c.service}] > 0:
 		return rejection{cause: causeEvacuated, retryAfter: defaultRetryAfter}
-	case c.atConnectionBound:
+	case c.connectionBounds > 0:
 		return rejection{cause: causeFull, retryAfter: c.options.Balancer.weights.OverloadRetryAfter}
 	case !slices.ContainsFunc(endpoints, isHeld):
 		return rejection{cause: causeNoEndpoint, retryAfter: defaultRetryAfter}
--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -13,12 +13,14 @@
 const (
 	// planInterval is how long a plan is in force. Peers report about as often.
 	planInterval = 100 * time.Millisecond
-	// maxEvidenceAge is the age from which the rates of the peers no longer count.
+	// maxEvidenceAge is the age of the peers' rates beyond which all requests are admitted.
 	maxEvidenceAge = time.Second
 	// nearlyShort is the fraction of the slots in use from which workspaces are told to peers.
 	nearlyShort = 0.7
 	// shortLogInterval bounds the log lines about the plan of one pool.
 	shortLogInterval = time.Second
+	// noObjectiveSlack is the slack of pools whose routes have no objective.
+	noObjectiveSlack = time.Hour
 )
 
 // Overload decides which requests are shed while a pool has more demand than its groups can begin
@@ -44,7 +46,9 @@
 	returns   *admission.Returns
 	objective recentMinimum
 	updatedAt time.Time
-	loggedAt  time.Time
+	// loggedShort is what the last log line about the plan, at loggedAt, stated.
+	loggedShort bool
+	loggedAt    time.Time
 	// nearlyShort is set while the pool has little capacity left.
 	nearlyShort bool
 	// part is this node's part of the demand, 0 to 1.
@@ -67,7 +71,7 @@
 func (o *Overload) SetPeerRates(rates map[directory.Pool]PoolRates, at time.Time) {
 	offsets := make(map[directory.Pool]WeightedOffset, len(rates))
 	for pool, r := range rates {
-		offsets[pool] = WeightedOffset{r.Offset, r.OffsetWeight}
+		offsets[pool] = r.weightedOffset()
 	}
 	o.balancer.Offsets().SetPeers(offsets, at)
 	o.mu.Lock()
@@ -106,12 +110,13 @@
 	returning bool
 }
 
-// Admit counts a request and reports whether it is admitted.
+// Admit counts a request and reports whether it is admitted. A request for a pool without groups is
+// not counted: its model is any text that the caller sent, and each counted pool takes up memory.
 func (o *Overload) Admit(q overloadRequest, now time.Time) bool {
-	o.arrivals.RecordArrival(q.pool, q.level, q.workspace, q.tokens, q.returning, now)
 	if len(q.heads) == 0 {
 		return true
 	}
+	o.arrivals.RecordArrival(q.pool, q.level, q.workspace, q.tokens, q.returning, now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.pool(q.pool)
@@ -144,22 +149,27 @@
 // update computes the plan of a pool; the caller must hold the lock.
 func (o *Overload) update(p *poolPlan, q overloadRequest, now time.Time) {
 	own := o.arrivals.PoolRates(q.pool, now)
-	total := own
-	if now.Sub(o.peersAt) <= maxEvidenceAge {
-		total = own.Add(o.peers[q.pool])
+	total := own.Add(o.peers[q.pool])
+	for i := range total.Levels {
+		// A sum names the largest workspaces of each node. The smallest of them would make the rest
+		// count as a great many workspaces of its size.
+		total.Levels[i].Workspaces = LargestWorkspaces(total.Levels[i].Workspaces, MaxNamedWorkspaces)
 	}
+	removeUnshared(total.Levels, o.peers[q.pool].Levels)
 	load := o.balancer.poolLoad(q.heads, now)
 	state := admission.PoolState{
 		Slots:      load.slots,
 		Running:    load.running,
 		Unread:     load.unread,
 		ReadRate:   load.readRate,
-		Slack:      p.objective.value(now) - o.balancer.FirstOffset(q.pool, now),
+		Slack:      o.slack(p, q.pool, now),
 		Starts:     total.Starts,
 		TokensRead: total.TokensRead,
 		Demand:     total.Levels,
 	}
-	wasShort := p.plan.Short()
+	if o.isStale(now) {
+		state = admission.PoolState{}
+	}
 	p.plan.Update(state, o.policy)
 	p.updatedAt = now
 	p.nearlyShort = p.plan.Short() || float64(load.running) > nearlyShort*float64(load.slots)
@@ -167,12 +177,30 @@
 	if all := requestRate(total.Levels); all > 0 {
 		p.part = requestRate(own.Levels) / all
 	}
-	if p.plan.Short() != wasShort && now.Sub(p.loggedAt) >= shortLogInterval {
-		p.loggedAt = now
+	if p.plan.Short() != p.loggedShort && now.Sub(p.loggedAt) >= shortLogInterval {
+		p.loggedShort, p.loggedAt = p.plan.Short(), now
 		o.logPlan(p, q.pool, state, now)
 	}
 }
 
+// isStale reports whether the rates of the peers are too old to be used; the caller must hold the
+// lock. A node that never received any uses its own, and its loads then cover its own requests only.
+// Once peers were heard, their loads count for longer than their rates, and a plan from the loads of
+// all nodes and the rates of one would correct the excess of all by the requests of one.
+func (o *Overload) isStale(now time.Time) bool {
+	return !o.peersAt.IsZero() && now.Sub(o.peersAt) > maxEvidenceAge
+}
+
+// slack returns the tightest recent objective of a pool minus the engine's constant time; the caller
+// must hold the lock. Without an objective no backlog is too long.
+func (o *Overload) slack(p *poolPlan, pool directory.Pool, now time.Time) time.Duration {
+	objective := p.objective.value(now)
+	if objective <= 0 {
+		return noObjectiveSlack
+	}
+	return objective - o.balancer.FirstOffset(pool, now)
+}
+
 // logPlan logs that a pool became short or has capacity again.
 func (o *Overload) logPlan(p *poolPlan, pool directory.Pool, s admission.PoolState, now time.Time) {
 	outlook := p.plan.Outlook()
@@ -181,6 +209,23 @@
 		"unread", s.Unread, "read_rate", s.ReadRate, "slack", s.Slack, "evidence_age", now.Sub(o.peersAt))
 }
 
+// removeUnshared removes the workspaces of levels of which the peers have most requests and name no
+// workspace, since they name them only once the pool is nearly short. Shares computed from the names of
+// this node alone would give the pool to the peers' requests, which count as many small workspaces.
+func removeUnshared(total, peers []admission.LevelDemand) {
+	for i := range peers {
+		p := &peers[i]
+		if len(p.Workspaces) > 0 {
+			continue
+		}
+		for j := range total {
+			if total[j].Level == p.Level && requestRate(peers[i:i+1]) > requestRate(total[j:j+1])/2 {
+				total[j].Workspaces = nil
+			}
+		}
+	}
+}
+
 // requestRate returns the requests per second of all levels.
 func requestRate(levels []admission.LevelDemand) float64 {
 	sum := 0.0
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -57,8 +57,8 @@
 	rejections int
 	// wasShed is set once an endpoint has rejected the request and asked for a cooldown.
 	wasShed bool
-	// atConnectionBound is set once an endpoint was not used because of the bound on connections.
-	atConnectionBound bool
+	// connectionBounds counts the endpoints that were not used because of the bound on connections.
+	connectionBounds int
 	// charge is what the current attempt consumed of the retry budget.
 	charge     Charge
 	mayHaveRun bool
@@ -216,6 +216,10 @@
 // response could not arrive in time.
 const minRemaining = 2 * responseMargin
 
+// maxConnectionBounds is the number of endpoints without a connection left after which a request is
+// rejected: the others are probably as busy, and each takes a choice and a log line.
+const maxConnectionBounds = 4
+
 // attemptAll tries endpoints until the request is finished.
 func (c *call) attemptAll(ctx context.Context) {
 	for {
@@ -231,6 +235,10 @@
 			c.finishUnserved(rejection{cause: causeDeadline, retryAfter: defaultRetryAfter})
 			return
 		}
+		if c.connectionBounds >= maxConnectionBounds {
+			c.finishUnserved(rejection{cause: causeFull, retryAfter: c.overloadRetryAfter(time.Now())})
+			return
+		}
 		if !c.isAllowed(ctx) {
 			c.finishUnserved(rejection{cause: causeQuarantine, retryAfter: quarantineRetryAfter})
 			return
