relay: drop the loads of peers together with their rates

When the peers' rates were older than 1 s, the plan used this node's starts together with the requests in flight of all nodes. It took the whole pool's excess for this node's own and admitted a fifth of its starts, where all requests are to be admitted. The loads of peers are now left out as well. Groups are still chosen by the loads last reported.

--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -153,10 +153,11 @@
 func (o *Overload) update(p *poolPlan, q overloadRequest, now time.Time) {
 	own := o.arrivals.PoolRates(q.pool, now)
 	total := own
-	if now.Sub(o.peersAt) <= maxEvidenceAge {
+	hearsPeers := now.Sub(o.peersAt) <= maxEvidenceAge
+	if hearsPeers {
 		total = own.Add(o.peers[q.pool])
 	}
-	load := o.balancer.poolLoad(q.heads, now)
+	load := o.balancer.poolLoad(q.heads, hearsPeers, now)
 	state := admission.PoolState{
 		Slots:      load.slots,
 		Running:    load.running,
@@ -198,15 +199,17 @@
 	return sum
 }
 
-// poolLoad is the load of the groups of a pool that can serve requests, over all nodes.
+// poolLoad is the load of the groups of a pool that can serve requests.
 type poolLoad struct {
 	slots, running, unread int
 	// readRate is the number of prompt tokens that the groups can read per second.
 	readRate float64
 }
 
-// poolLoad adds up the loads of the groups that are neither incomplete nor suspect.
-func (b *Balancer) poolLoad(heads []*directory.Head, now time.Time) poolLoad {
+// poolLoad adds up the loads of the groups that are neither incomplete nor suspect. The loads of
+// peers are left out if their rates are unknown: this node's starts alone can't correct an excess
+// that all nodes have caused.
+func (b *Balancer) poolLoad(heads []*directory.Head, withPeers bool, now time.Time) poolLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sum := poolLoad{}
@@ -216,8 +219,12 @@
 			continue
 		}
 		sum.slots += h.Slots
-		sum.running += l.running + l.peers.Running
-		sum.unread += l.unread + l.peers.Unread
+		sum.running += l.running
+		sum.unread += l.unread
+		if withPeers {
+			sum.running += l.peers.Running
+			sum.unread += l.peers.Unread
+		}
 		sum.readRate += h.Engine.TokensPerSec / h.TimeFactor
 	}
 	return sum
--- a/internal/relay/overload_test.go
+++ b/internal/relay/overload_test.go
@@ -104,6 +104,30 @@
 	require.Greater(t, fraction(2, false), 3*fraction(1, false))
 }
 
+// Guards against the rates or loads of peers counting after they have become stale, and against
+// control that does not resume with the next report.
+func TestOverload_DropsStaleEvidence(t *testing.T) {
+	s := newShortSim(100, demandAt(0, 1000, 0))
+	for range 20 {
+		s.arrivals.RecordStart(testPool, 0, s.now)
+	}
+	s.admit(0, 1, false)
+	require.True(t, s.IsShort(testPool))
+	s.now = s.now.Add(maxEvidenceAge)
+	s.admit(0, 1, false)
+	require.True(t, s.IsShort(testPool), "evidence still counts")
+	s.now = s.now.Add(planInterval)
+	for range 50 {
+		require.True(t, s.admit(0, 1, false))
+		s.now = s.now.Add(planInterval / 10)
+	}
+	require.False(t, s.IsShort(testPool))
+	s.report()
+	s.now = s.now.Add(planInterval)
+	s.admit(0, 1, false)
+	require.True(t, s.IsShort(testPool))
+}
+
 // Guards against a node that hears nobody admitting more than its own requests show to be possible.
 func TestOverload_HearsNobody(t *testing.T) {
 	s := newOverloadSim(1)
@@ -157,7 +181,8 @@
 			s.report()
 			s.balancer.begin(s.heads[0].Endpoint, RequestSize{Prompt: 7}, s.now)
 			change(s)
-			require.Equal(t, poolLoad{slots: 30, running: 4, unread: 7, readRate: 50_000}, s.balancer.poolLoad(s.heads, s.now))
+			require.Equal(t, poolLoad{slots: 30, running: 4, unread: 7, readRate: 50_000}, s.balancer.poolLoad(s.heads, true, s.now))
+			require.Equal(t, poolLoad{slots: 30, running: 1, unread: 7, readRate: 50_000}, s.balancer.poolLoad(s.heads, false, s.now))
 		})
 	}
 }
