relay: count no returns of requests to plain services

Rejected requests to plain services counted as returns with the outcome rejected, while served ones counted not at all, so the fraction of rejected returns was too high. Both are left out now.

--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -65,9 +65,9 @@
 	}, now)
 }
 
-// countReturn counts the outcome of a request that returned after a rejection.
+// countReturn counts the outcome of a request to a pool that returned after a rejection.
 func (c *call) countReturn(outcome string) {
-	if c.options.Overload != nil && c.isReturning() {
+	if _, ok := c.pool(); ok && c.options.Overload != nil && c.isReturning() {
 		c.options.Metrics.Inc("returns", map[string]string{"outcome": outcome})
 	}
 }
--- a/internal/relay/shed_test.go
+++ b/internal/relay/shed_test.go
@@ -143,7 +143,7 @@
 }
 
 // Guards against returns that are counted under a wrong outcome, and against counting requests that
-// do not return.
+// do not return or are for plain services.
 func TestServe_CountsReturns(t *testing.T) {
 	fx := newFixture(t, nil, []*endpoint{newEndpoint(t, events(1, 2, endStream))})
 	fx.enableOverload()
@@ -158,6 +158,7 @@
 	serve(hostStream, 0.9, 2, 200)
 	route.Objective = 0 // any first event is late
 	serve(hostStream, 0.6, 2, 200)
+	serve(hostPlain, 0.6, 1, 503)
 	fx.view.Heads[fixturePool] = nil
 	serve(hostStream, 0.6, 3, 503)
 	serve(hostStream, 0.9, 1, 503)
