relay: count no demand for unknown models

The model's name comes from the caller. Each new name created rates that were never removed and were offered to peers, so callers could make the memory of a node grow without bound. Only models of the service's engine are counted now. The fixture of the tests gets a model for this reason.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -215,7 +215,8 @@
 
 func newFixture(t *testing.T, plain, heads []*endpoint) *fixture {
 	t.Helper()
-	engine := &serving.Engine{Slots: 8, StepTime: time.Millisecond, TokensPerSec: 1e6, Chunk: 1000, StepsPerPass: 1}
+	engine := &serving.Engine{Slots: 8, StepTime: time.Millisecond, TokensPerSec: 1e6, Chunk: 1000, StepsPerPass: 1,
+		Models: []serving.Model{{Name: "m", Size: 1, TimeFactor: 1}}}
 	split := func(service string) []serving.Split { return []serving.Split{{Service: service, Weight: 1}} }
 	c := &serving.Configuration{
 		Version: 4,
--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -14,10 +14,16 @@
 // callers under overload are told to return after a fifth of it.
 const returningFraction = 0.8
 
-// pool returns the pool of the request, and false for a plain service.
+// pool returns the pool of the request, and false for a plain service or an unknown model. Callers
+// could otherwise make nodes keep state for any number of models.
 func (c *call) pool() (directory.Pool, bool) {
 	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
-	return pool, c.view.Configuration.Services[c.service].Engine != nil
+	engine := c.view.Configuration.Services[c.service].Engine
+	if engine == nil {
+		return pool, false
+	}
+	_, known := engine.Model(c.attrs.Model)
+	return pool, known
 }
 
 // isReturning reports whether the caller appears to return after a rejection.
--- a/internal/relay/shed_test.go
+++ b/internal/relay/shed_test.go
@@ -178,6 +178,18 @@
 	return out
 }
 
+// Guards against callers that make this node and its peers keep rates for models that don't exist.
+func TestServe_CountsNoUnknownModels(t *testing.T) {
+	fx := newFixture(t, nil, []*endpoint{newEndpoint(t, events(1, 2, endStream))})
+	fx.enableOverload()
+	in := request(hostStream)
+	in.Header.Set("Model", "forged")
+	require.Equal(t, 503, fx.serve(in).status)
+	require.Empty(t, fx.relay.options.Overload.OwnRates(time.Now()))
+	require.Equal(t, 200, fx.serve(request(hostStream)).status)
+	require.Contains(t, fx.relay.options.Overload.OwnRates(time.Now()), fixturePool)
+}
+
 // Guards against a group that is predicted to be late being chosen while the pool is short, and
 // against a tighter limit otherwise.
 func TestIsLate_Strict(t *testing.T) {
