relay: log the state in which a pool stays

A change within a second of the last line was not logged, also if the pool then stayed in the new state, so the log ended with a state that the pool had left. The state is now compared with the last one logged.

--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -44,7 +44,9 @@
 	returns   *admission.Returns
 	objective recentMinimum
 	updatedAt time.Time
-	loggedAt  time.Time
+	// loggedShort is the state that the last line of the log states, and loggedAt the time of it.
+	loggedShort bool
+	loggedAt    time.Time
 	// nearlyShort is set while the pool has little capacity left.
 	nearlyShort bool
 	// part is this node's part of the demand, 0 to 1.
@@ -168,7 +170,6 @@
 		TokensRead: total.TokensRead,
 		Demand:     total.Levels,
 	}
-	wasShort := p.plan.Short()
 	p.plan.Update(state, o.policy)
 	p.updatedAt = now
 	p.nearlyShort = p.plan.Short() || float64(load.running) > nearlyShort*float64(load.slots)
@@ -176,8 +177,8 @@
 	if all := requestRate(total.Levels); all > 0 {
 		p.part = requestRate(own.Levels) / all
 	}
-	if p.plan.Short() != wasShort && now.Sub(p.loggedAt) >= shortLogInterval {
-		p.loggedAt = now
+	if p.plan.Short() != p.loggedShort && now.Sub(p.loggedAt) >= shortLogInterval {
+		p.loggedShort, p.loggedAt = p.plan.Short(), now
 		o.logPlan(p, q.pool, state, now)
 	}
 }
--- a/internal/relay/overload_test.go
+++ b/internal/relay/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -225,6 +226,23 @@
 	}
 }
 
+// Guards against a log that ends with a state which the pool has left, and against more than one
+// line per second.
+func TestOverload_LogsLastState(t *testing.T) {
+	out := captureLog(t)
+	s := newShortSim(100, demandAt(0, 1000, 0))
+	s.admit(0, 1, false)
+	s.running, s.rates = 0, PoolRates{Starts: 100, Levels: []admission.LevelDemand{demandAt(0, 10, 0)}}
+	for range 30 {
+		s.now = s.now.Add(planInterval)
+		s.report()
+		s.admit(0, 1, false)
+	}
+	require.Equal(t, 2, strings.Count(out.text.String(), "overload of a pool changed"))
+	require.Equal(t, 1, strings.Count(out.text.String(), "short=true"))
+	require.Equal(t, 1, strings.Count(out.text.String(), "short=false"))
+}
+
 // Guards against a minimum that outlasts the requests it comes from, or that ignores the last ones.
 func TestRecentMinimum(t *testing.T) {
 	start := time.Now()
