relay: order requests by workspace, then by route, and keep a reserve for the most urgent level

The priority of a workspace replaced that of the route, so requests of workspaces with equal priorities counted as equally urgent: a flood of the least urgent class left 199 of 643 more urgent requests of the same model in time and rejected 220. Both priorities count now, the workspace's first. Half of the prompt backlog and a tenth of the slots are kept for the most urgent level, whose first events waited for prompts of the flood.

--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -95,11 +95,13 @@
 	const minCorrection, maxCorrection = 10 * time.Millisecond, time.Minute
 	d := admission.DefaultPolicy()
 	return admission.Policy{
-		Occupancy:   p.Float("overload_occupancy", d.Occupancy, 0.1, 2),
-		Backlog:     p.Float("overload_backlog", d.Backlog, 0.01, 10),
-		Correction:  p.Duration("overload_correction", d.Correction, minCorrection, maxCorrection),
-		MinShare:    p.Float("min_share", d.MinShare, 0, 0.5),
-		ReturnShare: p.Float("return_share", d.ReturnShare, 0, 1),
+		Occupancy:       p.Float("overload_occupancy", d.Occupancy, 0.1, 2),
+		Backlog:         p.Float("overload_backlog", d.Backlog, 0.01, 10),
+		Correction:      p.Duration("overload_correction", d.Correction, minCorrection, maxCorrection),
+		ReservedSlots:   p.Float("reserved_slots", d.ReservedSlots, 0, 1),
+		ReservedBacklog: p.Float("reserved_backlog", d.ReservedBacklog, 0, 1),
+		MinShare:        p.Float("min_share", d.MinShare, 0, 0.5),
+		ReturnShare:     p.Float("return_share", d.ReturnShare, 0, 1),
 	}
 }
 
--- a/internal/relay/priority.go
+++ b/internal/relay/priority.go
@@ -8,26 +8,33 @@
 // lowestPriority is the last one in the order of an endpoint's queue.
 const lowestPriority = 9
 
-// level returns the urgency of a request.
-func level(route *serving.Route, workspace serving.Workspace) admission.Level {
-	priority := route.Priority
-	if workspace.HasPriority {
-		priority = workspace.Priority
-	}
-	return admission.Level(min(max(priority, 0), lowestPriority))
+// urgencyLevel returns the level of a request among those of its service.
+func (c *call) urgencyLevel(workspace serving.Workspace) admission.Level {
+	rank := c.view.Configuration.Urgency(c.service, c.route, workspace)
+	return admission.Level(min(rank, lowestPriority))
 }
 
 // priority returns the request's place in the order of an endpoint's queue, or nil if all requests of
-// the service are equally urgent. Retries and resumed streams precede new requests of their level,
-// since their callers have waited.
+// the service are equally urgent.
 func (c *call) priority() *admission.Level {
-	if c.options.Overload == nil || !c.view.Configuration.HasLevels(c.service) {
+	urgencies := c.view.Configuration.Urgencies(c.service)
+	if c.options.Overload == nil || urgencies < 2 {
 		return nil
 	}
-	order := 2*c.level + 1
-	if c.attempts > 0 || c.lastEvent != "" {
-		order--
+	place := queuePlace(c.level, urgencies, c.attempts > 0 || c.lastEvent != "")
+	return &place
+}
+
+// queuePlace returns the place of a level in the order of an endpoint's queue. Retries and resumed
+// streams precede new requests of their level, since their callers have waited. If there are more places
+// than the queue tells apart, neighbouring ones share one.
+func queuePlace(level admission.Level, urgencies int, isRetry bool) admission.Level {
+	place, last := 2*int(level)+1, 2*urgencies-1
+	if isRetry {
+		place--
+	}
+	if last > lowestPriority {
+		place = place * lowestPriority / last
 	}
-	order = min(order, lowestPriority)
-	return &order
+	return admission.Level(min(place, lowestPriority))
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -41,7 +41,7 @@
 	route     *serving.Route
 	service   string
 	workspace string
-	// level is the urgency of the request: the priority of its workspace, else of its route.
+	// level is the urgency of the request among those of its service.
 	level admission.Level
 	// fingerprint is the same for all requests by which a caller retries the same work.
 	fingerprint quarantine.Fingerprint
@@ -163,6 +163,7 @@
 		c.rejectInvalid(http.StatusNotFound, "no route has this host and path")
 		return false
 	}
+	identified := serving.Workspace{}
 	if configuration.Workspaces != nil && !c.route.Public {
 		workspace, ok := configuration.Workspaces[c.attrs.Key]
 		if !ok {
@@ -170,11 +171,10 @@
 			return false
 		}
 		c.workspace = workspace.Name
-		c.level = level(c.route, workspace)
-	} else {
-		c.level = level(c.route, serving.Workspace{})
+		identified = workspace
 	}
 	c.service = c.route.Service(xxh3.HashString(c.attrs.ID))
+	c.level = c.urgencyLevel(identified)
 	c.fingerprint = c.computeFingerprint()
 	timeout := c.route.Timeout
 	if c.attrs.HasDeadline && c.attrs.Remaining < timeout || timeout <= 0 {
--- a/pkg/admission/levels.go
+++ b/pkg/admission/levels.go
@@ -30,23 +30,26 @@
 }
 
 // allocate divides the admissible rate among the levels. Each level first gets
-// its minimum; the rest is allocated in order of urgency.
-func (p *Plan) allocate(demand []LevelDemand, policy Policy, limit limit) {
-	total := 0.0
+// its minimum. The most urgent level gets what the whole limit admits; the others
+// share, in order of urgency, what the reserved limit leaves. Prompts that a less
+// urgent level sends ahead would otherwise make the most urgent one late.
+func (p *Plan) allocate(demand []LevelDemand, policy Policy, whole, reserved limit) {
+	total, minimums := 0.0, 0.0
 	for i := range demand {
-		total += demandOf(&demand[i], limit.byTokens)
+		total += demandOf(&demand[i], reserved.byTokens)
 	}
-	admissible := limit.fraction * total
-	minimum := admissible * min(policy.MinShare, 1/float64(len(demand)))
-	rest := admissible
+	minimum := reserved.fraction * total * min(policy.MinShare, 1/float64(len(demand)))
 	for i := range demand {
-		rest -= min(demandOf(&demand[i], limit.byTokens), minimum)
+		minimums += min(demandOf(&demand[i], reserved.byTokens), minimum)
 	}
+	rest := whole.fraction*total - minimums
+	used := 0.0
 	for i := range demand {
-		wanted := demandOf(&demand[i], limit.byTokens)
+		wanted := demandOf(&demand[i], reserved.byTokens)
 		granted := min(wanted, minimum)
 		extra := min(wanted-granted, max(rest, 0))
-		rest -= extra
+		used += extra
+		rest = reserved.fraction*total - minimums - used
 		p.addLevel(&demand[i], ratio(granted+extra, wanted), policy)
 	}
 }
--- a/pkg/admission/plan.go
+++ b/pkg/admission/plan.go
@@ -62,21 +62,26 @@
 
 // Policy holds the settings of a plan.
 type Policy struct {
-	Occupancy   float64       // target utilization of the slots under overload, as a fraction
-	Backlog     float64       // fraction of Slack that reading the unread prompts may take
-	Correction  time.Duration // time within which a deviation is corrected
-	MinShare    float64       // minimum fraction of the admissible rate for each level
-	ReturnShare float64       // fraction of the admissible rate in which returning callers have precedence
+	Occupancy  float64       // target utilization of the slots under overload, as a fraction
+	Backlog    float64       // fraction of Slack that reading the unread prompts may take
+	Correction time.Duration // time within which a deviation is corrected
+	// ReservedSlots and ReservedBacklog are the parts of Occupancy and Backlog that are kept for the
+	// most urgent level, if there are several.
+	ReservedSlots, ReservedBacklog float64
+	MinShare                       float64 // minimum fraction of the admissible rate for each level
+	ReturnShare                    float64 // fraction of the admissible rate in which returning callers have precedence
 }
 
 // DefaultPolicy returns the default settings.
 func DefaultPolicy() Policy {
 	return Policy{
-		Occupancy:   0.95,
-		Backlog:     0.65,
-		Correction:  700 * time.Millisecond,
-		MinShare:    0.05,
-		ReturnShare: 0.3,
+		Occupancy:       0.95,
+		Backlog:         0.65,
+		Correction:      700 * time.Millisecond,
+		ReservedSlots:   0.1,
+		ReservedBacklog: 0.5,
+		MinShare:        0.05,
+		ReturnShare:     0.3,
 	}
 }
 
@@ -108,12 +113,24 @@
 	p.levels = p.levels[:0]
 	arrivals := s.arrivals()
 	limit := limitOf(&s, policy, arrivals, p.short)
-	p.short = limit.fraction < 1
-	p.outlook = newOutlook(&s, policy, arrivals, limit.fraction)
+	reserved := limit
+	if len(s.Demand) > 1 {
+		policy = policy.withReserve()
+		reserved = limitOf(&s, policy, arrivals, p.short)
+	}
+	p.short = reserved.fraction < 1
+	p.outlook = newOutlook(&s, policy, arrivals, reserved.fraction)
 	if !p.short {
 		return
 	}
-	p.allocate(s.Demand, policy, limit)
+	p.allocate(s.Demand, policy, limit, reserved)
+}
+
+// withReserve returns the policy for the levels that are not the most urgent.
+func (p Policy) withReserve() Policy {
+	p.Occupancy -= p.ReservedSlots
+	p.Backlog *= 1 - p.ReservedBacklog
+	return p
 }
 
 // Short reports whether the pool can't begin all arriving requests.
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -168,8 +168,8 @@
 	Limits     Limits
 
 	byHost map[string][]*Route
-	// levels has the services with an engine whose requests differ in priority.
-	levels map[string]bool
+	// urgencies has, for each service with an engine, the priorities of its requests, most urgent first.
+	urgencies map[string][]urgency
 }
 
 // Index prepares the configuration for Match. It must be called once, before
@@ -181,50 +181,12 @@
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
-	c.indexLevels()
+	c.indexUrgencies()
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 }
 
-// HasLevels reports whether the requests of a service with an engine differ in priority, by their
-// routes or by the workspaces' own.
-func (c *Configuration) HasLevels(service string) bool { return c.levels[service] }
-
-// indexLevels finds the services whose requests differ in priority.
-func (c *Configuration) indexLevels() {
-	c.levels = map[string]bool{}
-	first := map[string]int{}
-	add := func(service string, priority int) {
-		if known, ok := first[service]; ok && known != priority {
-			c.levels[service] = true
-		}
-		first[service] = priority
-	}
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		for _, s := range r.Splits {
-			if c.Services[s.Service].Engine != nil {
-				r.addPriorities(c.Workspaces, func(priority int) { add(s.Service, priority) })
-			}
-		}
-	}
-}
-
-// addPriorities passes the priorities that requests of a route can have to a function.
-func (r *Route) addPriorities(workspaces map[string]Workspace, add func(priority int)) {
-	if r.Public || len(workspaces) == 0 {
-		add(r.Priority)
-	}
-	for _, w := range workspaces {
-		if w.HasPriority {
-			add(w.Priority)
-		} else {
-			add(r.Priority)
-		}
-	}
-}
-
 // Match returns the route with the longest matching prefix, or nil.
 func (c *Configuration) Match(host, path string) *Route {
 	for _, r := range c.byHost[strings.ToLower(host)] {
