--- a/pkg/admission/plan.go
+++ b/pkg/admission/plan.go
@@ -79,7 +79,7 @@
 		Backlog:         0.65,
 		Correction:      700 * time.Millisecond,
 		ReservedSlots:   0.1,
-		ReservedBacklog: 0.5,
+		ReservedBacklog: 0.7,
 		MinShare:        0.05,
 		ReturnShare:     0.3,
 	}
