--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -51,7 +51,9 @@
 		objective: c.route.Objective,
 		returning: c.isReturning(),
 	}
-	if c.options.Overload.Admit(q, now) {
+	isAdmitted := c.options.Overload.Admit(q, now)
+	if isAdmitted || c.lastEvent != "" {
+		// Endpoints have already worked on a stream that a caller resumes.
 		return false
 	}
 	c.recordInTime(false, now)
--- a/internal/relay/shed_test.go
+++ b/internal/relay/shed_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// Guards against new requests going before streams that endpoints have already worked on.
+func TestServe_NeverShedsResumedStreams(t *testing.T) {
+	fx := newFixture(t, nil, []*endpoint{newEndpoint(t, events(8, 9, endStream))})
+	fx.enableOverload()
+	fx.setDemand(demandAt(0, 5000, 5000))
+	in := requestLeft(hostStream, 0.9)
+	in.Header.Set("Last", "7")
+	require.Equal(t, 200, fx.serve(in).status)
+}
+
 // Guards against plain services being shed or counted.
 func TestServe_NeverShedsPlainServices(t *testing.T) {
 	fx := newFixture(t, []*endpoint{newEndpoint(t, respondWith(200, "good"))}, nil)
