--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -45,6 +45,8 @@
 	gate      *admission.Gate
 	returns   *admission.Returns
 	objective recentMinimum
+	// levelObjectives has the tightest objective of each level.
+	levelObjectives [maxLevel + 1]recentMinimum
 	updatedAt time.Time
 	// loggedShort is what the last log line about the plan, at loggedAt, stated.
 	loggedShort bool
@@ -121,6 +123,7 @@
 	defer o.mu.Unlock()
 	p := o.pool(q.pool)
 	p.objective.record(q.objective, now)
+	p.levelObjectives[min(q.level, maxLevel)].record(q.objective, now)
 	if now.Sub(p.updatedAt) >= planInterval {
 		o.update(p, q, now)
 	}
@@ -155,6 +158,7 @@
 		// count as a great many workspaces of its size.
 		total.Levels[i].Workspaces = LargestWorkspaces(total.Levels[i].Workspaces, MaxNamedWorkspaces)
 	}
+	p.markRelaxed(total.Levels, now)
 	removeUnshared(total.Levels, o.peers[q.pool].Levels)
 	load := o.balancer.poolLoad(q.heads, now)
 	state := admission.PoolState{
@@ -183,6 +187,15 @@
 	}
 }
 
+// markRelaxed marks the levels whose objective is longer than the tightest one of the pool.
+func (p *poolPlan) markRelaxed(levels []admission.LevelDemand, now time.Time) {
+	tightest := p.objective.value(now)
+	for i := range levels {
+		l := &levels[i]
+		l.Relaxed = tightest > 0 && p.levelObjectives[min(l.Level, maxLevel)].value(now) > tightest
+	}
+}
+
 // isStale reports whether the rates of the peers are too old to be used; the caller must hold the
 // lock. A node that never received any uses its own, and its loads then cover its own requests only.
 // Once peers were heard, their loads count for longer than their rates, and a plan from the loads of
--- a/pkg/admission/levels.go
+++ b/pkg/admission/levels.go
@@ -30,9 +30,9 @@
 }
 
 // allocate divides the admissible rate among the levels. Each level first gets
-// its minimum. The most urgent level gets what the whole limit admits; the others
-// share, in order of urgency, what the reserved limit leaves. Prompts that a less
-// urgent level sends ahead would otherwise make the most urgent one late.
+// its minimum; the rest is allocated in order of urgency. Relaxed levels share
+// only what the reserved limit leaves: their prompts would otherwise make the
+// requests late that have the tightest objective.
 func (p *Plan) allocate(demand []LevelDemand, policy Policy, whole, reserved limit) {
 	total, minimums := 0.0, 0.0
 	for i := range demand {
@@ -42,14 +42,17 @@
 	for i := range demand {
 		minimums += min(demandOf(&demand[i], reserved.byTokens), minimum)
 	}
-	rest := whole.fraction*total - minimums
 	used := 0.0
 	for i := range demand {
+		limit := whole
+		if demand[i].Relaxed {
+			limit = reserved
+		}
+		rest := limit.fraction*total - minimums - used
 		wanted := demandOf(&demand[i], reserved.byTokens)
 		granted := min(wanted, minimum)
 		extra := min(wanted-granted, max(rest, 0))
 		used += extra
-		rest = reserved.fraction*total - minimums - used
 		p.addLevel(&demand[i], ratio(granted+extra, wanted), policy)
 	}
 }
--- a/pkg/admission/plan.go
+++ b/pkg/admission/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -24,6 +25,9 @@
 	Level Level
 	Rates
 	Workspaces []WorkspaceDemand // the largest ones only
+	// Relaxed is set if the level's objective is longer than the tightest one in the pool. Its
+	// requests could fill the backlog that the tightest objective needs.
+	Relaxed bool
 }
 
 // WorkspaceDemand is the demand of one workspace at one level.
@@ -65,8 +69,8 @@
 	Occupancy  float64       // target utilization of the slots under overload, as a fraction
 	Backlog    float64       // fraction of Slack that reading the unread prompts may take
 	Correction time.Duration // time within which a deviation is corrected
-	// ReservedSlots and ReservedBacklog are the parts of Occupancy and Backlog that are kept for the
-	// most urgent level, if there are several.
+	// ReservedSlots and ReservedBacklog are the parts of Occupancy and Backlog that are kept from
+	// relaxed levels.
 	ReservedSlots, ReservedBacklog float64
 	MinShare                       float64 // minimum fraction of the admissible rate for each level
 	ReturnShare                    float64 // fraction of the admissible rate in which returning callers have precedence
@@ -114,7 +118,7 @@
 	arrivals := s.arrivals()
 	limit := limitOf(&s, policy, arrivals, p.short)
 	reserved := limit
-	if len(s.Demand) > 1 {
+	if hasRelaxed(s.Demand) {
 		policy = policy.withReserve()
 		reserved = limitOf(&s, policy, arrivals, p.short)
 	}
@@ -126,7 +130,12 @@
 	p.allocate(s.Demand, policy, limit, reserved)
 }
 
-// withReserve returns the policy for the levels that are not the most urgent.
+// hasRelaxed reports whether a level has a longer objective than another one.
+func hasRelaxed(demand []LevelDemand) bool {
+	return slices.ContainsFunc(demand, func(d LevelDemand) bool { return d.Relaxed })
+}
+
+// withReserve returns the policy for the levels with a longer objective.
 func (p Policy) withReserve() Policy {
 	p.Occupancy -= p.ReservedSlots
 	p.Backlog *= 1 - p.ReservedBacklog
