--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -47,7 +47,7 @@
 	objective recentMinimum
 	// levelObjectives has the tightest objective of each level.
 	levelObjectives [maxLevel + 1]recentMinimum
-	updatedAt time.Time
+	updatedAt       time.Time
 	// loggedShort is what the last log line about the plan, at loggedAt, stated.
 	loggedShort bool
 	loggedAt    time.Time
