--- a/internal/relay/prefer.go
+++ b/internal/relay/prefer.go
@@ -51,19 +51,18 @@
 		s = &subset{preferred: map[serving.EndpointID]bool{}}
 		b.affinity.subsets[pool] = s
 	}
+	b.affinity.current = s
 	isCurrent := s.isCurrent(heads, b.home)
-	if !isCurrent {
-		s.setHeads(heads, b.affinity.node, b.home)
-	}
 	if isCurrent && now.Sub(s.sizedAt) < subsetInterval {
-		b.affinity.current = s
 		return
 	}
+	if !isCurrent {
+		s.setHeads(heads, b.affinity.node, b.home)
+	}
 	s.sizedAt = now
 	if size := subsetSize(b.affinity.sources.Demand(pool, now), len(s.ranked)); !isCurrent || size != s.size {
 		s.setSize(size)
 	}
-	b.affinity.current = s
 }
 
 // affinityWeight returns the factor for the weight of a head: Weights.Affinity if the head is
