--- a/internal/relay/draw.go
+++ b/internal/relay/draw.go
@@ -178,9 +178,8 @@
 	head      *directory.Head
 	predicted Prediction
 	score     time.Duration
-	// health is the factor by which failures, a cold period, few free slots and affinity change the
-	// weight.
-	health float64
+	// factor is by how much failures, a cold period, few free slots and affinity change the weight.
+	factor float64
 }
 
 func (b *Balancer) candidate(h *directory.Head, l *load, predicted Prediction, now time.Time) candidate {
@@ -191,15 +190,15 @@
 	}
 	c := candidate{h, predicted, b.score(h, predicted, slowdown), 1}
 	if b.weights.Failures == health.Compare {
-		c.health = health.Weight(tally.Rate())
+		c.factor = health.Weight(tally.Rate())
 	}
 	if h.ColdLimit(now) > 0 {
-		c.health *= coldWeight
+		c.factor *= coldWeight
 	}
 	if b.weights.FreeWeight {
-		c.health *= freeWeight(predicted.Running, h.Slots)
+		c.factor *= freeWeight(predicted.Running, h.Slots)
 	}
-	c.health *= b.affinityWeight(h, now)
+	c.factor *= b.affinityWeight(h, now)
 	return c
 }
 
@@ -255,7 +254,7 @@
 	return min(1, float64(maxRemoteRatio*home)/float64(remote))
 }
 
-// draw picks one candidate at random, weighted by score and health, and by remoteWeight in other
+// draw picks one candidate at random, weighted by score and factor, and by remoteWeight in other
 // data centres.
 func (b *Balancer) draw(candidates []candidate, remoteWeight float64) *candidate {
 	if len(candidates) == 0 {
@@ -267,7 +266,7 @@
 	for i := range candidates {
 		// Weighted reservoir sampling: each candidate replaces the drawn one with the
 		// probability of its share of the total so far.
-		weight := candidates[i].health * math.Pow(float64(best)/float64(candidates[i].score), b.weights.DrawPower)
+		weight := candidates[i].factor * math.Pow(float64(best)/float64(candidates[i].score), b.weights.DrawPower)
 		if candidates[i].head.DataCentre != b.home {
 			weight *= remoteWeight
 		}
