--- a/internal/gossip/encode_rates.go
+++ b/internal/gossip/encode_rates.go
@@ -117,7 +117,7 @@
 
 // fromLevels is the reverse of toLevels. It leaves out invalid levels and returns their number.
 func fromLevels(encoded []*sharepb.LevelRates) (levels []admission.LevelDemand, invalid int) {
-	levels = make([]admission.LevelDemand, 0, min(len(encoded), maxLevel+1))
+	levels = make([]admission.LevelDemand, 0, min(len(encoded), int(admission.MaxLevel)+1))
 	next := uint32(0)
 	for _, l := range encoded {
 		if l.GetLevel() < next || !validLevel(l) {
--- a/internal/gossip/validate_rates.go
+++ b/internal/gossip/validate_rates.go
@@ -5,14 +5,13 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/pkg/admission"
 )
 
 // Bounds of received rates.
 const (
 	// maxRatePools is the number of pools in one list of a message.
 	maxRatePools = 256
-	// maxLevel is the least urgent level.
-	maxLevel = 9
 	// maxRate is the largest rate per second. It keeps sums over nodes within a float32.
 	maxRate = 1e9
 	// maxOffsetMillis is the largest offset, in milliseconds.
@@ -29,7 +28,7 @@
 // that none is counted twice.
 func validLevel(l *sharepb.LevelRates) bool {
 	workspaces := l.GetWorkspaces()
-	if l.GetLevel() > maxLevel || len(workspaces) > relay.MaxNamedWorkspaces || len(workspaces) != len(l.GetWorkspaceRequests()) {
+	if l.GetLevel() > uint32(admission.MaxLevel) || len(workspaces) > relay.MaxNamedWorkspaces || len(workspaces) != len(l.GetWorkspaceRequests()) {
 		return false
 	}
 	for i := 1; i < len(workspaces); i++ {
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -13,8 +13,6 @@
 	// arrivalWindow is the time constant of the rates. With a second, the admitted fraction lagged a
 	// step of the demand by so much that 15 in 100 requests beyond the slots were admitted.
 	arrivalWindow = 500 * time.Millisecond
-	// maxLevel is the least urgent level; higher values count as this one.
-	maxLevel = 9
 	// MaxNamedWorkspaces is the number of workspaces that are named for a pool and level.
 	MaxNamedWorkspaces = 8
 	// maxWorkspaces bounds the workspaces that are measured for a pool and level, and thereby the
@@ -37,7 +35,7 @@
 // poolArrivals has the rates of one pool.
 type poolArrivals struct {
 	starts, tokensRead decayingSum
-	levels             [maxLevel + 1]*levelArrivals
+	levels             [admission.MaxLevel + 1]*levelArrivals
 }
 
 // levelArrivals has the rates of one level of a pool.
@@ -107,9 +105,9 @@
 	return p
 }
 
-// level returns the rates of a level.
+// level returns the rates of a level; those beyond the last one count as that.
 func (p *poolArrivals) level(level admission.Level) *levelArrivals {
-	level = min(level, maxLevel)
+	level = min(level, admission.MaxLevel)
 	if p.levels[level] == nil {
 		p.levels[level] = &levelArrivals{workspaces: map[uint32]decayingSum{}}
 	}
--- a/internal/relay/arrivals_test.go
+++ b/internal/relay/arrivals_test.go
@@ -30,7 +30,7 @@
 	require.InEpsilon(t, 50, r.Starts, 0.03)
 	require.InEpsilon(t, 10_000, r.TokensRead, 0.03)
 	require.Len(t, r.Levels, 2)
-	require.Equal(t, []admission.Level{2, maxLevel}, []admission.Level{r.Levels[0].Level, r.Levels[1].Level})
+	require.Equal(t, []admission.Level{2, admission.MaxLevel}, []admission.Level{r.Levels[0].Level, r.Levels[1].Level})
 	require.InEpsilon(t, 75, r.Levels[0].New, 0.03)
 	require.InEpsilon(t, 25, r.Levels[0].Returning, 0.03)
 	require.InEpsilon(t, 30_000, r.Levels[0].Tokens, 0.03)
--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -46,7 +46,7 @@
 	returns   *admission.Returns
 	objective recentMinimum
 	// levelObjectives has the tightest objective of each level.
-	levelObjectives [maxLevel + 1]recentMinimum
+	levelObjectives [admission.MaxLevel + 1]recentMinimum
 	updatedAt       time.Time
 	// loggedShort is what the last log line about the plan, at loggedAt, stated.
 	loggedShort bool
@@ -123,7 +123,7 @@
 	defer o.mu.Unlock()
 	p := o.pool(q.pool)
 	p.objective.record(q.objective, now)
-	p.levelObjectives[min(q.level, maxLevel)].record(q.objective, now)
+	p.levelObjectives[min(q.level, admission.MaxLevel)].record(q.objective, now)
 	if now.Sub(p.updatedAt) >= planInterval {
 		o.update(p, q, now)
 	}
@@ -192,7 +192,7 @@
 	tightest := p.objective.value(now)
 	for i := range levels {
 		l := &levels[i]
-		l.Relaxed = tightest > 0 && p.levelObjectives[min(l.Level, maxLevel)].value(now) > tightest
+		l.Relaxed = tightest > 0 && p.levelObjectives[min(l.Level, admission.MaxLevel)].value(now) > tightest
 	}
 }
 
--- a/internal/relay/priority.go
+++ b/internal/relay/priority.go
@@ -11,7 +11,7 @@
 // urgencyLevel returns the level of a request among those of its service.
 func (c *call) urgencyLevel(workspace serving.Workspace) admission.Level {
 	rank := c.view.Configuration.Urgency(c.service, c.route, workspace)
-	return admission.Level(min(rank, lowestPriority))
+	return admission.Level(min(rank, int(admission.MaxLevel)))
 }
 
 // priority returns the request's place in the order of an endpoint's queue, or nil if all requests of
--- a/pkg/admission/plan.go
+++ b/pkg/admission/plan.go
@@ -6,9 +6,12 @@
 	"time"
 )
 
-// Level is the urgency of a request, 0 to 9. 0 is the most urgent.
+// Level is the urgency of a request, 0 to MaxLevel. 0 is the most urgent.
 type Level uint8
 
+// MaxLevel is the least urgent level.
+const MaxLevel Level = 9
+
 // Rates holds the arrival rates of requests and of their prompt tokens, per second.
 type Rates struct {
 	New, Returning float64 // requests that arrive for the first time, and again after a rejection
