--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -255,14 +255,19 @@
 	readRate float64
 }
 
-// poolLoad adds up the loads of the groups that are neither incomplete nor suspect.
+// isUsable reports whether a group is neither incomplete nor suspect; the caller holds the lock.
+func (b *Balancer) isUsable(h *directory.Head, l *load, now time.Time) bool {
+	return !h.Incomplete && !now.Before(l.suspectUntil) && !b.isUnreachable(h.DataCentre, now)
+}
+
+// poolLoad adds up the loads of the usable groups.
 func (b *Balancer) poolLoad(heads []*directory.Head, now time.Time) poolLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sum := poolLoad{}
 	for _, h := range heads {
 		l := b.load(h.ID)
-		if h.Incomplete || now.Before(l.suspectUntil) || b.isUnreachable(h.DataCentre, now) {
+		if !b.isUsable(h, l, now) {
 			continue
 		}
 		sum.slots += h.Slots
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -120,7 +120,7 @@
 	earliest, found := time.Duration(0), false
 	for _, h := range heads {
 		l := b.load(h.ID)
-		if h.Incomplete || now.Before(l.suspectUntil) || b.isUnreachable(h.DataCentre, now) {
+		if !b.isUsable(h, l, now) {
 			continue
 		}
 		if first := predict(h, l, s).First; !found || first < earliest {
