groupcontrol: weight models by their callers (caller_weight)

Plans valued the fraction of the work that is served in time.

caller_weight (default 0, as before) weights a model by its share of the callers against its share of the work in the value of a plan. With it, a takeover counts all groups that its members can form, endpoints that are kept as spares no longer count as members of a group that could be formed at once, and free endpoints go to the model that gains the most per endpoint. The first group of a model in a data centre is decided by work alone. The costs and the cooldown of takeovers are unchanged.

--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -63,6 +63,7 @@
 			SpareFraction:      p.Float("spares", groupcontrol.DefaultWeights.SpareFraction, 0, 0.5),
 			CorrectForLateness: p.Bool("corrected_demand", groupcontrol.DefaultWeights.CorrectForLateness),
 			LocalWeight:        p.Float("home_weight", groupcontrol.DefaultWeights.LocalWeight, 0, 1),
+			CallerWeight:       p.Float("caller_weight", groupcontrol.DefaultWeights.CallerWeight, 0, 1),
 
 			AcrossDomains: p.Bool("across_domains", groupcontrol.DefaultWeights.AcrossDomains),
 			WarmSpares:    p.Bool("warm_spares", groupcontrol.DefaultWeights.WarmSpares),
--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -55,6 +55,8 @@
 	// demand is the work for each model over all data centres, in groups that would be fully
 	// busy.
 	demand map[string]float64
+	// requests are the requests per second for each model over all data centres.
+	requests map[string]float64
 	// inTime is the recent fraction of each model's requests that were served in time, if
 	// enough requests were measured.
 	inTime map[string]float64
@@ -211,9 +213,9 @@
 // staysNeediest reports whether a model would remain the neediest even with one more group
 // across domains. Otherwise the members are more useful as spares.
 func (s *situation) staysNeediest(model serving.Model) bool {
-	extended := s.coverageWith(model, float64(model.Size)/max(1, s.engine.CrossDomainFactor))
+	extended := s.needWith(model, float64(model.Size)/max(1, s.engine.CrossDomainFactor))
 	for _, other := range s.engine.Models {
-		if other.Name != model.Name && s.coverage(other) < extended {
+		if other.Name != model.Name && s.need(other) > extended {
 			return false
 		}
 	}
@@ -260,11 +262,8 @@
 	return formation{}, 0, false
 }
 
-// coverage is the number of endpoints that serve a model per unit of its share; the model with
-// the lowest coverage is the neediest.
-func (s *situation) coverage(m serving.Model) float64 { return s.coverageWith(m, 0) }
-
-// coverageWith is the coverage with extra endpoints added.
+// coverageWith is the number of endpoints that serve a model, with extra ones added, per unit of
+// its share of the work.
 func (s *situation) coverageWith(m serving.Model, extra float64) float64 {
 	for _, models := range s.inUse {
 		extra += models[m.Name]
@@ -272,11 +271,11 @@
 	return extra / max(s.shareOf(m), 0.01)
 }
 
-// byNeed returns the models in ascending order of coverage.
+// byNeed returns the models, the neediest first.
 func (s *situation) byNeed() []serving.Model {
 	models := slices.Clone(s.engine.Models)
 	slices.SortStableFunc(models, func(a, b serving.Model) int {
-		return cmp.Or(cmp.Compare(s.coverage(a), s.coverage(b)), cmp.Compare(s.shareOf(b), s.shareOf(a)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(s.need(b), s.need(a)), cmp.Compare(s.shareOf(b), s.shareOf(a)), cmp.Compare(a.Name, b.Name))
 	})
 	return models
 }
--- a/internal/groupcontrol/situation.go
+++ b/internal/groupcontrol/situation.go
@@ -19,6 +19,7 @@
 		remote:   map[string]float64{},
 		growing:  map[string]bool{},
 		demand:   map[string]float64{},
+		requests: map[string]float64{},
 		inTime:   map[string]float64{},
 		meanWork: map[string]float64{},
 		limit:    c.options.Limit,
@@ -36,6 +37,7 @@
 			continue
 		}
 		s.demand[pool.Model] = demand.Groups
+		s.requests[pool.Model] = demand.Requests
 		if demand.Requests > 0 {
 			s.meanWork[pool.Model] = demand.Groups / demand.Requests
 		}
--- a/internal/groupcontrol/takeover.go
+++ b/internal/groupcontrol/takeover.go
@@ -41,14 +41,19 @@
 		if s.reserved[domain] != "" {
 			continue
 		}
-		groups, ok := s.victims(model, domain, free[domain])
+		usable := free[domain]
+		if s.byCallers() {
+			// Free endpoints that are kept as spares neither form a group nor replace a victim.
+			usable = s.freeFor(model, domain, usable)
+		}
+		groups, ok := s.victims(model, domain, usable)
 		switch {
 		case !ok:
-		case s.countWarm(model, domain, free[domain]) >= model.Size:
+		case s.countWarm(model, domain, usable) >= model.Size:
 			// A group could be formed now but is not worthwhile.
 		case len(groups) == 0:
 			return takeover{model, domain, nil}, takeoverPending
-		case s.improves(model, groups) && (outcome == takeoverNone || len(groups) < len(best.groups)):
+		case s.improves(model, groups, s.formable(model, domain, free[domain], groups)) && (outcome == takeoverNone || len(groups) < len(best.groups)):
 			best, outcome = takeover{model, domain, groups}, takeoverFound
 		}
 	}
@@ -138,9 +143,13 @@
 
 // improves reports whether groups should give their members to a group of a model. If only
 // slow groups of the same model are dissolved, the new group must make up for them; otherwise
-// the estimated gain must exceed the cost.
-func (s *situation) improves(model serving.Model, victims []*group) bool {
-	change := map[string]float64{model.Name: float64(model.Size)}
+// the estimated gain must exceed the cost. formable is the number of groups of the model that
+// their members can form.
+func (s *situation) improves(model serving.Model, victims []*group, formable int) bool {
+	if s.byCallers() && s.concernsLastGroup(model, victims) {
+		return s.byWork().improves(model, victims, 1)
+	}
+	change := map[string]float64{model.Name: float64(formable * model.Size)}
 	for _, g := range victims {
 		change[g.model.Name] -= s.memberWeight(g) * float64(len(g.members))
 	}
@@ -153,7 +162,7 @@
 	cost := s.weights.TakeoverGain
 	for _, g := range victims {
 		if g.model.Name != model.Name {
-			cost += s.changeCost(change, g.model, min(len(g.members), model.Size))
+			cost += s.changeCost(change, g.model, min(len(g.members), formable*model.Size))
 		}
 	}
 	return s.gainOf(change) >= cost
--- a/internal/groupcontrol/value.go
+++ b/internal/groupcontrol/value.go
@@ -31,6 +31,10 @@
 	// together. It may be partitioned from the others at any time, and controllers that all
 	// fill the same gap overshoot.
 	LocalWeight float64
+	// CallerWeight weights a model's share of the callers against its share of the work in the
+	// value of a plan, 0 to 1. By work alone, a model with few expensive requests counts as much
+	// as one with many cheap ones, although it serves few callers.
+	CallerWeight float64
 	// AcrossDomains allows groups that span domains, which are slow, where none can be formed
 	// within a domain.
 	AcrossDomains bool
@@ -113,7 +117,7 @@
 // some are full long before all are.
 const servedExponent = 3
 
-// value estimates the fraction of the work served in time after a change of the endpoints of
+// value estimates the fraction of the work, or of the callers by CallerWeight, served in time after a change of the endpoints of
 // each model in this data centre.
 func (s *situation) value(change map[string]float64) float64 {
 	value := 0.0
@@ -123,7 +127,7 @@
 		allGroups := localGroups + s.remote[m.Name]/float64(m.Size)
 		shared := servedFraction(demand, allGroups)
 		isolated := servedFraction(demand/float64(max(1, s.dataCentres)), localGroups)
-		value += s.shareOf(m) * ((1-s.weights.LocalWeight)*shared + s.weights.LocalWeight*isolated)
+		value += s.weightOf(m) * ((1-s.weights.LocalWeight)*shared + s.weights.LocalWeight*isolated)
 	}
 	return value
 }
@@ -170,6 +174,9 @@
 // isWorthwhile reports whether the gain of a group exceeds what its members could contribute
 // to groups of their last models.
 func (s *situation) isWorthwhile(f formation) bool {
+	if s.byCallers() && s.concernsFirstGroup(f.model, f.members) {
+		return s.byWork().isWorthwhile(f)
+	}
 	change := map[string]float64{f.model.Name: float64(f.model.Size)}
 	cost := 0.0
 	for _, from := range s.engine.Models {
