groupcontrol: use endpoints again that respond after they were found dead (recheck_dead)

An endpoint that did not respond to two probes was excluded from groups for 8 s, also if it was unreachable for a moment only. Without a spare its group stayed away for that time: the other members were free and idle.

With recheck_dead (default false, as before) the controller asks a listed endpoint that is marked as dead for a report each second, and uses it once it responds. If it is found dead again within 30 s of the last time, the exclusion of 8 s applies, since it would end each of its groups.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,6 +168,7 @@
 		Weights:              s.Policy.Groups,
 		LeaseTTL:             s.LeaseTTL,
 		LeaseOutageExtension: s.Policy.LeaseOutageExtension,
+		RecheckDead:          s.Policy.RecheckDead,
 		CallTimeout:          250 * time.Millisecond,
 		Tick:                 100 * time.Millisecond,
 		DrainWait:            2500 * time.Millisecond,
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -21,6 +21,8 @@
 	// ReturnGrace is how long after a store outage endpoints count as listed whose rows were
 	// removed during the outage; zero turns it off.
 	ReturnGrace time.Duration
+	// RecheckDead has controllers ask listed endpoints again that did not respond.
+	RecheckDead bool
 	// Groups has the weights for forming replica groups.
 	Groups groupcontrol.Weights
 	// Relay has the weights for distributing and rejecting requests.
@@ -55,6 +57,7 @@
 	return Policy{
 		LeaseOutageExtension: p.Duration("lease_outage", defaultLeaseOutageExtension, 0, time.Hour),
 		ReturnGrace:          p.Duration("return_grace", directory.DefaultReturnGrace, 0, time.Minute),
+		RecheckDead:          p.Bool("recheck_dead", false),
 		Groups: groupcontrol.Weights{
 			Demand:             p.Float("demand_weight", groupcontrol.DefaultWeights.Demand, 0, 1),
 			Headroom:           p.Float("headroom", groupcontrol.DefaultWeights.Headroom, 1, 10),
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -56,12 +56,13 @@
 	require.False(t, s.Policy.Groups.CorrectForLateness)
 	require.Equal(t, 4, s.Policy.FullRateNodes)
 
-	s, err = Parse("entry.ini", []byte(minimal+"affinity = 8\nconnection_bound = yes\ncaller_weight = 0.5\npack_domains = yes\n"))
+	s, err = Parse("entry.ini", []byte(minimal+"affinity = 8\nconnection_bound = yes\ncaller_weight = 0.5\npack_domains = yes\nrecheck_dead = yes\n"))
 	require.NoError(t, err)
 	require.InDelta(t, 8, s.Policy.Relay.Affinity, 0)
 	require.True(t, s.Policy.Relay.ConnectionBound)
 	require.InDelta(t, 0.5, s.Policy.Groups.CallerWeight, 0)
 	require.True(t, s.Policy.Groups.PackDomains)
+	require.True(t, s.Policy.RecheckDead)
 }
 
 func TestParse_SilenceSetting(t *testing.T) {
@@ -76,7 +77,7 @@
 }
 
 func TestParse_RejectsInvalidPolicy(t *testing.T) {
-	for _, wrong := range []string{"headroom = 0.5", "headroom = many", "home_weight = 2", "caller_weight = 1.5", "pack_domains = 2", "takeover_gain = -1", "late_factor = 0", "overload_return = 0s", "across_domains = maybe", "lease_outage = 2h", "headrom = 2", "failures = sometimes", "shared_events = perhaps", "observed_pace = 2", "corrected_demand = 0.5", "share_nodes = 0", "first_offset = 20ms", "free_weight = 2"} {
+	for _, wrong := range []string{"headroom = 0.5", "headroom = many", "home_weight = 2", "caller_weight = 1.5", "pack_domains = 2", "recheck_dead = 1s", "takeover_gain = -1", "late_factor = 0", "overload_return = 0s", "across_domains = maybe", "lease_outage = 2h", "headrom = 2", "failures = sometimes", "shared_events = perhaps", "observed_pace = 2", "corrected_demand = 0.5", "share_nodes = 0", "first_offset = 20ms", "free_weight = 2"} {
 		t.Run(wrong, func(t *testing.T) {
 			_, err := Parse("entry.ini", []byte(minimal+wrong))
 			require.ErrorContains(t, err, "policy")
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -102,6 +102,9 @@
 	CallTimeout time.Duration
 	// Tick is the interval between two plans.
 	Tick time.Duration
+	// RecheckDead has listed endpoints that did not respond asked again before their exclusion
+	// ends.
+	RecheckDead bool
 	// DrainWait is the longest wait for the requests of a group with a draining member.
 	DrainWait time.Duration
 }
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -51,6 +51,8 @@
 	// leaseTTL replaces the usual TTL unless it is zero.
 	leaseTTL time.Duration
 
+	// recheckDead is the controllers' Options.RecheckDead.
+	recheckDead bool
 	// lastEvent is the controllers' Options.LastEvent.
 	lastEvent func(serving.EndpointID) time.Time
 
@@ -118,6 +120,7 @@
 		Weights:              groupcontrol.DefaultWeights,
 		Demand:               func() map[directory.Pool]groupcontrol.Demand { return nil },
 		LastEvent:            dc.lastEvent,
+		RecheckDead:          dc.recheckDead,
 		LeaseTTL:             cmp.Or(dc.leaseTTL, leaseTTL),
 		LeaseOutageExtension: time.Minute,
 		CallTimeout:          40 * time.Millisecond,
@@ -422,11 +425,14 @@
 // Runs with delayed orders, crashed and isolated endpoints, crashed controllers and two
 // controllers at once. No incomplete group may open, and no endpoint may be in two groups.
 func TestController_InvariantsUnderRandomFaults(t *testing.T) {
-	for seed := range uint64(6) {
+	// From the seventh on, isolated endpoints return and are used again before their exclusion ends.
+	for seed := range uint64(12) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			random := rand.New(rand.NewPCG(seed, 1))
 			dc := newDataCentre(t, 18)
+			dc.recheckDead = seed >= 6
+			isolated := map[serving.EndpointID]bool{}
 			var lateMu sync.Mutex
 			lateRandom := rand.New(rand.NewPCG(seed, 2))
 			dc.fleet.SetOrderDelay(func() time.Duration {
@@ -442,11 +448,20 @@
 			for step := range 25 {
 				time.Sleep(60 * time.Millisecond)
 				victim := id(random.IntN(added))
+				if dc.recheckDead && step%8 == 7 {
+					for e := range isolated {
+						dc.fleet.SetCondition(e, fleetstandin.Healthy)
+					}
+					clear(isolated)
+					time.Sleep(1200 * time.Millisecond)
+				}
+				delete(isolated, victim)
 				switch random.IntN(6) {
 				case 0:
 					dc.fleet.SetCondition(victim, fleetstandin.Terminated)
 				case 1:
 					dc.fleet.SetCondition(victim, fleetstandin.Isolated)
+					isolated[victim] = true
 				case 2:
 					dc.setSuspects(victim)
 				case 3:
@@ -517,6 +532,40 @@
 	}
 }
 
+// Guards against excluding endpoints that were unreachable for a short time: the members of a group
+// whose network returns must serve again before the exclusion of dead endpoints ends.
+func TestController_ReusesEndpointsThatRespondAgain(t *testing.T) {
+	const exclusion = 8 * time.Second
+	for _, recheck := range []bool{false, true} {
+		t.Run(fmt.Sprint(recheck), func(t *testing.T) {
+			dc := newDataCentreWithDomains(t, 7, 7)
+			dc.recheckDead = recheck
+			// A controller that loses its lease forgets which endpoints are dead.
+			dc.leaseTTL = time.Minute
+			dc.startController("n1")
+			dc.awaitOpen(1, 1)
+			var lost serving.EndpointID
+			for i := range 7 {
+				if dc.fleet.LastModel(id(i)) == "small" && dc.fleet.Group(id(i)).Rank == 1 {
+					lost = id(i)
+				}
+			}
+			require.NotEmpty(t, lost)
+			start := time.Now()
+			dc.setSuspects(lost)
+			dc.fleet.SetCondition(lost, fleetstandin.Isolated)
+			require.Eventually(t, func() bool { return dc.fleet.Open()["small"] == 0 }, timeout, 5*time.Millisecond)
+			dc.setSuspects()
+			dc.fleet.SetCondition(lost, fleetstandin.Healthy)
+			dc.awaitOpen(1, 1)
+			elapsed := time.Since(start)
+			t.Logf("open again after %s", elapsed)
+			require.Equal(t, recheck, elapsed < exclusion)
+			dc.requireUnbroken()
+		})
+	}
+}
+
 // Guards against dissolving groups after a restart: rows from a peer may reach the controller
 // before the complete table, and groups would seem to lack the members whose rows are missing.
 func TestController_WaitsForCompleteTable(t *testing.T) {
--- a/internal/groupcontrol/groups.go
+++ b/internal/groupcontrol/groups.go
@@ -37,12 +37,17 @@
 type deadMark struct {
 	at        time.Time
 	startedAt int64
+	// checkedAt is when the endpoint was last asked again, and responded is set once it responds.
+	checkedAt time.Time
+	responded bool
+	// repeated is set if the incarnation was found dead again soon after it had responded.
+	repeated bool
 }
 
 // isDead reports whether this incarnation of an endpoint is marked as dead.
 func (c *Controller) isDead(e *serving.Endpoint, now time.Time) bool {
 	d, ok := c.dead[e.ID]
-	return ok && d.startedAt == e.StartedAt && now.Sub(d.at) < deadTTL
+	return ok && d.startedAt == e.StartedAt && now.Sub(d.at) < deadTTL && !d.responded
 }
 
 // groupKey returns the key of the formation that a membership belongs to.
@@ -260,7 +265,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	known := c.isDead(e, now)
-	c.dead[e.ID] = deadMark{now, e.StartedAt}
+	c.dead[e.ID] = c.dead[e.ID].renewed(e, now)
 	if known {
 		return
 	}
--- a/internal/groupcontrol/situation.go
+++ b/internal/groupcontrol/situation.go
@@ -56,6 +56,7 @@
 			}
 			continue
 		}
+		c.recheckDead(ctx, e, now)
 		if trackSince(c.firstSeen, e.ID, now) < growthWindow {
 			s.growing[e.Domain] = true
 		}
