--- a/internal/groupcontrol/plan.go
+++ b/internal/groupcontrol/plan.go
@@ -274,8 +274,12 @@
 // byNeed returns the models, the neediest first.
 func (s *situation) byNeed() []serving.Model {
 	models := slices.Clone(s.engine.Models)
+	need := make(map[string]float64, len(models))
+	for _, m := range models {
+		need[m.Name] = s.need(m)
+	}
 	slices.SortStableFunc(models, func(a, b serving.Model) int {
-		return cmp.Or(cmp.Compare(s.need(b), s.need(a)), cmp.Compare(s.shareOf(b), s.shareOf(a)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(need[b.Name], need[a.Name]), cmp.Compare(s.shareOf(b), s.shareOf(a)), cmp.Compare(a.Name, b.Name))
 	})
 	return models
 }
