gossip: bound the names of workspaces in messages between data centres

Messages to a relay of another data centre grew by 17 in 100 while three pools were nearly short, since each level named its 8 largest workspaces. They now name at most 8 in all: those with the largest parts of their levels, from a sixteenth on.

--- a/internal/gossip/rates.go
+++ b/internal/gossip/rates.go
@@ -35,8 +35,9 @@
 }
 
 // addRelayedRates adds a sum of other nodes' rates to a message. A relay of another data centre only
-// needs the sum of them and of this node's own, which saves half of the bytes. The workspaces that
-// others named are passed on as they are: a relay without requests for a pool does not know that it is
+// needs the sum of them and of this node's own, which saves half of the bytes, and the workspaces with the
+// largest parts of their levels. The workspaces that
+// others named are passed on even if this node does not name its own: a relay without requests for a pool does not know that it is
 // nearly short. The caller holds the lock.
 func (g *Gossiper) addRelayedRates(m *peers.ShareMessage, p *peer, own poolRates, others work) {
 	if !g.rates.enabled() {
@@ -44,6 +45,7 @@
 	}
 	if p.dataCentre != "" && p.dataCentre != g.config.DataCentre {
 		others.add(work{rates: g.withoutCalmWorkspaces(own)})
+		others.rates = limitNames(others.rates, maxRemoteNames)
 		m.Rates = nil
 	}
 	m.RelayedRates = toRates(others.rates, func(directory.Pool) bool { return true })
