gossip: log invalid rates of peers at most once in 10 s

A faulty peer sends invalid rates in each message, up to ten times per second, and each message was logged. A line now has the entries and messages since the last one. TestDecodeRates_LogsRarely replaces TestDecodeRates_LogsOnce: it also fails if messages within the interval are logged or are not counted.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -26,7 +26,7 @@
 	if len(m.GetDemand())+len(m.GetRelayedDemand()) > 0 {
 		g.demandReported.Store(true)
 	}
-	ownRates, relayedRates := g.decodeRates(m)
+	ownRates, relayedRates := g.decodeRates(m, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if after > before {
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -133,6 +133,7 @@
 	balancer        *relay.Balancer
 	demand          *relay.Demand
 	rates           RateExchange
+	invalidRates    invalidRates
 	budget          *relay.Budget
 	quarantine      *quarantine.Quarantine
 	quarantineTable *quarantinetable.Table
--- a/internal/gossip/rates.go
+++ b/internal/gossip/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/directory"
@@ -9,6 +10,9 @@
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 )
 
+// invalidRatesInterval bounds the log lines about invalid rates.
+const invalidRatesInterval = 10 * time.Second
+
 // RateExchange connects the exchange of rates to the components that measure and use them. Rates are
 // exchanged only if both Own and OnPeerRates are set. The functions must not call the Gossiper.
 type RateExchange struct {
@@ -67,18 +71,43 @@
 }
 
 // decodeRates returns the rates in a message, none if rates are not exchanged.
-func (g *Gossiper) decodeRates(m *peers.ShareMessage) (own, relayed poolRates) {
+func (g *Gossiper) decodeRates(m *peers.ShareMessage, now time.Time) (own, relayed poolRates) {
 	if !g.rates.enabled() {
 		return nil, nil
 	}
 	own, invalidOwn := fromRates(m.GetRates())
 	relayed, invalidRelayed := fromRates(m.GetRelayedRates())
 	if invalid := invalidOwn + invalidRelayed; invalid > 0 {
-		g.log.Warn("invalid rates in a peer's message were dropped", "peer", m.GetFrom().GetId(), "entries", invalid)
+		if entries, messages, due := g.invalidRates.add(invalid, now); due {
+			g.log.Warn("invalid rates in a peer's message were dropped", "peer", m.GetFrom().GetId(), "entries", entries, "messages", messages)
+		}
 	}
 	return own, relayed
 }
 
+// invalidRates counts invalid rates between two log lines. A faulty peer sends some in each message, up to
+// ten times per second. It is safe for concurrent use.
+type invalidRates struct {
+	mu                sync.Mutex
+	entries, messages int
+	loggedAt          time.Time
+}
+
+// add counts the invalid entries of a message. If a line is due it returns what was counted since the last
+// one.
+func (i *invalidRates) add(invalid int, now time.Time) (entries, messages int, due bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.entries += invalid
+	i.messages++
+	if !i.loggedAt.IsZero() && now.Sub(i.loggedAt) < invalidRatesInterval {
+		return 0, 0, false
+	}
+	entries, messages = i.entries, i.messages
+	i.entries, i.messages, i.loggedAt = 0, 0, now
+	return entries, messages, true
+}
+
 // ratesComputedAt returns when the sum of the peers' rates was computed, zero if no relay is heard;
 // the caller holds the lock.
 func (g *Gossiper) ratesComputedAt(relays bool, now time.Time) time.Time {
--- a/internal/gossip/rates_test.go
+++ b/internal/gossip/rates_test.go
@@ -313,15 +313,24 @@
 	require.Equal(t, 3, invalid)
 }
 
-// Guards against a log that one faulty peer fills: one line per message.
-func TestDecodeRates_LogsOnce(t *testing.T) {
+// Guards against a log that one faulty peer fills, and against dropped entries that no line counts.
+func TestDecodeRates_LogsRarely(t *testing.T) {
 	var log bytes.Buffer
 	defer slog.SetDefault(slog.Default())
 	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
 	bad := &sharepb.PoolRates{Starts: -1}
-	newRateNode(0, "north", 1, 1).decodeRates(&peers.ShareMessage{Rates: []*sharepb.PoolRates{bad, bad}, RelayedRates: []*sharepb.PoolRates{bad}})
+	m := &peers.ShareMessage{Rates: []*sharepb.PoolRates{bad, bad}, RelayedRates: []*sharepb.PoolRates{bad}}
+	n, now := newRateNode(0, "north", 1, 1), time.Now()
+	n.decodeRates(m, now)
 	require.Equal(t, 1, strings.Count(log.String(), "\n"))
-	require.Contains(t, log.String(), "entries=3")
+	require.Contains(t, log.String(), "entries=3 messages=1")
+	for range 99 {
+		n.decodeRates(m, now.Add(invalidRatesInterval-1))
+	}
+	require.Equal(t, 1, strings.Count(log.String(), "\n"))
+	n.decodeRates(m, now.Add(invalidRatesInterval))
+	require.Equal(t, 2, strings.Count(log.String(), "\n"))
+	require.Contains(t, log.String(), "entries=300 messages=100")
 }
 
 // Guards against any change of a message while the feature is off, also at a relay whose peers send
