--- a/pkg/admission/feedback_test.go
+++ b/pkg/admission/feedback_test.go
@@ -50,14 +50,16 @@
 	source  *source
 	arrived float64 // seconds
 	counted bool
+	again   bool
 }
 
 // heardGroup is a set of nodes that receive evidence from one another only.
 type heardGroup struct {
-	part     float64   // of all nodes
-	arrivals []float64 // by source
-	starts   float64
-	history  []PoolState
+	part      float64   // of all nodes
+	arrivals  []float64 // by source
+	returning []float64 // those of arrivals that are recognized as returning
+	starts    float64
+	history   []PoolState
 }
 
 // namesWorkspaces reports whether the nodes send the names of workspaces,
@@ -71,9 +73,10 @@
 }
 
 type simNode struct {
-	group *heardGroup
-	plan  Plan
-	gate  *Gate
+	group   *heardGroup
+	plan    Plan
+	gate    *Gate
+	returns *Returns
 }
 
 // simulation plays a pool with one queue that serves requests of random
@@ -92,15 +95,18 @@
 	// ideal is the time after which the nodes reject all requests of the
 	// sources that surge, and no others, 0 if they apply their plans.
 	ideal float64
+	// surgeEnd is when the surge ends, callers what rejected callers do. Without callers nobody returns.
+	surgeEnd float64
+	callers  *callers
 	// The results after the calm time.
 	admitted, foundSlot float64
 	utilization, steps  float64
 }
 
 func newSimulation(seed uint64, nodes, cut int, sources []source) *simulation {
-	s := &simulation{policy: testPolicy, random: rand.New(rand.NewPCG(seed, uint64(nodes))), sources: sources}
+	s := &simulation{policy: testPolicy, surgeEnd: simEnd, random: rand.New(rand.NewPCG(seed, uint64(nodes))), sources: sources}
 	for range 2 {
-		s.groups = append(s.groups, &heardGroup{arrivals: make([]float64, len(sources))})
+		s.groups = append(s.groups, &heardGroup{arrivals: make([]float64, len(sources)), returning: make([]float64, len(sources))})
 	}
 	for i := range nodes {
 		group := s.groups[0]
@@ -108,7 +114,7 @@
 			group = s.groups[1]
 		}
 		group.part += 1 / float64(nodes)
-		s.nodes = append(s.nodes, &simNode{group: group, gate: NewGate(s.random)})
+		s.nodes = append(s.nodes, &simNode{group: group, gate: NewGate(s.random), returns: NewReturns(s.random)})
 	}
 	return s
 }
@@ -116,7 +122,7 @@
 func (s *simulation) run() {
 	for step := range int(simEnd / simStep) {
 		s.now = float64(step) * simStep
-		surge := s.now >= simCalm
+		surge := s.now >= simCalm && s.now < s.surgeEnd
 		s.serve()
 		s.arrive(surge)
 		s.observe()
@@ -139,7 +145,7 @@
 		w := s.queue[0]
 		w.group.starts++
 		if w.counted && s.now-w.arrived <= simInTime {
-			w.source.inTime++
+			s.countInTime(w.source, w.again)
 		}
 		s.queue = s.queue[1:]
 	}
@@ -153,24 +159,47 @@
 			rate *= src.surge
 		}
 		for range s.poisson(rate * simStep) {
-			n := s.nodes[s.random.IntN(len(s.nodes))]
-			n.group.arrivals[i]++
-			admitted := n.gate.Admit(&n.plan, src.level, src.workspace, false)
-			if s.ideal > 0 {
-				admitted = src.surge == 1 || s.now < simCalm+s.ideal
-			}
-			s.record(src, n.group, admitted, surge)
+			s.request(i, surge, nil)
 		}
 	}
+	for _, r := range s.callers.due(s.now) {
+		s.request(r.source, true, &r)
+	}
+}
+
+// request plays a first request of a source, or one that comes again.
+func (s *simulation) request(i int, surge bool, again *retry) {
+	src, n := &s.sources[i], s.nodes[s.random.IntN(len(s.nodes))]
+	returning := again != nil && again.recognized
+	n.group.arrivals[i]++
+	if returning {
+		n.group.returning[i]++
+	}
+	admitted := n.gate.Admit(&n.plan, src.level, src.workspace, returning)
+	if s.ideal > 0 {
+		admitted = src.surge == 1 || s.now < simCalm+s.ideal
+	}
+	s.record(src, n.group, admitted, surge, again != nil)
+	if surge && s.callers != nil {
+		s.callers.count(s, n, i, admitted, again != nil)
+	}
+}
+
+// countInTime counts a request that got a slot in time.
+func (s *simulation) countInTime(src *source, again bool) {
+	src.inTime++
+	if s.callers != nil {
+		s.callers.countInTime(again)
+	}
 }
 
-func (s *simulation) record(src *source, group *heardGroup, admitted, surge bool) {
+func (s *simulation) record(src *source, group *heardGroup, admitted, surge, again bool) {
 	found := admitted && s.busy < simSlots
 	if found {
 		s.busy++
 		group.starts++
 	} else if admitted {
-		s.queue = append(s.queue, waiting{group, src, s.now, surge})
+		s.queue = append(s.queue, waiting{group, src, s.now, surge, again})
 	}
 	if !surge {
 		return
@@ -182,7 +211,7 @@
 	}
 	if found {
 		s.foundSlot++
-		src.inTime++
+		s.countInTime(src, again)
 	}
 }
 
@@ -195,12 +224,14 @@
 		state := PoolState{Slots: int(g.part * simSlots), Running: int(running), Starts: g.starts / simWindow}
 		for i := range g.arrivals {
 			g.arrivals[i] *= 1 - simStep/simWindow
+			g.returning[i] *= 1 - simStep/simWindow
 			src := &s.sources[i]
 			if n := len(state.Demand); n == 0 || state.Demand[n-1].Level != src.level {
 				state.Demand = append(state.Demand, LevelDemand{Level: src.level})
 			}
 			d := &state.Demand[len(state.Demand)-1]
-			d.New += g.arrivals[i] / simWindow
+			d.New += (g.arrivals[i] - g.returning[i]) / simWindow
+			d.Returning += g.returning[i] / simWindow
 			d.Workspaces = append(d.Workspaces, WorkspaceDemand{src.workspace, g.arrivals[i] / simWindow})
 		}
 		for i := range state.Demand {
