admission: distinguish the two largest workspaces of a level in plans

The limit of 8 names in a message between data centres was wrong: a data centre then left out workspaces that others named, or the only one of a level, and the rest of the level counted as many small workspaces, which took precedence.

Plans now distinguish the two largest workspaces of a level, and messages between data centres name just these, so all nodes use the same ones.

The rate of a workspace also rises when more nodes name it. Such a rise is no longer extrapolated.

--- a/internal/gossip/encode_rates.go
+++ b/internal/gossip/encode_rates.go
@@ -17,11 +17,6 @@
 	minSentRate = 0.05
 	// minSentOffsetWeight is the number of samples below which an offset is not sent.
 	minSentOffsetWeight = 0.05
-	// maxRemoteNames is the number of workspaces that a message to a relay of another data centre names.
-	// With 8 for each level, messages grew by 17 in 100 while three pools were nearly short.
-	maxRemoteNames = 8
-	// maxNamedPart is the part of a level's requests from which a workspace counts as the only one.
-	maxNamedPart = 0.999
 )
 
 // poolRates has the rates of some nodes by pool.
@@ -150,46 +145,3 @@
 	}
 	return out
 }
-
-// nameOfLevel is a workspace that could be named at a level of a pool.
-type nameOfLevel struct {
-	pool      directory.Pool
-	level     int // index in the levels of the pool
-	workspace admission.WorkspaceDemand
-	part      float64 // of the level's requests
-}
-
-// limitNames returns rates that name at most the given number of workspaces: those with the largest
-// parts of their levels. Parts up to admission.MaxUnnamedPart need no name, and the only workspace of a
-// level gets the fraction of the level.
-func limitNames(rates poolRates, most int) poolRates {
-	var names []nameOfLevel
-	out := make(poolRates, len(rates))
-	for pool, r := range rates {
-		r.Levels = slices.Clone(r.Levels)
-		for i := range r.Levels {
-			l := &r.Levels[i]
-			for _, w := range l.Workspaces {
-				part := w.Requests / (l.New + l.Returning)
-				if part > admission.MaxUnnamedPart && part < maxNamedPart {
-					names = append(names, nameOfLevel{pool, i, w, part})
-				}
-			}
-			l.Workspaces = nil
-		}
-		out[pool] = r
-	}
-	slices.SortFunc(names, func(a, b nameOfLevel) int {
-		return cmp.Or(cmp.Compare(b.part, a.part), comparePools(a.pool, b.pool), cmp.Compare(a.level, b.level), cmp.Compare(a.workspace.Workspace, b.workspace.Workspace))
-	})
-	for _, n := range names[:min(len(names), most)] {
-		l := &out[n.pool].Levels[n.level]
-		l.Workspaces = append(l.Workspaces, n.workspace)
-	}
-	for _, r := range out {
-		for i := range r.Levels {
-			slices.SortFunc(r.Levels[i].Workspaces, func(a, b admission.WorkspaceDemand) int { return cmp.Compare(a.Workspace, b.Workspace) })
-		}
-	}
-	return out
-}
--- a/internal/gossip/rates.go
+++ b/internal/gossip/rates.go
@@ -39,9 +39,8 @@
 }
 
 // addRelayedRates adds a sum of other nodes' rates to a message. A relay of another data centre only
-// needs the sum of them and of this node's own, which saves half of the bytes, and the workspaces with the
-// largest parts of their levels. The workspaces that
-// others named are passed on even if this node does not name its own: a relay without requests for a pool does not know that it is
+// needs the sum of them and of this node's own, which saves half of the bytes, and the workspaces that are
+// used in plans. Those that others named are passed on even if this node does not name its own: a relay without requests for a pool does not know that it is
 // nearly short. The caller holds the lock.
 func (g *Gossiper) addRelayedRates(m *peers.ShareMessage, p *peer, own poolRates, others work) {
 	if !g.rates.enabled() {
@@ -49,7 +48,7 @@
 	}
 	if p.dataCentre != "" && p.dataCentre != g.config.DataCentre {
 		others.add(work{rates: g.withoutCalmWorkspaces(own)})
-		others.rates = limitNames(others.rates, maxRemoteNames)
+		others.rates = withLargestWorkspaces(others.rates, relay.MaxSharedWorkspaces)
 		m.Rates = nil
 	}
 	m.RelayedRates = toRates(others.rates, func(directory.Pool) bool { return true })
@@ -70,6 +69,19 @@
 	return out
 }
 
+// withLargestWorkspaces returns rates with the n largest workspaces of each level.
+func withLargestWorkspaces(rates poolRates, n int) poolRates {
+	out := make(poolRates, len(rates))
+	for pool, r := range rates {
+		r.Levels = slices.Clone(r.Levels)
+		for i := range r.Levels {
+			r.Levels[i].Workspaces = relay.LargestWorkspaces(r.Levels[i].Workspaces, n)
+		}
+		out[pool] = r
+	}
+	return out
+}
+
 // decodeRates returns the rates in a message, none if rates are not exchanged.
 func (g *Gossiper) decodeRates(m *peers.ShareMessage, now time.Time) (own, relayed poolRates) {
 	if !g.rates.enabled() {
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -15,6 +15,11 @@
 	arrivalWindow = 500 * time.Millisecond
 	// MaxNamedWorkspaces is the number of workspaces that are named for a pool and level.
 	MaxNamedWorkspaces = 8
+	// MaxSharedWorkspaces is the number of workspaces of a pool and level that a plan distinguishes, the
+	// largest ones of all nodes. Only these are named in messages between data centres: with 8, these
+	// messages grew by 17 in 100 while three pools were nearly short. All nodes use the same number, since a
+	// workspace that some data centres do not name has too small a demand in the sum.
+	MaxSharedWorkspaces = 2
 	// maxWorkspaces bounds the workspaces that are measured for a pool and level, and thereby the
 	// memory. The requests of others count only for their level.
 	maxWorkspaces = 256
--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -15,9 +15,9 @@
 	planInterval = 100 * time.Millisecond
 	// maxEvidenceAge is the age of the peers' rates beyond which all requests are admitted.
 	maxEvidenceAge = time.Second
-	// nearlyShort is the fraction of the slots in use from which workspaces are told to peers. With 0.7,
-	// the names in a pool at 0.6 to 0.7 of its capacity came 0.3 s after a workspace reached ten times
-	// its demand, and up to 11 in 100 requests of the others were late in simulations.
+	// nearlyShort is the fraction of the slots in use from which workspaces are told to peers. With 0.7, the
+	// names came too late to extrapolate the rise of a workspace to ten times its demand, and in simulations
+	// 5 to 9 in 100 requests of the others were late in a pool at 0.6 to 0.7 of its capacity.
 	nearlyShort = 0.5
 	// shortLogInterval bounds the log lines about the plan of one pool.
 	shortLogInterval = time.Second
@@ -158,7 +158,7 @@
 	for i := range total.Levels {
 		// A sum names the largest workspaces of each node. The smallest of them would make the rest
 		// count as a great many workspaces of its size.
-		total.Levels[i].Workspaces = LargestWorkspaces(total.Levels[i].Workspaces, MaxNamedWorkspaces)
+		total.Levels[i].Workspaces = LargestWorkspaces(total.Levels[i].Workspaces, MaxSharedWorkspaces)
 	}
 	p.markRelaxed(total.Levels, now)
 	removeUnshared(total.Levels, o.peers[q.pool].Levels)
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -5,10 +5,6 @@
 	"slices"
 )
 
-// MaxUnnamedPart is the part of a level's requests that a workspace without a name
-// has at most. Messages name at least those above it while a pool is nearly short.
-const MaxUnnamedPart = 1.0 / 16
-
 // claim is the demand of a number of equal workspaces.
 type claim struct {
 	workspace uint32
@@ -27,19 +23,16 @@
 // appendClaims appends the claims of a level, with each demand multiplied by
 // scale, in ascending order.
 //
-// The demand of the workspaces that are not named is the rest of the level's. It
-// counts as workspaces of the size of the smallest named one, because none of
-// them is larger, and of at most MaxUnnamedPart, because messages between data
-// centres may name a single one: their fraction is then not below that of any named
-// workspace, and the sum of the shares stays within the capacity.
+// The demand of the workspaces that are not named is the rest of the level's.
+// It counts as workspaces of the size of the smallest named one, because none of
+// them is larger: their fraction is then not below that of any named workspace,
+// and the sum of the shares stays within the capacity.
 func appendClaims(claims []claim, d *LevelDemand, scale float64) []claim {
 	rest := d.requests()
-	size := MaxUnnamedPart * rest
 	for i := range d.Workspaces {
 		w := &d.Workspaces[i]
 		rest -= w.Requests
 		if w.Requests > 0 {
-			size = min(size, w.Requests)
 			claims = append(claims, claim{w.Workspace, w.Requests * scale, 1})
 		}
 	}
@@ -47,8 +40,11 @@
 	if rest <= 0 {
 		return claims
 	}
-	size = min(size, rest)
-	others := claim{demand: size * scale, count: rest / size}
+	others := claim{demand: rest * scale, count: 1}
+	if len(claims) > 0 && claims[0].demand < others.demand {
+		others.count = others.demand / claims[0].demand
+		others.demand = claims[0].demand
+	}
 	return slices.Insert(claims, 0, others)
 }
 
--- a/pkg/admission/trend.go
+++ b/pkg/admission/trend.go
@@ -88,13 +88,14 @@
 }
 
 // riseOf returns by how much the rate of a workspace exceeds its mean, beyond the
-// growth of the rest of its level and the noise of a rate.
+// growth of the rest of its level and the noise of a rate. It is at most the rise of
+// the level: the rate of a workspace also rises when more nodes name it.
 func riseOf(rate, mean, level, levelMean float64) float64 {
 	rest, restMean := level-rate, levelMean-mean
 	if rest <= 0 || restMean <= 0 {
 		return 0
 	}
-	rise := rate - mean*max(1, rest/restMean)
+	rise := min(rate-mean*max(1, rest/restMean), level-levelMean)
 	if rise <= trendNoise*math.Sqrt(rate/(2*rateWindow)) {
 		return 0
 	}
