--- a/internal/gossip/rates_test.go
+++ b/internal/gossip/rates_test.go
@@ -133,12 +133,12 @@
 }
 
 // sampleRates returns the rates of a customer's pools: three pools with four pairs of pool and level,
-// of 24 workspaces each.
+// of 24 workspaces of uneven size each.
 func sampleRates() poolRates {
 	level := func(l admission.Level, requests float64) admission.LevelDemand {
 		out := admission.LevelDemand{Level: l, Rates: admission.Rates{New: requests, Tokens: 674 * requests}}
 		for i := range uint32(24) {
-			out.Workspaces = append(out.Workspaces, admission.WorkspaceDemand{Workspace: (i + 1) << 27, Requests: requests / 24})
+			out.Workspaces = append(out.Workspaces, admission.WorkspaceDemand{Workspace: (i + 1) << 27, Requests: requests / 2.354 / float64(i+3)})
 		}
 		return out
 	}
@@ -209,9 +209,25 @@
 	rates.NearlyShort = func(p directory.Pool) bool { return p.Model == "small" }
 	oneShort := size(rates)
 	rates.NearlyShort = func(directory.Pool) bool { return true }
-	t.Logf("without rates %v bytes, calm %v, one pool short %v, all short %v", before, calm, oneShort, size(rates))
+	allShort := size(rates)
+	t.Logf("without rates %v bytes, calm %v, one pool short %v, all short %v", before, calm, oneShort, allShort)
 	require.LessOrEqual(t, calm, 1.1*before)
 	require.LessOrEqual(t, oneShort, 1.1*before)
+	require.Greater(t, allShort, calm)
+	require.LessOrEqual(t, allShort, 1.1*before)
+}
+
+// Guards against a message between data centres that names other workspaces than plans use, and against
+// a change of the sums of this node.
+func TestWithLargestWorkspaces(t *testing.T) {
+	rates := sampleRates()
+	for pool, r := range withLargestWorkspaces(rates, relay.MaxSharedWorkspaces) {
+		for i, l := range r.Levels {
+			require.Equal(t, rates[pool].Levels[i].Workspaces[:relay.MaxSharedWorkspaces], l.Workspaces)
+			require.Equal(t, rates[pool].Levels[i].Rates, l.Rates)
+			require.Len(t, rates[pool].Levels[i].Workspaces, 24)
+		}
+	}
 }
 
 // Guards against values that change on the wire, and against sending negligible ones.
@@ -280,15 +296,24 @@
 	require.Equal(t, 3, invalid)
 }
 
-// Guards against a log that one faulty peer fills: one line per message.
-func TestDecodeRates_LogsOnce(t *testing.T) {
+// Guards against a log that one faulty peer fills, and against dropped entries that no line counts.
+func TestDecodeRates_LogsRarely(t *testing.T) {
 	var log bytes.Buffer
 	defer slog.SetDefault(slog.Default())
 	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
 	bad := &sharepb.PoolRates{Starts: -1}
-	newRateNode(0, "north", 1, 1).decodeRates(&peers.ShareMessage{Rates: []*sharepb.PoolRates{bad, bad}, RelayedRates: []*sharepb.PoolRates{bad}})
+	m := &peers.ShareMessage{Rates: []*sharepb.PoolRates{bad, bad}, RelayedRates: []*sharepb.PoolRates{bad}}
+	n, now := newRateNode(0, "north", 1, 1), time.Now()
+	n.decodeRates(m, now)
+	require.Equal(t, 1, strings.Count(log.String(), "\n"))
+	require.Contains(t, log.String(), "entries=3 messages=1")
+	for range 99 {
+		n.decodeRates(m, now.Add(invalidRatesInterval-1))
+	}
 	require.Equal(t, 1, strings.Count(log.String(), "\n"))
-	require.Contains(t, log.String(), "entries=3")
+	n.decodeRates(m, now.Add(invalidRatesInterval))
+	require.Equal(t, 2, strings.Count(log.String(), "\n"))
+	require.Contains(t, log.String(), "entries=300 messages=100")
 }
 
 // Guards against any change of a message while the feature is off, also at a relay whose peers send
