explain: state the pool, level and return of a request rejected by overload control

A rejection with the cause "the pool has more demand than it can serve" was explained by that cause alone: the line of the request has nothing of the pool, and the node's line about the pool is often older than the five seconds around a request from which lines are included. The request's level was lost, since its key is also that of the log line's own level.

Cause now adds the level, whether the request was returning, and since when its pool was short at this node, with the arrivals, admissible rate, slots, running requests and unread tokens of that time.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -66,6 +66,12 @@
 	}
 	for _, match := range fieldPattern.FindAllStringSubmatch(text[at:], -1) {
 		value := strings.Trim(match[2], `"`)
+		// Fields follow the message. One of them may have a key of the line itself, such as the
+		// level of a request.
+		if line.Text != "" {
+			line.Fields = append(line.Fields, Field{match[1], value})
+			continue
+		}
 		switch match[1] {
 		case "time":
 			line.Time, _ = time.Parse(time.RFC3339Nano, value)
@@ -73,8 +79,6 @@
 			line.Level = value
 		case "msg":
 			line.Component, line.Text, _ = strings.Cut(value, ": ")
-		default:
-			line.Fields = append(line.Fields, Field{match[1], value})
 		}
 	}
 	return line, line.Text != ""
@@ -90,8 +94,8 @@
 // evacuatedKey is the key of a field with the names of evacuated data centres, separated by commas.
 const evacuatedKey = "evacuated"
 
-// Select returns, ordered by time, the lines about an id and those about the
-// endpoints and groups that they mention.
+// Select returns, ordered by time, the lines about an id, those about the endpoints and groups that
+// they mention, and, for a request that overload control rejected, the line about its pool.
 func Select(lines []Line, id string) []Line {
 	var own []Line
 	related := map[string]bool{}
@@ -125,6 +129,7 @@
 			out = append(out, l)
 		}
 	}
+	out = append(out, shortChanges(lines, own)...)
 	sortByTime(out)
 	return out
 }
@@ -151,8 +156,8 @@
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
 
-// Cause returns why a request failed: the last decision and the result of each
-// attempt. It is empty if the lines have no cause.
+// Cause returns why a request failed: the last decision, with the state of the pool if that was its
+// overload, and the result of each attempt. It is empty if the lines have no cause.
 func Cause(lines []Line, id string) string {
 	var attempts []string
 	end := ""
@@ -168,6 +173,9 @@
 			if outcome := l.Get("outcome"); outcome != "" {
 				end = outcome + ": " + cause
 			}
+			if l.isRejectedByOverload() {
+				end += "; " + overloadDetails(lines, l)
+			}
 		}
 	}
 	if end == "" {
