--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -167,18 +167,27 @@
 // Reach implements emulator.Network: it starts a proxy for an address of the platform. Its port
 // is below the kernel's ephemeral ports, so that a proxy that was down can listen on it again.
 func (r *Run) Reach(address string) (string, error) {
-	listens, err := dev.FreeAddress("127.0.0.1")
-	if err != nil {
-		return "", err
-	}
-	proxy, err := faultproxy.Listen(listens, address)
-	if err != nil {
-		return "", err
+	var proxy *faultproxy.Proxy
+	for attempt := range listenAttempts {
+		listens, err := dev.FreeAddress("127.0.0.1")
+		if err != nil {
+			return "", err
+		}
+		if proxy, err = faultproxy.Listen(listens, address); err == nil {
+			break
+		}
+		if attempt == listenAttempts-1 {
+			return "", err
+		}
 	}
 	r.proxies = append(r.proxies, proxy)
 	return proxy.Address(), nil
 }
 
+// listenAttempts bounds the attempts to listen on a free address. A process that is started for another
+// seed has the closed listener of FreeAddress open until it runs its program.
+const listenAttempts = 5
+
 // Refuse implements emulator.Network.
 func (r *Run) Refuse(reached string, refuse bool) {
 	for _, proxy := range r.proxies {
