admission: leave out less urgent prompts in the limits of urgent requests

Both count all unread prompts, although the engine reads the prompts of more urgent requests first.

The plan now estimates how the unread prompts are distributed over the levels and limits each level by those at least as urgent. The test for lateness leaves out the others. The prediction itself, and with it the draw and the stall detector, are unchanged.

--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -132,6 +132,17 @@
 	return p.gate.Admit(&p.plan, q.level, q.workspace, q.returning)
 }
 
+// LessUrgent returns the estimated fraction of the unread prompts of a pool that belong to less urgent
+// requests than those of a level.
+func (o *Overload) LessUrgent(pool directory.Pool, level admission.Level) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p := o.pools[pool]; p != nil {
+		return 1 - p.plan.Ahead(level)
+	}
+	return 0
+}
+
 // RetryAfter returns when a rejected caller is to return.
 func (o *Overload) RetryAfter(pool directory.Pool, c admission.Caller, now time.Time) time.Duration {
 	o.mu.Lock()
@@ -172,6 +183,7 @@
 		Starts:     total.Starts,
 		TokensRead: total.TokensRead,
 		Demand:     total.Levels,
+		Elapsed:    elapsed(p.updatedAt, now),
 	}
 	if o.isStale(now) {
 		state = admission.PoolState{}
@@ -189,6 +201,14 @@
 	}
 }
 
+// elapsed returns the time since an earlier one, or 0 if there was none.
+func elapsed(earlier, now time.Time) time.Duration {
+	if earlier.IsZero() {
+		return 0
+	}
+	return now.Sub(earlier)
+}
+
 // markRelaxed marks the levels whose objective is longer than the tightest one of the pool.
 func (p *poolPlan) markRelaxed(levels []admission.LevelDemand, now time.Time) {
 	tightest := p.objective.value(now)
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -15,11 +15,14 @@
 	Objective time.Duration
 	// Offset is the time by which first events of the pool usually exceed the engine's description.
 	Offset time.Duration
+	// LessUrgent is the fraction of the unread prompts that belong to less urgent requests, which
+	// the engine processes later.
+	LessUrgent float64
 }
 
 // isLate reports whether the first event is predicted so late that the caller should retry instead.
 func (s RequestSize) isLate(p Prediction, factor float64) bool {
-	return s.Objective > 0 && float64(p.First) > factor*float64(s.Objective)
+	return s.Objective > 0 && float64(p.Urgent) > factor*float64(s.Objective)
 }
 
 // Prediction is the expected latency of a request at an endpoint.
@@ -27,6 +30,9 @@
 	// First is the time to the first event, Gap the longest usual time between events.
 	First time.Duration
 	Gap   time.Duration
+	// Urgent is First if the engine processes the prompts of less urgent requests later. It applies
+	// only to the test for lateness: too early a time would make a busy endpoint count as stalled.
+	Urgent time.Duration
 	// Offset is the part of First that is learnt from earlier requests.
 	Offset time.Duration
 	// Running is the number of requests there, Unread the number of their prompt tokens that
@@ -65,11 +71,15 @@
 	reading := func(tokens int) time.Duration {
 		return time.Duration(float64(tokens) / max(1, e.TokensPerSec) * float64(time.Second))
 	}
-	passes := (unread + s.Prompt + chunk - 1) / chunk
-	first := steps/2 + reading(unread+s.Prompt) + time.Duration(passes)*steps
+	first := func(tokens int) time.Duration {
+		passes := (tokens + chunk - 1) / chunk
+		nominal := steps/2 + reading(tokens) + time.Duration(passes)*steps
+		return time.Duration(float64(nominal)*h.TimeFactor) + s.Offset
+	}
 	gap := steps + reading(min(chunk, unread+s.Prompt))
 	return Prediction{
-		First:   time.Duration(float64(first)*h.TimeFactor) + s.Offset,
+		First:   first(unread + s.Prompt),
+		Urgent:  first(int((1-s.LessUrgent)*float64(unread)) + s.Prompt),
 		Gap:     time.Duration(float64(gap) * h.TimeFactor),
 		Offset:  s.Offset,
 		Running: running,
--- a/internal/relay/predict_test.go
+++ b/internal/relay/predict_test.go
@@ -72,6 +72,31 @@
 	}
 }
 
+// Guards against urgent requests being rejected as late for prompts that the engine processes after
+// theirs, and against a prediction that changes the test for a stall.
+func TestChooseHead_LateByUrgency(t *testing.T) {
+	engine := &serving.Engine{Slots: 30, StepTime: 6 * time.Millisecond, StepsPerPass: 7, TokensPerSec: 50_000, Chunk: 2048}
+	head := &directory.Head{Endpoint: &serving.Endpoint{ID: "h", DataCentre: "north", Slots: 30}, Engine: engine, TimeFactor: 1}
+	for name, c := range map[string]struct {
+		lessUrgent float64
+		late       int
+	}{
+		"all unread prompts are ahead":          {0, 1},
+		"most unread prompts are less urgent":   {0.8, 0},
+		"a tenth of the prompts is less urgent": {0.1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, now := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights), time.Now()
+			for range 10 {
+				b.begin(head.Endpoint, RequestSize{Prompt: 1000}, now)
+			}
+			size := RequestSize{Prompt: 500, Objective: 200 * time.Millisecond, LessUrgent: c.lessUrgent}
+			require.Equal(t, c.late, b.ChooseHead([]*directory.Head{head}, size, nil, false, now).Late)
+			require.Greater(t, predict(head, b.load(head.ID), size).First, 300*time.Millisecond)
+		})
+	}
+}
+
 // Guards against samples that include another attempt or a busy group, and against a sample that
 // includes the offset in use.
 func TestServe_SamplesFirstAttempts(t *testing.T) {
--- a/pkg/admission/levels.go
+++ b/pkg/admission/levels.go
@@ -3,6 +3,8 @@
 // levelPlan holds the fractions of one level.
 type levelPlan struct {
 	level Level
+	// granted is the fraction of the level's demand that is admitted.
+	granted float64
 	// precedence is the fraction of the returning requests that are admitted
 	// before the workspaces' shares are computed.
 	precedence float64
@@ -32,9 +34,9 @@
 // limits are the fractions of the arrivals by which the levels are limited, in
 // units of the scarcer resource.
 type limits struct {
-	whole, reserved limit   // reserved is for relaxed levels
-	lasting         float64 // what the pool can start in the long run
-	draining        float64 // see sustained.drainingFraction
+	reserved limit   // of relaxed levels; the others have Plan.limits
+	lasting  float64 // what the pool can start in the long run
+	draining float64 // see sustained.drainingFraction
 }
 
 // grant is what a level gets, as fractions of its demand.
@@ -58,10 +60,7 @@
 	}
 	used, lastingRest, drainingRest := 0.0, l.lasting*total, l.draining*total
 	for i := range demand {
-		limit := l.whole
-		if demand[i].Relaxed {
-			limit = reserved
-		}
+		limit := p.limits[min(demand[i].Level, MaxLevel)]
 		rest := limit.fraction*total - minimums - used
 		wanted := demandOf(&demand[i], reserved.byTokens)
 		granted := min(wanted, minimum)
@@ -87,7 +86,7 @@
 // demand. Returning requests have precedence in a part of it.
 func (p *Plan) addLevel(d *LevelDemand, g grant, policy Policy) {
 	l := p.nextLevel()
-	l.level = d.Level
+	l.level, l.granted = d.Level, min(g.now, 1)
 	granted := g.now * d.requests()
 	preferred := min(d.Returning, policy.ReturnShare*granted)
 	l.precedence = ratio(preferred, d.Returning)
--- a/pkg/admission/plan.go
+++ b/pkg/admission/plan.go
@@ -53,6 +53,7 @@
 	Starts         float64       // first events per second
 	TokensRead     float64       // prompt tokens per second of the requests counted in Starts
 	Demand         []LevelDemand // by level, most urgent first
+	Elapsed        time.Duration // since the previous state of the pool; 0 if there was none
 }
 
 // arrivals returns the rates of all levels together.
@@ -114,6 +115,9 @@
 	outlook Outlook
 	levels  []levelPlan
 	claims  []claim
+	backlog backlog
+	// limits has the limit of the levels up to each one.
+	limits [MaxLevel + 1]limit
 	// trend and sustained outlast an update.
 	trend     trend
 	sustained sustained
@@ -121,27 +125,46 @@
 
 // Update computes the plan for a state. It reuses the memory of the previous plan.
 func (p *Plan) Update(s PoolState, policy Policy) {
+	p.recordAdmitted(&s)
 	p.levels = p.levels[:0]
 	s.Demand = p.trend.extrapolate(s.Demand)
 	arrivals := s.arrivals()
 	p.sustained.observe(&s)
 	lasting := p.sustained.fraction(&s, policy, arrivals)
 	fillsSoon := lasting < 1 && p.sustained.fillsSoon(&s, policy, arrivals)
-	limit := limitOf(&s, policy, arrivals, p.short)
-	reserved := limit
+	whole, reserved := policy, limitOf(&s, policy, arrivals, p.short)
 	if hasRelaxed(s.Demand) {
 		policy = policy.withReserve()
 		reserved = limitOf(&s, policy, arrivals, p.short)
 	}
+	ceiling := math.Inf(1)
 	if reserved.fraction >= 1 && fillsSoon {
-		limit.fraction, reserved.fraction = lasting, lasting
+		ceiling, reserved.fraction = lasting, lasting
 	}
 	p.short = reserved.fraction < 1
 	p.outlook = newOutlook(&s, policy, arrivals, reserved.fraction)
 	if !p.short {
 		return
 	}
-	p.allocate(s.Demand, policy, limits{limit, reserved, lasting, p.sustained.drainingFraction(&s, arrivals, reserved.byTokens)})
+	p.limitLevels(&s, whole, policy, arrivals, ceiling)
+	p.allocate(s.Demand, policy, limits{reserved, lasting, p.sustained.drainingFraction(&s, arrivals, reserved.byTokens)})
+}
+
+// limitLevels sets the limit of each level. An engine processes the prompts of more urgent requests
+// first, so those of less urgent ones do not count: the backlog of a flood is corrected at the flood.
+// No fraction exceeds the ceiling.
+func (p *Plan) limitLevels(s *PoolState, whole, reserved Policy, arrivals Rates, ceiling float64) {
+	for i := range s.Demand {
+		level, policy := min(s.Demand[i].Level, MaxLevel), whole
+		if s.Demand[i].Relaxed {
+			policy = reserved
+		}
+		ahead := *s
+		ahead.Unread = int(p.Ahead(level) * float64(s.Unread))
+		l := limitOf(&ahead, policy, arrivals, true)
+		l.fraction = min(l.fraction, ceiling)
+		p.limits[level] = l
+	}
 }
 
 // hasRelaxed reports whether a level has a longer objective than another one.
