groupcontrol: weight models by callers only where the configuration ranks their requests

caller_weight now applies to services whose streaming routes differ in priority. The line of a plan has the weight of each model.

--- a/internal/groupcontrol/situation.go
+++ b/internal/groupcontrol/situation.go
@@ -30,6 +30,9 @@
 		evacuated:   view.Evacuated[c.options.DataCentre],
 		staging:     c.activeStagings(view, now),
 	}
+	if !view.Configuration.RanksRoutes(service.Name) {
+		s.weights.CallerWeight = 0
+	}
 	// Formations wait for loads only until a first group is open.
 	s.open = !c.options.Unpaced()
 	for pool, demand := range c.options.Demand() {
@@ -174,7 +177,7 @@
 	}
 	for _, m := range s.engine.Models {
 		c.log.Info("computed a plan", "service", s.service, "model", m.Name, "formations", len(d.formations), "takeovers", len(d.takeovers),
-			"demand", s.demandOf(m), "share", s.shareOf(m), "here", s.groupsOf(m), "elsewhere", s.remote[m.Name]/float64(m.Size),
+			"demand", s.demandOf(m), "share", s.shareOf(m), "weight", s.weightOf(m), "here", s.groupsOf(m), "elsewhere", s.remote[m.Name]/float64(m.Size),
 			"gain_of_one_more", s.gainOf(map[string]float64{m.Name: float64(m.Size)}))
 	}
 }
--- a/internal/groupcontrol/value.go
+++ b/internal/groupcontrol/value.go
@@ -36,7 +36,8 @@
 	LocalWeight float64
 	// CallerWeight weights a model's share of the callers against its share of the work in the
 	// value of a plan, 0 to 1. By work alone, a model with few expensive requests counts as much
-	// as one with many cheap ones, although it serves few callers.
+	// as one with many cheap ones, although it serves few callers. It applies only to services whose
+	// routes differ in priority: without a ranking, a long request counts for as much as its work.
 	CallerWeight float64
 	// AcrossDomains allows groups that span domains, which are slow, where none can be formed
 	// within a domain.
@@ -120,8 +121,8 @@
 // some are full long before all are.
 const servedExponent = 3
 
-// value estimates the fraction of the work, or of the callers by CallerWeight, served in time after a change of the endpoints of
-// each model in this data centre.
+// value estimates the fraction of the work, or of the callers by CallerWeight, served in time after a
+// change of the endpoints of each model in this data centre.
 func (s *situation) value(change map[string]float64) float64 {
 	value := 0.0
 	for _, m := range s.engine.Models {
--- a/pkg/serving/urgency.go
+++ b/pkg/serving/urgency.go
@@ -31,6 +31,28 @@
 // Urgencies returns the number of different priorities of requests to a service with an engine.
 func (c *Configuration) Urgencies(service string) int { return len(c.urgencies[service]) }
 
+// RanksRoutes reports whether streaming routes to a service differ in priority. Priorities of workspaces alone
+// don't rank the models, since each workspace may use all of them.
+func (c *Configuration) RanksRoutes(service string) bool {
+	first, found := 0, false
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind != KindStream {
+			continue
+		}
+		for _, s := range r.Splits {
+			if s.Service != service {
+				continue
+			}
+			if found && r.Priority != first {
+				return true
+			}
+			first, found = r.Priority, true
+		}
+	}
+	return false
+}
+
 // indexUrgencies collects the priorities of the requests of each service with an engine.
 func (c *Configuration) indexUrgencies() {
 	c.urgencies = map[string][]urgency{}
--- a/pkg/serving/urgency_test.go
+++ b/pkg/serving/urgency_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// Guards against plans by callers where the configuration does not rank the requests of a service.
+func TestRanksRoutes(t *testing.T) {
+	route := func(service string, kind RouteKind, priority int) Route {
+		return Route{Kind: kind, Splits: []Split{{"other", 1}, {service, 1}}, Priority: priority}
+	}
+	for name, test := range map[string]struct {
+		routes []Route
+		want   bool
+	}{
+		"none":                 {nil, false},
+		"equal":                {[]Route{route("llm", KindStream, 1), route("llm", KindStream, 1)}, false},
+		"different":            {[]Route{route("llm", KindStream, 1), route("llm", KindStream, 1), route("llm", KindStream, 0)}, true},
+		"of different kinds":   {[]Route{route("llm", KindStream, 1), route("llm", KindRepeatable, 0)}, false},
+		"of different service": {[]Route{route("llm", KindStream, 1), route("llm2", KindStream, 0)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &Configuration{Routes: test.routes}
+			require.Equal(t, test.want, c.RanksRoutes("llm"))
+		})
+	}
+}
+
 // Guards against a route's priority going before a workspace's, and against routes that count as
 // equally urgent because all workspaces have the same priority.
 func TestUrgency(t *testing.T) {
