groupcontrol: dissolve groups only if the domain can form a group afterwards

With caller_weight, spares were compared before a dissolution with the group formed after it: their number rises with the free endpoints and the size of the domain. In domains of 73 with groups of 32 and 8, 1 to 3 of 800 plans after random losses dissolved a group across domains, could not form the new one, and formed the old one again. A takeover now requires that the domain can form the group with its spares kept.

--- a/internal/gossip/rates.go
+++ b/internal/gossip/rates.go
@@ -40,7 +40,8 @@
 
 // addRelayedRates adds a sum of other nodes' rates to a message. A relay of another data centre only
 // needs the sum of them and of this node's own, which saves half of the bytes, and the workspaces that are
-// used in plans. Those that others named are passed on even if this node does not name its own: a relay without requests for a pool does not know that it is
+// used in plans. Those that others named are passed on even if this node does not name its own: a relay
+// without requests for a pool does not know that it is
 // nearly short. The caller holds the lock.
 func (g *Gossiper) addRelayedRates(m *peers.ShareMessage, p *peer, own poolRates, others work) {
 	if !g.rates.enabled() {
@@ -91,13 +92,13 @@
 	relayed, invalidRelayed := fromRates(m.GetRelayedRates())
 	if invalid := invalidOwn + invalidRelayed; invalid > 0 {
 		if entries, messages, due := g.invalidRates.add(invalid, now); due {
-			g.log.Warn("invalid rates in a peer's message were dropped", "peer", m.GetFrom().GetId(), "entries", entries, "messages", messages)
+			g.log.Warn("invalid rates in a peer's message were dropped", "last_peer", m.GetFrom().GetId(), "entries", entries, "messages", messages)
 		}
 	}
 	return own, relayed
 }
 
-// invalidRates counts invalid rates between two log lines. A faulty peer sends some in each message, up to
+// invalidRates counts invalid rates of all peers between two log lines. A faulty peer sends some in each message, up to
 // ten times per second. It is safe for concurrent use.
 type invalidRates struct {
 	mu                sync.Mutex
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -102,8 +102,8 @@
 	CallTimeout time.Duration
 	// Tick is the interval between two plans.
 	Tick time.Duration
-	// RecheckDead has listed endpoints that did not respond asked again before their exclusion
-	// ends.
+	// RecheckDead requests reports from listed endpoints that are marked as dead and uses them again once
+	// they respond. Otherwise they are excluded for deadTTL.
 	RecheckDead bool
 	// DrainWait is the longest wait for the requests of a group with a draining member.
 	DrainWait time.Duration
--- a/internal/groupcontrol/packing.go
+++ b/internal/groupcontrol/packing.go
@@ -9,7 +9,7 @@
 
 // This file packs the free endpoints of a domain into groups (PackDomains). It addresses domains
 // whose size is no multiple of the groups' sizes: of 37 endpoints, two spares left five in no group
-// beside a group of 16 and four of 4, a seventh of the capacity of customer K.
+// beside a group of 16 and four of 4, a seventh of the domain.
 
 // smallest returns the model with the smallest groups.
 func (s *situation) smallest() serving.Model {
--- a/internal/groupcontrol/packing_test.go
+++ b/internal/groupcontrol/packing_test.go
@@ -140,6 +140,36 @@
 	}
 }
 
+// Guards against groups that are dissolved and formed again in turn, where plans are weighted by callers.
+func TestPlan_ByCallersConvergesAfterLosses(t *testing.T) {
+	const sequences, losses = 25, 8
+	for _, fleet := range []fleet{fleetK, fleetOf73} {
+		for _, weight := range []float64{0.5, 0.9} {
+			for _, demand := range [][2]float64{{3, 12}, {6, 30}} {
+				t.Run(fmt.Sprint(fleet.size, weight, demand), func(t *testing.T) {
+					for seed := range uint64(sequences) {
+						random := rand.New(rand.NewPCG(seed, 1))
+						s := fleet.empty(false, 0.5)
+						s.weights.CallerWeight = weight
+						s = withDemand(applyPlan(s, plan(s)), demand[0], demand[1])
+						s.requests = map[string]float64{large.Name: 40, small.Name: 422}
+						s.remote = map[string]float64{}
+						for _, m := range s.engine.Models {
+							s.remote[m.Name] = 2 * s.groupsOf(m) * float64(m.Size)
+						}
+						for range losses {
+							loadBoth(s)
+							var converged bool
+							s, _, converged = settle(loseMember(s, random))
+							require.True(t, converged, "seed %d", seed)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against a group across domains that is dissolved for one that the spares of the domain
 // prevent: the three members and the free endpoint of the first domain hold the small model only.
 // Without the setting this takeover remains, as before.
--- a/internal/groupcontrol/takeover.go
+++ b/internal/groupcontrol/takeover.go
@@ -54,6 +54,7 @@
 			// A group could be formed now but is not worthwhile.
 		case len(groups) == 0:
 			return takeover{model, domain, nil}, takeoverPending
+		case !s.formsAfter(model, domain, free[domain], groups):
 		case s.improves(model, domain, free[domain], groups) && (outcome == takeoverNone || len(groups) < len(best.groups)):
 			best, outcome = takeover{model, domain, groups}, takeoverFound
 		}
@@ -61,6 +62,26 @@
 	return best, outcome
 }
 
+// formsAfter reports whether a domain can form a group of a model once other groups are dissolved and
+// its spares are kept. Their number changes with the dissolution; a group across domains would otherwise be
+// dissolved and formed again in turn.
+func (s *situation) formsAfter(model serving.Model, domain string, free []*serving.Endpoint, victims []*group) bool {
+	if !s.byCallers() && !s.weights.PackDomains {
+		return true
+	}
+	after := *s
+	after.inUse = map[string]map[string]float64{}
+	for d, models := range s.inUse {
+		after.inUse[d] = maps.Clone(models)
+	}
+	after.soonFree = slices.Clone(s.soonFree)
+	after.end(victims)
+	leaving, _ := partition(after.soonFree, func(e *serving.Endpoint) bool { return e.Domain == domain })
+	after.soonFree = nil
+	all := slices.Concat(free, leaving)
+	return after.countWarm(model, domain, after.freeFor(model, domain, all)) >= model.Size
+}
+
 // end removes groups from the situation.
 func (s *situation) end(groups []*group) {
 	s.groups = slices.DeleteFunc(slices.Clone(s.groups), func(g *group) bool { return slices.Contains(groups, g) })
--- a/internal/groupcontrol/value.go
+++ b/internal/groupcontrol/value.go
@@ -37,7 +37,8 @@
 	// CallerWeight weights a model's share of the callers against its share of the work in the
 	// value of a plan, 0 to 1. By work alone, a model with few expensive requests counts as much
 	// as one with many cheap ones, although it serves few callers. It applies only to services whose
-	// routes differ in priority: without a ranking, a long request counts for as much as its work.
+	// routes differ in priority: without a ranking, a long request counts for as much as its work. The
+	// direction of the ranking is not considered, and rejected requests count as callers too.
 	CallerWeight float64
 	// AcrossDomains allows groups that span domains, which are slow, where none can be formed
 	// within a domain.
--- a/lab/soak/overload.go
+++ b/lab/soak/overload.go
@@ -41,7 +41,8 @@
 	maxLateRejections = 0.05
 	// startupWait is how long a node that has just started lets requests wait for its first view.
 	startupWait = 200 * time.Millisecond
-	// maxRejectedRatio is the part of the flood's fraction of rejections that others may have.
+	// maxRejectedRatio is the part of the flood's fraction of rejections that others may have. Without shares
+	// both fractions would be equal. The stated bound, 2 in 100 of the others, does not hold yet.
 	maxRejectedRatio = 0.5
 	// minServedOfFlood is the part of the capacity left by the others that the flood gets at least.
 	minServedOfFlood = 0.5
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -85,7 +85,8 @@
 // advisoryBound limits the requests to an endpoint that advertises a cooldown or draining.
 var advisoryBound = advisorylog.Bound{MaxRequests: 2, Grace: 500 * time.Millisecond, DrainGrace: 2 * time.Second}
 
-// overloadPolicy is the policy of deploy/entry.ini.
+// overloadPolicy is the policy of deploy/entry.ini without caller_weight, which has no effect here: the
+// routes of the soak have the same priority.
 const overloadPolicy = "overload_control = true\nfirst_offset = true\nfree_weight = true\naffinity = 8\nconnection_bound = true\n"
 
 // process is an entry instance.
