--- a/internal/gossip/rates.go
+++ b/internal/gossip/rates.go
@@ -41,8 +41,7 @@
 // addRelayedRates adds a sum of other nodes' rates to a message. A relay of another data centre only
 // needs the sum of them and of this node's own, which saves half of the bytes, and the workspaces that are
 // used in plans. Those that others named are passed on even if this node does not name its own: a relay
-// without requests for a pool does not know that it is
-// nearly short. The caller holds the lock.
+// without requests for a pool does not know that it is nearly short. The caller holds the lock.
 func (g *Gossiper) addRelayedRates(m *peers.ShareMessage, p *peer, own poolRates, others work) {
 	if !g.rates.enabled() {
 		return
