--- a/internal/relay/priority.go
+++ b/internal/relay/priority.go
@@ -14,13 +14,18 @@
 	return admission.Level(min(rank, int(admission.MaxLevel)))
 }
 
+// isOrdered reports whether endpoints serve the requests of the service by urgency.
+func (c *call) isOrdered() bool {
+	return c.options.Overload != nil && c.view.Configuration.Urgencies(c.service) > 1
+}
+
 // priority returns the request's place in the order of an endpoint's queue, or nil if all requests of
 // the service are equally urgent.
 func (c *call) priority() *admission.Level {
-	urgencies := c.view.Configuration.Urgencies(c.service)
-	if c.options.Overload == nil || urgencies < 2 {
+	if !c.isOrdered() {
 		return nil
 	}
+	urgencies := c.view.Configuration.Urgencies(c.service)
 	place := queuePlace(c.level, urgencies, c.attempts > 0 || c.lastEvent != "")
 	return &place
 }
--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -106,7 +106,7 @@
 func (c *call) sizeFor(pool directory.Pool, now time.Time) RequestSize {
 	size := c.size()
 	size.Offset = c.options.Balancer.FirstOffset(pool, now)
-	if c.options.Overload != nil && c.priority() != nil {
+	if c.isOrdered() {
 		size.LessUrgent = c.options.Overload.LessUrgent(pool, c.level)
 	}
 	return size
