--- a/internal/relay/region.go
+++ b/internal/relay/region.go
@@ -59,27 +59,23 @@
 
 // endpoints returns the allowed endpoints; without a limit, it returns the given slice.
 func (l regionLimit) endpoints(all []*serving.Endpoint) []*serving.Endpoint {
-	if !l.isSet() {
-		return all
-	}
-	var out []*serving.Endpoint
-	for _, e := range all {
-		if l.allows(e.DataCentre) {
-			out = append(out, e)
-		}
-	}
-	return out
+	return allowed(l, all, func(e *serving.Endpoint) serving.DataCentre { return e.DataCentre })
 }
 
 // heads returns the allowed heads; without a limit, it returns the given slice.
 func (l regionLimit) heads(all []*directory.Head) []*directory.Head {
+	return allowed(l, all, func(h *directory.Head) serving.DataCentre { return h.DataCentre })
+}
+
+// allowed returns the elements in data centres that a limit allows.
+func allowed[T any](l regionLimit, all []T, dataCentre func(T) serving.DataCentre) []T {
 	if !l.isSet() {
 		return all
 	}
-	var out []*directory.Head
-	for _, h := range all {
-		if l.allows(h.DataCentre) {
-			out = append(out, h)
+	var out []T
+	for _, element := range all {
+		if l.allows(dataCentre(element)) {
+			out = append(out, element)
 		}
 	}
 	return out
