--- a/pkg/admission/backlog.go
+++ b/pkg/admission/backlog.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // backlogWindow is the time constant with which admitted tokens are forgotten. It is that of the
 // measured rates, and about the time that an excessive backlog takes to process.
@@ -27,16 +24,16 @@
 
 // recordAdmitted adds what the plan in force admits of the demand.
 func (p *Plan) recordAdmitted(s *PoolState) {
-	keep := 0.0
+	weight := 1.0
 	if s.Elapsed > 0 {
-		keep = math.Exp(-s.Elapsed.Seconds() / backlogWindow.Seconds())
+		weight = smoothing(s.Elapsed, backlogWindow)
 	}
 	for i := range p.backlog {
-		p.backlog[i] *= keep
+		p.backlog[i] *= 1 - weight
 	}
 	for i := range s.Demand {
 		d := &s.Demand[i]
-		p.backlog[min(d.Level, MaxLevel)] += (1 - keep) * d.Tokens * p.granted(d.Level)
+		p.backlog[min(d.Level, MaxLevel)] += weight * d.Tokens * p.granted(d.Level)
 	}
 }
 
