--- a/internal/gossip/rates.go
+++ b/internal/gossip/rates.go
@@ -97,8 +97,8 @@
 	return own, relayed
 }
 
-// invalidRates counts invalid rates of all peers between two log lines. A faulty peer sends some in each message, up to
-// ten times per second. It is safe for concurrent use.
+// invalidRates counts invalid rates of all peers between two log lines. A faulty peer sends some in each
+// message, up to ten times per second. It is safe for concurrent use.
 type invalidRates struct {
 	mu                sync.Mutex
 	entries, messages int
--- a/internal/relay/predict.go
+++ b/internal/relay/predict.go
@@ -22,7 +22,7 @@
 
 // isLate reports whether the first event is predicted so late that the caller should retry instead.
 func (s RequestSize) isLate(p Prediction, factor float64) bool {
-	return s.Objective > 0 && float64(p.Urgent) > factor*float64(s.Objective)
+	return s.Objective > 0 && float64(p.FirstByPriority) > factor*float64(s.Objective)
 }
 
 // Prediction is the expected latency of a request at an endpoint.
@@ -30,10 +30,10 @@
 	// First is the time to the first event, Gap the longest usual time between events.
 	First time.Duration
 	Gap   time.Duration
-	// Urgent is First if the engine processes the prompts of less urgent requests later. It applies
-	// only to the test for lateness: too early a time would make a busy endpoint count as stalled.
-	Urgent time.Duration
-	// Offset is the part of First that is learnt from earlier requests.
+	// FirstByPriority is First if the engine processes the prompts of less urgent requests later. Only the
+	// test for lateness uses it: the stall detector would take a busy endpoint for stalled by too early a time.
+	FirstByPriority time.Duration
+	// Offset is the part of First that is learned from earlier requests.
 	Offset time.Duration
 	// Running is the number of requests there, Unread the number of their prompt tokens that
 	// are not processed yet.
@@ -78,12 +78,12 @@
 	}
 	gap := steps + reading(min(chunk, unread+s.Prompt))
 	return Prediction{
-		First:   first(unread + s.Prompt),
-		Urgent:  first(int((1-s.LessUrgent)*float64(unread)) + s.Prompt),
-		Gap:     time.Duration(float64(gap) * h.TimeFactor),
-		Offset:  s.Offset,
-		Running: running,
-		Unread:  unread,
+		First:           first(unread + s.Prompt),
+		FirstByPriority: first(int((1-s.LessUrgent)*float64(unread)) + s.Prompt),
+		Gap:             time.Duration(float64(gap) * h.TimeFactor),
+		Offset:          s.Offset,
+		Running:         running,
+		Unread:          unread,
 	}
 }
 
@@ -96,7 +96,7 @@
 	return p.Unread == 0 && float64(p.Running) < idleFraction*float64(slots)
 }
 
-// Offsets returns the learnt offsets, for the exchange with other nodes.
+// Offsets returns the learned offsets, for the exchange with other nodes.
 func (b *Balancer) Offsets() *Offsets { return b.offsets }
 
 // FirstOffset returns the offset that predictions for a pool include, zero if it is turned off.
