--- a/pkg/admission/backlog.go
+++ b/pkg/admission/backlog.go
@@ -33,15 +33,15 @@
 	}
 	for i := range s.Demand {
 		d := &s.Demand[i]
-		p.backlog[min(d.Level, MaxLevel)] += weight * d.Tokens * p.granted(d.Level)
+		p.backlog[min(d.Level, MaxLevel)] += weight * d.Tokens * p.admitted(d.Level)
 	}
 }
 
-// granted returns the fraction of a level's demand that is admitted.
-func (p *Plan) granted(level Level) float64 {
+// admitted returns the fraction of a level's demand that is admitted.
+func (p *Plan) admitted(level Level) float64 {
 	for i := range p.levels {
 		if l := &p.levels[i]; l.level == level {
-			return l.granted
+			return l.admitted
 		}
 	}
 	return 1
--- a/pkg/admission/levels.go
+++ b/pkg/admission/levels.go
@@ -3,8 +3,8 @@
 // levelPlan holds the fractions of one level.
 type levelPlan struct {
 	level Level
-	// granted is the fraction of the level's demand that is admitted.
-	granted float64
+	// admitted is the fraction of the level's demand that is admitted.
+	admitted float64
 	// precedence is the fraction of the returning requests that are admitted
 	// before the workspaces' shares are computed.
 	precedence float64
@@ -34,14 +34,14 @@
 // limits are the fractions of the arrivals by which the levels are limited, in
 // units of the scarcer resource.
 type limits struct {
-	reserved limit   // of relaxed levels; the others have Plan.limits
-	lasting  float64 // what the pool can start in the long run
-	draining float64 // see sustained.drainingFraction
+	reserved    limit   // of relaxed levels; the others have Plan.limits
+	sustainable float64 // what the pool can start in the long run
+	draining    float64 // see sustainableRate.drainingFraction
 }
 
 // grant is what a level gets, as fractions of its demand.
 type grant struct {
-	now, lasting, draining float64
+	now, sustainable, draining float64
 }
 
 // allocate divides the admissible rate among the levels. Each level first gets
@@ -58,7 +58,7 @@
 	for i := range demand {
 		minimums += min(demandOf(&demand[i], reserved.byTokens), minimum)
 	}
-	used, lastingRest, drainingRest := 0.0, l.lasting*total, l.draining*total
+	used, sustainableRest, drainingRest := 0.0, l.sustainable*total, l.draining*total
 	for i := range demand {
 		limit := p.limits[min(demand[i].Level, MaxLevel)]
 		rest := limit.fraction*total - minimums - used
@@ -66,11 +66,11 @@
 		granted := min(wanted, minimum)
 		extra := min(wanted-granted, max(rest, 0))
 		used += extra
-		lasting := min(wanted, lastingRest)
-		lastingRest -= lasting
-		draining := min(lasting, drainingRest)
+		sustainable := min(wanted, sustainableRest)
+		sustainableRest -= sustainable
+		draining := min(sustainable, drainingRest)
 		drainingRest -= draining
-		p.addLevel(&demand[i], grant{ratio(granted+extra, wanted), ratio(lasting, wanted), ratio(draining, wanted)}, policy)
+		p.addLevel(&demand[i], grant{ratio(granted+extra, wanted), ratio(sustainable, wanted), ratio(draining, wanted)}, policy)
 	}
 }
 
@@ -86,7 +86,7 @@
 // demand. Returning requests have precedence in a part of it.
 func (p *Plan) addLevel(d *LevelDemand, g grant, policy Policy) {
 	l := p.nextLevel()
-	l.level, l.granted = d.Level, min(g.now, 1)
+	l.level, l.admitted = d.Level, min(g.now, 1)
 	granted := g.now * d.requests()
 	preferred := min(d.Returning, policy.ReturnShare*granted)
 	l.precedence = ratio(preferred, d.Returning)
@@ -94,7 +94,7 @@
 	// preferred ones are deducted from all workspaces in proportion.
 	remaining := ratio(d.requests()-preferred, d.requests())
 	p.claims = appendClaims(p.claims[:0], d, remaining)
-	s := divide(p.claims, granted-preferred, g.lasting*d.requests()-preferred, g.draining*d.requests()-preferred)
+	s := divide(p.claims, granted-preferred, g.sustainable*d.requests()-preferred, g.draining*d.requests()-preferred)
 	for i := range d.Workspaces {
 		w := &d.Workspaces[i]
 		l.named = append(l.named, workspaceFraction{w.Workspace, s.fraction(w.Requests * remaining)})
--- a/pkg/admission/plan.go
+++ b/pkg/admission/plan.go
@@ -117,10 +117,10 @@
 	claims  []claim
 	// limits has the limit of each level, for which only prompts at least as urgent count as unread.
 	limits [MaxLevel + 1]limit
-	// backlog, trend and sustained outlast an update.
-	backlog   backlog
-	trend     trend
-	sustained sustained
+	// backlog, trend and sustainable outlast an update.
+	backlog     backlog
+	trend       trend
+	sustainable sustainableRate
 }
 
 // Update computes the plan for a state. It reuses the memory of the previous plan.
@@ -129,9 +129,9 @@
 	p.levels = p.levels[:0]
 	s.Demand = p.trend.extrapolate(s.Demand, s.Elapsed)
 	arrivals := s.arrivals()
-	p.sustained.observe(&s)
-	lasting := p.sustained.fraction(&s, policy, arrivals)
-	fillsSoon := lasting < 1 && p.sustained.fillsSoon(&s, policy, arrivals)
+	p.sustainable.observe(&s)
+	sustainable := p.sustainable.fraction(&s, policy, arrivals)
+	fillsSoon := sustainable < 1 && p.sustainable.fillsSoon(&s, policy, arrivals)
 	whole, reserved := policy, limitOf(&s, policy, arrivals, p.short)
 	if hasRelaxed(s.Demand) {
 		policy = policy.withReserve()
@@ -139,7 +139,7 @@
 	}
 	ceiling := math.Inf(1)
 	if reserved.fraction >= 1 && fillsSoon {
-		ceiling, reserved.fraction = lasting, lasting
+		ceiling, reserved.fraction = sustainable, sustainable
 	}
 	p.short = reserved.fraction < 1
 	p.outlook = newOutlook(&s, policy, arrivals, reserved.fraction)
@@ -147,7 +147,7 @@
 		return
 	}
 	p.limitLevels(&s, whole, policy, arrivals, ceiling)
-	p.allocate(s.Demand, policy, limits{reserved, lasting, p.sustained.drainingFraction(&s, arrivals, reserved.byTokens)})
+	p.allocate(s.Demand, policy, limits{reserved, sustainable, p.sustainable.drainingFraction(&s, arrivals, reserved.byTokens)})
 }
 
 // limitLevels sets the limit of each level. An engine processes the prompts of more urgent requests
--- a/pkg/admission/plan_test.go
+++ b/pkg/admission/plan_test.go
@@ -86,23 +86,23 @@
 func TestDivide(t *testing.T) {
 	claims := []claim{{1, 10, 2}, {2, 30, 1}, {3, 200, 1}} // the share of 100 is 50
 	tests := []struct {
-		name                       string
-		granted, lasting, draining float64
-		small, middle, large       float64
+		name                           string
+		granted, sustainable, draining float64
+		small, middle, large           float64
 	}{
-		{"all of the lasting rate", 100, 100, 0, 1, 1, 50.0 / 200},
+		{"all of the sustainable rate", 100, 100, 0, 1, 1, 50.0 / 200},
 		{"correction", 60, 100, 0, 1, 1, 10.0 / 200},
 		{"correction beyond the large one", 40, 100, 0, 1, 20.0 / 30, 0},
 		{"starts suffice for the others", 40, 100, 80, 1, 1, 0},
 		{"starts suffice for some", 10, 100, 40, 1, 20.0 / 30, 0},
-		{"more than the lasting rate", 150, 100, 80, 1, 1, 100.0 / 200},
+		{"more than the sustainable rate", 150, 100, 80, 1, 1, 100.0 / 200},
 		{"nobody above the share", 100, 300, 240, 1, 1, 50.0 / 200},
-		{"lasting rate unknown", 40, math.Inf(1), 0, 1, 10.0 / 30, 10.0 / 200},
+		{"sustainable rate unknown", 40, math.Inf(1), 0, 1, 10.0 / 30, 10.0 / 200},
 		{"nothing lasts", 40, 0, 0, 1, 10.0 / 30, 10.0 / 200},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := divide(claims, test.granted, test.lasting, test.draining)
+			s := divide(claims, test.granted, test.sustainable, test.draining)
 			assert.InDelta(t, test.small, s.fraction(10), 1e-9)
 			assert.InDelta(t, test.middle, s.fraction(30), 1e-9)
 			assert.InDelta(t, test.large, s.fraction(200), 1e-9)
@@ -144,8 +144,8 @@
 
 // The plan must not depend on a holding time from the start of a node, nor on the
 // queue in front of full groups.
-func TestSustained(t *testing.T) {
-	var c sustained
+func TestSustainableRate(t *testing.T) {
+	var c sustainableRate
 	s := overloaded(level(1, 200, 0))
 	s.Running, s.Elapsed = 150, minObserved/10
 	for range 10 {
@@ -163,8 +163,8 @@
 
 // A stall of the groups must not leave the pool short once they start requests again, and a pool without
 // usable groups or without starts must not count as short.
-func TestSustained_Stall(t *testing.T) {
-	var c sustained
+func TestSustainableRate_Stall(t *testing.T) {
+	var c sustainableRate
 	s := overloaded(level(1, 60, 0))
 	s.Running, s.Starts, s.Elapsed = 60, 60, 100*time.Millisecond
 	for range 20 {
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -85,13 +85,13 @@
 }
 
 // divide divides the granted rate among claims in ascending order of demand. The
-// rate that the pool can start in the long run (lasting) determines which workspaces
+// rate that the pool can start in the long run (sustainable) determines which workspaces
 // are above their share. They caused the backlog. While it drains, less is granted
-// than the lasting rate, and these workspaces get less first; the others get at
+// than the sustainable rate, and these workspaces get less first; the others get at
 // least the draining rate. With one share for all, the correction after a
 // flood of one workspace rejects up to 4 in 100 requests of the others.
-func divide(claims []claim, granted, lasting, draining float64) shares {
-	bound := maxMinShare(claims, lasting)
+func divide(claims []claim, granted, sustainable, draining float64) shares {
+	bound := maxMinShare(claims, sustainable)
 	within, n := 0.0, 0
 	for n < len(claims) && claims[n].demand <= bound {
 		within += claims[n].demand * claims[n].count
--- a/pkg/admission/sustainable.go
+++ b/pkg/admission/sustainable.go
@@ -23,16 +23,16 @@
 	drainingPart = 0.8
 )
 
-// sustained estimates what a pool can start for as long as a demand lasts. Unlike
+// sustainableRate estimates what a pool can start for as long as a demand lasts. Unlike
 // the limits of a plan it does not depend on the deviation from the targets.
-type sustained struct {
+type sustainableRate struct {
 	holding  float64       // mean seconds for which a request holds a slot
 	observed time.Duration // the time that the mean is based on, up to minObserved
 }
 
 // observe adds a state to the mean holding time, by Little's law. Requests beyond
 // the slots wait for one and do not count.
-func (c *sustained) observe(s *PoolState) {
+func (c *sustainableRate) observe(s *PoolState) {
 	if s.Starts <= 0 || s.Running <= 0 || s.Slots <= 0 {
 		return
 	}
@@ -53,14 +53,14 @@
 	return 1 - math.Exp(-elapsed.Seconds()/window.Seconds())
 }
 
-func (c *sustained) known() bool {
+func (c *sustainableRate) known() bool {
 	return c.observed >= minObserved
 }
 
 // fraction returns the fraction of the arrivals that the pool can start in the
 // long run. It is infinite if that is unknown, also while no group is usable or
 // starts requests.
-func (c *sustained) fraction(s *PoolState, policy Policy, arrivals Rates) float64 {
+func (c *sustainableRate) fraction(s *PoolState, policy Policy, arrivals Rates) float64 {
 	if !c.known() || arrivals.requests() <= 0 || s.Slots <= 0 || s.Starts <= 0 {
 		return math.Inf(1)
 	}
@@ -73,7 +73,7 @@
 
 // fillsSoon reports whether the utilization exceeds its target before a change of
 // the plan can be seen in the evidence, if everything is admitted.
-func (c *sustained) fillsSoon(s *PoolState, policy Policy, arrivals Rates) bool {
+func (c *sustainableRate) fillsSoon(s *PoolState, policy Policy, arrivals Rates) bool {
 	if !c.known() {
 		return false
 	}
@@ -83,7 +83,7 @@
 
 // drainingFraction returns the fraction of the arrivals that may be admitted of
 // workspaces within their share while a backlog drains.
-func (c *sustained) drainingFraction(s *PoolState, arrivals Rates, byTokens bool) float64 {
+func (c *sustainableRate) drainingFraction(s *PoolState, arrivals Rates, byTokens bool) float64 {
 	if !c.known() {
 		return 0
 	}
