--- a/internal/groupcontrol/packing_test.go
+++ b/internal/groupcontrol/packing_test.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// withEqualDataCentres adds two data centres with the groups of this one.
+func withEqualDataCentres(s situation) situation {
+	endpoints := func(m serving.Model) float64 { return 2 * s.groupsOf(m) * float64(m.Size) }
+	return withRemote(s, endpoints(s.engine.Models[0]), endpoints(s.engine.Models[1]))
+}
+
 // Guards against free endpoints of a domain that could form a group after members were lost, and
 // against plans that dissolve a group across domains for a group that spares then prevent, and form
 // it again.
@@ -114,10 +120,7 @@
 					random := rand.New(rand.NewPCG(seed, 1))
 					s := test.fleet.empty(pack, 0.5)
 					s = withDemand(applyPlan(s, plan(s)), test.largeDemand, test.smallDemand)
-					s.remote = map[string]float64{}
-					for _, m := range s.engine.Models {
-						s.remote[m.Name] = 2 * s.groupsOf(m) * float64(m.Size)
-					}
+					s = withEqualDataCentres(s)
 					for range losses {
 						loadBoth(s)
 						var converged bool
@@ -153,10 +156,7 @@
 						s.weights.CallerWeight = weight
 						s = withDemand(applyPlan(s, plan(s)), demand[0], demand[1])
 						s.requests = map[string]float64{large.Name: 40, small.Name: 422}
-						s.remote = map[string]float64{}
-						for _, m := range s.engine.Models {
-							s.remote[m.Name] = 2 * s.groupsOf(m) * float64(m.Size)
-						}
+						s = withEqualDataCentres(s)
 						for range losses {
 							loadBoth(s)
 							var converged bool
