--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -91,14 +90,9 @@
 // send sends requests of a workspace to all entry instances in turn, at an even rate for a time, and
 // waits for the responses.
 func (l *load) send(workspace, name string, perSecond int, duration time.Duration, react reaction) {
-	var calling sync.WaitGroup
-	defer calling.Wait()
-	interval := time.Second / time.Duration(perSecond)
-	began := time.Now()
-	for n := 0; time.Duration(n)*interval < duration; n++ {
-		time.Sleep(time.Until(began.Add(time.Duration(n) * interval)))
-		calling.Go(func() { l.call(workspace, fmt.Sprintf("%s-%s-%s-%d", l.mark, workspace, name, n), n, react) })
-	}
+	emulator.CallAtRate(perSecond, duration, func(n int) {
+		l.call(workspace, fmt.Sprintf("%s-%s-%s-%d", l.mark, workspace, name, n), n, react)
+	})
 }
 
 // call sends one request and lets its caller return at most once.
@@ -109,11 +103,11 @@
 		return
 	}
 	if react == honours {
-		seconds, err := strconv.ParseFloat(a.retryAfter, 64)
+		wait, err := emulator.HonouredDelay(a.retryAfter, overloadTimeout-time.Since(began))
 		if err != nil {
 			l.run.recordViolation("request %s was told to return after %q", id, a.retryAfter)
 		}
-		time.Sleep(min(time.Duration(seconds*float64(time.Second)), (overloadTimeout-time.Since(began))/3))
+		time.Sleep(wait)
 	}
 	l.attempt(workspace, id+"-again", n+1, overloadTimeout-time.Since(began))
 }
