reachability: tell the loss of a node's own links from failures of endpoints

Observability only: nothing acts on it yet. In the record each failed attempt names one endpoint, and a refused connection reads like a crash, so that no line tells whether a node or its endpoints are in trouble. The monitor judges by dials, those of requests and a few of its own once two endpoints are in trouble at once; established connections say nothing, since they may live on while new ones are refused. New: the log lines "links to all endpoints are lost" and "endpoints are reachable again", the gauge endpoint_links_lost.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/reachability"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/internal/table"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
@@ -77,6 +78,7 @@
 	relay      *relay.Relay
 	budget     *relay.Budget
 	upstream   *upstream.Client
+	links      *reachability.Monitor
 	controller *groupcontrol.Controller
 	gossip     *gossip.Gossiper
 	store      table.Store
@@ -107,10 +109,11 @@
 		metrics:     metrics.New(s.Node, string(s.DataCentre)),
 		directory:   directory.New(a.Codec),
 		balancer:    relay.NewBalancer(s.DataCentre, rand.NewPCG(rand.Uint64(), rand.Uint64()), s.Policy.Relay),
-		upstream:    upstream.New(upstream.Options{Link: links, IdleTimeout: idleTimeout}),
 		tracker:     httpserver.NewTracker(),
 		controlDone: make(chan struct{}),
 	}
+	e.upstream = upstream.New(upstream.Options{Link: links, IdleTimeout: idleTimeout, OnDial: e.recordDial})
+	e.links = reachability.New(e.endpointAddresses, e.upstream.Probe, e.setLinksLost)
 	e.directory.SetReturnGrace(s.Policy.ReturnGrace)
 	store := &meteredStore{Store: a.Store(s.Store, httpClient(links)), metrics: e.metrics}
 	e.store = store
@@ -141,6 +144,7 @@
 		Overload:    overload,
 		Quarantine:  e.gossip.Quarantine(),
 		Throttle:    e.gossip.Throttle(),
+		Links:       e.links,
 		Clock:       e.clock,
 		Metrics:     e.metrics,
 		StallAfter:  s.StallAfter,
@@ -265,6 +269,7 @@
 	watcher := &directory.Watcher{Store: e.store, Directory: e.directory, Options: e.settings.Policy.watchOptions(), Role: e.gossip.WatchRole}
 	e.running.Go(func() { watcher.Run(ctx) })
 	e.running.Go(func() { e.gossip.Run(ctx) })
+	e.running.Go(func() { e.links.Run(ctx) })
 	e.running.Go(func() {
 		defer close(e.controlDone)
 		e.controller.Run(control)
--- /dev/null
+++ b/internal/reachability/monitor_test.go
@@ -0,0 +1,128 @@
+package reachability
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const waitTimeout = 10 * time.Second
+
+// network is a set of endpoints, of which some refuse or ignore dials.
+type network struct {
+	mu      sync.Mutex
+	monitor *Monitor
+	refuse  func(address string) bool
+	hang    bool
+	dials   int
+}
+
+const endpoints = 9
+
+func (n *network) addresses() []string {
+	var out []string
+	for i := range endpoints {
+		out = append(out, fmt.Sprint(i))
+	}
+	return out
+}
+
+func (n *network) dial(ctx context.Context, address string) error {
+	start := time.Now()
+	n.mu.Lock()
+	n.dials++
+	refused, hang := n.refuse != nil && n.refuse(address), n.hang
+	n.mu.Unlock()
+	var err error
+	switch {
+	case hang:
+		<-ctx.Done()
+		err = ctx.Err()
+	case refused:
+		err = syscall.ECONNREFUSED
+	}
+	n.monitor.RecordDial(address, time.Since(start), err)
+	return err
+}
+
+func (n *network) set(refuse func(string) bool, hang bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refuse, n.hang = refuse, hang
+}
+
+func start(t *testing.T) *network {
+	t.Helper()
+	n := &network{}
+	n.monitor = New(n.addresses, n.dial, func(bool) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { n.monitor.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return n
+}
+
+func all(string) bool  { return true }
+func none(string) bool { return false }
+
+// Guards against losing callers' requests one after another to find out that the links are lost: two
+// endpoints in trouble are reason enough to probe. The links also count as regained without requests.
+func TestMonitor_DetectsLostLinks(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		refuse func(string) bool
+		hang   bool
+	}{{"refused", all, false}, {"hanging", none, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			n := start(t)
+			n.set(test.refuse, test.hang)
+			n.monitor.RecordTrouble("1")
+			n.monitor.RecordTrouble("2")
+			require.Eventually(t, n.monitor.Lost, 2*time.Second, time.Millisecond)
+			n.set(none, false)
+			require.Eventually(t, func() bool { return !n.monitor.Lost() }, 2*time.Second, time.Millisecond)
+		})
+	}
+}
+
+// A failed rack must not look like lost links, nor cause a stream of probes.
+func TestMonitor_ToleratesFailedRack(t *testing.T) {
+	n := start(t)
+	isInRack := func(address string) bool { return address < "4" }
+	n.set(isInRack, false)
+	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(20 * time.Millisecond) {
+		for _, address := range []string{"0", "1", "2", "3"} {
+			n.monitor.RecordTrouble(address)
+		}
+		require.False(t, n.monitor.Lost())
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	require.LessOrEqual(t, n.dials, 3*probesPerRound)
+}
+
+// A dial that the deadline of its request cuts short says nothing about the link.
+func TestMonitor_IgnoresDialsCutByDeadlines(t *testing.T) {
+	n := start(t)
+	for _, address := range n.addresses() {
+		n.monitor.RecordDial(address, 50*time.Millisecond, context.DeadlineExceeded)
+		n.monitor.RecordDial(address, time.Second, context.Canceled)
+	}
+	require.False(t, n.monitor.Lost())
+}
+
+// Confirm must not take the loss of all links for the failure of one endpoint.
+func TestConfirm_ComparesWithOtherEndpoints(t *testing.T) {
+	n := start(t)
+	n.set(func(address string) bool { return address == "1" }, false)
+	require.True(t, n.monitor.Confirm(context.Background(), "1"))
+	n.set(all, false)
+	require.False(t, n.monitor.Confirm(context.Background(), "1"))
+	require.Eventually(t, n.monitor.Lost, waitTimeout, time.Millisecond)
+	require.False(t, n.monitor.Confirm(context.Background(), "1"))
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -66,6 +66,7 @@
 	c.attempts++
 	if err != nil {
 		c.mayHaveRun = true
+		c.recordSilence(t, active)
 		c.recordFailure(ctx, t, active)
 		c.logAttempt(t, "no answer", errors.Join(err, context.Cause(ctx)))
 		return c.finishIfDone(ctx, resultIncomplete)
@@ -136,10 +137,18 @@
 		active.recordOutcome(true, now)
 	}
 	if cause == nil || errors.Is(cause, errStalled) {
+		c.options.Links.RecordTrouble(t.Address)
 		c.crashProbe = c.crashes.ReportBroken(c.fingerprint, quarantine.Incarnation{Endpoint: t.ID, StartedAt: t.StartedAt, Address: t.Address}, active.sentAt, now)
 	}
 }
 
+// recordSilence records that an endpoint did not respond at all for some time, whoever then gave up.
+func (c *call) recordSilence(t target, active *activeRequest) {
+	if time.Since(active.sentAt) >= c.options.StallAfter {
+		c.options.Links.RecordTrouble(t.Address)
+	}
+}
+
 // responseMargin is subtracted from the deadline passed to an endpoint, so that its response
 // still arrives in time.
 const responseMargin = 10 * time.Millisecond
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
+	"github.com/ridgehinge/ridgehinge/internal/reachability"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -34,8 +35,10 @@
 	Quarantine *quarantine.Quarantine
 	// Throttle tracks the cooldowns, rate limits and draining that endpoints advertise.
 	Throttle *throttle.Tracker
-	Clock    *clock.Clock
-	Metrics  *metrics.Metrics
+	// Links watches this node's links to the endpoints.
+	Links   *reachability.Monitor
+	Clock   *clock.Clock
+	Metrics *metrics.Metrics
 	// StallAfter is how long an endpoint may be silent on all of its requests before a
 	// resumable stream is resumed elsewhere.
 	StallAfter time.Duration
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
+	"github.com/ridgehinge/ridgehinge/internal/reachability"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
 	"github.com/ridgehinge/ridgehinge/pkg/advisory"
@@ -242,10 +243,12 @@
 	t.Cleanup(m.Close)
 	balancer := NewBalancer("north", maxSource{}, DefaultWeights)
 	balancer.weights.DrawPower = math.Inf(1)
+	client := upstream.New(upstream.Options{Link: link.New(nil), IdleTimeout: time.Minute})
 	fx.relay = New(Options{
 		DataCentre:  "north",
 		Wire:        testWire{},
-		Upstream:    upstream.New(upstream.Options{Link: link.New(nil), IdleTimeout: time.Minute}),
+		Upstream:    client,
+		Links:       reachability.New(func() []string { return nil }, client.Probe, func(bool) {}),
 		View:        func() *directory.View { return fx.view },
 		Balancer:    balancer,
 		Demand:      NewDemand(),
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -59,6 +59,8 @@
 	// IdleTimeout is how long an idle connection is kept if the endpoint
 	// sends no Keep-Alive timeout.
 	IdleTimeout time.Duration
+	// OnDial, if set, is called with the result of each dial and how long it took.
+	OnDial func(address string, took time.Duration, err error)
 }
 
 // Client sends requests to any number of endpoints. It is safe for
@@ -239,7 +241,11 @@
 	if !c.acquire(address, limit) {
 		return nil, ErrConnectionBound
 	}
+	start := time.Now()
 	raw, err := c.options.Link.Dialer().DialContext(ctx, "tcp", address)
+	if c.options.OnDial != nil {
+		c.options.OnDial(address, time.Since(start), err)
+	}
 	if err != nil {
 		c.open.release(address)
 		return nil, err
