--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,6 +101,8 @@
 func Start(s *Settings, a Adapter) (*Entry, error) {
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	links := link.Bounds{Source: s.source(), DialTimeout: link.DefaultDialTimeout, SilenceTimeout: s.Silence}
+	endpointLinks := links
+	endpointLinks.FaultFile = s.LinkFaultFile
 	incarnation := s.Node + incarnationSeparator + xid.New().String()
 	e := &Entry{
 		settings:    s,
@@ -112,7 +114,7 @@
 		tracker:     httpserver.NewTracker(),
 		controlDone: make(chan struct{}),
 	}
-	e.upstream = upstream.New(upstream.Options{Link: links, IdleTimeout: idleTimeout, OnDial: e.recordDial})
+	e.upstream = upstream.New(upstream.Options{Link: endpointLinks, IdleTimeout: idleTimeout, OnDial: e.recordDial})
 	e.links = reachability.New(e.endpointAddresses, e.upstream.Probe, e.setLinksLost)
 	e.directory.SetReturnGrace(s.Policy.ReturnGrace)
 	store := &meteredStore{Store: a.Store(s.Store, httpClient(links)), metrics: e.metrics}
@@ -176,7 +178,7 @@
 		CallTimeout:          250 * time.Millisecond,
 		Tick:                 100 * time.Millisecond,
 		DrainWait:            2500 * time.Millisecond,
-	}, e.store, meteredEndpoints{a.Endpoints(httpClient(links), e.observe), e.metrics}, e.directory, e.gossip.Suspects)
+	}, e.store, meteredEndpoints{a.Endpoints(httpClient(endpointLinks), e.observe), e.metrics}, e.directory, e.gossip.Suspects)
 	e.gossip.SetController(e.controller)
 	e.directory.SetLogsEachChange(e.gossip.LogsEachChange)
 	if err := e.listen(a, links); err != nil {
@@ -225,7 +227,7 @@
 // httpClient returns a client for control calls and store calls.
 func httpClient(links link.Bounds) *http.Client {
 	return &http.Client{Transport: link.ResetOnError(&http.Transport{
-		DialContext:         links.Dialer().DialContext,
+		DialContext:         links.DialFunc(),
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -60,6 +60,8 @@
 	// SuspensionFile emulates a suspended machine in tests, see clock.Emulated. If empty, the
 	// machine's own clock is used.
 	SuspensionFile string
+	// LinkFaultFile emulates lost links to the endpoints in tests, see link.Emulated.
+	LinkFaultFile string
 	Policy         Policy
 }
 
@@ -127,6 +129,7 @@
 	s.StopBound = timing.Duration("stop_bound", 7*time.Second, 0, time.Hour)
 	s.LogLevel = readLevel(f.Section("log"))
 	s.SuspensionFile = f.Section("tests").String("suspension_file", "")
+	s.LinkFaultFile = f.Section("tests").String("link_fault_file", "")
 	s.Policy = readPolicy(f.Section("policy"))
 	f.Section(interfaceSection).OneOf("kind", "", interfaceKind)
 	if err := f.Err(); err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -32,6 +32,8 @@
 	DialTimeout time.Duration
 	// SilenceTimeout is how long sent data or keep-alive probes may stay unacknowledged.
 	SilenceTimeout time.Duration
+	// FaultFile, if set, names the present fault of the dialed connections in tests, see Emulated.
+	FaultFile string
 }
 
 // New returns the default bounds with a local address for outgoing connections, or nil
@@ -50,6 +52,14 @@
 	}
 }
 
+// DialFunc returns a function that dials with the bounds.
+func (b Bounds) DialFunc() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if b.FaultFile != "" {
+		return NewEmulated(b.FaultFile, b).DialContext
+	}
+	return b.Dialer().DialContext
+}
+
 // Listen returns a listener whose accepted connections have the bounds.
 func (b Bounds) Listen(network, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: b.keepAliveConfig(), Control: b.setUserTimeout}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -67,6 +67,7 @@
 // concurrent use.
 type Client struct {
 	options Options
+	connect func(ctx context.Context, network, address string) (net.Conn, error)
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	opened  uint64
@@ -77,7 +78,7 @@
 
 // New returns a client without open connections.
 func New(o Options) *Client {
-	return &Client{options: o, idle: map[string][]*conn{}, open: openCounter{byAddress: map[string]int{}}}
+	return &Client{options: o, connect: o.Link.DialFunc(), idle: map[string][]*conn{}, open: openCounter{byAddress: map[string]int{}}}
 }
 
 // Request is one request to an endpoint.
@@ -204,7 +205,7 @@
 	if k.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := k.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := k.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -242,7 +243,7 @@
 		return nil, ErrConnectionBound
 	}
 	start := time.Now()
-	raw, err := c.options.Link.Dialer().DialContext(ctx, "tcp", address)
+	raw, err := c.connect(ctx, "tcp", address)
 	if c.options.OnDial != nil {
 		c.options.OnDial(address, time.Since(start), err)
 	}
