forward: a package of its own for requests passed between entry instances

The own interface's code becomes the part that both interfaces can use: messages, the responder of the receiving node, the reading of its response. The wire of the own interface is unchanged; messages gain fields that it does not set. A request may be declined, which differs from a response that is cut off.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	SOAK_SEED=$(SEED) SOAK_COUNT=$(COUNT) $(GO) test -timeout 0 -count 1 -parallel 2 -run TestSoak -v ./lab/soak
 
 generate: ## regenerate code; needs protoc and its Go plugins
-	for p in quarantine peer share; do (cd internal/peers/$${p}pb && protoc -I . -I ../quarantinepb --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative $$p.proto) || exit 1; done
+	for p in quarantine forward peer share; do (cd internal/peers/$${p}pb && protoc -I . -I ../quarantinepb -I ../forwardpb --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative $$p.proto) || exit 1; done
 
 capacity: ## run the benchmarks behind docs/CAPACITY.md
 	$(GO) test -run xxx -bench 'Exchange|Publish|Plan|Poll|Wire' -benchtime 50x ./internal/control
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -15,6 +15,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/engine"
 	netlink "github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/standin/enginestandin"
@@ -253,7 +254,7 @@
 	return h.response, nil
 }
 
-func (h fixedResponseHandler) Forward(*peerpb.ForwardRequest, peerpb.DRPCPeers_ForwardStream) error {
+func (h fixedResponseHandler) Forward(*forwardpb.Request, peers.ForwardStream) error {
 	return nil
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -62,7 +62,7 @@
 	SuspensionFile string
 	// LinkFaultFile emulates lost links to the endpoints in tests, see link.Emulated.
 	LinkFaultFile string
-	Policy         Policy
+	Policy        Policy
 }
 
 // Bounds and defaults.
--- /dev/null
+++ b/internal/forward/responder.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"net/http"
+
+	"github.com/ridgehinge/ridgehinge/internal/httpserver"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
+)
+
+// EventSender is the stream on which the receiver of a request responds.
+type EventSender interface {
+	Send(event *forwardpb.Event) error
+}
+
+// Responder sends a response to the entry instance that forwarded the request.
+type Responder struct {
+	// Attempts is told with the beginning of the response.
+	Attempts int
+
+	stream EventSender
+	first  *forwardpb.Event
+	err    error
+}
+
+// NewResponder returns a responder for one request.
+func NewResponder(stream EventSender) *Responder { return &Responder{stream: stream} }
+
+// Err returns the error that ended the response early, if any.
+func (r *Responder) Err() error { return r.err }
+
+// Decline tells the sender that its request is not run here and never will be. It is called instead
+// of Begin.
+func (r *Responder) Decline(reason string) {
+	r.err = r.stream.Send(&forwardpb.Event{Declined: reason})
+}
+
+// Begin sets the status and the header. They are sent with the first part of the body.
+func (r *Responder) Begin(status int, header http.Header) {
+	r.first = &forwardpb.Event{Status: int32(status), Headers: HeaderToWire(header), Attempts: uint32(r.Attempts)}
+}
+
+func (r *Responder) send(event *forwardpb.Event) error {
+	if r.first != nil {
+		event.Status = r.first.Status
+		event.Headers = r.first.Headers
+		event.Attempts = r.first.Attempts
+		r.first = nil
+	}
+	if r.err == nil {
+		r.err = r.stream.Send(event)
+	}
+	return r.err
+}
+
+// Write sends a part of the body.
+func (r *Responder) Write(p []byte) error { return r.send(&forwardpb.Event{Body: p}) }
+
+// End completes the response.
+func (r *Responder) End() { _ = r.send(&forwardpb.Event{Done: true}) }
+
+// Abort ends the response without its last event.
+func (r *Responder) Abort() { r.err = httpserver.ErrCallerGone }
--- /dev/null
+++ b/internal/forward/response.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
+)
+
+// Events is the receiver's side of a call, as the sender of the request reads it.
+type Events interface {
+	// Read returns the next event.
+	Read() (*forwardpb.Event, error)
+}
+
+// Response is the response to a forwarded request.
+type Response struct {
+	Status int
+	Header http.Header
+	// Attempts is the number of endpoints that the request had been sent to when the response began.
+	Attempts int
+
+	events Events
+	// rest is what is left of the body's last part.
+	rest []byte
+	done bool
+}
+
+// ReadResponse reads the beginning of a response. The error is a *DeclinedError or wraps ErrBroken.
+func ReadResponse(events Events) (*Response, error) {
+	first, err := events.Read()
+	if err != nil {
+		return nil, errors.Join(ErrBroken, err)
+	}
+	if reason := first.GetDeclined(); reason != "" {
+		return nil, &DeclinedError{reason}
+	}
+	return &Response{
+		Status:   int(first.GetStatus()),
+		Header:   HeaderFromWire(first.GetHeaders()),
+		Attempts: int(first.GetAttempts()),
+		events:   events,
+		rest:     first.GetBody(),
+		done:     first.GetDone(),
+	}, nil
+}
+
+// Read reads the body as it arrives. It returns io.EOF at the end of a complete response, and an error
+// that wraps ErrBroken otherwise.
+func (r *Response) Read(p []byte) (int, error) {
+	for len(r.rest) == 0 {
+		if r.done {
+			return 0, io.EOF
+		}
+		event, err := r.events.Read()
+		if err != nil {
+			return 0, errors.Join(ErrBroken, err)
+		}
+		r.rest, r.done = event.GetBody(), event.GetDone()
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/internal/forward"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
-	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 )
 
 // minForwardBudget is the minimum time to the deadline for a request to be
@@ -55,62 +58,48 @@
 	return open[rand.IntN(len(open))], true
 }
 
-func (c *call) forwardRequest() *peerpb.ForwardRequest {
-	return &peerpb.ForwardRequest{
+func (c *call) forwardRequest() *forwardpb.Request {
+	return &forwardpb.Request{
 		Method:               c.in.Method,
 		Path:                 c.in.Path,
-		Headers:              headersToWire(c.in.Header),
+		Headers:              forward.HeaderToWire(c.in.Header),
 		Body:                 c.in.Body,
 		DeadlineMilliseconds: time.Until(c.parsed.deadline).Milliseconds(),
 		RequestId:            c.id,
 	}
 }
 
-func headersToWire(h http.Header) []*peerpb.Header {
-	var out []*peerpb.Header
-	for name, values := range h {
-		for _, value := range values {
-			out = append(out, &peerpb.Header{Name: name, Value: value})
-		}
-	}
-	return out
-}
+// relayBuffer is the size of the buffer for forwarded responses, in bytes.
+const relayBuffer = 16 << 10
 
-func headersFromWire(list []*peerpb.Header) http.Header {
-	h := http.Header{}
-	for _, pair := range list {
-		h.Add(pair.GetName(), pair.GetValue())
+// relayResponse passes the other entry instance's response on to the caller.
+func (c *call) relayResponse(ctx context.Context, events forward.Events) {
+	response, err := forward.ReadResponse(events)
+	if err != nil {
+		c.handleRelayError(ctx)
+		return
 	}
-	return h
-}
-
-// relayResponse passes the other data centre's response on to the caller.
-func (c *call) relayResponse(ctx context.Context, answer *peers.Forwarded) {
-	first := true
+	c.headerSent = true
+	c.outcome = OutcomeServed
+	if outcome := response.Header.Get(HeaderOutcome); outcome != "" && response.Status >= http.StatusBadRequest {
+		c.outcome = Outcome(outcome)
+	}
+	c.out.Begin(response.Status, response.Header)
+	buffer := make([]byte, relayBuffer)
 	for {
-		event, err := answer.Read()
-		if err != nil {
-			c.handleRelayError(ctx)
-			return
-		}
-		if first {
-			first = false
-			c.headerSent = true
-			header := headersFromWire(event.GetHeaders())
-			c.outcome = OutcomeServed
-			if outcome := header.Get(HeaderOutcome); outcome != "" && event.GetStatus() >= http.StatusBadRequest {
-				c.outcome = Outcome(outcome)
-			}
-			c.out.Begin(int(event.GetStatus()), header)
-		}
-		if len(event.GetBody()) > 0 && c.out.Write(event.GetBody()) != nil {
+		n, err := response.Read(buffer)
+		if n > 0 && c.out.Write(buffer[:n]) != nil {
 			c.outcome = OutcomeCallerGone
 			c.out.Abort()
 			return
 		}
-		if event.GetDone() {
+		switch {
+		case errors.Is(err, io.EOF):
 			c.out.End()
 			return
+		case err != nil:
+			c.handleRelayError(ctx)
+			return
 		}
 	}
 }
@@ -128,42 +117,12 @@
 	c.fail(errorResponse{http.StatusBadGateway, "broken", "the response from the other data centre was cut off", OutcomeUnknown, time.Second})
 }
 
-// peerResponder sends a response to the peer that forwarded the request.
-type peerResponder struct {
-	stream peerpb.DRPCPeers_ForwardStream
-	first  *peerpb.ForwardEvent
-	err    error
-}
-
-func (r *peerResponder) Begin(status int, header http.Header) {
-	r.first = &peerpb.ForwardEvent{Status: int32(status), Headers: headersToWire(header)}
-}
-
-func (r *peerResponder) send(event *peerpb.ForwardEvent) error {
-	if r.first != nil {
-		event.Status = r.first.Status
-		event.Headers = r.first.Headers
-		r.first = nil
-	}
-	if r.err == nil {
-		r.err = r.stream.Send(event)
-	}
-	return r.err
-}
-
-func (r *peerResponder) Write(p []byte) error { return r.send(&peerpb.ForwardEvent{Body: p}) }
-
-func (r *peerResponder) End() { _ = r.send(&peerpb.ForwardEvent{Done: true}) }
-
-func (r *peerResponder) Abort() { r.err = ErrCallerGone }
-
-// ServeForwarded serves a request forwarded by an entry instance of another
-// data centre.
-func (g *Gateway) ServeForwarded(q *peerpb.ForwardRequest, stream peerpb.DRPCPeers_ForwardStream) error {
+// ServeForwarded serves a request forwarded by another entry instance.
+func (g *Gateway) ServeForwarded(q *forwardpb.Request, stream peers.ForwardStream) error {
 	in := &Request{
 		Method:    q.GetMethod(),
 		Path:      q.GetPath(),
-		Header:    headersFromWire(q.GetHeaders()),
+		Header:    forward.HeaderFromWire(q.GetHeaders()),
 		Body:      q.GetBody(),
 		Forwarded: true,
 		ID:        q.GetRequestId(),
@@ -173,7 +132,7 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(stream.Context(), func() { cancel(ErrCallerGone) })
 	defer stop()
-	out := &peerResponder{stream: stream}
+	out := forward.NewResponder(stream)
 	g.Serve(ctx, in, out)
-	return out.err
+	return out.Err()
 }
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -15,7 +15,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/control"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
-	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
 	"github.com/ridgehinge/ridgehinge/internal/standin/platformstandin"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
@@ -29,10 +29,10 @@
 	return m, nil
 }
 
-func (o *remotePeer) Forward(_ *peerpb.ForwardRequest, out peerpb.DRPCPeers_ForwardStream) error {
+func (o *remotePeer) Forward(_ *forwardpb.Request, out peers.ForwardStream) error {
 	o.forwarded.Add(1)
-	_ = out.Send(&peerpb.ForwardEvent{Status: 409, Headers: []*peerpb.Header{{Name: HeaderOutcome, Value: "unknown"}}})
-	return out.Send(&peerpb.ForwardEvent{Done: true})
+	_ = out.Send(&forwardpb.Event{Status: 409, Headers: []*forwardpb.Header{{Name: HeaderOutcome, Value: "unknown"}}})
+	return out.Send(&forwardpb.Event{Done: true})
 }
 
 // A claimed request without an endpoint is rejected as not run and its key is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,7 +21,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/operatorapi"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
-	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
 	"github.com/ridgehinge/ridgehinge/internal/quarantinetable"
@@ -66,7 +66,7 @@
 	return h.loop.Exchange(ctx, m)
 }
 
-func (h peerHandler) Forward(q *peerpb.ForwardRequest, out peerpb.DRPCPeers_ForwardStream) error {
+func (h peerHandler) Forward(q *forwardpb.Request, out peers.ForwardStream) error {
 	return h.gateway.ServeForwarded(q, out)
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,6 +21,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/bytecount"
 	"github.com/ridgehinge/ridgehinge/internal/link"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
 )
 
@@ -42,7 +43,14 @@
 	// Exchange receives a peer's message and returns this node's.
 	Exchange(ctx context.Context, m *Message) (*Message, error)
 	// Forward runs a request and streams the response as events.
-	Forward(q *peerpb.ForwardRequest, out peerpb.DRPCPeers_ForwardStream) error
+	Forward(q *forwardpb.Request, out ForwardStream) error
+}
+
+// handlerAdapter has the type of the stream that the generated code expects.
+type handlerAdapter struct{ Handler }
+
+func (a handlerAdapter) Forward(q *forwardpb.Request, out peerpb.DRPCPeers_ForwardStream) error {
+	return a.Handler.Forward(q, out)
 }
 
 // Server listens for peers.
@@ -59,7 +67,7 @@
 
 // Listen starts a server on an IP address and port.
 func Listen(address string, key []byte, bounds link.Bounds, h Handler) (*Server, error) {
-	return start(address, key, bounds, func(mux drpc.Mux) error { return peerpb.DRPCRegisterPeers(mux, h) })
+	return start(address, key, bounds, func(mux drpc.Mux) error { return peerpb.DRPCRegisterPeers(mux, handlerAdapter{h}) })
 }
 
 // start starts a server for the registered services.
@@ -256,39 +264,3 @@
 		return false
 	}
 }
-
-// Forwarded is a response that is being streamed from a peer.
-type Forwarded struct {
-	stream peerpb.DRPCPeers_ForwardClient
-	conn   *drpcconn.Conn
-}
-
-// Forward sends a request to the peer at an address. An error means that no part of the request
-// was sent.
-func (c *Client) Forward(ctx context.Context, address string, q *peerpb.ForwardRequest) (*Forwarded, error) {
-	conn, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	stream, err := peerpb.NewDRPCPeersClient(conn).Forward(ctx, q)
-	if err != nil {
-		// Part of the request may have been sent; Read fails.
-		return &Forwarded{conn: conn}, nil
-	}
-	return &Forwarded{stream: stream, conn: conn}, nil
-}
-
-// Read returns the next event of the response.
-func (f *Forwarded) Read() (*peerpb.ForwardEvent, error) {
-	if f.stream == nil {
-		return nil, oops.In("peers").Wrap(ErrUnreachable)
-	}
-	event, err := f.stream.Recv()
-	if err != nil {
-		return nil, wrapUnreachable(err)
-	}
-	return event, nil
-}
-
-// Close closes the connection, which cancels the request if it is in flight.
-func (f *Forwarded) Close() { _ = f.conn.Close() }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -10,7 +10,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/ridgehinge/ridgehinge/internal/link"
-	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
 )
@@ -24,13 +24,13 @@
 
 func (echo) Exchange(_ context.Context, m *Message) (*Message, error) { return m, nil }
 
-func (echo) Forward(q *peerpb.ForwardRequest, out peerpb.DRPCPeers_ForwardStream) error {
+func (echo) Forward(q *forwardpb.Request, out ForwardStream) error {
 	for _, b := range q.GetBody() {
-		if err := out.Send(&peerpb.ForwardEvent{Body: []byte{b}}); err != nil {
+		if err := out.Send(&forwardpb.Event{Body: []byte{b}}); err != nil {
 			return err
 		}
 	}
-	return out.Send(&peerpb.ForwardEvent{Done: true})
+	return out.Send(&forwardpb.Event{Done: true})
 }
 
 func listen(t *testing.T) *Server {
@@ -63,7 +63,7 @@
 func TestForward(t *testing.T) {
 	s := listen(t)
 	c := NewClient(key, link.New(nil))
-	f, err := c.Forward(context.Background(), s.Address(), &peerpb.ForwardRequest{Body: []byte("abc")})
+	f, err := c.Forward(context.Background(), s.Address(), &forwardpb.Request{Body: []byte("abc")})
 	require.NoError(t, err)
 	defer f.Close()
 	got := ""
@@ -84,6 +84,6 @@
 	defer c.Close()
 	_, err := c.Exchange(context.Background(), s.Address(), &Message{})
 	assert.ErrorIs(t, err, ErrUnreachable)
-	_, err = c.Forward(context.Background(), s.Address(), &peerpb.ForwardRequest{})
+	_, err = c.Forward(context.Background(), s.Address(), &forwardpb.Request{})
 	assert.ErrorIs(t, err, ErrUnreachable, "a request must not be sent to a peer without the key")
 }
