relay: pass requests on to neighbours while the links to all endpoints are lost

Cause: a node served its callers through its own links only. It was in touch with everything else, its neighbours included. The class: a node takes the state of its own links for the state of the endpoints. Why this works: the node knows from its dials that its links are lost, not the endpoints, and passes requests to a neighbour, which runs them like its own. What the neighbour gets is what is left: of the deadline, of the attempts, of the stream. Nothing is forwarded twice. The sender charges the retry budget.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,7 +85,9 @@
 	tracker    *httpserver.Tracker
 	servers    []*httpserver.Server
 	peerServer *peers.Server
-	stopping   atomic.Bool
+	// forwardClient sends requests to other nodes.
+	forwardClient *peers.Client
+	stopping      atomic.Bool
 	// totalSuspended is the time for which the machine was suspended, at the last check.
 	totalSuspended time.Duration
 	// regionsChecked is the configuration whose allowed regions were checked last.
@@ -115,6 +117,7 @@
 		controlDone: make(chan struct{}),
 	}
 	e.upstream = upstream.New(upstream.Options{Link: endpointLinks, IdleTimeout: idleTimeout, OnDial: e.recordDial})
+	e.forwardClient = peers.NewClient([]byte(s.PeerKey), links)
 	e.links = reachability.New(e.endpointAddresses, e.upstream.Probe, e.setLinksLost)
 	e.directory.SetReturnGrace(s.Policy.ReturnGrace)
 	store := &meteredStore{Store: a.Store(s.Store, httpClient(links)), metrics: e.metrics}
@@ -129,8 +132,10 @@
 		Rates:     rates,
 		Budget:    e.budget,
 		Store:     e.store,
-		Links:     links,
-		Metrics:   e.metrics,
+
+		RunsForwarded: func() bool { return e.relay.RunsForwarded() },
+		Links:         links,
+		Metrics:       e.metrics,
 	})
 	e.balancer.SetNodes(s.Nodes)
 	e.balancer.SetAffinitySources(relay.AffinitySources{Node: s.Node, Demand: demand.Requests, HasIdle: e.upstream.HasIdle})
@@ -147,6 +152,7 @@
 		Quarantine:  e.gossip.Quarantine(),
 		Throttle:    e.gossip.Throttle(),
 		Links:       e.links,
+		Forwarding:  relay.Forwarding{Neighbours: e.gossip.Neighbours, Send: e.sendForwarded},
 		Clock:       e.clock,
 		Metrics:     e.metrics,
 		StallAfter:  s.StallAfter,
@@ -259,7 +265,7 @@
 		e.servers = append(e.servers, server)
 	}
 	var err error
-	e.peerServer, err = peers.ListenShare(s.Peers, []byte(s.PeerKey), links, e.gossip)
+	e.peerServer, err = peers.ListenShare(s.Peers, []byte(s.PeerKey), links, shareHandler{e.gossip, e.relay})
 	return err
 }
 
@@ -428,7 +434,7 @@
 	// their requests could be interrupted by the end of the process.
 	e.relay.Drain()
 	callers := e.servers[len(e.servers)-1]
-	for callers.CloseIdle() > 0 && time.Since(start) < e.settings.StopBound-closeTime {
+	for callers.CloseIdle()+int(e.relay.InFlight()) > 0 && time.Since(start) < e.settings.StopBound-closeTime {
 		time.Sleep(drainPollInterval)
 	}
 	e.log.Info("stopped", "in_progress", e.relay.InFlight(), "took", time.Since(start))
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -1,6 +1,30 @@
 package entry
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/gossip"
+	"github.com/ridgehinge/ridgehinge/internal/peers"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
+	"github.com/ridgehinge/ridgehinge/internal/relay"
+)
+
+// shareHandler serves the calls of peers.
+type shareHandler struct {
+	*gossip.Gossiper
+	relay *relay.Relay
+}
+
+// Forward implements peers.ShareHandler.
+func (h shareHandler) Forward(q *forwardpb.Request, out peers.ForwardStream) error {
+	return h.relay.ServeForwarded(out.Context(), q, out)
+}
+
+// sendForwarded sends a request to another node.
+func (e *Entry) sendForwarded(ctx context.Context, address string, q *forwardpb.Request) (relay.ForwardedCall, error) {
+	return e.forwardClient.ForwardShare(ctx, address, q)
+}
 
 // recordDial passes the result of a dial of an endpoint on to the monitor of the links.
 func (e *Entry) recordDial(address string, took time.Duration, err error) {
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -55,6 +55,7 @@
 	g.heard = true
 	g.dirty = true
 	g.applyRelayed(p, m, now)
+	g.applyNeighbours(p, m, now)
 	if p.controls && p.dataCentre == g.config.DataCentre {
 		g.controller.ObserveController(p.epoch)
 		if !m.GetHoldsOver() {
@@ -135,6 +136,7 @@
 	m.Epoch = g.controller.Epoch()
 	m.Controls = m.Epoch != 0
 	m.HoldsOver = g.controller.HoldsPastExpiry()
+	m.RunsForwarded = g.runsForwarded()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.Leaving = g.stopping
@@ -162,6 +164,7 @@
 	if p.sentMessages%knownNodesEvery == 1 {
 		g.addKnownNodes(m, p, now)
 	}
+	g.addNeighbours(m, p, now)
 	return m, p.readsCompressedRows
 }
 
--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -95,6 +95,8 @@
 	// controls is set for the controller of its data centre, relays for a relay.
 	controls bool
 	relays   bool
+	// runsForwarded is set for a node that runs requests of others.
+	runsForwarded bool
 	// namedRelayAt is when another node last named it as a relay.
 	namedRelayAt time.Time
 	// epoch is the lease epoch under which it acts.
@@ -178,6 +180,9 @@
 	lastAggregated time.Time
 	compressed     compressedConfiguration
 	compressedRows compressedRows
+	// neighbours has the nodes that run requests of others, as relays named them, by address.
+	neighbours    map[string]namedNeighbour
+	runsForwarded func() bool
 	// demandReported is set once a peer has reported demand.
 	demandReported atomic.Bool
 }
@@ -234,9 +239,11 @@
 	Demand    *relay.Demand
 	Rates     RateExchange
 	Budget    *relay.Budget
-	Store     table.Store
-	Links     link.Bounds
-	Metrics   *metrics.Metrics
+	// RunsForwarded reports whether this node runs requests of others now; nil means never.
+	RunsForwarded func() bool
+	Store         table.Store
+	Links         link.Bounds
+	Metrics       *metrics.Metrics
 }
 
 // New returns a Gossiper. SetController must be called before Run.
@@ -252,10 +259,15 @@
 		client:          peers.NewClient([]byte(c.Key), p.Links),
 		log:             logging.For("peers"),
 		peers:           map[string]*peer{},
+		neighbours:      map[string]namedNeighbour{},
+		runsForwarded:   p.RunsForwarded,
 		urgent:          make(chan struct{}, 1),
 		dataCentreNodes: map[serving.DataCentre]int{},
 		startedAt:       time.Now(),
 	}
+	if g.runsForwarded == nil {
+		g.runsForwarded = func() bool { return false }
+	}
 	g.quarantine = quarantine.NewQuarantine(g.sendsTrials)
 	g.quarantineTable = quarantinetable.New(g.quarantine, p.Store)
 	g.throttle = throttle.NewTracker(throttle.Options{RequestPermit: g.requestPermit, Nodes: g.nodeCount, OnDraining: p.Directory.Invalidate, Metrics: p.Metrics})
--- a/internal/gossip/gossiper_bench_test.go
+++ b/internal/gossip/gossiper_bench_test.go
@@ -27,6 +27,9 @@
 		peers:      map[string]*peer{},
 		controller: controls{},
 		throttle:   throttle.NewTracker(throttle.Options{}),
+
+		neighbours:    map[string]namedNeighbour{},
+		runsForwarded: func() bool { return true },
 	}
 	heads := func(first, n int) map[serving.EndpointID]relay.PeerLoad {
 		out := map[serving.EndpointID]relay.PeerLoad{}
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -27,6 +27,8 @@
 		dataCentreNodes: map[serving.DataCentre]int{},
 		throttle:        throttle.NewTracker(throttle.Options{}),
 		controller:      notController{},
+		neighbours:      map[string]namedNeighbour{},
+		runsForwarded:   func() bool { return true },
 	}
 	for i := range 60 {
 		address := fmt.Sprintf("10.0.0.%d:1", i)
--- a/internal/peers/forward.go
+++ b/internal/peers/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/peers/peerpb"
+	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 )
 
 // ForwardStream is the stream on which a handler responds to a forwarded request. Its context ends
@@ -36,6 +37,13 @@
 	})
 }
 
+// ForwardShare is Forward for peers that serve Share calls.
+func (c *Client) ForwardShare(ctx context.Context, address string, q *forwardpb.Request) (*Forwarded, error) {
+	return c.forward(ctx, address, func(conn *drpcconn.Conn) (forwardClient, error) {
+		return sharepb.NewDRPCSharingClient(conn).Forward(ctx, q)
+	})
+}
+
 func (c *Client) forward(ctx context.Context, address string, open func(*drpcconn.Conn) (forwardClient, error)) (*Forwarded, error) {
 	conn, err := c.dial(ctx, address)
 	if err != nil {
--- a/internal/peers/share.go
+++ b/internal/peers/share.go
@@ -7,6 +7,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/ridgehinge/ridgehinge/internal/link"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 )
 
@@ -20,11 +21,20 @@
 	// AcquirePermit allocates a permit for a rate-limited endpoint, or forwards the request
 	// towards the allocator.
 	AcquirePermit(ctx context.Context, q *sharepb.PermitRequest) (*sharepb.PermitAnswer, error)
+	// Forward runs a request of a node that cannot reach the endpoints, and streams the response.
+	Forward(q *forwardpb.Request, out ForwardStream) error
+}
+
+// shareAdapter has the type of the stream that the generated code expects.
+type shareAdapter struct{ ShareHandler }
+
+func (a shareAdapter) Forward(q *forwardpb.Request, out sharepb.DRPCSharing_ForwardStream) error {
+	return a.ShareHandler.Forward(q, out)
 }
 
 // ListenShare starts a server for Share calls on an IP address and port.
 func ListenShare(address string, key []byte, bounds link.Bounds, h ShareHandler) (*Server, error) {
-	return start(address, key, bounds, func(mux drpc.Mux) error { return sharepb.DRPCRegisterSharing(mux, h) })
+	return start(address, key, bounds, func(mux drpc.Mux) error { return sharepb.DRPCRegisterSharing(mux, shareAdapter{h}) })
 }
 
 // Share exchanges messages with the peer at an address. The caller runs at most one such call
--- a/internal/peers/share_bench_test.go
+++ b/internal/peers/share_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/ridgehinge/ridgehinge/internal/link"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 )
 
@@ -18,6 +19,8 @@
 }
 
 // BenchmarkAcquirePermit measures a permit request over loopback on a reused connection.
+func (allocator) Forward(*forwardpb.Request, ForwardStream) error { return nil }
+
 func BenchmarkAcquirePermit(b *testing.B) {
 	server, err := ListenShare("127.0.0.1:0", []byte("a key of the benchmark"), link.New(nil), allocator{})
 	if err != nil {
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -28,13 +28,12 @@
 	troubleProbeInterval = time.Second
 	// probesPerRound is the number of endpoints that are dialed at once.
 	probesPerRound = 2
-	// minDialTime is the duration from which a dial that timed out is evidence; shorter ones were cut by
-	// the deadline of their request.
+	// minDialTime is the duration from which a dial without a result is evidence, whoever gave it up.
 	minDialTime = probeTimeout * 9 / 10
 	// minTroubled is the number of endpoints in trouble within troubleTTL from which endpoints are
 	// probed.
 	minTroubled = 2
-	troubleTTL  = time.Second
+	troubleTTL  = 3 * time.Second
 )
 
 // Monitor watches the links of one node. It is safe for concurrent use.
@@ -101,16 +100,14 @@
 	}
 }
 
-// isEvidence reports whether a dial ended because of the link or the endpoint, not because the caller
-// or its deadline ended it.
+// isEvidence reports whether a dial failed because of the link or the endpoint. One that was cancelled
+// early, or cut short by the deadline of its request, did not.
 func isEvidence(took time.Duration, err error) bool {
-	switch {
-	case errors.Is(err, context.Canceled):
-		return false
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
-		return took >= minDialTime
+	if took >= minDialTime {
+		return true
 	}
-	return true
+	isCut := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+	return !isCut
 }
 
 // RecordTrouble records that a request broke off at an endpoint or was not responded to. It is no
--- a/internal/reachability/monitor_test.go
+++ b/internal/reachability/monitor_test.go
@@ -111,11 +111,20 @@
 	n := start(t)
 	for _, address := range n.addresses() {
 		n.monitor.RecordDial(address, 50*time.Millisecond, context.DeadlineExceeded)
-		n.monitor.RecordDial(address, time.Second, context.Canceled)
+		n.monitor.RecordDial(address, 50*time.Millisecond, context.Canceled)
 	}
 	require.False(t, n.monitor.Lost())
 }
 
+// Guards against a node that takes no note of hanging dials because a stall detector gives them up.
+func TestMonitor_CountsLongDialsThatWereCancelled(t *testing.T) {
+	n := start(t)
+	for _, address := range n.addresses() {
+		n.monitor.RecordDial(address, 500*time.Millisecond, context.Canceled)
+	}
+	require.True(t, n.monitor.Lost())
+}
+
 // Confirm must not take the loss of all links for the failure of one endpoint.
 func TestConfirm_ComparesWithOtherEndpoints(t *testing.T) {
 	n := start(t)
--- a/internal/relay/active.go
+++ b/internal/relay/active.go
@@ -57,6 +57,7 @@
 	}
 	a.lastEventAt, a.heldUp = now, false
 	l.lastActive, l.lastEvent = now, now
+	a.balancer.lastEvent = now
 	l.suspectUntil = time.Time{}
 	if r := a.balancer.remotes[l.dataCentre]; r != nil {
 		r.failures = 0
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -41,6 +41,8 @@
 	candidates    []candidate
 	peerSuspected []candidate
 	affinity      affinity
+	// lastEvent is when any endpoint last sent this node an event.
+	lastEvent time.Time
 	// nodes is the number of nodes of all data centres.
 	nodes int
 }
@@ -86,6 +88,13 @@
 	return l.lastEvent
 }
 
+// lastEventOfAny returns when any endpoint last sent this node an event.
+func (b *Balancer) lastEventOfAny() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lastEvent
+}
+
 // Suspect marks an endpoint as suspect for suspectDuration.
 func (b *Balancer) Suspect(id serving.EndpointID, now time.Time) {
 	b.mu.Lock()
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -46,6 +46,9 @@
 	causeOverload   = "the pool has more demand than it can serve"
 	causeCooldown   = "the endpoints left have asked for a cooldown"
 	causeRegion     = "no endpoint is left in the allowed regions"
+	causeLinks      = "the links to all endpoints are lost, and no other node runs the request"
+	causeBusy       = "this node has too many requests in progress"
+	causeStopping   = "this node is stopping"
 )
 
 // maxPermitRequests bounds the endpoints for which one request asks for a permit: each takes a
@@ -70,14 +73,21 @@
 	view := c.options.View()
 	service := view.Configuration.Services[c.service]
 	limit := c.regionLimit(view.Configuration)
+	lost := c.options.Links.Lost()
 	if service.Engine == nil {
 		endpoints := limit.endpoints(view.Plain[c.service])
+		if lost {
+			endpoints = withOpenConnection(c, endpoints, now, func(e *serving.Endpoint) string { return e.Address })
+		}
 		e, ok := c.options.Balancer.ChoosePlain(endpoints, c.failed, now)
 		if !ok {
 			reason := c.plainRejection(view, endpoints, now)
 			if limit.leavesNone(view.Plain[c.service], c.failed) {
 				reason = rejection{cause: causeRegion, retryAfter: defaultRetryAfter}
 			}
+			if lost {
+				reason = rejection{cause: causeLinks, retryAfter: defaultRetryAfter}
+			}
 			reason.evacuated = evacuatedNames(view)
 			reason.regions = limit.String()
 			return target{}, reason
@@ -86,12 +96,17 @@
 	}
 	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
 	heads := limit.heads(view.Heads[pool])
+	if lost {
+		heads = withOpenConnection(c, heads, now, func(h *directory.Head) string { return h.Address })
+	}
 	choice := c.options.Balancer.ChooseHead(heads, c.sizeFor(pool, now), c.failed, c.attempts > 0, now)
 	if choice.Head != nil {
 		return target{choice.Head.Endpoint, choice.Predicted, choice.Head}, rejection{}
 	}
 	reason := rejection{cause: causeSuspected, retryAfter: defaultRetryAfter, choice: choice}
 	switch {
+	case lost:
+		reason.cause = causeLinks
 	case limit.isSet() && limit.leavesNone(endpointsOf(view.Heads[pool]), c.failed):
 		reason.cause = causeRegion
 	case choice.Groups == 0 && view.Withheld[pool] > 0:
@@ -110,6 +125,26 @@
 	return target{}, reason
 }
 
+// liveLinkTTL is how long after an endpoint last sent something, with the links lost for new
+// connections, the open ones are taken for alive.
+const liveLinkTTL = 500 * time.Millisecond
+
+// withOpenConnection returns the elements with an idle connection while open connections live on
+// although new ones fail, and none otherwise.
+func withOpenConnection[T any](c *call, all []T, now time.Time, address func(T) string) []T {
+	lastEvent := c.options.Balancer.lastEventOfAny()
+	if !lastEvent.After(c.options.Links.LostSince()) || now.Sub(lastEvent) > liveLinkTTL {
+		return nil
+	}
+	var out []T
+	for _, element := range all {
+		if c.options.Upstream.HasIdle(address(element), now) {
+			out = append(out, element)
+		}
+	}
+	return out
+}
+
 // plainRejection returns why a request to a plain service has no target.
 func (c *call) plainRejection(view *directory.View, endpoints []*serving.Endpoint, now time.Time) rejection {
 	isHeld := func(e *serving.Endpoint) bool { return c.options.Throttle.Hold(e, now).Temporary() }
@@ -166,7 +201,7 @@
 // and the caller may reach another node. Nor does it wait then for an endpoint in the allowed regions.
 func (c *call) awaitTarget(ctx context.Context) (target, rejection) {
 	t, reason := c.choose(ctx, time.Now())
-	if t.Endpoint != nil || c.attempts == 0 || c.route.Kind != serving.KindStream {
+	if t.Endpoint != nil || c.attempts == 0 || c.route.Kind != serving.KindStream || reason.cause == causeLinks {
 		return t, reason
 	}
 	if (reason.cause == causeCooldown || reason.cause == causeRegion) && !c.responseStarted {
@@ -183,7 +218,7 @@
 		case <-limit.C:
 			return target{}, reason
 		case now := <-ticker.C:
-			if t, reason = c.choose(ctx, now); t.Endpoint != nil {
+			if t, reason = c.choose(ctx, now); t.Endpoint != nil || c.shouldForward() {
 				return t, reason
 			}
 		}
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,226 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/forward"
+	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
+)
+
+// A node that has lost its links to all endpoints passes its callers' requests on to neighbours, which
+// run them like their own.
+
+// Forwarding is how requests reach other nodes.
+type Forwarding struct {
+	// Neighbours returns the nodes of the allowed data centres that run forwarded requests.
+	Neighbours func(allowed func(serving.DataCentre) bool) []forward.Neighbour
+	// Send sends a request to the node at an address. An error means that no part of it was sent.
+	Send func(ctx context.Context, address string, q *forwardpb.Request) (ForwardedCall, error)
+}
+
+// ForwardedCall is a request that another node runs.
+type ForwardedCall interface {
+	forward.Events
+	// Close cancels the request unless its response is complete.
+	Close()
+}
+
+const (
+	// maxNeighbours bounds the nodes that one request is passed to.
+	maxNeighbours = 3
+	// neighbourStallAfter is how long a neighbour may send nothing of a stream that can be resumed.
+	// The neighbour itself gives up silent endpoints earlier.
+	neighbourStallAfter = requestStallAfter + 300*time.Millisecond
+)
+
+// shouldForward reports whether the next attempt is made by another node.
+func (c *call) shouldForward() bool {
+	return c.in.Forwarded == nil && !c.noNeighbour && c.options.Links.Lost()
+}
+
+// forward passes the request to a neighbour. The result is resultNotRun if none runs it.
+func (c *call) forward(ctx context.Context) result {
+	allowed := c.regionLimit(c.options.View().Configuration).allows
+	for range maxNeighbours {
+		n, ok := c.chooser.Choose(c.options.Forwarding.Neighbours(allowed), c.neighboursTried, time.Now())
+		if !ok || c.remaining() < minRemaining {
+			break
+		}
+		if !c.chargeRetry() {
+			c.finishUnserved(rejection{cause: causeBudget, retryAfter: c.retryAfterAttempts()})
+			return resultDone
+		}
+		c.neighboursTried = append(c.neighboursTried, n.Address)
+		r := c.forwardTo(ctx, n)
+		if r != resultNotRun {
+			return r
+		}
+		c.options.Budget.Refund(c.service, c.charge, time.Now())
+		c.charge = Charge{}
+	}
+	c.noNeighbour = true
+	return resultNotRun
+}
+
+// forwardTo passes the request to one neighbour and relays its response.
+func (c *call) forwardTo(ctx context.Context, n forward.Neighbour) result {
+	defer c.chooser.Begin(n.Address)()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	sent, err := c.options.Forwarding.Send(ctx, n.Address, c.forwardRequest())
+	if err != nil {
+		c.chooser.Avoid(n.Address, time.Now())
+		c.logForwarding(n, "not sent", err)
+		return c.finishIfDone(ctx, resultNotRun)
+	}
+	defer sent.Close()
+	stop := context.AfterFunc(ctx, sent.Close)
+	defer stop()
+	stall := c.startNeighbourStall(cancel)
+	defer stall.Stop()
+	response, err := forward.ReadResponse(sent)
+	declined := &forward.DeclinedError{}
+	if errors.As(err, &declined) {
+		c.chooser.Avoid(n.Address, time.Now())
+		c.logForwarding(n, "declined", err)
+		return c.finishIfDone(ctx, resultNotRun)
+	}
+	// From here on the neighbour may have run it.
+	c.mayHaveRun = true
+	if err != nil {
+		c.attempts++
+		return c.handleNeighbourFailure(ctx, n, err)
+	}
+	c.attempts = max(c.attempts, response.Attempts)
+	c.options.Metrics.Inc("requests_forwarded", map[string]string{"local": strconv.FormatBool(n.Local)})
+	if response.Status == http.StatusOK && c.route.Kind == serving.KindStream {
+		return c.relayForwardedStream(ctx, n, response, stall)
+	}
+	return c.relayForwarded(ctx, n, response)
+}
+
+// forwardRequest encodes the request for another node.
+func (c *call) forwardRequest() *forwardpb.Request {
+	return &forwardpb.Request{
+		Method:               c.in.Method,
+		Path:                 c.in.URI,
+		Host:                 c.in.Host,
+		Headers:              forward.HeaderToWire(c.in.Header),
+		Body:                 c.in.Body,
+		DeadlineMilliseconds: (c.remaining() - responseMargin).Milliseconds(),
+		RequestId:            c.attrs.ID,
+		Attempts:             uint32(c.attempts),
+		MayHaveRun:           c.mayHaveRun,
+		LastEvent:            c.lastEvent,
+		ConfigurationVersion: c.configurationVersion(),
+	}
+}
+
+// startNeighbourStall gives up a neighbour that sends nothing of a stream that can be resumed through
+// another one. The timer is reset with each event.
+func (c *call) startNeighbourStall(cancel context.CancelCauseFunc) *time.Timer {
+	if c.route.Kind != serving.KindStream || !c.route.Repeatable() {
+		return time.AfterFunc(time.Hour, func() {})
+	}
+	return time.AfterFunc(neighbourStallAfter, func() { cancel(errStalled) })
+}
+
+// handleNeighbourFailure handles a response that was cut off on its way from a neighbour.
+func (c *call) handleNeighbourFailure(ctx context.Context, n forward.Neighbour, err error) result {
+	c.chooser.Avoid(n.Address, time.Now())
+	c.logForwarding(n, "cut off", errors.Join(err, context.Cause(ctx)))
+	return c.finishIfDone(ctx, resultIncomplete)
+}
+
+// relayForwardedStream relays the events of a stream that a neighbour sends.
+func (c *call) relayForwardedStream(ctx context.Context, n forward.Neighbour, response *forward.Response, stall *time.Timer) result {
+	reader := newEventReader(response)
+	for {
+		e, err := reader.next()
+		switch {
+		case err == nil && follows(e.id, c.lastEvent):
+		case errors.Is(err, io.EOF) && c.events > 0:
+			c.outcome = outcomeServed
+			c.out.End()
+			return resultDone
+		default:
+			return c.handleNeighbourFailure(ctx, n, err)
+		}
+		stall.Stop()
+		if !c.writeEvent(e, func() { c.beginForwarded(response) }) {
+			c.outcome = outcomeCallerGone
+			c.out.Abort()
+			return resultDone
+		}
+		stall.Reset(neighbourStallAfter)
+	}
+}
+
+// relayForwarded relays a neighbour's response that is no stream of events. It is buffered up to a
+// limit, so that the request can still be retried if the rest does not arrive.
+func (c *call) relayForwarded(ctx context.Context, n forward.Neighbour, response *forward.Response) result {
+	body, err := io.ReadAll(io.LimitReader(response, c.reserveBuffer(-1)))
+	if err != nil {
+		return c.handleNeighbourFailure(ctx, n, err)
+	}
+	if c.responseStarted {
+		// A stream cannot go on with another status.
+		c.outcome = outcomeIncomplete
+		c.out.Abort()
+		return resultDone
+	}
+	c.outcome = outcomeOf(response.Status)
+	if impliesNotRun(response.Status) {
+		c.outcome = outcomeRejected
+	}
+	c.beginForwarded(response)
+	if !c.copyForwarded(ctx, n, body, response) {
+		return resultDone
+	}
+	c.out.End()
+	return resultDone
+}
+
+// copyForwarded writes what was read of a neighbour's response and the rest of it. Otherwise it aborts
+// the caller's response and returns false.
+func (c *call) copyForwarded(ctx context.Context, n forward.Neighbour, part []byte, response *forward.Response) bool {
+	buffer := make([]byte, copyBufferSize)
+	for {
+		if len(part) > 0 && c.out.Write(part) != nil {
+			c.outcome = outcomeCallerGone
+			c.out.Abort()
+			return false
+		}
+		size, err := response.Read(buffer)
+		switch {
+		case errors.Is(err, io.EOF):
+			return true
+		case err != nil:
+			c.logForwarding(n, "cut off", errors.Join(err, context.Cause(ctx)))
+			c.outcome = outcomeIncomplete
+			c.out.Abort()
+			return false
+		}
+		part = buffer[:size]
+	}
+}
+
+// beginForwarded begins the caller's response with the head of a neighbour's, which concerns only the
+// connection to the neighbour where it names one.
+func (c *call) beginForwarded(response *forward.Response) {
+	response.Header.Del("Connection")
+	c.class.FirstToken.RecordDuration(time.Since(c.start))
+	c.beginResponse(response.Status, response.Header)
+}
+
+func (c *call) logForwarding(n forward.Neighbour, what string, err error) {
+	c.options.Metrics.Inc("forwardings_failed", map[string]string{"what": what})
+	c.log.Info("a neighbour did not run a request to its end", "request", c.attrs.ID, "content", c.fingerprint, "neighbour", n.Address, "local", n.Local,
+		"what", what, "error", err, "events", c.events, "after", time.Since(c.start))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
+	"github.com/ridgehinge/ridgehinge/internal/forward"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
@@ -36,9 +37,11 @@
 	// Throttle tracks the cooldowns, rate limits and draining that endpoints advertise.
 	Throttle *throttle.Tracker
 	// Links watches this node's links to the endpoints.
-	Links   *reachability.Monitor
-	Clock   *clock.Clock
-	Metrics *metrics.Metrics
+	Links *reachability.Monitor
+	// Forwarding reaches the nodes that run requests while the links are lost.
+	Forwarding Forwarding
+	Clock      *clock.Clock
+	Metrics    *metrics.Metrics
 	// StallAfter is how long an endpoint may be silent on all of its requests before a
 	// resumable stream is resumed elsewhere.
 	StallAfter time.Duration
@@ -70,6 +73,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Forwarded is set for a request that another node passed on.
+	Forwarded *Forwarded
 }
 
 // Relay forwards callers' requests to endpoints. It is safe for concurrent use.
@@ -77,6 +82,9 @@
 	options  Options
 	log      logging.Logger
 	inFlight atomic.Int64
+	// forwarded counts the requests in flight that other nodes passed on.
+	forwarded atomic.Int64
+	chooser   *forward.Chooser
 	// buffered is how many bytes of responses are reserved for buffering.
 	buffered         atomic.Int64
 	closeConnections atomic.Bool
@@ -97,6 +105,7 @@
 		options:   o,
 		startedAt: time.Now(),
 		log:       logging.For("relay"),
+		chooser:   forward.NewChooser(),
 		classes:   map[classKey]*metrics.Class{},
 	}
 	r.crashes = quarantine.NewDetector(o.Quarantine, r.replaced, o.Upstream.Probe)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -55,6 +55,12 @@
 	// them reported that they did not run it.
 	attempts   int
 	rejections int
+	// priorAttempts are those of the node that passed the request on.
+	priorAttempts int
+	// neighboursTried has the nodes that the request was passed to; noNeighbour is set once no other
+	// one is left.
+	neighboursTried []string
+	noNeighbour     bool
 	// wasShed is set once an endpoint has rejected the request and asked for a cooldown.
 	wasShed bool
 	// connectionBounds counts the endpoints that were not used because of the bound on connections.
@@ -94,26 +100,37 @@
 		return
 	}
 	c.class = r.class(c.workspace, c.service)
+	c.lastEvent = c.attrs.LastEvent
+	if in.Forwarded != nil {
+		// The node that received it has counted and admitted it.
+		c.applyForwarded(in.Forwarded)
+		c.run(ctx)
+		return
+	}
 	c.recordDemand()
 	if current > int64(r.options.MaxRequests) {
-		c.reject(rejection{cause: "this node has too many requests in progress", retryAfter: r.options.Balancer.weights.OverloadRetryAfter})
+		c.reject(rejection{cause: causeBusy, retryAfter: r.options.Balancer.weights.OverloadRetryAfter})
 		return
 	}
 	if r.draining.Load() {
-		c.reject(rejection{cause: "this node is stopping", retryAfter: drainingRetryAfter})
+		c.reject(rejection{cause: causeStopping, retryAfter: drainingRetryAfter})
 		return
 	}
-	ctx, cancel := withDeadline(ctx, c.deadline)
-	defer cancel()
-	c.lastEvent = c.attrs.LastEvent
 	r.options.Budget.RecordRequest(c.service, c.start)
 	if !c.shed(time.Now()) {
-		c.attemptAll(ctx)
+		c.run(ctx)
 	}
 	c.class.Total.RecordDuration(time.Since(c.start))
 	c.class.Outcome(string(c.outcome))
 }
 
+// run attempts the request until its deadline.
+func (c *call) run(ctx context.Context) {
+	ctx, cancel := withDeadline(ctx, c.deadline)
+	defer cancel()
+	c.attemptAll(ctx)
+}
+
 // Values of Retry-After.
 const (
 	// unreadyRetryAfter is for a node without a configuration.
@@ -243,11 +260,26 @@
 			c.finishUnserved(rejection{cause: causeQuarantine, retryAfter: quarantineRetryAfter})
 			return
 		}
+		if c.shouldForward() {
+			switch c.forward(ctx) {
+			case resultDone:
+				return
+			case resultIncomplete:
+				if !c.route.Repeatable() {
+					c.finishUnserved(rejection{cause: causeOnce})
+					return
+				}
+				continue
+			}
+		}
 		t, reason := c.awaitTarget(ctx)
 		if t.Endpoint == nil && ctx.Err() != nil {
 			c.handleContextDone(ctx)
 			return
 		}
+		if t.Endpoint == nil && c.shouldForward() {
+			continue
+		}
 		if t.Endpoint == nil {
 			// A cooldown applies to this node only: the same groups may serve other nodes, so it is
 			// no demand for more of them.
@@ -287,7 +319,7 @@
 // chargeRetry acquires a retry from the budget, and reports whether it was granted. A first attempt
 // needs none.
 func (c *call) chargeRetry() bool {
-	if c.attempts == 0 {
+	if c.attempts == c.priorAttempts {
 		return true
 	}
 	charge, granted := c.options.Budget.AcquireRetry(c.service, time.Now())
@@ -341,6 +373,9 @@
 
 // finishUnserved sends the final response of a request that no endpoint has served.
 func (c *call) finishUnserved(reason rejection) {
+	if c.decline(reason) {
+		return
+	}
 	switch {
 	case c.responseStarted:
 		c.outcome = outcomeIncomplete
@@ -417,7 +452,9 @@
 }
 
 func (c *call) beginResponse(status int, header http.Header) {
-	if c.closeConnections.Load() {
+	if f := c.in.Forwarded; f != nil {
+		f.out.Attempts = c.attempts
+	} else if c.closeConnections.Load() {
 		header.Set("Connection", "close")
 	}
 	c.responseStarted = true
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -58,7 +58,7 @@
 
 // relayEvent relays one event; it returns false if the caller has disconnected.
 func (c *call) relayEvent(t target, e event, header http.Header, now time.Time) bool {
-	if !c.responseStarted {
+	return c.writeEvent(e, func() {
 		answer := c.options.Wire.CallerHeader(header)
 		delete(answer, "Content-Length")
 		c.class.FirstToken.RecordDuration(now.Sub(c.start))
@@ -69,6 +69,14 @@
 		c.log.Debug("first event", "request", c.attrs.ID, "model", c.attrs.Model, "endpoint", string(t.ID), "predicted", t.predicted.First, "offset", t.predicted.Offset,
 			"running", t.predicted.Running, "unread", t.predicted.Unread, "prompt", c.attrs.PromptTokens, "took", now.Sub(c.start))
 		c.beginResponse(http.StatusOK, answer)
+	})
+}
+
+// writeEvent sends one event to the caller, after begin if it is the first; it returns false if the
+// caller has disconnected.
+func (c *call) writeEvent(e event, begin func()) bool {
+	if !c.responseStarted {
+		begin()
 	}
 	if c.out.Write(e.raw) != nil {
 		return false
