quarantine: a refused dial is no crash if all endpoints refuse

Evidence: the new case of TestDetector_DistinguishesCrashFromReset counted a crash before. Why it works: before a crash is recorded, one other endpoint must accept a dial.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,6 +116,7 @@
 		c.failContextDone(ctx)
 		return attemptResponded
 	}
+	c.g.links.RecordTrouble(target.Address)
 	c.log.Info("an attempt failed", "attempt", attempt, "group", string(target.Group), "error", err, "cause", cause)
 	if notRun {
 		return attemptNotRun
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/quarantine"
+	"github.com/ridgehinge/ridgehinge/internal/reachability"
 	"github.com/ridgehinge/ridgehinge/pkg/admission"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 	"github.com/ridgehinge/ridgehinge/pkg/routing"
@@ -56,6 +57,8 @@
 	log           logging.Logger
 	snapshot      atomic.Pointer[control.Snapshot]
 	crashDetector *quarantine.Detector
+	// links watches this node's links to the endpoints.
+	links *reachability.Monitor
 	// stopping rejects new requests; inFlight counts the current ones.
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -89,7 +92,8 @@
 		classes:     map[classKey]*metrics.Class{},
 	}
 	g.snapshot.Store(&control.Snapshot{})
-	g.crashDetector = quarantine.NewDetector(options.Quarantine, g.replaced, options.Engine.Probe)
+	g.links = reachability.New(g.targetAddresses, g.probe, func(bool) {})
+	g.crashDetector = quarantine.NewDetector(options.Quarantine, g.replaced, g.probe, g.links.Confirm)
 	return g
 }
 
@@ -129,6 +133,9 @@
 
 // Run does the gateway's periodic work until the context ends.
 func (g *Gateway) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { g.links.Run(ctx) })
+	defer running.Wait()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	rate := time.NewTicker(rateInterval)
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -54,7 +54,8 @@
 }
 
 // Detector determines which endpoints crashed, among those at which requests were interrupted. A
-// refused dial is immediate evidence, since a terminated process leaves no listener. Truncated
+// refused dial is immediate evidence, since a terminated process leaves no listener, provided that
+// other endpoints accept one. Truncated
 // responses, reset connections and unreachable endpoints are not counted as crashes.
 type Detector struct {
 	log        logging.Logger
@@ -63,6 +64,9 @@
 	replaced func([]Incarnation) []Incarnation
 	// dial returns nil if a process listens at an address.
 	dial func(ctx context.Context, address string) error
+	// confirm reports whether the failure of a dial is the endpoint's own, and not one of this node's
+	// links.
+	confirm func(ctx context.Context, address string) bool
 
 	mu        sync.Mutex
 	suspected map[Incarnation]*suspectedCrash
@@ -88,9 +92,9 @@
 
 // NewDetector returns a detector that records crashes in a quarantine. replaced returns those
 // of the given incarnations that have a successor by now; dial returns nil if a process listens
-// at an address.
-func NewDetector(q *Quarantine, replaced func([]Incarnation) []Incarnation, dial func(context.Context, string) error) *Detector {
-	return &Detector{log: logging.For("quarantine"), quarantine: q, replaced: replaced, dial: dial, suspected: map[Incarnation]*suspectedCrash{}}
+// at an address; confirm reports whether the failure of a dial is the endpoint's own.
+func NewDetector(q *Quarantine, replaced func([]Incarnation) []Incarnation, dial func(context.Context, string) error, confirm func(context.Context, string) bool) *Detector {
+	return &Detector{log: logging.For("quarantine"), quarantine: q, replaced: replaced, dial: dial, confirm: confirm, suspected: map[Incarnation]*suspectedCrash{}}
 }
 
 // ReportBroken records that a request sent at a time was interrupted at an incarnation. The
@@ -167,10 +171,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := d.dial(ctx, inc.Address)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	// A node whose links are lost is refused by all endpoints.
+	crashed := refused && d.confirm(context.Background(), inc.Address)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	refused := errors.Is(err, syscall.ECONNREFUSED)
-	if refused {
+	if crashed {
 		d.recordCrash(inc, s, "connection refused", time.Now())
 	}
 	s.probing = s.probeAgain && !refused
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -43,6 +43,9 @@
 
 func noneReplaced([]Incarnation) []Incarnation { return nil }
 
+// confirmed confirms that an endpoint's failure is its own.
+func confirmed(context.Context, string) bool { return true }
+
 const waitTimeout = 30 * time.Second
 
 // Only crashes count against requests, not resets or unreachable endpoints.
@@ -52,13 +55,16 @@
 		name     string
 		dial     error
 		replaced bool
-		want     int
+		// linksLost is set if no other endpoint accepts a dial either.
+		linksLost bool
+		want      int
 	}{
-		{"connection refused", &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, false, 1},
-		{"still listening: the response was garbled or reset", nil, false, 0},
-		{"unreachable: it may be partitioned", &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}, false, 0},
-		{"replaced by another incarnation", nil, true, 1},
-		{"replaced by another incarnation, and unreachable", &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}, true, 1},
+		{"connection refused", &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, false, false, 1},
+		{"connection refused, as by all endpoints", &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, false, true, 0},
+		{"still listening: the response was garbled or reset", nil, false, false, 0},
+		{"unreachable: it may be partitioned", &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}, false, false, 0},
+		{"replaced by another incarnation", nil, true, false, 1},
+		{"replaced by another incarnation, and unreachable", &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}, true, false, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			q := NewQuarantine(noTrials)
@@ -68,7 +74,7 @@
 					return incarnations
 				}
 				return nil
-			}, network.dial)
+			}, network.dial, func(context.Context, string) bool { return !test.linksLost })
 			now := time.Now()
 			for _, f := range []byte{1, 2} {
 				d.ReportBroken(qlist.Fingerprint{f}, inc, now, now)
@@ -92,7 +98,7 @@
 func TestDetector_DetectsCrashAfterEarlierReset(t *testing.T) {
 	q := NewQuarantine(noTrials)
 	network := &fakeNetwork{}
-	d := NewDetector(q, noneReplaced, network.dial)
+	d := NewDetector(q, noneReplaced, network.dial, confirmed)
 	inc := Incarnation{Endpoint: "e", Address: "a:1"}
 	d.ReportBroken(qlist.Fingerprint{1}, inc, time.Now(), time.Now())
 	require.Eventually(t, func() bool {
@@ -116,7 +122,7 @@
 // An endpoint that resets many connections must not be dialed for each.
 func TestDetector_LimitsProbeRate(t *testing.T) {
 	network := &fakeNetwork{}
-	d := NewDetector(NewQuarantine(noTrials), noneReplaced, network.dial)
+	d := NewDetector(NewQuarantine(noTrials), noneReplaced, network.dial, confirmed)
 	start := time.Now()
 	for time.Since(start) < 4*probeInterval {
 		d.ReportBroken(qlist.Fingerprint{1}, Incarnation{Endpoint: "e"}, start, time.Now())
@@ -131,7 +137,7 @@
 func TestDetector_CountsCrashesBeforeNextRow(t *testing.T) {
 	q := NewQuarantine(noTrials)
 	network := &fakeNetwork{err: syscall.ECONNREFUSED}
-	d := NewDetector(q, noneReplaced, network.dial)
+	d := NewDetector(q, noneReplaced, network.dial, confirmed)
 	inc := Incarnation{Endpoint: "e", StartedAt: 7, Address: "a:1"}
 	f := qlist.Fingerprint{1}
 	for n := range 3 {
@@ -152,15 +158,15 @@
 	first, second := NewQuarantine(noTrials), NewQuarantine(noTrials)
 	var fromFirst, fromSecond delta.Cursor
 	sent := time.Now()
-	NewDetector(first, noneReplaced, network.dial).ReportBroken(f, inc, sent, time.Now())
+	NewDetector(first, noneReplaced, network.dial, confirmed).ReportBroken(f, inc, sent, time.Now())
 	require.Eventually(t, func() bool { return crashCount(first, f) == 1 }, waitTimeout, time.Millisecond)
 	second.ApplyDelta(&fromFirst, first.Delta(&fromSecond, time.Now()), "first", time.Now())
 
-	NewDetector(second, noneReplaced, network.dial).ReportBroken(f, inc, sent, time.Now())
+	NewDetector(second, noneReplaced, network.dial, confirmed).ReportBroken(f, inc, sent, time.Now())
 	time.Sleep(2 * crashSkew)
 	require.Equal(t, 1, crashCount(second, f), "sent before the crash, to the same incarnation")
 	// This detector has seen no crash of the endpoint itself.
-	NewDetector(second, noneReplaced, network.dial).ReportBroken(f, inc, time.Now(), time.Now())
+	NewDetector(second, noneReplaced, network.dial, confirmed).ReportBroken(f, inc, time.Now(), time.Now())
 	require.Eventually(t, func() bool { return crashCount(second, f) == 2 }, waitTimeout, time.Millisecond)
 }
 
@@ -170,7 +176,7 @@
 	d := NewDetector(NewQuarantine(noTrials), noneReplaced, func(context.Context, string) error {
 		<-block
 		return nil
-	})
+	}, confirmed)
 	now := time.Now()
 	for endpoint := range 2 * maxSuspectedCrashes {
 		for f := range 2 * maxBrokenRequests {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,7 +108,7 @@
 		chooser:   forward.NewChooser(),
 		classes:   map[classKey]*metrics.Class{},
 	}
-	r.crashes = quarantine.NewDetector(o.Quarantine, r.replaced, o.Upstream.Probe)
+	r.crashes = quarantine.NewDetector(o.Quarantine, r.replaced, o.Upstream.Probe, o.Links.Confirm)
 	return r
 }
 
