relay: report nothing of endpoints while the links to all of them are lost

What callers could see: nodes that lost their links together made their relay report all endpoints as silent, and kept away from them for up to eight seconds after the links were back. Why it works: suspicions, failures and unreachable data centres are not told to peers while the links are lost, and are forgotten with their return.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -45,6 +45,8 @@
 	lastEvent time.Time
 	// nodes is the number of nodes of all data centres.
 	nodes int
+	// linksLost is set while this node has lost its links to all endpoints.
+	linksLost bool
 }
 
 // NewBalancer returns a balancer for a node in the given data centre. Each node must pass a
@@ -118,11 +120,30 @@
 	b.hold = hold
 }
 
-// Suspects returns the endpoints that are suspect now.
+// SetLinksLost sets whether this node has lost its links to all endpoints. What it finds meanwhile is
+// not reported to other nodes, and not held against the endpoints afterwards.
+func (b *Balancer) SetLinksLost(lost bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.linksLost = lost
+	if lost {
+		return
+	}
+	for _, l := range b.loads {
+		l.suspectUntil = time.Time{}
+		l.results = health.Results{}
+	}
+	clear(b.remotes)
+}
+
+// Suspects returns the endpoints that are suspect now, for other nodes.
 func (b *Balancer) Suspects(now time.Time) []serving.EndpointID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []serving.EndpointID
+	if b.linksLost {
+		return out
+	}
 	for id, l := range b.loads {
 		if now.Before(l.suspectUntil) {
 			out = append(out, id)
@@ -141,6 +162,9 @@
 	out := map[serving.EndpointID]PeerLoad{}
 	for id, l := range b.loads {
 		tally := l.results.Tally(now)
+		if b.linksLost {
+			tally = health.Tally{}
+		}
 		if l.running > 0 || tally.Served+tally.Failed > minReportedWeight {
 			out[id] = PeerLoad{Running: l.running, Unread: l.unread, LastEvent: l.lastEvent, Epoch: l.epoch, Tally: tally, Pace: l.paces.Pace(now)}
 		}
--- a/internal/relay/draw_test.go
+++ b/internal/relay/draw_test.go
@@ -72,3 +72,34 @@
 	require.Less(t, requestsOn, evenShare)
 	require.Less(t, excessOn, excessOff/5)
 }
+
+// Guards against a node that reports all endpoints as failing, and keeps away from them afterwards,
+// because it has lost its own links.
+func TestBalancer_ReportsNothingWhileLinksAreLost(t *testing.T) {
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), DefaultWeights)
+	e := &serving.Endpoint{ID: "e", DataCentre: "south", Slots: 8}
+	head := &directory.Head{Endpoint: e, Engine: &serving.Engine{StepTime: time.Millisecond, TokensPerSec: 1e6, Chunk: 1000, StepsPerPass: 1}, TimeFactor: 1}
+	choose := func() *directory.Head {
+		return b.ChooseHead([]*directory.Head{head}, RequestSize{Prompt: 1, Output: 1, Objective: time.Second}, nil, false, now).Head
+	}
+	require.NotNil(t, choose())
+	for range 3 {
+		active := b.begin(e, RequestSize{}, now)
+		active.recordOutcome(true, now)
+		active.end()
+		b.Suspect(e.ID, now)
+	}
+	require.NotEmpty(t, b.Suspects(now))
+	require.NotEmpty(t, b.UnreachableDataCentres(now))
+	b.SetLinksLost(true)
+	require.Empty(t, b.Suspects(now))
+	require.Empty(t, b.UnreachableDataCentres(now))
+	for _, l := range b.LocalLoads(now) {
+		require.Zero(t, l.Tally.Failed)
+	}
+	require.Nil(t, choose())
+	b.SetLinksLost(false)
+	require.NotNil(t, choose())
+	require.Empty(t, b.Suspects(now))
+}
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -40,6 +40,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []serving.DataCentre
+	if b.linksLost {
+		return out
+	}
 	for dc := range b.remotes {
 		if b.isUnreachable(dc, now) {
 			out = append(out, dc)
