groupcontrol: keep groups, and hand the lease over, while the controller's links are lost

Evidence: TestController_KeepsGroupsWhileItsLinksAreLost and TestController_HandsOverWhileItsLinksAreLost fail without the change. Why it works: a silent endpoint counts as dead only if another one accepts a dial; no plan is made without links; after a second the lease goes to a node of the data centre that reaches the endpoints, if there is one.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -177,6 +177,7 @@
 		Demand:               e.gossip.ControlDemand,
 		LastEvent:            e.lastEvent(),
 		Limit:                func(ep *serving.Endpoint) float64 { return e.gossip.Throttle().EffectiveLimit(ep, time.Now()) },
+		Links:                e.controllerLinks(),
 		Weights:              s.Policy.Groups,
 		LeaseTTL:             s.LeaseTTL,
 		LeaseOutageExtension: s.Policy.LeaseOutageExtension,
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/gossip"
+	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 // shareHandler serves the calls of peers.
@@ -41,6 +43,16 @@
 	return out
 }
 
+// controllerLinks returns what the controller knows of this node's links.
+func (e *Entry) controllerLinks() *groupcontrol.Links {
+	isLocal := func(dc serving.DataCentre) bool { return dc == e.settings.DataCentre }
+	return &groupcontrol.Links{
+		LostSince:        e.links.LostSince,
+		Confirm:          e.links.Confirm,
+		NeighbourReaches: func() bool { return len(e.gossip.Neighbours(isLocal)) > 0 },
+	}
+}
+
 // setLinksLost updates what depends on whether the links to all endpoints are lost.
 func (e *Entry) setLinksLost(lost bool) {
 	value := 0.0
@@ -48,4 +60,5 @@
 		value = 1
 	}
 	e.metrics.Set("endpoint_links_lost", value)
+	e.balancer.SetLinksLost(lost)
 }
--- a/internal/groupcontrol/controller.go
+++ b/internal/groupcontrol/controller.go
@@ -169,7 +169,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
+			if c.handsOver(now) {
+				// It has no effect unless this node holds the lease.
+				c.lease.release(ctx)
+				continue
+			}
 			c.lease.step(ctx)
 		}
 	}
@@ -181,7 +186,7 @@
 // tick plans once from the current view and starts the resulting operations.
 func (c *Controller) tick(ctx context.Context, now time.Time) {
 	epoch, held := c.lease.Held()
-	if !held {
+	if !held || c.linksLost() {
 		return
 	}
 	c.mu.Lock()
--- a/internal/groupcontrol/ensure.go
+++ b/internal/groupcontrol/ensure.go
@@ -159,7 +159,7 @@
 			return report, errMemberLost
 		}
 	}
-	o.markDead(e, "no response to two report requests")
+	o.markSilent(ctx, e, "no response to two report requests")
 	return report, errMemberLost
 }
 
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -27,6 +27,9 @@
 var (
 	// ErrNoResponse means that the call may or may not have taken effect, or still may.
 	ErrNoResponse = errors.New("the endpoint did not respond")
+	// ErrRefused means that nothing listens at the endpoint's address. Errors that wrap it wrap
+	// ErrNoResponse too.
+	ErrRefused = errors.New("the endpoint refused the connection")
 	// ErrOtherIncarnation means that another incarnation of the endpoint has its address.
 	ErrOtherIncarnation = errors.New("another incarnation of the endpoint responded")
 	// ErrRejected means that the order was rejected because it does not fit the endpoint's
@@ -90,6 +93,8 @@
 	// Limit returns the rate limit of an endpoint in requests per second, zero if it has none;
 	// nil means that no endpoint has one.
 	Limit func(*serving.Endpoint) float64
+	// Links is what is known of this node's links to the endpoints; nil means that they are never lost.
+	Links *Links
 	// Weights are the weights of the planner.
 	Weights Weights
 	// LeaseTTL is how long the lease of a silent holder lasts.
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -53,6 +53,8 @@
 
 	// recheckDead is the controllers' Options.RecheckDead.
 	recheckDead bool
+	// links is the controllers' Options.Links.
+	links *groupcontrol.Links
 	// lastEvent is the controllers' Options.LastEvent.
 	lastEvent func(serving.EndpointID) time.Time
 
@@ -121,6 +123,7 @@
 		Demand:               func() map[directory.Pool]groupcontrol.Demand { return nil },
 		LastEvent:            dc.lastEvent,
 		RecheckDead:          dc.recheckDead,
+		Links:                dc.links,
 		LeaseTTL:             cmp.Or(dc.leaseTTL, leaseTTL),
 		LeaseOutageExtension: time.Minute,
 		CallTimeout:          40 * time.Millisecond,
--- a/internal/groupcontrol/groups.go
+++ b/internal/groupcontrol/groups.go
@@ -227,9 +227,18 @@
 // probeHedgeDelay is how long a probe may be unanswered before a second one is sent.
 const probeHedgeDelay = 100 * time.Millisecond
 
-// probe marks an endpoint dead if it responds to neither of two probes. They overlap because a
-// stalled group waits for the result.
+// probe marks an endpoint dead if it responds to no probe. The first two overlap because a stalled
+// group waits for the result.
 func (c *Controller) probe(ctx context.Context, e *serving.Endpoint) {
+	err := c.probeTwice(ctx, e)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	c.markSilent(ctx, e, "no response to probes")
+}
+
+// probeTwice sends two probes that overlap, and returns nil if the endpoint responds to one of them.
+func (c *Controller) probeTwice(ctx context.Context, e *serving.Endpoint) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	responses := make(chan error, 2)
@@ -240,6 +249,7 @@
 	go send()
 	timer := time.NewTimer(probeHedgeDelay)
 	defer timer.Stop()
+	var failure error
 	for sent, failed := 1, 0; failed < sent; {
 		select {
 		case <-timer.C:
@@ -247,8 +257,9 @@
 			go send()
 		case err := <-responses:
 			if err == nil {
-				return
+				return nil
 			}
+			failure = err
 			failed++
 			if sent < 2 && !errors.Is(err, ErrOtherIncarnation) {
 				sent++
@@ -257,7 +268,7 @@
 			}
 		}
 	}
-	c.markDead(e, "no response to two probes")
+	return failure
 }
 
 func (c *Controller) markDead(e *serving.Endpoint, why string) {
--- a/internal/standin/fleetstandin/fleetstandin.go
+++ b/internal/standin/fleetstandin/fleetstandin.go
@@ -188,6 +188,8 @@
 	Unlisted
 	// Draining endpoints advertise that they are draining.
 	Draining
+	// Silent endpoints run and are listed, but respond to no call.
+	Silent
 )
 
 // SetCondition changes the condition of an endpoint.
@@ -196,7 +198,7 @@
 	defer f.mu.Unlock()
 	e := f.endpoints[id]
 	e.terminated = c == Terminated
-	e.unreachable = c == Terminated || c == Isolated
+	e.unreachable = c == Terminated || c == Isolated || c == Silent
 	e.unlisted = c == Terminated || c == Isolated || c == Unlisted
 	e.Draining = c == Draining
 	if e.unlisted {
