groupcontrol: tolerate an endpoint that is silent for a second

What callers could see: a sound endpoint that paused for a second lost its group, whose requests broke off, after some 0.35 s without a response. Cause: two probes without a response counted as death, although only a refused connection proves that a process has ended. Evidence: TestController_ToleratesSilentSecond fails before. Why it works: an endpoint that refuses no connection counts as dead only after silence_tolerance ([timing], 1.2 s), with a probe each 0.3 s; nodes keep requests away from it meanwhile, as before. The price: groups of endpoints that went dark are repaired 0.9 s later.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -178,6 +178,7 @@
 		LastEvent:            e.lastEvent(),
 		Limit:                func(ep *serving.Endpoint) float64 { return e.gossip.Throttle().EffectiveLimit(ep, time.Now()) },
 		Links:                e.controllerLinks(),
+		SilenceTolerance:     s.SilenceTolerance,
 		Weights:              s.Policy.Groups,
 		LeaseTTL:             s.LeaseTTL,
 		LeaseOutageExtension: s.Policy.LeaseOutageExtension,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -49,6 +49,8 @@
 	// Nodes is the minimum number of nodes that share the retry budget's slack.
 	Nodes      int
 	StallAfter time.Duration
+	// SilenceTolerance is how long an endpoint may be silent before its group is dissolved.
+	SilenceTolerance time.Duration
 	// Silence is how long a connection may receive nothing before it counts as broken.
 	Silence  time.Duration
 	LeaseTTL time.Duration
@@ -77,6 +79,9 @@
 	maxCores           = 1024
 )
 
+// defaultSilenceTolerance exceeds the second for which sound endpoints pause at times.
+const defaultSilenceTolerance = 1200 * time.Millisecond
+
 // interfaceSection and interfaceKind identify settings for this package.
 const (
 	interfaceSection = "interface"
@@ -123,6 +128,7 @@
 	timing := f.Section("timing")
 	const minDuration, maxDuration = 50 * time.Millisecond, time.Minute
 	s.StallAfter = timing.Duration("stall_after", 500*time.Millisecond, minDuration, maxDuration)
+	s.SilenceTolerance = timing.Duration("silence_tolerance", defaultSilenceTolerance, 0, maxDuration)
 	s.Silence = timing.Duration("silence", link.DefaultSilenceTimeout, time.Second, maxDuration)
 	s.LeaseTTL = timing.Duration("lease_ttl", 2*time.Second, 300*time.Millisecond, maxDuration)
 	s.StopNotice = timing.Duration("stop_notice", 3*time.Second, 0, maxDuration)
--- a/internal/groupcontrol/groupcontrol.go
+++ b/internal/groupcontrol/groupcontrol.go
@@ -95,6 +95,9 @@
 	Limit func(*serving.Endpoint) float64
 	// Links is what is known of this node's links to the endpoints; nil means that they are never lost.
 	Links *Links
+	// SilenceTolerance is how long an endpoint may be silent that refuses no connection before it counts
+	// as dead: a sound one may pause for a second.
+	SilenceTolerance time.Duration
 	// Weights are the weights of the planner.
 	Weights Weights
 	// LeaseTTL is how long the lease of a silent holder lasts.
--- a/internal/groupcontrol/groupcontrol_test.go
+++ b/internal/groupcontrol/groupcontrol_test.go
@@ -53,8 +53,9 @@
 
 	// recheckDead is the controllers' Options.RecheckDead.
 	recheckDead bool
-	// links is the controllers' Options.Links.
-	links *groupcontrol.Links
+	// links and silenceTolerance are the controllers' options of the same names.
+	links            *groupcontrol.Links
+	silenceTolerance time.Duration
 	// lastEvent is the controllers' Options.LastEvent.
 	lastEvent func(serving.EndpointID) time.Time
 
@@ -124,6 +125,7 @@
 		LastEvent:            dc.lastEvent,
 		RecheckDead:          dc.recheckDead,
 		Links:                dc.links,
+		SilenceTolerance:     dc.silenceTolerance,
 		LeaseTTL:             cmp.Or(dc.leaseTTL, leaseTTL),
 		LeaseOutageExtension: time.Minute,
 		CallTimeout:          40 * time.Millisecond,
--- a/internal/groupcontrol/groups.go
+++ b/internal/groupcontrol/groups.go
@@ -230,13 +230,28 @@
 // probe marks an endpoint dead if it responds to no probe. The first two overlap because a stalled
 // group waits for the result.
 func (c *Controller) probe(ctx context.Context, e *serving.Endpoint) {
+	start := time.Now()
 	err := c.probeTwice(ctx, e)
+	for isSilence(err) && time.Since(start) < c.options.SilenceTolerance {
+		if pause(ctx, silenceProbeInterval) != nil {
+			return
+		}
+		_, err = c.report(ctx, e)
+	}
 	if err == nil || ctx.Err() != nil {
 		return
 	}
 	c.markSilent(ctx, e, "no response to probes")
 }
 
+// silenceProbeInterval is the time between two probes of a silent endpoint.
+const silenceProbeInterval = 300 * time.Millisecond
+
+// isSilence reports whether a call failed only because nothing came back.
+func isSilence(err error) bool {
+	return err != nil && !errors.Is(err, ErrRefused) && !errors.Is(err, ErrOtherIncarnation)
+}
+
 // probeTwice sends two probes that overlap, and returns nil if the endpoint responds to one of them.
 func (c *Controller) probeTwice(ctx context.Context, e *serving.Endpoint) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/groupcontrol/links_test.go
+++ b/internal/groupcontrol/links_test.go
@@ -100,3 +100,26 @@
 	require.Less(t, time.Since(began), 5*time.Second, "the lease was not released")
 	dc.requireUnbroken()
 }
+
+// Guards against dissolving the group of a sound endpoint that is silent for a second and goes on.
+func TestController_ToleratesSilentSecond(t *testing.T) {
+	dc := newDataCentre(t, 9)
+	dc.silenceTolerance = 1200 * time.Millisecond
+	dc.leaseTTL = 10 * time.Second
+	dc.startController("n1")
+	dc.awaitOpen(1, 1)
+	dc.awaitStaged()
+	head := dc.member("large", 0)
+	group := dc.fleet.Group(head).Group
+	dc.fleet.SetCondition(head, fleetstandin.Silent)
+	dc.setSuspects(head)
+	time.Sleep(time.Second)
+	dc.fleet.SetCondition(head, fleetstandin.Healthy)
+	time.Sleep(time.Second)
+	require.Equal(t, group, dc.fleet.Group(head).Group)
+
+	dc.fleet.SetCondition(head, fleetstandin.Silent)
+	require.Eventually(t, func() bool { return dc.fleet.Group(head).Group != group || dc.fleet.Open()["large"] == 0 }, timeout, 5*time.Millisecond,
+		"an endpoint that stays silent counts as dead")
+	dc.requireUnbroken()
+}
