relay: give a stalled stream up only with a retry for it

What callers saw: of streams at an endpoint that pauses for a second, those without a retry left were broken off with 502 after half a second, though the endpoint went on. Cause: the stall detector cancelled the attempt first, and the retry budget was asked afterwards. Why it works: the retry is reserved before the attempt is given up, used by the next one, and refunded if there is none; without it the stream waits on.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -260,6 +260,26 @@
 	return max(c.options.StallAfter, stallFactor*max(predicted.First, predicted.Gap))
 }
 
+// reserveRetry acquires the retry that follows an attempt before the attempt is given up: without one,
+// a silent endpoint that goes on would still have served the request.
+func (c *call) reserveRetry(now time.Time) bool {
+	charge, granted := c.options.Budget.AcquireRetry(c.service, now)
+	if granted {
+		c.reservedRetry.Store(&charge)
+	}
+	return granted
+}
+
+// refundReservedRetry returns a reserved retry that was not used.
+func (c *call) refundReservedRetry() {
+	if charge := c.reservedRetry.Swap(nil); charge != nil {
+		c.options.Budget.Refund(c.service, *charge, time.Now())
+	}
+}
+
+// reserveInterval is the time between two tries to reserve a retry: each may consume a fraction of one.
+const reserveInterval = 500 * time.Millisecond
+
 // startStallDetector cancels an attempt at an endpoint that has stopped sending, if the request can
 // be retried elsewhere. Silence alone never fails a request.
 func (c *call) startStallDetector(cancel context.CancelCauseFunc, active *activeRequest, predicted Prediction) (stop func()) {
@@ -271,22 +291,33 @@
 	go func() {
 		ticker := time.NewTicker(stallCheckInterval)
 		defer ticker.Stop()
+		var denied time.Time
 		for {
 			select {
 			case <-done:
 				return
 			case now := <-ticker.C:
-				if active.endpointSilence(now) > limit {
-					c.options.Balancer.Suspect(active.endpoint, now)
-					cancel(errStalled)
-					return
+				if !c.isStalled(active, limit, now) || now.Sub(denied) < reserveInterval {
+					continue
 				}
-				if active.requestSilence(now) > max(limit, requestStallAfter) {
-					cancel(errStalled)
-					return
+				if !c.reserveRetry(now) {
+					denied = now
+					continue
 				}
+				cancel(errStalled)
+				return
 			}
 		}
 	}()
 	return func() { close(done) }
 }
+
+// isStalled reports whether an endpoint has stopped sending. One that is silent on all requests becomes
+// suspect.
+func (c *call) isStalled(active *activeRequest, limit time.Duration, now time.Time) bool {
+	if active.endpointSilence(now) > limit {
+		c.options.Balancer.Suspect(active.endpoint, now)
+		return true
+	}
+	return active.requestSilence(now) > max(limit, requestStallAfter)
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -128,7 +128,11 @@
 	if c.route.Kind != serving.KindStream || !c.route.Repeatable() {
 		return time.AfterFunc(time.Hour, func() {})
 	}
-	return time.AfterFunc(neighbourStallAfter, func() { cancel(errStalled) })
+	return time.AfterFunc(neighbourStallAfter, func() {
+		if c.reserveRetry(time.Now()) {
+			cancel(errStalled)
+		}
+	})
 }
 
 // handleNeighbourFailure handles a response that was cut off on its way from a neighbour.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -697,3 +697,19 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, left, 5000)
 }
+
+// Guards against giving up a stream at a silent endpoint that goes on, although no retry is left to
+// resume it elsewhere.
+func TestServe_KeepsStalledStreamWithoutRetry(t *testing.T) {
+	paused := func(c net.Conn, r *http.Request) {
+		time.Sleep(time.Second)
+		events(1, 3, endStream)(c, r)
+	}
+	other := newEndpoint(t, events(1, 3, endStream))
+	fx := newFixture(t, nil, []*endpoint{newEndpoint(t, paused), other})
+	fx.relay.options.Budget = agedBudget(0, 0, 1)
+	out := fx.serve(request(hostStream))
+	require.Equal(t, eventsText(1, 3), out.body.String())
+	require.True(t, out.ended)
+	require.Empty(t, other.requests())
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -66,9 +67,11 @@
 	// connectionBounds counts the endpoints that were not used because of the bound on connections.
 	connectionBounds int
 	// charge is what the current attempt consumed of the retry budget.
-	charge     Charge
-	mayHaveRun bool
-	failed     []serving.EndpointID
+	charge Charge
+	// reservedRetry is what the next attempt will consume, once a stalled one is given up.
+	reservedRetry atomic.Pointer[Charge]
+	mayHaveRun    bool
+	failed        []serving.EndpointID
 	// crashProbe is closed when the reason for the interruption of the last attempt is known.
 	crashProbe <-chan struct{}
 	// responseStarted is set once a part of the response has been sent.
@@ -128,6 +131,7 @@
 func (c *call) run(ctx context.Context) {
 	ctx, cancel := withDeadline(ctx, c.deadline)
 	defer cancel()
+	defer c.refundReservedRetry()
 	c.attemptAll(ctx)
 }
 
@@ -322,6 +326,10 @@
 	if c.attempts == c.priorAttempts {
 		return true
 	}
+	if reserved := c.reservedRetry.Swap(nil); reserved != nil {
+		c.charge = *reserved
+		return true
+	}
 	charge, granted := c.options.Budget.AcquireRetry(c.service, time.Now())
 	c.charge = charge
 	if !granted {
