gateway: pass requests on to other entry instances while the links to all endpoints are lost

The own interface had the cause of the incident too: a node without links tried its groups until its attempts were used up, and forwarded only to other data centres with free slots; its own neighbours were never asked. TestServe_ForwardsWithoutLinks fails before. It shares the monitor, the choice of a neighbour and the messages with the platform's interface; a request is passed on before it claims its key, is declined by a node that is stopping or has no links either, and is not forwarded again.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -27,8 +28,10 @@
 	Complete map[fleet.GroupID]CompleteGroup
 	// Slots is the maximum number of this node's concurrent requests by pool.
 	Slots map[string]int
-	// Remotes are reachable entry instances of other data centres.
-	Remotes []Remote
+	// Remotes are reachable entry instances of other data centres, Neighbours the other live ones of this
+	// data centre.
+	Remotes    []Remote
+	Neighbours []membership.Node
 	// IsController is set while this node is its data centre's leaseholder.
 	IsController bool
 }
@@ -111,6 +114,7 @@
 		Workspaces:    l.workspaces(),
 		Complete:      map[fleet.GroupID]CompleteGroup{},
 		Remotes:       l.remoteList(now),
+		Neighbours:    l.neighbours(now),
 	}
 	s.Targets = l.targets(now, s.Complete)
 	s.Slots = l.slots(now, s.Targets)
@@ -273,6 +277,18 @@
 	return out
 }
 
+// neighbours returns the other live entry instances of this data centre.
+func (l *Loop) neighbours(now time.Time) []membership.Node {
+	live := l.tracker.Live(now)
+	var out []membership.Node
+	for _, node := range l.tracker.Nodes() {
+		if node.ID != l.options.Self.ID && slices.Contains(live, node.ID) {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
 func (l *Loop) remoteList(now time.Time) []Remote {
 	var out []Remote
 	for _, r := range l.remotes {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -29,16 +29,72 @@
 	if !ok {
 		return false
 	}
-	answer, err := c.g.options.Peers.Forward(ctx, remote.Node.Address, c.forwardRequest())
+	return c.forwardTo(ctx, remote.Node.Address)
+}
+
+// maxNeighbours bounds the entry instances that one request is passed to while the links are lost.
+const maxNeighbours = 3
+
+// forwardWithoutLinks passes the request to another entry instance while this one has lost its links to
+// all endpoints. It returns false if none runs it.
+func (c *call) forwardWithoutLinks(ctx context.Context) bool {
+	if c.in.Forwarded || !c.g.links.Lost() {
+		return false
+	}
+	var tried []string
+	for range maxNeighbours {
+		n, ok := c.g.chooser.Choose(c.g.neighbours(), tried, time.Now())
+		if !ok || time.Until(c.parsed.deadline) < minForwardBudget {
+			return false
+		}
+		tried = append(tried, n.Address)
+		done := c.g.chooser.Begin(n.Address)
+		taken := c.forwardTo(ctx, n.Address)
+		done()
+		if taken {
+			return true
+		}
+		c.g.chooser.Avoid(n.Address, time.Now())
+	}
+	return false
+}
+
+// neighbours returns the entry instances that may run requests of this one.
+func (g *Gateway) neighbours() []forward.Neighbour {
+	s := g.snapshot.Load()
+	var out []forward.Neighbour
+	for _, node := range s.Neighbours {
+		out = append(out, forward.Neighbour{Address: node.Address, Local: true})
+	}
+	for _, r := range s.Remotes {
+		out = append(out, forward.Neighbour{Address: r.Node.Address})
+	}
+	return out
+}
+
+// forwardTo passes the request to the entry instance at an address and relays its response. It returns
+// false if the request was not sent, or was declined.
+func (c *call) forwardTo(ctx context.Context, address string) bool {
+	answer, err := c.g.options.Peers.Forward(ctx, address, c.forwardRequest())
 	if err != nil {
 		return false
 	}
 	defer answer.Close()
-	// From here on the peer may run it.
-	c.mayHaveRun = true
 	stop := context.AfterFunc(ctx, answer.Close)
 	defer stop()
-	c.relayResponse(ctx, answer)
+	response, err := forward.ReadResponse(answer)
+	declined := &forward.DeclinedError{}
+	if errors.As(err, &declined) {
+		c.log.Info("another entry instance declined a request", "address", address, "reason", declined.Reason)
+		return false
+	}
+	// The peer may have run it.
+	c.mayHaveRun = true
+	if err != nil {
+		c.handleRelayError(ctx)
+		return true
+	}
+	c.relayResponse(ctx, response)
 	return true
 }
 
@@ -73,12 +129,7 @@
 const relayBuffer = 16 << 10
 
 // relayResponse passes the other entry instance's response on to the caller.
-func (c *call) relayResponse(ctx context.Context, events forward.Events) {
-	response, err := forward.ReadResponse(events)
-	if err != nil {
-		c.handleRelayError(ctx)
-		return
-	}
+func (c *call) relayResponse(ctx context.Context, response *forward.Response) {
 	c.headerSent = true
 	c.outcome = OutcomeServed
 	if outcome := response.Header.Get(HeaderOutcome); outcome != "" && response.Status >= http.StatusBadRequest {
@@ -117,8 +168,13 @@
 	c.fail(errorResponse{http.StatusBadGateway, "broken", "the response from the other data centre was cut off", OutcomeUnknown, time.Second})
 }
 
-// ServeForwarded serves a request forwarded by another entry instance.
+// ServeForwarded serves a request forwarded by another entry instance, or declines it.
 func (g *Gateway) ServeForwarded(q *forwardpb.Request, stream peers.ForwardStream) error {
+	if g.stopping.Load() || g.links.Lost() {
+		out := forward.NewResponder(stream)
+		out.Decline("stopping or without links to endpoints")
+		return out.Err()
+	}
 	in := &Request{
 		Method:    q.GetMethod(),
 		Path:      q.GetPath(),
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 	"github.com/ridgehinge/ridgehinge/internal/platform"
+	"github.com/ridgehinge/ridgehinge/internal/reachability"
 	"github.com/ridgehinge/ridgehinge/internal/standin/platformstandin"
 	"github.com/ridgehinge/ridgehinge/pkg/membership"
 )
@@ -68,6 +70,72 @@
 	require.Eventually(t, func() bool { return len(table.Rows("claim/")) == 0 }, 10*time.Second, time.Millisecond)
 }
 
+// scriptedPeer sends the same events for each forwarded request.
+type scriptedPeer struct {
+	remotePeer
+	events []*forwardpb.Event
+}
+
+func (o *scriptedPeer) Forward(_ *forwardpb.Request, out peers.ForwardStream) error {
+	o.forwarded.Add(1)
+	for _, e := range o.events {
+		_ = out.Send(e)
+	}
+	return nil
+}
+
+// Guards against rejecting callers while other entry instances reach the endpoints. A request that one
+// declines goes to the next, and none is forwarded twice.
+func TestServe_ForwardsWithoutLinks(t *testing.T) {
+	key := []byte("0123456789abcdef")
+	served := []*forwardpb.Event{{Status: 200, Body: []byte("by a neighbour")}, {Done: true}}
+	declined := []*forwardpb.Event{{Declined: "stopping"}}
+	start := func(events []*forwardpb.Event) (*scriptedPeer, membership.Node) {
+		peer := &scriptedPeer{events: events}
+		server, err := peers.Listen("127.0.0.1:0", key, link.New(nil), peer)
+		require.NoError(t, err)
+		t.Cleanup(server.Close)
+		return peer, membership.Node{ID: membership.NodeID(server.Address()), Address: server.Address()}
+	}
+	for _, test := range []struct {
+		name   string
+		events [2][]*forwardpb.Event
+		status int
+		sends  int64
+	}{
+		{"the first serves", [2][]*forwardpb.Event{served, served}, 200, 1},
+		{"the first declines", [2][]*forwardpb.Event{declined, served}, 200, 2},
+		{"the first breaks off", [2][]*forwardpb.Event{nil, served}, 502, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			near, nearNode := start(test.events[0])
+			far, farNode := start(test.events[1])
+			b := newTestGateway(t, newEngineStandIn().Handler())
+			b.gateway.options.Peers = peers.NewClient(key, link.New(nil))
+			s := *b.gateway.snapshot.Load()
+			s.Neighbours = []membership.Node{nearNode}
+			s.Remotes = []control.Remote{{Node: farNode}}
+			b.gateway.Publish(&s)
+			loseLinks(b.gateway)
+			response, text := b.send("POST", "/services/s/pay", "{}", nil)
+			require.Equal(t, test.status, response.StatusCode, text)
+			require.Equal(t, test.sends, near.forwarded.Load()+far.forwarded.Load())
+			if test.status == 200 {
+				require.Equal(t, "by a neighbour", text)
+			}
+		})
+	}
+}
+
+// loseLinks makes a gateway believe that its links to all endpoints are lost.
+func loseLinks(g *Gateway) {
+	addresses := []string{"a", "b", "c", "d"}
+	g.links = reachability.New(func() []string { return addresses }, g.probe, func(bool) {})
+	for _, address := range addresses {
+		g.links.RecordDial(address, 0, syscall.ECONNREFUSED)
+	}
+}
+
 // A pool that is no longer in the snapshot has no slots, even if no request
 // has used it yet.
 func TestPublish_RemovesSlotsOfAbsentPools(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/claims"
 	"github.com/ridgehinge/ridgehinge/internal/control"
 	"github.com/ridgehinge/ridgehinge/internal/engine"
+	"github.com/ridgehinge/ridgehinge/internal/forward"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
 	"github.com/ridgehinge/ridgehinge/internal/metrics"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
@@ -58,7 +59,8 @@
 	snapshot      atomic.Pointer[control.Snapshot]
 	crashDetector *quarantine.Detector
 	// links watches this node's links to the endpoints.
-	links *reachability.Monitor
+	links   *reachability.Monitor
+	chooser *forward.Chooser
 	// stopping rejects new requests; inFlight counts the current ones.
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -90,6 +92,7 @@
 		rates:       map[string]float64{},
 		retryBudget: maxRetryBudget,
 		classes:     map[classKey]*metrics.Class{},
+		chooser:     forward.NewChooser(),
 	}
 	g.snapshot.Store(&control.Snapshot{})
 	g.links = reachability.New(g.targetAddresses, g.probe, func(bool) {})
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -23,6 +23,3 @@
 	g.links.RecordDial(address, time.Since(start), err)
 	return err
 }
-
-// LinksLost reports whether this node has lost its links to all endpoints.
-func (g *Gateway) LinksLost() bool { return g.links.Lost() }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -100,7 +100,7 @@
 }
 
 func (c *call) run(ctx context.Context) {
-	if !c.checkQuarantine(ctx) {
+	if !c.checkQuarantine(ctx) || c.forwardWithoutLinks(ctx) {
 		return
 	}
 	d, decided := c.g.admit(ctx, admission.Request{
