link: test that TCP_USER_TIMEOUT decides when an idle connection is given up

Where the option is set, Linux takes no account of the number of keep-alive probes. The bounds hold: silence of a second ends no connection, and a dead one ends within a second after the bound.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -104,3 +104,40 @@
 	require.NoError(t, call(""))
 	require.Equal(t, before+1, opened.Load(), "the other idle connection was used")
 }
+
+// linuxGiveUp returns after how long of silence Linux gives up an idle connection: at the first
+// keep-alive timer, after a probe was sent, that finds TCP_USER_TIMEOUT reached. Where that option is set,
+// the number of probes does not count.
+func linuxGiveUp(idle, interval, userTimeout time.Duration) time.Duration {
+	elapsed := idle + interval
+	for elapsed < userTimeout {
+		elapsed += interval
+	}
+	return elapsed
+}
+
+// Guards against connections that are given up while a sound peer pauses for a second, or long after the
+// bound, because TCP_USER_TIMEOUT takes precedence over the number of keep-alive probes.
+func TestBounds_UserTimeoutDecidesOnKeepAlive(t *testing.T) {
+	const pause = time.Second
+	for _, silence := range []time.Duration{time.Second, 1500 * time.Millisecond, DefaultSilenceTimeout, 3 * time.Second, 10 * time.Second} {
+		t.Run(silence.String(), func(t *testing.T) {
+			b := Bounds{DialTimeout: time.Second, SilenceTimeout: silence}
+			listener, err := b.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			conn, err := b.DialFunc()(context.Background(), "tcp", listener.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			seconds := func(name int) time.Duration {
+				return time.Duration(tcpOption(t, conn, unix.IPPROTO_TCP, name)) * time.Second
+			}
+			userTimeout := time.Duration(tcpOption(t, conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)) * time.Millisecond
+			after := linuxGiveUp(seconds(unix.TCP_KEEPIDLE), seconds(unix.TCP_KEEPINTVL), userTimeout)
+			require.Equal(t, silence, userTimeout)
+			require.Greater(t, after, pause)
+			require.GreaterOrEqual(t, after, silence)
+			require.LessOrEqual(t, after, silence+time.Second)
+		})
+	}
+}
