soak: lost links of nodes to all endpoints, and endpoints that pause

Links of one entry instance, or of all of a data centre, hang, are reset, or live on while new connections are refused, for half a second to five; endpoints are silent for up to 1.5 s and go on.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -30,6 +30,8 @@
 		r.drawRejecting(&running)
 		r.drawDraining(&running)
 		r.drawEvacuation(&running)
+		r.drawLinkLoss(&running)
+		r.drawPause(&running)
 		if step%restoreEvery == restoreEvery-1 {
 			r.drawRestore(&running, snapshot)
 			snapshot = r.platform.Table.Copy()
@@ -395,6 +397,9 @@
 	for _, proxy := range r.proxies {
 		proxy.ClearFaults()
 	}
+	for _, p := range r.entries {
+		r.setLinkFault(p, "")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.healedAt = time.Now()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -97,8 +97,10 @@
 	settingsFile   string
 	// suspensionFile contains the total suspension time of the process's machine.
 	suspensionFile string
-	sourceAddress  netip.Addr
-	logFile        *os.File
+	// linkFaultFile names the present fault of its links to the endpoints.
+	linkFaultFile string
+	sourceAddress netip.Addr
+	logFile       *os.File
 
 	mu             sync.Mutex
 	command        *exec.Cmd
@@ -121,6 +123,8 @@
 	advisoryRandom *rand.Rand
 	// evacuationRandom draws evacuations.
 	evacuationRandom *rand.Rand
+	// linkRandom draws lost links to all endpoints and pauses of endpoints.
+	linkRandom *rand.Rand
 	// evacuationMu is held while a data centre is evacuated.
 	evacuationMu sync.Mutex
 	entries      []*process
@@ -142,7 +146,7 @@
 
 // Start starts the platform and the entry instances of a run.
 func Start(o Options) (*Run, error) {
-	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), silenceRandom: rand.New(rand.NewPCG(o.Seed, 2)), restoreRandom: rand.New(rand.NewPCG(o.Seed, 3)), advisoryRandom: rand.New(rand.NewPCG(o.Seed, 4)), evacuationRandom: rand.New(rand.NewPCG(o.Seed, 5)), configurationVersion: 1, counts: map[string]int{}}
+	r := &Run{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), silenceRandom: rand.New(rand.NewPCG(o.Seed, 2)), restoreRandom: rand.New(rand.NewPCG(o.Seed, 3)), advisoryRandom: rand.New(rand.NewPCG(o.Seed, 4)), evacuationRandom: rand.New(rand.NewPCG(o.Seed, 5)), linkRandom: rand.New(rand.NewPCG(o.Seed, 6)), configurationVersion: 1, counts: map[string]int{}}
 	var err error
 	r.platform, err = emulator.StartPlatform(o.Workers, r)
 	if err != nil {
@@ -211,12 +215,13 @@
 	}
 	name := fmt.Sprintf("entry-%d", i+1)
 	p := &process{name: name, callerAddress: addresses[0], metricsAddress: addresses[3], sourceAddress: netip.MustParseAddr(ip),
-		settingsFile: filepath.Join(r.options.Dir, name+".ini"), suspensionFile: filepath.Join(r.options.Dir, name+".suspended")}
+		settingsFile: filepath.Join(r.options.Dir, name+".ini"), suspensionFile: filepath.Join(r.options.Dir, name+".suspended"),
+		linkFaultFile: filepath.Join(r.options.Dir, name+".links")}
 	text := fmt.Sprintf("[interface]\nkind = platform\n[node]\nname = %s\ndata_centre = %s\ndata_centres = %s\nfirst_start = true\n"+
 		"[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[peers]\nkey = soak-peer-key-0000\nseeds = %s\n"+
-		"[store]\naddress = %s\n[retries]\nratio = %v\nslack = %v\nwindow = %s\nnodes = %d\n[timing]\nstop_notice = 500ms\nstop_bound = %s\n[log]\nlevel = info\n[tests]\nsuspension_file = %s\n[policy]\n%s",
+		"[store]\naddress = %s\n[retries]\nratio = %v\nslack = %v\nwindow = %s\nnodes = %d\n[timing]\nstop_notice = 500ms\nstop_bound = %s\n[log]\nlevel = info\n[tests]\nsuspension_file = %s\nlink_fault_file = %s\n[policy]\n%s",
 		name, dataCentres[i%len(dataCentres)], strings.Join(dataCentres, ","),
-		addresses[0], addresses[1], addresses[2], addresses[3], strings.Join(seeds, ","), r.platform.Store, retryBudget.Ratio, retryBudget.Slack, retryBudget.Window, 2*r.options.Entries, stopBound, p.suspensionFile, overloadPolicy)
+		addresses[0], addresses[1], addresses[2], addresses[3], strings.Join(seeds, ","), r.platform.Store, retryBudget.Ratio, retryBudget.Slack, retryBudget.Window, 2*r.options.Entries, stopBound, p.suspensionFile, p.linkFaultFile, overloadPolicy)
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, "", err
 	}
