relay: name the shared parts of a prompt in the log

The logs of the incident cannot tell whether the requests under which endpoints crash have anything in common: they name a request by the hash of its whole content. Failed attempts and unserved requests now name the parts of the prompt, except the last one, which belongs to the request itself.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -238,7 +238,7 @@
 }
 
 func (c *call) logAttempt(t target, what string, err error) {
-	c.log.Info("an attempt failed", "request", c.attrs.ID, "content", c.fingerprint, "endpoint", string(t.ID), "address", t.Address, "group", t.Membership.Group,
+	c.log.Info("an attempt failed", "request", c.attrs.ID, "content", c.fingerprint, "parts", c.attrs.SharedParts, "endpoint", string(t.ID), "address", t.Address, "group", t.Membership.Group,
 		"epoch", t.Membership.Epoch, "what", what, "error", err, "events", c.events, "after", time.Since(c.start))
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -416,7 +416,7 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	c.log.Info("a request was not served", "request", c.attrs.ID, "content", c.fingerprint, "route", route, "service", c.service, "model", c.attrs.Model, "workspace", c.workspace,
+	c.log.Info("a request was not served", "request", c.attrs.ID, "content", c.fingerprint, "parts", c.attrs.SharedParts, "route", route, "service", c.service, "model", c.attrs.Model, "workspace", c.workspace,
 		"outcome", string(c.outcome), "cause", reason.cause, "level", c.level, "returning", c.route != nil && c.isReturning(), "retry_after", reason.retryAfter, "sends", c.attempts, "may_have_run", c.mayHaveRun, "events", c.events,
 		"failed", c.failed, "took", time.Since(c.start), "configuration", c.configurationVersion(),
 		"groups", reason.choice.Groups, "full", reason.choice.Full, "late", reason.choice.Late, "suspected", reason.choice.Suspected, "incomplete", reason.choice.Incomplete, "limited", reason.choice.Limited, "evacuated", reason.evacuated, "regions", reason.regions, "cooling_down", reason.choice.CoolingDown, "draining", reason.choice.Draining,
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -48,8 +48,14 @@
 	LengthHint int
 	// LastEvent is the event after which a stream is resumed.
 	LastEvent string
+	// SharedParts identifies the parts of the prompt, in order, except the last one, which belongs to the
+	// request itself: other requests may have them too. There are at most MaxSharedParts.
+	SharedParts []string
 }
 
+// MaxSharedParts bounds Attributes.SharedParts.
+const MaxSharedParts = 16
+
 // OutputTokens returns the estimated number of output tokens.
 func (a *Attributes) OutputTokens() int {
 	if a.LengthHint > 0 && (a.MaxTokens == 0 || a.LengthHint < a.MaxTokens) {
