relay: test responses with neither a length nor chunks

A stream that ends inside an event was broken off and goes on elsewhere; a whole one, or a whole answer, is passed on; a reset is no end. All held before: the tests are new.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -713,3 +714,69 @@
 	require.True(t, out.ended)
 	require.Empty(t, other.requests())
 }
+
+// unframed responds with neither a length nor chunks, and ends with its connection.
+func unframed(body string) script {
+	return func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, responseHead(r, 200)+"\r\n"+body)
+		_ = c.Close()
+	}
+}
+
+// unframedReset is unframed with a connection that is reset instead of closed.
+func unframedReset(body string) script {
+	return func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, responseHead(r, 200)+"\r\n"+body)
+		time.Sleep(50 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// Guards against a response without framing that counts as complete although it was broken off, or the
+// reverse. A stream that ends inside an event was broken off, as was any response that was reset.
+func TestServe_UnframedResponses(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		host     string
+		first    script
+		second   script
+		body     string
+		complete bool
+		arrivals int
+	}{
+		{"whole stream", hostStream, unframed(eventsText(1, 3)), nil, eventsText(1, 3), true, 1},
+		{"whole stream that may not be resumed", hostSingle, unframed(eventsText(1, 3)), nil, eventsText(1, 3), true, 1},
+		{"ends inside an event", hostStream, unframed(eventsText(1, 2) + "id: 3\ndata: pie"), events(3, 3, endStream), eventsText(1, 3), true, 2},
+		{"ends before the blank line", hostStream, unframed(eventsText(1, 2) + "id: 3\ndata: piece 3\n"), events(3, 3, endStream), eventsText(1, 3), true, 2},
+		{"ends inside an event, may not be resumed", hostSingle, unframed(eventsText(1, 2) + "id: 3\ndata: pie"), nil, eventsText(1, 2), false, 1},
+		{"without an event", hostStream, unframed(""), events(1, 3, endStream), eventsText(1, 3), true, 2},
+		{"reset after an event", hostStream, unframedReset(eventsText(1, 2)), events(3, 3, endStream), eventsText(1, 3), true, 2},
+		{"whole answer", hostOnce, unframed("good"), nil, "good", true, 1},
+		{"answer reset", hostPlain, unframedReset("go"), respondWith(200, "good"), "good", true, 2},
+		{"answer reset, once", hostOnce, unframedReset("go"), nil, "", false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			first := newEndpoint(t, test.first)
+			all := []*endpoint{first}
+			if test.second != nil {
+				all = append(all, newEndpoint(t, test.second))
+			}
+			plain := slices.Clone(all)
+			// The rotation of plain endpoints begins with the second one.
+			slices.Reverse(plain)
+			fx := newFixture(t, plain, all)
+			out := fx.serve(request(test.host))
+			complete := out.ended && !out.aborted && out.status == http.StatusOK
+			require.Equal(t, test.complete, complete)
+			if complete || test.host == hostSingle {
+				require.Equal(t, test.body, out.body.String())
+			}
+			arrivals := 0
+			for _, e := range all {
+				arrivals += len(e.requests())
+			}
+			require.Equal(t, test.arrivals, arrivals)
+		})
+	}
+}
