relay: share an endpoint's connections by the requests in flight too

What callers would see: a node that is handed most new connections of a region rejects a quarter and more of its requests as "all groups are full" while the groups have free slots. Cause: each node may open an even part of an endpoint's connections, however many of the requests it has. Why it works: half of the connections are shared by the requests in flight, so that the bounds of all nodes add up to 1.4 times what an endpoint takes at most, and a node that is idle uses none of its part.

--- a/internal/relay/active.go
+++ b/internal/relay/active.go
@@ -42,6 +42,7 @@
 		l.lastActive = now
 	}
 	l.running++
+	b.running++
 	l.unread += s.Prompt
 	l.context += s.Prompt
 	return &activeRequest{balancer: b, endpoint: e.ID, epoch: e.Membership.Epoch, size: s, prefilling: true, sentAt: now, lastEventAt: now}
@@ -114,6 +115,7 @@
 	defer a.balancer.mu.Unlock()
 	l := a.balancer.load(a.endpoint)
 	l.running--
+	a.balancer.running--
 	l.context -= a.size.Prompt
 	if a.prefilling {
 		a.prefilling = false
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -32,6 +32,9 @@
 	hold func(e *serving.Endpoint, now time.Time) throttle.Hold
 	// remotes holds the state of the other data centres.
 	remotes map[serving.DataCentre]*remoteState
+	// running and peersRunning are the requests in flight of this node and of the others.
+	running      int
+	peersRunning int
 	// peerLoadsAt is when the loads of the other nodes were last set.
 	peerLoadsAt time.Time
 	// peerReports is what other nodes report.
@@ -177,11 +180,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peerLoadsAt = time.Now()
+	b.peersRunning = 0
 	for id, l := range b.loads {
 		l.peers = loads[id]
 	}
 	for id, p := range loads {
 		b.load(id).peers = p
+		b.peersRunning += p.Running
 	}
 }
 
--- a/internal/relay/connections_test.go
+++ b/internal/relay/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -9,16 +10,43 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ridgehinge/ridgehinge/internal/upstream"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 func TestConnectionBound(t *testing.T) {
-	for _, test := range []struct{ maxConnections, nodes, want int }{
-		{0, 10, 0}, {474, 0, 426}, {474, 9, 47}, {474, 85, 5}, {474, 300, 4}, {3, 1, 4},
+	for _, test := range []struct {
+		maxConnections, nodes int
+		part                  float64
+		want                  int
+	}{
+		{0, 10, 1, 0}, {474, 0, 0, 426}, {474, 9, 0, 47}, {474, 85, 0, 5}, {474, 300, 0, 4}, {3, 1, 0, 4},
+		{474, 85, 1.0 / 85, 5}, {474, 85, 0.5, 118}, {474, 300, 1, 237},
 	} {
-		require.Equal(t, test.want, connectionBound(test.maxConnections, test.nodes), "%+v", test)
+		require.Equal(t, test.want, connectionBound(test.maxConnections, test.nodes, test.part), "%+v", test)
 	}
 }
 
+// Guards against a node that is handed most new connections of the callers and may not use the endpoints'
+// free slots, since its part of their connections is that of an idle node.
+func TestConnectionBound_FollowsDemand(t *testing.T) {
+	const nodes, slots, maxConnections = 60, 26, 474
+	now := time.Now()
+	b := NewBalancer("north", rand.NewPCG(1, 1), Weights{ConnectionBound: true})
+	b.SetNodes(nodes)
+	require.Less(t, b.connectionBound(maxConnections), slots)
+	e := &serving.Endpoint{ID: "e"}
+	var running []*activeRequest
+	for range 20 {
+		running = append(running, b.begin(e, RequestSize{}, now))
+	}
+	b.SetPeerLoads(map[serving.EndpointID]PeerLoad{"e": {Running: 3}, "f": {Running: 7}})
+	require.GreaterOrEqual(t, b.connectionBound(maxConnections), slots)
+	for _, a := range running {
+		a.end()
+	}
+	require.Less(t, b.connectionBound(maxConnections), slots)
+}
+
 // occupy opens connections to an endpoint and keeps them in use until the end of the test.
 func (fx *fixture) occupy(t *testing.T, address string, connections int) {
 	t.Helper()
