emulator, soak: responses that end with their connection; a part of prompts that crashes endpoints

The emulator's workers respond with neither a length nor chunks while told so, and a response that is broken off then ends inside an event or with a reset; the soak draws times of that. The fault proxy resets what it cuts: without a length, a response that ended with its connection between two events would look complete.

--- a/lab/faultproxy/faultproxy.go
+++ b/lab/faultproxy/faultproxy.go
@@ -5,6 +5,8 @@
 package faultproxy
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -81,7 +83,7 @@
 func (p *Proxy) Address() string { return p.address }
 
 // SetDown stops or restarts the listener. While it is down, new connections are
-// refused; those that were open are closed.
+// refused; those that were open are reset.
 func (p *Proxy) SetDown(down bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,7 +92,7 @@
 	}
 	if down {
 		for conn := range p.conns {
-			_ = conn.Close()
+			reset(conn)
 		}
 		err := p.listener.Close()
 		p.listener = nil
@@ -128,7 +130,7 @@
 	p.faults[injected] = struct{}{}
 	for conn, from := range p.conns {
 		if f.Refuse && (source == AnySource || from == source) {
-			_ = conn.Close()
+			reset(conn)
 		}
 	}
 	return func() {
@@ -255,12 +257,24 @@
 				return
 			}
 		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			reset(to)
+		}
 		if err != nil {
 			return
 		}
 	}
 }
 
+// reset closes a connection so that its peer sees that it was cut: a response without framing that ends
+// with its connection would look complete otherwise.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // applyFault blocks for the delay and then for as long as the direction is
 // stalled.
 func (p *Proxy) applyFault(from net.Conn, source netip.Addr, stalls func(Fault) bool) {
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -89,18 +89,46 @@
 	running.Wait()
 }
 
+const (
+	// partRequestPause is the interval between requests with the part that crashes endpoints.
+	partRequestPause = 300 * time.Millisecond
+	// firstPart is the first part of all prompts in the soak.
+	firstPart = "f1257"
+)
+
+// SendCrashingParts sends requests, no two alike, whose prompts have a part that crashes the endpoints that
+// run them, to random entry instances until the context is done.
+func (r *Run) SendCrashingParts(ctx context.Context) {
+	const deadlyPart = "dead"
+	r.platform.SetDeadlyPart(deadlyPart)
+	defer r.platform.SetDeadlyPart("")
+	random := rand.New(rand.NewPCG(r.options.Seed, 300))
+	client := &http.Client{Timeout: requestTimeout}
+	for n := 0; ctx.Err() == nil; n++ {
+		p := r.entries[random.IntN(len(r.entries))]
+		id := fmt.Sprintf("p-%d", n)
+		session := fmt.Sprintf("5e55%d", random.IntN(5))
+		response, _, _ := r.send(client, p, emulator.ModelHost, id, "body of "+id, firstPart, deadlyPart, session, id)
+		if response != nil {
+			r.count(fmt.Sprint("crashing part ", response.StatusCode))
+		}
+		time.Sleep(partRequestPause)
+	}
+}
+
 // sendDefault sends a request with a body derived from its ID. It returns the response and the
 // part of its body that could be read.
 func (r *Run) sendDefault(client *http.Client, p *process, host, id string) (response *http.Response, body string, err error) {
-	return r.send(client, p, host, id, "body of "+id)
+	return r.send(client, p, host, id, "body of "+id, firstPart, id)
 }
 
-// send sends a request with the given body, like sendDefault.
-func (r *Run) send(client *http.Client, p *process, host, id, content string) (response *http.Response, body string, err error) {
+// send sends a request with the given body, whose prompt has the given parts, like sendDefault.
+func (r *Run) send(client *http.Client, p *process, host, id, content string, parts ...string) (response *http.Response, body string, err error) {
 	request, err := emulator.NewRequest(p.callerAddress, host, id, requestTimeout, []byte(content))
 	if err != nil {
 		return nil, "", err
 	}
+	emulator.SetParts(request, parts...)
 	if response, err = client.Do(request); err != nil {
 		return nil, "", err
 	}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -32,6 +32,7 @@
 		r.drawEvacuation(&running)
 		r.drawLinkLoss(&running)
 		r.drawPause(&running)
+		r.drawUnframed(&running)
 		if step%restoreEvery == restoreEvery-1 {
 			r.drawRestore(&running, snapshot)
 			snapshot = r.platform.Table.Copy()
@@ -397,6 +398,7 @@
 	for _, proxy := range r.proxies {
 		proxy.ClearFaults()
 	}
+	r.platform.SetUnframed(false)
 	for _, p := range r.entries {
 		r.setLinkFault(p, "")
 	}
--- a/lab/soak/links.go
+++ b/lab/soak/links.go
@@ -42,6 +42,22 @@
 	})
 }
 
+// unframedEvery is the mean number of faults per time in which endpoints respond without a length or chunks.
+const unframedEvery = 6
+
+// drawUnframed occasionally makes endpoints respond with neither a length nor chunks for a time.
+func (r *Run) drawUnframed(running *sync.WaitGroup) {
+	if r.linkRandom.IntN(unframedEvery) != 0 {
+		return
+	}
+	duration := time.Duration(500+r.linkRandom.IntN(2500)) * time.Millisecond
+	running.Go(func() {
+		r.platform.SetUnframed(true)
+		time.Sleep(duration)
+		r.platform.SetUnframed(false)
+	})
+}
+
 func (r *Run) setLinkFault(p *process, fault string) {
 	if err := emulator.WriteLinkFault(p.linkFaultFile, fault); err != nil {
 		r.recordViolation("test harness: %v", err)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -125,6 +125,7 @@
 	r.KillAllRepeatedly()
 	require.NoError(t, r.WaitHealthy())
 	calling.Go(func() { r.SendCrashingRequests(ctx) })
+	calling.Go(func() { r.SendCrashingParts(ctx) })
 	r.InjectFaults()
 	recoveryErr := r.WaitHealthy()
 	r.ExerciseAdvisories(advisoryPeriod)
