relay: reject a stream at once that no endpoint has run

What callers saw: a stream that all groups had shed was held for 1.5 s and then rejected. Cause: any stream with an attempt waited for another group, which is meant for one that was interrupted. Why it works: only a stream that an endpoint may have run waits.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -196,12 +196,12 @@
 	resumePollInterval = 50 * time.Millisecond
 )
 
-// awaitTarget picks an endpoint, waiting a little if a stream was interrupted at another one. It
-// does not wait for a cooldown before the response has started: the end of the cooldown is known,
-// and the caller may reach another node. Nor does it wait then for an endpoint in the allowed regions.
+// awaitTarget picks an endpoint, waiting a little if a stream was interrupted at another one. A stream
+// that no endpoint has run is rejected at once: its caller may reach another node. So is one that waits for
+// a cooldown, whose end is known, or for an endpoint in the allowed regions, until its response has started.
 func (c *call) awaitTarget(ctx context.Context) (target, rejection) {
 	t, reason := c.choose(ctx, time.Now())
-	if t.Endpoint != nil || c.attempts == 0 || c.route.Kind != serving.KindStream || reason.cause == causeLinks {
+	if t.Endpoint != nil || !c.mayHaveRun || c.route.Kind != serving.KindStream || reason.cause == causeLinks {
 		return t, reason
 	}
 	if (reason.cause == causeCooldown || reason.cause == causeRegion) && !c.responseStarted {
--- a/internal/relay/shed_test.go
+++ b/internal/relay/shed_test.go
@@ -229,3 +229,13 @@
 	c.service = "shop"
 	require.Equal(t, DefaultWeights.OverloadRetryAfter, c.overloadRetryAfter(time.Now()))
 }
+
+// Guards against a stream that waits for another group although all have rejected it.
+func TestServe_RejectsShedStreamAtOnce(t *testing.T) {
+	fx := newFixture(t, nil, []*endpoint{newEndpoint(t, rejectNotRun), newEndpoint(t, rejectNotRun)})
+	began := time.Now()
+	out := fx.serve(request(hostStream))
+	require.Equal(t, http.StatusServiceUnavailable, out.status)
+	require.NotEmpty(t, out.header.Get("After"))
+	require.Less(t, time.Since(began), resumeWait/2)
+}
