--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -130,6 +130,7 @@
 		}
 	}
 	out = append(out, shortChanges(lines, own)...)
+	out = append(out, linkChanges(lines, own)...)
 	sortByTime(out)
 	return out
 }
@@ -166,7 +167,7 @@
 			continue
 		}
 		if what := l.Get("what"); what != "" {
-			attempts = append(attempts, fmt.Sprintf("%s at %s (%s)", what, l.Get("endpoint"), l.Get("error")))
+			attempts = append(attempts, fmt.Sprintf("%s at %s (%s)", what, l.target(), l.Get("error")))
 		}
 		if cause := l.Get("cause"); cause != "" {
 			end = cause
