--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -60,7 +60,7 @@
 }
 
 func TestExplain_ShowsEndpointEvents(t *testing.T) {
-	text := `time=2026-01-01T00:00:01.000Z level=WARN msg="groups: marked endpoint as dead" endpoint=i-1 why="no response to two probes"
+	text := `time=2026-01-01T00:00:01.000Z level=WARN msg="groups: marked endpoint as dead" endpoint=i-1 why="no response to probes"
   2.5 edge-1 time=2026-01-01T00:00:02.000Z level=INFO msg="relay: an attempt failed" request=r1 endpoint=i-1 group=g1 what="no answer" error="the request may have run"
 time=2026-01-01T00:00:01.500Z level=INFO msg="groups: started dissolving a group" group=g1 epoch=3
 time=2026-01-01T00:00:01.600Z level=INFO msg="groups: started dissolving a group" group=g2 epoch=3
