forward: count the attempts of a response that a neighbour could not complete

What callers could see: a stream that broke at a neighbour after all attempts of its route was passed to the next one, a third endpoint. Cause: the number of attempts was told with the beginning of a response only. Evidence (found by reading): TestForward_CountsAttemptsOfAbortedStream. Why it works: an aborted response ends with an event that has the number. Relays also name neighbours half as often.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
@@ -16,6 +17,18 @@
 // ErrBroken means that a response ended before its last event. The request may have run.
 var ErrBroken = errors.New("the response of the other entry instance was cut off")
 
+// AbortedError means that the receiver could not complete its response, and what it tried. The request
+// may have run.
+type AbortedError struct{ Attempts int }
+
+// Error states the number of attempts.
+func (e *AbortedError) Error() string {
+	return fmt.Sprintf("%v after %d attempts", ErrBroken, e.Attempts)
+}
+
+// Is reports whether the target is ErrBroken.
+func (e *AbortedError) Is(target error) bool { return target == ErrBroken }
+
 // DeclinedError means that the receiver does not run a request and never will.
 type DeclinedError struct{ Reason string }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// A response that its node could not complete tells how often the request was sent, so that the attempts of
+// all nodes count together.
+func TestResponse_AbortTellsAttempts(t *testing.T) {
+	p := &pipe{}
+	out := forward.NewResponder(p)
+	out.Attempts = 1
+	out.Begin(http.StatusOK, http.Header{})
+	require.NoError(t, out.Write([]byte("part")))
+	out.Attempts = 2
+	out.Abort()
+	response, err := forward.ReadResponse(p)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response)
+	aborted := &forward.AbortedError{}
+	require.ErrorAs(t, err, &aborted)
+	require.Equal(t, 2, aborted.Attempts)
+	require.ErrorIs(t, err, forward.ErrBroken)
+}
+
 // A declined request has not run, unlike one whose response is cut off.
 func TestReadResponse_Declined(t *testing.T) {
 	p := &pipe{}
--- a/internal/forward/responder.go
+++ b/internal/forward/responder.go
@@ -14,7 +14,7 @@
 
 // Responder sends a response to the entry instance that forwarded the request.
 type Responder struct {
-	// Attempts is told with the beginning of the response.
+	// Attempts is told with the beginning of the response, and if it is aborted.
 	Attempts int
 
 	stream EventSender
@@ -58,5 +58,10 @@
 // End completes the response.
 func (r *Responder) End() { _ = r.send(&forwardpb.Event{Done: true}) }
 
-// Abort ends the response without its last event.
-func (r *Responder) Abort() { r.err = httpserver.ErrCallerGone }
+// Abort ends an incomplete response.
+func (r *Responder) Abort() {
+	if r.err == nil {
+		_ = r.stream.Send(&forwardpb.Event{Aborted: true, Attempts: uint32(r.Attempts)}) // The connection may be lost.
+	}
+	r.err = httpserver.ErrCallerGone
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -27,11 +27,23 @@
 	done bool
 }
 
+// readEvent returns the next event. The error is an *AbortedError or wraps ErrBroken.
+func readEvent(events Events) (*forwardpb.Event, error) {
+	event, err := events.Read()
+	if err != nil {
+		return nil, errors.Join(ErrBroken, err)
+	}
+	if event.GetAborted() {
+		return nil, &AbortedError{int(event.GetAttempts())}
+	}
+	return event, nil
+}
+
 // ReadResponse reads the beginning of a response. The error is a *DeclinedError or wraps ErrBroken.
 func ReadResponse(events Events) (*Response, error) {
-	first, err := events.Read()
+	first, err := readEvent(events)
 	if err != nil {
-		return nil, errors.Join(ErrBroken, err)
+		return nil, err
 	}
 	if reason := first.GetDeclined(); reason != "" {
 		return nil, &DeclinedError{reason}
@@ -53,9 +65,9 @@
 		if r.done {
 			return 0, io.EOF
 		}
-		event, err := r.events.Read()
+		event, err := readEvent(r.events)
 		if err != nil {
-			return 0, errors.Join(ErrBroken, err)
+			return 0, err
 		}
 		r.rest, r.done = event.GetBody(), event.GetDone()
 	}
--- a/internal/gossip/neighbours.go
+++ b/internal/gossip/neighbours.go
@@ -22,7 +22,7 @@
 	maxNeighboursNamed = 4
 	// neighboursEvery is the number of messages to a node of the same data centre per message that
 	// names neighbours; to other data centres it is knownNodesEvery, since that traffic is billed.
-	neighboursEvery = 5
+	neighboursEvery = 10
 	// namedNeighbourTTL is how long a neighbour that only a relay has named is used. Relays of many
 	// nodes are called once a second.
 	namedNeighbourTTL = time.Minute
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -64,7 +64,7 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		return c.handleNotSent(ctx, t, err)
 	}
-	c.attempts++
+	c.countAttempt()
 	if err != nil {
 		c.mayHaveRun = true
 		c.recordSilence(t, active)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -137,7 +137,12 @@
 
 // handleNeighbourFailure handles a response that was cut off on its way from a neighbour.
 func (c *call) handleNeighbourFailure(ctx context.Context, n forward.Neighbour, err error) result {
-	c.chooser.Avoid(n.Address, time.Now())
+	aborted := &forward.AbortedError{}
+	if errors.As(err, &aborted) {
+		c.attempts = max(c.attempts, aborted.Attempts)
+	} else {
+		c.chooser.Avoid(n.Address, time.Now())
+	}
 	c.logForwarding(n, "cut off", errors.Join(err, context.Cause(ctx)))
 	return c.finishIfDone(ctx, resultIncomplete)
 }
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -306,6 +306,20 @@
 	require.LessOrEqual(t, len(e.requests()), 2)
 }
 
+// A neighbour that could not complete a stream has used up attempts, which the next one must not use again.
+func TestForward_CountsAttemptsOfAbortedStream(t *testing.T) {
+	first := &neighbour{}
+	e1, e2 := newEndpoint(t, events(1, 1, breakStream)), newEndpoint(t, events(2, 2, breakStream))
+	first.fx = newFixture(t, nil, []*endpoint{e1, e2})
+	second, unused := newNeighbour(t, events(3, 4, endStream))
+	fx := newFixture(t, nil, nil)
+	fx.loseLinks(first, second)
+	out := fx.serve(request(hostStream))
+	require.True(t, out.aborted)
+	require.Equal(t, eventsText(1, 2), out.body.String())
+	require.Empty(t, unused.requests(), "both attempts of the route were used")
+}
+
 // A caller that disconnects cancels its request at the endpoint, through the neighbour.
 func TestForward_CallerDisconnectCancels(t *testing.T) {
 	cancelled := make(chan time.Time, 1)
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// countAttempt counts an endpoint that the request was sent to, and tells the node that passed it on.
+func (c *call) countAttempt() {
+	c.attempts++
+	if f := c.in.Forwarded; f != nil {
+		f.out.Attempts = c.attempts
+	}
+}
+
 // decline declines a request of another node that this one has not sent to any endpoint, if the reason
 // need not hold at other nodes. It reports whether it did.
 func (c *call) decline(reason rejection) bool {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -473,9 +473,7 @@
 }
 
 func (c *call) beginResponse(status int, header http.Header) {
-	if f := c.in.Forwarded; f != nil {
-		f.out.Attempts = c.attempts
-	} else if c.closeConnections.Load() {
+	if c.in.Forwarded == nil && c.closeConnections.Load() {
 		header.Set("Connection", "close")
 	}
 	c.responseStarted = true
