reachability: don't take a cut between data centres for lost links

Cause: their requests dialed only endpoints elsewhere, those of their own use open connections, so four dials failed with no success between. Evidence: TestMonitor_ToleratesUnreachableDataCentres and two cases of TestLinks_LostAfterDialsOfSeveralEndpoints fail before. Why it works: dials of three endpoints of the own data centre must have failed too, and each round probes one of them; while open connections deliver events, a node that finds no neighbour tries its endpoints as usual.

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -33,14 +33,16 @@
 	e.links.RecordDial(address, took, err)
 }
 
-// endpointAddresses returns the addresses of all listed endpoints.
-func (e *Entry) endpointAddresses() []string {
-	endpoints := e.directory.View().Endpoints
-	out := make([]string, 0, len(endpoints))
-	for _, ep := range endpoints {
-		out = append(out, ep.Address)
+// endpointAddresses returns the addresses of the listed endpoints of the own data centre and of the others.
+func (e *Entry) endpointAddresses() (local, remote []string) {
+	for _, ep := range e.directory.View().Endpoints {
+		if ep.DataCentre == e.settings.DataCentre {
+			local = append(local, ep.Address)
+		} else {
+			remote = append(remote, ep.Address)
+		}
 	}
-	return out
+	return local, remote
 }
 
 // controllerLinks returns what the controller knows of this node's links.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -6,14 +6,14 @@
 	"time"
 )
 
-// targetAddresses returns the addresses of the endpoints that requests are sent to.
-func (g *Gateway) targetAddresses() []string {
-	var out []string
+// targetAddresses returns the addresses of the endpoints that requests are sent to, all of the own data
+// centre.
+func (g *Gateway) targetAddresses() (local, remote []string) {
 	for _, t := range g.snapshot.Load().Targets {
-		out = append(out, t.Address)
+		local = append(local, t.Address)
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	slices.Sort(local)
+	return slices.Compact(local), nil
 }
 
 // probe dials an endpoint and records whether the link to it works.
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -26,8 +26,6 @@
 	// troubleProbeInterval that after one that succeeded.
 	lostProbeInterval    = 250 * time.Millisecond
 	troubleProbeInterval = time.Second
-	// probesPerRound is the number of endpoints that are dialed at once.
-	probesPerRound = 2
 	// minDialTime is the duration from which a dial without a result is evidence, whoever gave it up.
 	minDialTime = probeTimeout * 9 / 10
 	// minTroubled is the number of endpoints in trouble within troubleTTL from which endpoints are
@@ -39,8 +37,8 @@
 // Monitor watches the links of one node. It is safe for concurrent use.
 type Monitor struct {
 	log logging.Logger
-	// addresses returns the addresses of the known endpoints.
-	addresses func() []string
+	// addresses returns the addresses of the known endpoints of the own data centre and of the others.
+	addresses func() (local, remote []string)
 	dial      func(ctx context.Context, address string) error
 	onChange  func(lost bool)
 	wake      chan struct{}
@@ -56,9 +54,9 @@
 	roundFailed bool
 }
 
-// New returns a monitor. addresses returns the addresses of the known endpoints, dial connects to one
-// and reports the result with RecordDial, and onChange is called when the links are lost or regained.
-func New(addresses func() []string, dial func(context.Context, string) error, onChange func(lost bool)) *Monitor {
+// New returns a monitor. addresses returns the addresses of the known endpoints of the own data centre and
+// of the others, dial connects to one and reports the result with RecordDial, and onChange is called when the links are lost or regained.
+func New(addresses func() (local, remote []string), dial func(context.Context, string) error, onChange func(lost bool)) *Monitor {
 	return &Monitor{
 		log:       logging.For("reachability"),
 		addresses: addresses,
@@ -128,14 +126,15 @@
 
 // update determines whether the links are lost; the caller holds the lock.
 func (m *Monitor) update(now time.Time) {
-	lost := m.links.Lost(func() int { return len(m.addresses()) }, now)
+	lost := m.links.Lost(m.addresses, now)
 	if lost == m.lost.Load() {
 		return
 	}
 	m.lost.Store(lost)
 	if lost {
 		m.lostSince = now
-		m.log.Warn("links to all endpoints are lost", "endpoints", len(m.addresses()))
+		local, remote := m.addresses()
+		m.log.Warn("links to all endpoints are lost", "local", len(local), "remote", len(remote))
 	} else {
 		m.log.Info("endpoints are reachable again", "after", now.Sub(m.lostSince))
 		m.lostSince = time.Time{}
@@ -187,20 +186,25 @@
 	return m.dial(ctx, address)
 }
 
-// dueProbes returns the endpoints to be probed now, those without a failed dial first.
+// dueProbes returns the endpoints to be probed now: one of the own data centre and one of another.
 func (m *Monitor) dueProbes(now time.Time) []string {
-	addresses := m.addresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	local, remote := m.addresses()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isDue(now) {
 		return nil
 	}
 	m.lastRound = now
-	if !m.lost.Load() {
-		slices.SortStableFunc(addresses, func(a, b string) int { return m.failures(a) - m.failures(b) })
+	return append(m.drawProbe(local), m.drawProbe(remote)...)
+}
+
+// drawProbe returns a random address, one without a failed dial if there is any; the caller holds the lock.
+func (m *Monitor) drawProbe(addresses []string) []string {
+	if len(addresses) == 0 {
+		return nil
 	}
-	return addresses[:min(probesPerRound, len(addresses))]
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return []string{slices.MinFunc(addresses, func(a, b string) int { return m.failures(a) - m.failures(b) })}
 }
 
 // failures returns 1 for an address whose last dial failed, and 0 otherwise; the caller holds the lock.
@@ -239,10 +243,11 @@
 // Confirm reports whether the failure of one endpoint is that endpoint's own, and not one of this
 // node's links: it dials a few others until one responds.
 func (m *Monitor) Confirm(ctx context.Context, failed string) bool {
-	addresses := m.addresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	local, remote := m.addresses()
+	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
+	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
 	dials := 0
-	for _, address := range addresses {
+	for _, address := range append(local, remote...) {
 		if address == failed || m.hasFailed(address) {
 			continue
 		}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -73,11 +73,11 @@
 	view := c.options.View()
 	service := view.Configuration.Services[c.service]
 	limit := c.regionLimit(view.Configuration)
-	lost := c.options.Links.Lost()
+	lost := c.options.Links.Lost() && !c.hasLiveConnections(now)
 	if service.Engine == nil {
 		endpoints := limit.endpoints(view.Plain[c.service])
 		if lost {
-			endpoints = withOpenConnection(c, endpoints, now, func(e *serving.Endpoint) string { return e.Address })
+			endpoints = nil
 		}
 		e, ok := c.options.Balancer.ChoosePlain(endpoints, c.failed, now)
 		if !ok {
@@ -97,7 +97,7 @@
 	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
 	heads := limit.heads(view.Heads[pool])
 	if lost {
-		heads = withOpenConnection(c, heads, now, func(h *directory.Head) string { return h.Address })
+		heads = nil
 	}
 	choice := c.options.Balancer.ChooseHead(heads, c.sizeFor(pool, now), c.failed, c.attempts > 0, now)
 	if choice.Head != nil {
@@ -129,20 +129,11 @@
 // connections, the open ones are taken for alive.
 const liveLinkTTL = 500 * time.Millisecond
 
-// withOpenConnection returns the elements with an idle connection while open connections live on
-// although new ones fail, and none otherwise.
-func withOpenConnection[T any](c *call, all []T, now time.Time, address func(T) string) []T {
+// hasLiveConnections reports whether open connections live on although new ones fail, which is then a reason
+// to try: requests may use those that are idle.
+func (c *call) hasLiveConnections(now time.Time) bool {
 	lastEvent := c.options.Balancer.lastEventOfAny()
-	if !lastEvent.After(c.options.Links.LostSince()) || now.Sub(lastEvent) > liveLinkTTL {
-		return nil
-	}
-	var out []T
-	for _, element := range all {
-		if c.options.Upstream.HasIdle(address(element), now) {
-			out = append(out, element)
-		}
-	}
-	return out
+	return lastEvent.After(c.options.Links.LostSince()) && now.Sub(lastEvent) <= liveLinkTTL
 }
 
 // plainRejection returns why a request to a plain service has no target.
