reachability: find lost links out at once for a request that would be rejected

Cause: the requests' own dials were of too few endpoints to tell. Why it works: a request whose dials failed and that would be rejected has a few endpoints dialed, unless a dial has just succeeded.

--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -43,6 +43,8 @@
 	onChange  func(lost bool)
 	wake      chan struct{}
 	lost      atomic.Bool
+	// checking is held during a Check, so that requests at the same time share one.
+	checking sync.Mutex
 
 	mu    sync.Mutex
 	links *health.Links
@@ -50,6 +52,8 @@
 	troubled  map[string]time.Time
 	lostSince time.Time
 	lastRound time.Time
+	// lastSuccess is when a dial last succeeded.
+	lastSuccess time.Time
 	// roundFailed is set if no probe of the last round succeeded.
 	roundFailed bool
 }
@@ -87,6 +91,7 @@
 	m.mu.Lock()
 	m.links.RecordDial(address, err == nil, now)
 	if err == nil {
+		m.lastSuccess = now
 		clear(m.troubled)
 	} else {
 		m.troubled[address] = now
@@ -237,6 +242,39 @@
 	return len(m.troubled)
 }
 
+const (
+	// checkedLocal and checkedRemote are the numbers of endpoints that Check dials.
+	checkedLocal  = 3
+	checkedRemote = 1
+	// checkTTL is how long a dial that succeeded answers Check.
+	checkTTL = 200 * time.Millisecond
+)
+
+// Check finds out at once whether the links are lost, for a request whose dials have failed and that would be
+// rejected otherwise.
+func (m *Monitor) Check(ctx context.Context) bool {
+	m.checking.Lock()
+	defer m.checking.Unlock()
+	if m.Lost() || m.reachedLately(time.Now()) {
+		return m.Lost()
+	}
+	local, remote := m.addresses()
+	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
+	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	var probing sync.WaitGroup
+	for _, address := range append(local[:min(checkedLocal, len(local))], remote[:min(checkedRemote, len(remote))]...) {
+		probing.Go(func() { _ = m.probe(ctx, address) }) // The dial records its result.
+	}
+	probing.Wait()
+	return m.Lost()
+}
+
+func (m *Monitor) reachedLately(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.lastSuccess) < checkTTL
+}
+
 // maxConfirmations bounds the dials of one Confirm.
 const maxConfirmations = 3
 
--- a/internal/reachability/monitor_test.go
+++ b/internal/reachability/monitor_test.go
@@ -150,6 +150,17 @@
 	require.True(t, n.monitor.Lost())
 }
 
+// A request that is about to be rejected must not wait for the next round of probes.
+func TestCheck_DeterminesLostLinksAtOnce(t *testing.T) {
+	n := start(t)
+	n.set(all, false)
+	require.True(t, n.monitor.Check(context.Background()))
+	n.set(none, false)
+	require.Eventually(t, func() bool { return !n.monitor.Lost() }, 2*time.Second, time.Millisecond)
+	n.set(all, false)
+	require.False(t, n.monitor.Check(context.Background()), "a dial has just succeeded")
+}
+
 // Confirm must not take the loss of all links for the failure of one endpoint.
 func TestConfirm_ComparesWithOtherEndpoints(t *testing.T) {
 	n := start(t)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -122,6 +122,7 @@
 		c.connectionBounds++
 		c.options.Metrics.Inc("requests_held_back", map[string]string{"by": "connection bound"})
 	case !errors.As(err, &held):
+		c.dialFailed = true
 		c.options.Balancer.Suspect(t.ID, time.Now())
 	}
 	c.logAttempt(t, "not sent", err)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -44,6 +44,12 @@
 	return c.in.Forwarded == nil && !c.noNeighbour && c.options.Links.Lost()
 }
 
+// findsLinksLost reports whether the links turn out to be lost as the request, whose dials have failed, is
+// about to be rejected.
+func (c *call) findsLinksLost(ctx context.Context) bool {
+	return c.dialFailed && c.in.Forwarded == nil && !c.noNeighbour && c.options.Links.Check(ctx)
+}
+
 // forward passes the request to a neighbour. The result is resultNotRun if none runs it.
 func (c *call) forward(ctx context.Context) result {
 	allowed := c.regionLimit(c.options.View().Configuration).allows
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -63,6 +63,8 @@
 	// one is left.
 	neighboursTried []string
 	noNeighbour     bool
+	// dialFailed is set once a connection to an endpoint could not be opened.
+	dialFailed bool
 	// wasShed is set once an endpoint has rejected the request and asked for a cooldown.
 	wasShed bool
 	// connectionBounds counts the endpoints that were not used because of the bound on connections.
@@ -286,7 +288,7 @@
 			c.handleContextDone(ctx)
 			return
 		}
-		if t.Endpoint == nil && c.shouldForward() {
+		if t.Endpoint == nil && (c.shouldForward() || c.findsLinksLost(ctx)) {
 			continue
 		}
 		if t.Endpoint == nil {
