relay, quarantine, reachability: one place for what an interrupted attempt may be blamed for

Both interfaces had the rule each; the shuffling of addresses and the end of a request that may not run twice stood several times. No change of behaviour.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -67,21 +67,17 @@
 	})
 }
 
-// partProgressTime is how long an endpoint must have sent tokens of a response for its end not to be
-// blamed on a part of the prompt: a part that crashes endpoints does so as they begin to respond.
-const partProgressTime = time.Second
-
-// blamedSubject returns what an interrupted attempt may be blamed for.
-func (c *call) blamedSubject() qlist.Subject {
-	if !c.firstTokenAt.IsZero() && time.Since(c.firstTokenAt) >= partProgressTime {
-		return qlist.Subject{Content: c.subject.Content}
+// progress returns for how long the endpoint has sent tokens of the last attempt.
+func (c *call) progress() time.Duration {
+	if c.firstTokenAt.IsZero() {
+		return 0
 	}
-	return c.subject
+	return time.Since(c.firstTokenAt)
 }
 
 // reportBroken starts a probe for whether the endpoint crashed while it ran the request.
 func (c *call) reportBroken(target routing.Target) {
-	c.probeDone = c.g.crashDetector.ReportBroken(c.blamedSubject(), incarnationOf(target), c.attemptStarted, time.Now())
+	c.probeDone = c.g.crashDetector.ReportBroken(c.subject.InterruptedAfter(c.progress()), incarnationOf(target), c.attemptStarted, time.Now())
 }
 
 // recordSuccess records that the request ran without crashing its endpoint.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -62,7 +62,7 @@
 // holds the lock.
 func (q *Quarantine) blocked(s qlist.Subject) []qlist.Record {
 	var out []qlist.Record
-	for _, f := range append(slices.Clone(s.Parts), s.Content) {
+	for _, f := range s.Fingerprints() {
 		if q.list.Blocks(f) {
 			r, _ := q.list.Get(f)
 			out = append(out, r)
@@ -101,7 +101,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return slices.ContainsFunc(append(slices.Clone(s.Parts), s.Content), func(f qlist.Fingerprint) bool {
+	return slices.ContainsFunc(s.Fingerprints(), func(f qlist.Fingerprint) bool {
 		r, _ := q.list.Get(f)
 		return slices.ContainsFunc(r.Crashes, func(crash qlist.Crash) bool { return crash.Incarnation == incarnation && crash.At.Before(at) })
 	})
@@ -114,7 +114,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return slices.ContainsFunc(append(slices.Clone(s.Parts), s.Content), func(f qlist.Fingerprint) bool {
+	return slices.ContainsFunc(s.Fingerprints(), func(f qlist.Fingerprint) bool {
 		r, _ := q.list.Get(f)
 		return r.BlockedAfterNextCrash(now)
 	})
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -193,7 +193,7 @@
 
 // dueProbes returns the endpoints to be probed now: one of the own data centre and one of another.
 func (m *Monitor) dueProbes(now time.Time) []string {
-	local, remote := m.addresses()
+	local, remote := m.shuffledAddresses()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isDue(now) {
@@ -203,12 +203,20 @@
 	return append(m.drawProbe(local), m.drawProbe(remote)...)
 }
 
-// drawProbe returns a random address, one without a failed dial if there is any; the caller holds the lock.
+// shuffledAddresses returns the addresses of the known endpoints in random order.
+func (m *Monitor) shuffledAddresses() (local, remote []string) {
+	local, remote = m.addresses()
+	for _, list := range [][]string{local, remote} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return local, remote
+}
+
+// drawProbe returns the first address without a failed dial, or else the first; the caller holds the lock.
 func (m *Monitor) drawProbe(addresses []string) []string {
 	if len(addresses) == 0 {
 		return nil
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return []string{slices.MinFunc(addresses, func(a, b string) int { return m.failures(a) - m.failures(b) })}
 }
 
@@ -258,9 +266,7 @@
 	if m.Lost() || m.reachedLately(time.Now()) {
 		return m.Lost()
 	}
-	local, remote := m.addresses()
-	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	local, remote := m.shuffledAddresses()
 	var probing sync.WaitGroup
 	for _, address := range append(local[:min(checkedLocal, len(local))], remote[:min(checkedRemote, len(remote))]...) {
 		probing.Go(func() { _ = m.probe(ctx, address) }) // The dial records its result.
@@ -281,9 +287,7 @@
 // Confirm reports whether the failure of one endpoint is that endpoint's own, and not one of this
 // node's links: it dials a few others until one responds.
 func (m *Monitor) Confirm(ctx context.Context, failed string) bool {
-	local, remote := m.addresses()
-	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	local, remote := m.shuffledAddresses()
 	dials := 0
 	for _, address := range append(local, remote...) {
 		if address == failed || m.hasFailed(address) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -140,27 +140,14 @@
 	}
 	if cause == nil || errors.Is(cause, errStalled) {
 		c.options.Links.RecordTrouble(t.Address)
-		c.crashProbe = c.crashes.ReportBroken(c.blamedSubject(active, now), quarantine.Incarnation{Endpoint: t.ID, StartedAt: t.StartedAt, Address: t.Address}, active.sentAt, now)
+		c.crashProbe = c.crashes.ReportBroken(c.subject.InterruptedAfter(active.progress(now)), quarantine.Incarnation{Endpoint: t.ID, StartedAt: t.StartedAt, Address: t.Address}, active.sentAt, now)
 	}
 }
 
-// partProgressTime is how long an endpoint must have sent events of a response for its end not to be
-// blamed on a part of the prompt.
-const partProgressTime = time.Second
-
-// blamedSubject returns what an interrupted attempt may be blamed for. A part that crashes endpoints does
-// so as they begin to respond.
-func (c *call) blamedSubject(active *activeRequest, now time.Time) qlist.Subject {
-	if active.progress(now) >= partProgressTime {
-		return qlist.Subject{Content: c.subject.Content}
-	}
-	return c.subject
-}
-
 // recordProgress clears the parts of the prompt once the endpoint has survived the beginning of its
 // response.
 func (c *call) recordProgress(active *activeRequest, now time.Time) {
-	if len(c.subject.Parts) > 0 && !active.cleared && active.progress(now) >= partProgressTime {
+	if len(c.subject.Parts) > 0 && !active.cleared && active.progress(now) >= qlist.PartProgressTime {
 		active.cleared = true
 		c.options.Quarantine.RecordPartSuccess(c.subject.Parts, now)
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -64,6 +64,10 @@
 		}
 		c.neighboursTried = append(c.neighboursTried, n.Address)
 		r := c.forwardTo(ctx, n)
+		if r == resultIncomplete && !c.route.Repeatable() {
+			c.finishUnserved(rejection{cause: causeOnce})
+			return resultDone
+		}
 		if r != resultNotRun {
 			return r
 		}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -276,10 +276,6 @@
 			case resultDone:
 				return
 			case resultIncomplete:
-				if !c.route.Repeatable() {
-					c.finishUnserved(rejection{cause: causeOnce})
-					return
-				}
 				continue
 			}
 		}
--- a/pkg/quarantine/subject.go
+++ b/pkg/quarantine/subject.go
@@ -14,6 +14,24 @@
 	Parts []Fingerprint
 }
 
+// PartProgressTime is how long an endpoint must have sent a response for a part of its prompt to count as
+// good: one that crashes endpoints does so as they begin to respond.
+const PartProgressTime = time.Second
+
+// InterruptedAfter returns what an attempt may be blamed for that was interrupted after its endpoint had
+// sent a response for some time.
+func (s Subject) InterruptedAfter(progress time.Duration) Subject {
+	if progress >= PartProgressTime {
+		return Subject{Content: s.Content}
+	}
+	return s
+}
+
+// Fingerprints returns those of the parts, and then that of the content.
+func (s Subject) Fingerprints() []Fingerprint {
+	return append(slices.Clone(s.Parts), s.Content)
+}
+
 // PartFingerprint returns the fingerprint of a part of the prompts for a service.
 func PartFingerprint(service, part string) Fingerprint {
 	return FingerprintOf([]byte("prompt part"), []byte(service), []byte(part))
