--- a/internal/gossip/rows_test.go
+++ b/internal/gossip/rows_test.go
@@ -117,7 +117,7 @@
 	rows := endpointRows(2000)
 	g.directory.ApplySnapshot(rows[:1000], 1000, now)
 	message := func(since uint64) *peers.ShareMessage {
-		p := &peer{id: "n/1", address: "10.0.0.1:1", dataCentre: g.config.DataCentre, lastHeard: now, hasSent: true, readsCompressedRows: true, rows: since}
+		p := &peer{id: "n/1", address: "10.0.0.1:1", dataCentre: g.config.DataCentre, lastHeard: time.Now(), hasSent: true, readsCompressedRows: true, rows: since}
 		return g.buildMessage(p)
 	}
 	rowsOfMessage := func(m *peers.ShareMessage) []table.Row {
