quarantine: keep a part blocked that has more crashes than those it appears with

The trial's request had a session in common with two earlier ones; that part reached three crashes with fewer attempts at this node, counted as the better explanation, and released the deadly one until three crashes were left unexplained. Cause: a few attempts more or less of one node decided. Evidence: TestBlocks_KeepsPartWithMoreCrashes fails before. Why it works: only a factor of four in attempts for each crash counts, else the part with more crashes; the order is total, so one of them stays blocked.

--- a/pkg/quarantine/subject.go
+++ b/pkg/quarantine/subject.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -113,18 +115,25 @@
 }
 
 // explains reports whether a part is a better explanation of crashes than another record. Of two parts it
-// is the one with more crashes for each attempt: parts that most prompts have seldom crash an endpoint.
+// is the one with clearly fewer attempts for each crash, since parts that most prompts have seldom crash an
+// endpoint, or else the one with more crashes. This is a total order, so that of parts that explain each
+// other one stays blocked.
 func (l *List) explains(part, other *entry) bool {
 	if !other.Part {
 		return true
 	}
-	// The products compare the crashes for each attempt without a division.
-	a := len(part.Crashes) * max(1, l.parts.sent(other.Fingerprint))
-	b := len(other.Crashes) * max(1, l.parts.sent(part.Fingerprint))
-	if a != b {
-		return a > b
-	}
-	return bytes.Compare(part.Fingerprint[:], other.Fingerprint[:]) < 0
+	order := cmp.Or(
+		cmp.Compare(l.attemptsPerCrash(part), l.attemptsPerCrash(other)),
+		cmp.Compare(len(other.Crashes), len(part.Crashes)),
+		bytes.Compare(part.Fingerprint[:], other.Fingerprint[:]),
+	)
+	return order < 0
+}
+
+// attemptsPerCrash returns the order of magnitude, to the base of 4, of the attempts with a part for each
+// of its crashes: attempts are those of this node alone, so that small differences mean nothing.
+func (l *List) attemptsPerCrash(e *entry) int {
+	return bits.Len(uint(l.parts.sent(e.Fingerprint)/max(1, len(e.Crashes)))) / 2
 }
 
 func (r *Record) hasCrash(incarnation Incarnation) bool {
--- a/pkg/quarantine/subject_test.go
+++ b/pkg/quarantine/subject_test.go
@@ -93,6 +93,26 @@
 	require.True(t, l.Blocks(fingerprint(partFirst)), "crashes that the other part does not explain")
 }
 
+// Guards against releasing a blocked part because one of its requests, sent as a trial, had another part in
+// common with two earlier ones, which this node has sent less often.
+func TestBlocks_KeepsPartWithMoreCrashes(t *testing.T) {
+	l := NewList()
+	session, other := parts(partFirst, partDeadly, partSession), parts(partFirst, partDeadly, partOther)
+	l.RecordPartCrash(session, 1, at(0))
+	l.RecordPartCrash(session, 2, at(0.1))
+	l.RecordSent(other)
+	l.RecordPartCrash(other, 3, at(1))
+	for range 100 {
+		l.RecordSent(parts(partFirst))
+	}
+	l.RecordPartSuccess(parts(partFirst), at(2))
+	require.True(t, l.Blocks(fingerprint(partDeadly)))
+	l.RecordSent(session)
+	l.RecordPartCrash(session, 4, at(32))
+	require.True(t, l.Blocks(fingerprint(partDeadly)))
+	require.False(t, l.Blocks(fingerprint(partSession)))
+}
+
 // A request that merely ran beside the part, at each endpoint that it crashed, must not be blocked.
 func TestBlocks_SparesBystanders(t *testing.T) {
 	l := NewList()
