relay: bound a forwarded deadline by the time that has passed

The deadline that reaches the endpoint may now be short by no more than the test's own measured time and 0.1 s, which is stricter than the first bound and holds on a busy machine.

--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -145,7 +145,9 @@
 			n, e := newNeighbour(t, test.run)
 			fx := newFixture(t, nil, nil)
 			fx.loseLinks(n)
+			started := time.Now()
 			out := fx.serve(request(test.host))
+			elapsed := time.Since(started).Milliseconds()
 			require.Equal(t, http.StatusOK, out.status)
 			require.Equal(t, test.body, out.body.String())
 			require.Equal(t, "yes", out.header.Get("Signed"))
@@ -156,7 +158,7 @@
 			require.Equal(t, "/a?b=c", received[0].URL.RequestURI())
 			left, _ := strconv.Atoi(received[0].Header.Get("Left"))
 			require.Less(t, left, 20000)
-			require.Greater(t, left, 10000, "of 20 s; the machine may be busy")
+			require.GreaterOrEqual(t, int64(left), 20000-elapsed-100, "of 20 s; only what has passed may be missing")
 		})
 	}
 }
