forward: copy responses, and derive callers' contexts, in one place for both interfaces

No change for callers. Both interfaces had a loop of their own that copies a neighbour's response to the caller, a context that ends with the sender's connection, and a bound of neighbours: Response.CopyTo and Buffer, CallerContext and MaxNeighbours replace them, with tests of what a response that is cut off or a caller that is gone must lead to. In the relay, what was written out twice gets a name (mayForward, canResume), a choice without links returns before it looks for endpoints instead of emptying two lists, and a stall timer that meant "never" by an hour is one timer with its condition.

--- a/internal/forward/chooser.go
+++ b/internal/forward/chooser.go
@@ -14,6 +14,9 @@
 	Local bool
 }
 
+// MaxNeighbours bounds the neighbours that a request is passed to in a row.
+const MaxNeighbours = 3
+
 // avoidDuration is how long a neighbour that was unreachable or declined a request is avoided.
 const avoidDuration = time.Second
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -67,6 +67,60 @@
 	}
 }
 
+// Guards against a copy that ends early without an error, or blames the wrong side.
+func TestResponse_CopyTo(t *testing.T) {
+	errCaller := errors.New("caller gone")
+	for _, test := range []struct {
+		name     string
+		buffered int64
+		cut      bool
+		writeErr error
+		want     string
+	}{
+		{"whole", 0, false, nil, "one two"},
+		{"partly buffered", 5, false, nil, "one two"},
+		{"buffered", 100, false, nil, "one two"},
+		{"cut off", 0, true, nil, "one two"},
+		{"cut off after the buffered part", 5, true, nil, "one two"},
+		{"caller gone", 0, false, errCaller, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := &pipe{}
+			out := forward.NewResponder(p)
+			out.Begin(http.StatusOK, http.Header{})
+			require.NoError(t, out.Write([]byte("one ")))
+			require.NoError(t, out.Write([]byte("two")))
+			if !test.cut {
+				out.End()
+			}
+			response, err := forward.ReadResponse(p)
+			require.NoError(t, err)
+			require.NoError(t, response.Buffer(test.buffered))
+			var got []byte
+			readErr, writeErr := response.CopyTo(func(part []byte) error {
+				if test.writeErr == nil {
+					got = append(got, part...)
+				}
+				return test.writeErr
+			})
+			require.Equal(t, test.cut, errors.Is(readErr, forward.ErrBroken))
+			require.Equal(t, test.writeErr, writeErr)
+			require.Equal(t, test.want, string(got))
+		})
+	}
+}
+
+// Guards against a response that is cut off while it is buffered and then looks complete.
+func TestResponse_BufferCutOffIsBroken(t *testing.T) {
+	p := &pipe{}
+	out := forward.NewResponder(p)
+	out.Begin(http.StatusOK, http.Header{})
+	require.NoError(t, out.Write([]byte("one ")))
+	response, err := forward.ReadResponse(p)
+	require.NoError(t, err)
+	require.ErrorIs(t, response.Buffer(5), forward.ErrBroken)
+}
+
 // A response that its node could not complete tells how often the request was sent, so that the attempts of
 // all nodes count together.
 func TestResponse_AbortTellsAttempts(t *testing.T) {
--- a/internal/forward/responder.go
+++ b/internal/forward/responder.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
@@ -12,6 +13,17 @@
 	Send(event *forwardpb.Event) error
 }
 
+// CallerContext returns the context of a request that was received on a stream with the given one. It is
+// cancelled with the cause httpserver.ErrCallerGone when the sender closes the connection.
+func CallerContext(stream context.Context) (ctx context.Context, cancel func()) {
+	ctx, cancelCause := context.WithCancelCause(context.Background())
+	stop := context.AfterFunc(stream, func() { cancelCause(httpserver.ErrCallerGone) })
+	return ctx, func() {
+		stop()
+		cancelCause(nil)
+	}
+}
+
 // Responder sends a response to the entry instance that forwarded the request.
 type Responder struct {
 	// Attempts is told with the beginning of the response, and if it is aborted.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -58,6 +58,44 @@
 	}, nil
 }
 
+// readPart reads the next part of the body.
+func (r *Response) readPart() ([]byte, error) {
+	event, err := readEvent(r.events)
+	if err != nil {
+		return nil, err
+	}
+	r.done = event.GetDone()
+	return event.GetBody(), nil
+}
+
+// Buffer reads until so many bytes of the body are kept, or to its end. The error wraps ErrBroken.
+func (r *Response) Buffer(size int64) error {
+	for int64(len(r.rest)) < size && !r.done {
+		part, err := r.readPart()
+		if err != nil {
+			return err
+		}
+		r.rest = append(r.rest, part...)
+	}
+	return nil
+}
+
+// CopyTo writes what is left of the body as it arrives. Both errors are nil after a complete response;
+// readErr wraps ErrBroken.
+func (r *Response) CopyTo(write func([]byte) error) (readErr, writeErr error) {
+	for {
+		if len(r.rest) > 0 {
+			writeErr = write(r.rest)
+		}
+		if writeErr != nil || r.done {
+			return nil, writeErr
+		}
+		if r.rest, readErr = r.readPart(); readErr != nil {
+			return readErr, nil
+		}
+	}
+}
+
 // Read reads the body as it arrives. It returns io.EOF at the end of a complete response, and an error
 // that wraps ErrBroken otherwise.
 func (r *Response) Read(p []byte) (int, error) {
@@ -65,11 +103,10 @@
 		if r.done {
 			return 0, io.EOF
 		}
-		event, err := readEvent(r.events)
-		if err != nil {
+		var err error
+		if r.rest, err = r.readPart(); err != nil {
 			return 0, err
 		}
-		r.rest, r.done = event.GetBody(), event.GetDone()
 	}
 	n := copy(p, r.rest)
 	r.rest = r.rest[n:]
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -32,9 +31,6 @@
 	return c.forwardTo(ctx, remote.Node.Address)
 }
 
-// maxNeighbours bounds the entry instances that one request is passed to while the links are lost.
-const maxNeighbours = 3
-
 // forwardWithoutLinks passes the request to another entry instance while this one has lost its links to
 // all endpoints. It returns false if none runs it.
 func (c *call) forwardWithoutLinks(ctx context.Context) bool {
@@ -42,7 +38,7 @@
 		return false
 	}
 	var tried []string
-	for range maxNeighbours {
+	for range forward.MaxNeighbours {
 		n, ok := c.g.chooser.Choose(c.g.neighbours(), tried, time.Now())
 		if !ok || time.Until(c.parsed.deadline) < minForwardBudget {
 			return false
@@ -125,9 +121,6 @@
 	}
 }
 
-// relayBuffer is the size of the buffer for forwarded responses, in bytes.
-const relayBuffer = 16 << 10
-
 // relayResponse passes the other entry instance's response on to the caller.
 func (c *call) relayResponse(ctx context.Context, response *forward.Response) {
 	c.headerSent = true
@@ -136,22 +129,15 @@
 		c.outcome = Outcome(outcome)
 	}
 	c.out.Begin(response.Status, response.Header)
-	buffer := make([]byte, relayBuffer)
-	for {
-		n, err := response.Read(buffer)
-		if n > 0 && c.out.Write(buffer[:n]) != nil {
-			c.outcome = OutcomeCallerGone
-			c.out.Abort()
-			return
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			c.out.End()
-			return
-		case err != nil:
-			c.handleRelayError(ctx)
-			return
-		}
+	readErr, writeErr := response.CopyTo(c.out.Write)
+	switch {
+	case writeErr != nil:
+		c.outcome = OutcomeCallerGone
+		c.out.Abort()
+	case readErr != nil:
+		c.handleRelayError(ctx)
+	default:
+		c.out.End()
 	}
 }
 
@@ -184,10 +170,8 @@
 		ID:        q.GetRequestId(),
 		Remaining: time.Duration(q.GetDeadlineMilliseconds()) * time.Millisecond,
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	defer cancel(nil)
-	stop := context.AfterFunc(stream.Context(), func() { cancel(ErrCallerGone) })
-	defer stop()
+	ctx, cancel := forward.CallerContext(stream.Context())
+	defer cancel()
 	out := forward.NewResponder(stream)
 	g.Serve(ctx, in, out)
 	return out.Err()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -291,10 +291,13 @@
 // reserveInterval is the time between two tries to reserve a retry: each may consume a fraction of one.
 const reserveInterval = 500 * time.Millisecond
 
+// canResume reports whether the request is for a stream that another endpoint can go on with.
+func (c *call) canResume() bool { return c.route.Kind == serving.KindStream && c.route.Repeatable() }
+
 // startStallDetector cancels an attempt at an endpoint that has stopped sending, if the request can
 // be retried elsewhere. Silence alone never fails a request.
 func (c *call) startStallDetector(cancel context.CancelCauseFunc, active *activeRequest, predicted Prediction) (stop func()) {
-	if c.route.Kind != serving.KindStream || !c.route.Repeatable() || c.attempts+1-c.rejections >= c.route.MaxAttempts {
+	if !c.canResume() || c.attempts+1-c.rejections >= c.route.MaxAttempts {
 		return func() {}
 	}
 	limit := c.stallAfter(predicted)
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -73,21 +73,17 @@
 	view := c.options.View()
 	service := view.Configuration.Services[c.service]
 	limit := c.regionLimit(view.Configuration)
-	lost := c.options.Links.Lost() && !c.hasLiveConnections(now)
+	if c.options.Links.Lost() && !c.hasLiveConnections(now) {
+		return target{}, rejection{cause: causeLinks, retryAfter: defaultRetryAfter, evacuated: evacuatedNames(view), regions: limit.String()}
+	}
 	if service.Engine == nil {
 		endpoints := limit.endpoints(view.Plain[c.service])
-		if lost {
-			endpoints = nil
-		}
 		e, ok := c.options.Balancer.ChoosePlain(endpoints, c.failed, now)
 		if !ok {
 			reason := c.plainRejection(view, endpoints, now)
 			if limit.leavesNone(view.Plain[c.service], c.failed) {
 				reason = rejection{cause: causeRegion, retryAfter: defaultRetryAfter}
 			}
-			if lost {
-				reason = rejection{cause: causeLinks, retryAfter: defaultRetryAfter}
-			}
 			reason.evacuated = evacuatedNames(view)
 			reason.regions = limit.String()
 			return target{}, reason
@@ -96,17 +92,12 @@
 	}
 	pool := directory.Pool{Service: c.service, Model: c.attrs.Model}
 	heads := limit.heads(view.Heads[pool])
-	if lost {
-		heads = nil
-	}
 	choice := c.options.Balancer.ChooseHead(heads, c.sizeFor(pool, now), c.failed, c.attempts > 0, now)
 	if choice.Head != nil {
 		return target{choice.Head.Endpoint, choice.Predicted, choice.Head}, rejection{}
 	}
 	reason := rejection{cause: causeSuspected, retryAfter: defaultRetryAfter, choice: choice}
 	switch {
-	case lost:
-		reason.cause = causeLinks
 	case limit.isSet() && limit.leavesNone(endpointsOf(view.Heads[pool]), c.failed):
 		reason.cause = causeRegion
 	case choice.Groups == 0 && view.Withheld[pool] > 0:
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -31,29 +31,27 @@
 	Close()
 }
 
-const (
-	// maxNeighbours bounds the nodes that one request is passed to.
-	maxNeighbours = 3
-	// neighbourStallAfter is how long a neighbour may send nothing of a stream that can be resumed.
-	// The neighbour itself gives up silent endpoints earlier.
-	neighbourStallAfter = requestStallAfter + 300*time.Millisecond
-)
+// neighbourStallAfter is how long a neighbour may send nothing of a stream that can be resumed. The
+// neighbour itself gives up silent endpoints earlier.
+const neighbourStallAfter = requestStallAfter + 300*time.Millisecond
+
+// mayForward reports whether other nodes are left that the request may be passed to. One that another node
+// passed on is not passed on again.
+func (c *call) mayForward() bool { return c.in.Forwarded == nil && !c.noNeighbour }
 
 // shouldForward reports whether the next attempt is made by another node.
-func (c *call) shouldForward() bool {
-	return c.in.Forwarded == nil && !c.noNeighbour && c.options.Links.Lost()
-}
+func (c *call) shouldForward() bool { return c.mayForward() && c.options.Links.Lost() }
 
 // findsLinksLost reports whether the links turn out to be lost as the request, whose dials have failed, is
 // about to be rejected.
 func (c *call) findsLinksLost(ctx context.Context) bool {
-	return c.dialFailed && c.in.Forwarded == nil && !c.noNeighbour && c.options.Links.Check(ctx)
+	return c.dialFailed && c.mayForward() && c.options.Links.Check(ctx)
 }
 
 // forward passes the request to a neighbour. The result is resultNotRun if none runs it.
 func (c *call) forward(ctx context.Context) result {
 	allowed := c.regionLimit(c.options.View().Configuration).allows
-	for range maxNeighbours {
+	for range forward.MaxNeighbours {
 		n, ok := c.chooser.Choose(c.options.Forwarding.Neighbours(allowed), c.neighboursTried, time.Now())
 		if !ok || c.remaining() < minRemaining {
 			break
@@ -135,11 +133,8 @@
 // startNeighbourStall gives up a neighbour that sends nothing of a stream that can be resumed through
 // another one. The timer is reset with each event.
 func (c *call) startNeighbourStall(cancel context.CancelCauseFunc) *time.Timer {
-	if c.route.Kind != serving.KindStream || !c.route.Repeatable() {
-		return time.AfterFunc(time.Hour, func() {})
-	}
 	return time.AfterFunc(neighbourStallAfter, func() {
-		if c.reserveRetry(time.Now()) {
+		if c.canResume() && c.reserveRetry(time.Now()) {
 			cancel(errStalled)
 		}
 	})
@@ -184,8 +179,7 @@
 // relayForwarded relays a neighbour's response that is no stream of events. It is buffered up to a
 // limit, so that the request can still be retried if the rest does not arrive.
 func (c *call) relayForwarded(ctx context.Context, n forward.Neighbour, response *forward.Response) result {
-	body, err := io.ReadAll(io.LimitReader(response, c.reserveBuffer(-1)))
-	if err != nil {
+	if err := response.Buffer(c.reserveBuffer(-1)); err != nil {
 		return c.handleNeighbourFailure(ctx, n, err)
 	}
 	if c.responseStarted {
@@ -199,37 +193,21 @@
 		c.outcome = outcomeRejected
 	}
 	c.beginForwarded(response)
-	if !c.copyForwarded(ctx, n, body, response) {
-		return resultDone
+	readErr, writeErr := response.CopyTo(c.out.Write)
+	switch {
+	case writeErr != nil:
+		c.outcome = outcomeCallerGone
+		c.out.Abort()
+	case readErr != nil:
+		c.logForwarding(n, "cut off", errors.Join(readErr, context.Cause(ctx)))
+		c.outcome = outcomeIncomplete
+		c.out.Abort()
+	default:
+		c.out.End()
 	}
-	c.out.End()
 	return resultDone
 }
 
-// copyForwarded writes what was read of a neighbour's response and the rest of it. Otherwise it aborts
-// the caller's response and returns false.
-func (c *call) copyForwarded(ctx context.Context, n forward.Neighbour, part []byte, response *forward.Response) bool {
-	buffer := make([]byte, copyBufferSize)
-	for {
-		if len(part) > 0 && c.out.Write(part) != nil {
-			c.outcome = outcomeCallerGone
-			c.out.Abort()
-			return false
-		}
-		size, err := response.Read(buffer)
-		switch {
-		case errors.Is(err, io.EOF):
-			return true
-		case err != nil:
-			c.logForwarding(n, "cut off", errors.Join(err, context.Cause(ctx)))
-			c.outcome = outcomeIncomplete
-			c.out.Abort()
-			return false
-		}
-		part = buffer[:size]
-	}
-}
-
 // beginForwarded begins the caller's response with the head of a neighbour's, which concerns only the
 // connection to the neighbour where it names one.
 func (c *call) beginForwarded(response *forward.Response) {
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/forward"
-	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 )
 
@@ -44,10 +43,8 @@
 		return out.Err()
 	}
 	r.options.Metrics.Inc("requests_run_for_others", nil)
-	serveCtx, cancel := context.WithCancelCause(context.Background())
-	defer cancel(nil)
-	stop := context.AfterFunc(ctx, func() { cancel(httpserver.ErrCallerGone) })
-	defer stop()
+	serveCtx, cancel := forward.CallerContext(ctx)
+	defer cancel()
 	r.Serve(serveCtx, &Request{
 		Method: q.GetMethod(),
 		URI:    q.GetPath(),
