--- a/internal/link/emulated.go
+++ b/internal/link/emulated.go
@@ -108,9 +108,8 @@
 		case now := <-ticker.C:
 			fault, since := c.links.current()
 			if fault == FaultReset || fault == FaultHang && now.Sub(since) > c.links.bounds.SilenceTimeout {
-				_ = c.TCPConn.SetLinger(0)
 				_ = c.TCPConn.SetDeadline(time.Unix(1, 0))
-				_ = c.Close()
+				Reset(c)
 				return
 			}
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -60,6 +60,15 @@
 	return b.Dialer().DialContext
 }
 
+// Reset closes a connection so that its peer sees that it was cut: a response without framing that ends
+// with its connection would look complete otherwise.
+func Reset(conn net.Conn) {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // Listen returns a listener whose accepted connections have the bounds.
 func (b Bounds) Listen(network, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: b.keepAliveConfig(), Control: b.setUserTimeout}
--- a/lab/faultproxy/faultproxy.go
+++ b/lab/faultproxy/faultproxy.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/ridgehinge/ridgehinge/internal/link"
 )
 
 // Fault is the fault of all connections from one source.
@@ -92,7 +94,7 @@
 	}
 	if down {
 		for conn := range p.conns {
-			reset(conn)
+			link.Reset(conn)
 		}
 		err := p.listener.Close()
 		p.listener = nil
@@ -130,7 +132,7 @@
 	p.faults[injected] = struct{}{}
 	for conn, from := range p.conns {
 		if f.Refuse && (source == AnySource || from == source) {
-			reset(conn)
+			link.Reset(conn)
 		}
 	}
 	return func() {
@@ -258,7 +260,7 @@
 			}
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
-			reset(to)
+			link.Reset(to)
 		}
 		if err != nil {
 			return
@@ -266,15 +268,6 @@
 	}
 }
 
-// reset closes a connection so that its peer sees that it was cut: a response without framing that ends
-// with its connection would look complete otherwise.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // applyFault blocks for the delay and then for as long as the direction is
 // stalled.
 func (p *Proxy) applyFault(from net.Conn, source netip.Addr, stalls func(Fault) bool) {
