quarantine, reachability, gossip, entry: derive what was computed twice

No change of behaviour. The fingerprints that block a request were collected as records and then mapped back; the records now come from the fingerprints. A probe prefers addresses without a failed dial by a search instead of a comparison of ones and zeros. A relay's two conditions on which neighbours it names were one. The wait for requests at a stop says what it waits for.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -132,7 +132,7 @@
 		Rates:     rates,
 		Budget:    e.budget,
 		Store:     e.store,
-
+		// The relay is created after the gossiper.
 		RunsForwarded: func() bool { return e.relay.RunsForwarded() },
 		Links:         links,
 		Metrics:       e.metrics,
@@ -436,7 +436,7 @@
 	// their requests could be interrupted by the end of the process.
 	e.relay.Drain()
 	callers := e.servers[len(e.servers)-1]
-	for callers.CloseIdle()+int(e.relay.InFlight()) > 0 && time.Since(start) < e.settings.StopBound-closeTime {
+	for (callers.CloseIdle() > 0 || e.relay.InFlight() > 0) && time.Since(start) < e.settings.StopBound-closeTime {
 		time.Sleep(drainPollInterval)
 	}
 	e.log.Info("stopped", "in_progress", e.relay.InFlight(), "took", time.Since(start))
--- a/internal/gossip/neighbours.go
+++ b/internal/gossip/neighbours.go
@@ -97,24 +97,21 @@
 	}
 	byDataCentre := map[serving.DataCentre][]string{}
 	for address, dc := range g.forwardTargets(now) {
-		isKnownThere := dc == to.dataCentre && dc != g.config.DataCentre
-		if address != to.address && !isKnownThere {
+		// Each relay names the nodes of its own data centre to the others.
+		isTold := to.dataCentre == g.config.DataCentre || dc == g.config.DataCentre
+		if address != to.address && isTold {
 			byDataCentre[dc] = append(byDataCentre[dc], address)
 		}
 	}
 	for dc, addresses := range byDataCentre {
-		if to.dataCentre != g.config.DataCentre && dc != g.config.DataCentre {
-			// Each relay names the nodes of its own data centre to the others.
-			continue
-		}
-		slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(affinityHash(to, a), affinityHash(to, b)) })
+		slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(rendezvousScore(to, a), rendezvousScore(to, b)) })
 		for _, address := range addresses[:min(len(addresses), maxNeighboursNamed)] {
 			m.Neighbours = append(m.Neighbours, &sharepb.Node{Address: address, DataCentre: string(dc)})
 		}
 	}
 }
 
-// affinityHash orders neighbours differently for each peer, and always in the same way for one.
-func affinityHash(to *peer, address string) uint64 {
+// rendezvousScore orders neighbours differently for each peer, and always in the same way for one.
+func rendezvousScore(to *peer, address string) uint64 {
 	return xxh3.HashString(to.address + " " + address)
 }
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -55,8 +55,8 @@
 
 // Detector determines which endpoints crashed, among those at which requests were interrupted. A
 // refused dial is immediate evidence, since a terminated process leaves no listener, provided that
-// other endpoints accept one. Truncated
-// responses, reset connections and unreachable endpoints are not counted as crashes.
+// other endpoints accept one. Truncated responses, reset connections and unreachable endpoints are not
+// counted as crashes.
 type Detector struct {
 	log        logging.Logger
 	quarantine *Quarantine
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -62,15 +62,19 @@
 // holds the lock.
 func (q *Quarantine) blocked(s qlist.Subject) []qlist.Record {
 	var out []qlist.Record
-	for _, f := range s.Fingerprints() {
-		if q.list.Blocks(f) {
-			r, _ := q.list.Get(f)
-			out = append(out, r)
-		}
+	for _, f := range q.blockedFingerprints(s) {
+		r, _ := q.list.Get(f)
+		out = append(out, r)
 	}
 	return out
 }
 
+// blockedFingerprints returns the fingerprints of the records that blocked returns; the caller holds the
+// lock.
+func (q *Quarantine) blockedFingerprints(s qlist.Subject) []qlist.Fingerprint {
+	return slices.DeleteFunc(s.Fingerprints(), func(f qlist.Fingerprint) bool { return !q.list.Blocks(f) })
+}
+
 // BeginAttempt reports whether an allowed request may be sent, and uses up the trial of a
 // quarantined one. It is separate from Allowed so that a request that finds all groups full
 // does not use up the trial without being sent.
@@ -153,16 +157,6 @@
 	}
 }
 
-// blockedFingerprints returns the fingerprints that keep a request from being sent; the caller holds the
-// lock.
-func (q *Quarantine) blockedFingerprints(s qlist.Subject) []qlist.Fingerprint {
-	var out []qlist.Fingerprint
-	for _, r := range q.blocked(s) {
-		out = append(out, r.Fingerprint)
-	}
-	return out
-}
-
 // logBlocked logs that a fingerprint was quarantined, with the source of the last record.
 func (q *Quarantine) logBlocked(r qlist.Record, source string, now time.Time) {
 	q.log.Warn("quarantined a request", "content", r.Fingerprint, "part", r.Part, "ends", len(r.Crashes), "first_age", now.Sub(r.Crashes[0].At), "word", source)
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -59,7 +59,8 @@
 }
 
 // New returns a monitor. addresses returns the addresses of the known endpoints of the own data centre and
-// of the others, dial connects to one and reports the result with RecordDial, and onChange is called when the links are lost or regained.
+// of the others, dial connects to one and reports the result with RecordDial, and onChange is called when
+// the links are lost or regained.
 func New(addresses func() (local, remote []string), dial func(context.Context, string) error, onChange func(lost bool)) *Monitor {
 	return &Monitor{
 		log:       logging.For("reachability"),
@@ -217,15 +218,8 @@
 	if len(addresses) == 0 {
 		return nil
 	}
-	return []string{slices.MinFunc(addresses, func(a, b string) int { return m.failures(a) - m.failures(b) })}
-}
-
-// failures returns 1 for an address whose last dial failed, and 0 otherwise; the caller holds the lock.
-func (m *Monitor) failures(address string) int {
-	if m.links.Failed(address) {
-		return 1
-	}
-	return 0
+	i := slices.IndexFunc(addresses, func(address string) bool { return !m.links.Failed(address) })
+	return []string{addresses[max(0, i)]}
 }
 
 // isDue reports whether there is a reason to probe now; the caller holds the lock.
