directory, gossip: log the age and the source of an endpoint's notice at each node

The logs of a late draining notice could not tell a slow way between nodes from a slow reader: each node logged when it learned of a notice, but not how old it was nor who sent it. Rows that take an endpoint out of service now carry the time since a node first read them, and the lines 'endpoint changed' and 'endpoint removed' have age and source. No decision reads them.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -32,8 +32,10 @@
 // endpointRecord is one endpoint's row merged with later observations.
 type endpointRecord struct {
 	row table.Row
-	// changedVersion is the version of the last row that was more than a heartbeat.
+	// changedVersion is the version of the last row that was more than a heartbeat, and learnedAt
+	// when a node first read that row from the store.
 	changedVersion uint64
+	learnedAt      time.Time
 	// writes is the write count of the current incarnation's last row.
 	writes   uint64
 	endpoint *serving.Endpoint
@@ -182,13 +184,14 @@
 	defer d.mu.Unlock()
 	listed := map[serving.EndpointID]bool{}
 	d.advanceTableVersion(version, now)
-	changed := d.applyRows(rows, now)
+	origin := origin{source: sourceStore, learnedAt: now}
+	changed := d.applyRows(rows, origin, now)
 	for _, row := range rows {
 		listed[serving.EndpointID(row.Key)] = true
 	}
 	for id, record := range d.endpoints {
 		if record.endpoint != nil && !listed[id] && record.row.Version <= version {
-			changed = d.applyRow(table.Row{Key: string(id), Version: version, Removed: true}, now) || changed
+			changed = d.applyRow(table.Row{Key: string(id), Version: version, Removed: true}, origin, now) || changed
 		}
 	}
 	if changed {
@@ -196,23 +199,52 @@
 	}
 }
 
-// ApplyChanges applies the endpoint rows that changed after version since, up to version.
+// ApplyChanges applies the endpoint rows that the store says changed after version since, up to
+// version.
 func (d *Directory) ApplyChanges(rows []table.Row, since, version uint64, now time.Time) {
+	d.Apply(Update{Rows: rows, Since: since, Version: version, Source: sourceStore}, now)
+}
+
+// Update has the endpoint rows that changed after version Since, up to Version.
+type Update struct {
+	Rows    []table.Row
+	Since   uint64
+	Version uint64
+	// Source names the sender in the log.
+	Source string
+	// LearnedAt has when a node first read a row from the store, by key. Rows without an entry
+	// were read just now.
+	LearnedAt map[string]time.Time
+}
+
+// Apply applies an update.
+func (d *Directory) Apply(u Update, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if table.Era(version) < table.Era(d.tableVersion) {
+	if table.Era(u.Version) < table.Era(d.tableVersion) {
 		// The sender has not yet seen the store's newer era.
 		return
 	}
-	if since <= d.tableVersion {
-		d.advanceTableVersion(version, now)
+	if u.Since <= d.tableVersion {
+		d.advanceTableVersion(u.Version, now)
+	}
+	changed := false
+	for _, row := range u.Rows {
+		changed = d.applyRow(row, u.origin(row.Key, now), now) || changed
 	}
-	changed := d.applyRows(rows, now)
 	if changed {
 		d.markStale()
 	}
 }
 
+func (u *Update) origin(key string, now time.Time) origin {
+	learnedAt, ok := u.LearnedAt[key]
+	if !ok {
+		learnedAt = now
+	}
+	return origin{u.Source, learnedAt}
+}
+
 // advanceTableVersion records that the table is known up to a version.
 func (d *Directory) advanceTableVersion(version uint64, now time.Time) {
 	if version > d.tableVersion {
--- a/internal/directory/logs.go
+++ b/internal/directory/logs.go
@@ -44,23 +44,23 @@
 
 // logChanged logs or counts a change of an endpoint; the caller holds d.mu. Every node logs that
 // an endpoint started draining, because only its own line shows from when on it had to stop
-// sending requests there.
-func (d *Directory) logChanged(e *serving.Endpoint, row table.Row) {
+// sending requests there; age is how long before that a node first read it from the store.
+func (d *Directory) logChanged(e *serving.Endpoint, row table.Row, from origin, now time.Time) {
 	if !e.Draining && !d.logsEach(e.DataCentre) {
 		d.unlogged.changed++
 		return
 	}
-	d.log.Info("endpoint changed", "endpoint", row.Key, "version", row.Version, "leaving", e.Draining,
+	d.log.Info("endpoint changed", "endpoint", row.Key, "version", row.Version, "leaving", e.Draining, "age", now.Sub(from.learnedAt), "source", from.source,
 		"model", e.Model, "staged", e.Staged, "domain", e.Domain, "group", e.Membership.Group, "epoch", e.Membership.Epoch, "state", e.Membership.State.String())
 }
 
 // logRemoved logs or counts the removal of an endpoint's row; the caller holds d.mu.
-func (d *Directory) logRemoved(record *endpointRecord, row table.Row) {
+func (d *Directory) logRemoved(record *endpointRecord, row table.Row, from origin, now time.Time) {
 	if !d.logsEach(record.endpoint.DataCentre) {
 		d.unlogged.removed++
 		return
 	}
-	d.log.Info("endpoint removed", "endpoint", row.Key, "version", row.Version)
+	d.log.Info("endpoint removed", "endpoint", row.Key, "version", row.Version, "age", now.Sub(from.learnedAt), "source", from.source)
 }
 
 // logCold logs that an endpoint has become cold, or is no longer; the caller holds d.mu.
--- a/internal/directory/rows.go
+++ b/internal/directory/rows.go
@@ -7,16 +7,25 @@
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
-func (d *Directory) applyRows(rows []table.Row, now time.Time) bool {
+// sourceStore is the source of rows that this node read from the store itself.
+const sourceStore = "store"
+
+// origin is where a row came from, and when a node first read it from the store.
+type origin struct {
+	source    string
+	learnedAt time.Time
+}
+
+func (d *Directory) applyRows(rows []table.Row, from origin, now time.Time) bool {
 	changed := false
 	for _, row := range rows {
-		changed = d.applyRow(row, now) || changed
+		changed = d.applyRow(row, from, now) || changed
 	}
 	return changed
 }
 
 // applyRow applies one row and reports whether the view has to be rebuilt.
-func (d *Directory) applyRow(row table.Row, now time.Time) bool {
+func (d *Directory) applyRow(row table.Row, from origin, now time.Time) bool {
 	id := serving.EndpointID(row.Key)
 	record := d.endpoints[id]
 	if record != nil && row.Version <= record.row.Version {
@@ -29,7 +38,7 @@
 	previous := record.row
 	record.row = row
 	if row.Removed {
-		return d.applyRemoval(record, row, now)
+		return d.applyRemoval(record, row, from, now)
 	}
 	e, err := d.codec.Endpoint(row.Key, row.Value)
 	if err != nil {
@@ -41,13 +50,13 @@
 		record.row.Version = row.Version
 		return false
 	}
-	return d.applyEndpoint(record, &e, row, now)
+	return d.applyEndpoint(record, &e, row, from, now)
 }
 
-func (d *Directory) applyRemoval(record *endpointRecord, row table.Row, now time.Time) bool {
+func (d *Directory) applyRemoval(record *endpointRecord, row table.Row, from origin, now time.Time) bool {
 	wasListed := record.endpoint != nil
 	if wasListed {
-		d.logRemoved(record, row)
+		d.logRemoved(record, row, from, now)
 	}
 	if wasListed && !record.endpoint.Draining {
 		record.lapsed = record.merged()
@@ -55,12 +64,12 @@
 			record.graceUntil = until
 		}
 	}
-	record.changedVersion = row.Version
+	record.changedVersion, record.learnedAt = row.Version, from.learnedAt
 	record.endpoint, record.row.Value, record.removedAt = nil, nil, now
 	return wasListed
 }
 
-func (d *Directory) applyEndpoint(record *endpointRecord, e *serving.Endpoint, row table.Row, now time.Time) bool {
+func (d *Directory) applyEndpoint(record *endpointRecord, e *serving.Endpoint, row table.Row, from origin, now time.Time) bool {
 	before := record.endpoint
 	if before != nil && before.StartedAt == e.StartedAt && e.StartedAt != 0 && before.Draining {
 		// Draining cannot be revoked: a row without it comes from an older copy.
@@ -79,10 +88,10 @@
 		return false
 	}
 	if before == nil || before.Draining != e.Draining || before.Membership != e.Membership {
-		d.logChanged(e, row)
+		d.logChanged(e, row, from, now)
 	}
 	record.endpoint, record.lapsed, record.graceUntil = e, nil, time.Time{}
-	record.changedVersion, record.writes = row.Version, e.Writes
+	record.changedVersion, record.learnedAt, record.writes = row.Version, from.learnedAt, e.Writes
 	if record.startedAt != e.StartedAt {
 		// The row is of an incarnation before the observed one.
 		return true
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -155,7 +155,7 @@
 	rows, covered := g.directory.Changes(p.rows)
 	m.EndpointsVersion, m.RowsSince = covered, p.rows
 	if now.Sub(p.lastHeard) < peerStateTTL && (late || p.rows > 0) {
-		m.Rows = toRows(rows)
+		m.Rows = toRows(rows, g.directory.LeavingLearnedAt, now)
 	} else {
 		// The peer's state is unknown: it may have restarted.
 		m.RowsSince = covered
--- a/internal/gossip/rows.go
+++ b/internal/gossip/rows.go
@@ -7,6 +7,8 @@
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ridgehinge/ridgehinge/internal/clock"
+	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/peers/sharepb"
 	"github.com/ridgehinge/ridgehinge/internal/table"
@@ -64,9 +66,9 @@
 }
 
 // decodeRows returns the rows of a message.
-func decodeRows(m *peers.ShareMessage) ([]table.Row, error) {
+func decodeRows(m *peers.ShareMessage) ([]*sharepb.Row, error) {
 	if len(m.GetCompressedRows()) == 0 {
-		return fromRows(m.GetRows()), nil
+		return m.GetRows(), nil
 	}
 	encoded, err := decompress(m.GetCompressedRows())
 	if err != nil {
@@ -76,7 +78,7 @@
 	if err := proto.Unmarshal(encoded, list); err != nil {
 		return nil, oops.In("peers").Wrapf(err, "decode rows")
 	}
-	return fromRows(list.GetRows()), nil
+	return list.GetRows(), nil
 }
 
 // applyRows applies the rows of a peer's message.
@@ -90,21 +92,33 @@
 		g.log.Error("failed to read a peer's rows; they will be sent again", "peer", m.GetFrom().GetId(), "error", err)
 		return
 	}
-	g.directory.ApplyChanges(rows, m.GetRowsSince(), m.GetEndpointsVersion(), now)
+	update := fromRows(rows, now)
+	update.Since, update.Version, update.Source = m.GetRowsSince(), m.GetEndpointsVersion(), "peer "+m.GetFrom().GetId()
+	g.directory.Apply(update, now)
 }
 
-func toRows(rows []table.Row) []*sharepb.Row {
+// toRows encodes rows. learnedAt returns when a node first read a row that takes an endpoint out of
+// service; other rows are sent without an age.
+func toRows(rows []table.Row, learnedAt func(key string) (at time.Time, ok bool), now time.Time) []*sharepb.Row {
 	out := make([]*sharepb.Row, 0, len(rows))
 	for _, r := range rows {
-		out = append(out, &sharepb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+		row := &sharepb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
+		if at, ok := learnedAt(r.Key); ok {
+			row.AgeMs = clock.AgeMillis(at, now)
+		}
+		out = append(out, row)
 	}
 	return out
 }
 
-func fromRows(rows []*sharepb.Row) []table.Row {
-	out := make([]table.Row, 0, len(rows))
+// fromRows is the reverse of toRows.
+func fromRows(rows []*sharepb.Row, now time.Time) directory.Update {
+	u := directory.Update{Rows: make([]table.Row, 0, len(rows)), LearnedAt: map[string]time.Time{}}
 	for _, r := range rows {
-		out = append(out, table.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved()})
+		u.Rows = append(u.Rows, table.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved()})
+		if age := r.GetAgeMs(); age > 0 {
+			u.LearnedAt[r.GetKey()] = clock.FromAgeMillis(age, now)
+		}
 	}
-	return out
+	return u
 }
--- a/internal/gossip/rows_test.go
+++ b/internal/gossip/rows_test.go
@@ -123,7 +123,7 @@
 	rowsOfMessage := func(m *peers.ShareMessage) []table.Row {
 		rows, err := decodeRows(m)
 		require.NoError(t, err)
-		return rows
+		return fromRows(rows, now).Rows
 	}
 	first := message(100)
 	require.Same(t, &first.CompressedRows[0], &message(100).CompressedRows[0])
