relay: check an endpoint's row again before the first byte of a request

A request that waited for a permit or a connection was sent to the endpoint chosen for it, though its row said meanwhile that it leaves, or was gone: the last check read only what endpoints had said in responses. The check reads the newest view now.

TestBeforeSend_RechecksRowAfterPermit failed before (both cases sent to the endpoint that left). TestServe_InterruptedStreamWaitsForGroup's second view lists its endpoints now, as all views do.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -93,6 +93,9 @@
 		return c.holdBack(hold.String())
 	}
 	view := c.options.View()
+	if listed := view.Endpoints[t.ID]; listed == nil || listed.Draining {
+		return c.holdBack(throttle.HoldDraining.String())
+	}
 	if view.Evacuated[t.DataCentre] {
 		return c.holdBack("evacuation")
 	}
--- a/internal/relay/cooldown_test.go
+++ b/internal/relay/cooldown_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/throttle"
 	"github.com/ridgehinge/ridgehinge/pkg/advisory"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -87,6 +88,38 @@
 	}
 }
 
+// Guards against sending a request to an endpoint whose row told that it leaves, or was removed, while
+// the request waited for a permit or a connection.
+func TestBeforeSend_RechecksRowAfterPermit(t *testing.T) {
+	for name, leave := range map[string]func(view *directory.View, id serving.EndpointID){
+		"draining": func(view *directory.View, id serving.EndpointID) {
+			left := *view.Endpoints[id]
+			left.Draining = true
+			view.Endpoints[id] = &left
+		},
+		"removed": func(view *directory.View, id serving.EndpointID) { delete(view.Endpoints, id) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newEndpoint(t, events(1, 2, endStream)), newEndpoint(t, events(1, 2, endStream))
+			fx := newFixture(t, nil, []*endpoint{a, b})
+			var left *serving.Endpoint
+			fx.useThrottle(throttle.NewTracker(throttle.Options{RequestPermit: func(_ context.Context, e *serving.Endpoint, known advisory.RateLimit) (throttle.Permit, error) {
+				if left == nil {
+					left = e
+					leave(fx.view, e.ID)
+				}
+				return throttle.Permit{Granted: true, Limit: known}, nil
+			}}))
+			fx.setLimit("h0")
+			fx.setLimit("h1")
+			out := fx.serve(request(hostStream))
+			require.Equal(t, http.StatusOK, out.status)
+			require.Len(t, append(a.requests(), b.requests()...), 1)
+			require.NotEqual(t, string(left.ID), append(a.requests(), b.requests()...)[0].Header.Get("To"))
+		})
+	}
+}
+
 // A retry that is held back before its first byte is no failure of the endpoint, and its charge is
 // refunded.
 func TestBeforeSend_RefundsTheRetryBudget(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -539,7 +539,7 @@
 		time.Sleep(100 * time.Millisecond)
 		mu.Lock()
 		defer mu.Unlock()
-		fx.view = &directory.View{Configuration: fx.view.Configuration, Heads: map[directory.Pool][]*directory.Head{pool: both}}
+		fx.view = &directory.View{Configuration: fx.view.Configuration, Endpoints: fx.view.Endpoints, Heads: map[directory.Pool][]*directory.Head{pool: both}}
 	}()
 	out := fx.serve(request(hostStream))
 	require.Equal(t, eventsText(1, 5), out.body.String())
