--- a/internal/gossip/notice_cluster_test.go
+++ b/internal/gossip/notice_cluster_test.go
@@ -121,7 +121,7 @@
 }
 
 func (c *noticeCluster) add(dc serving.DataCentre, controls bool) {
-	n := &noticeNode{directory: directory.New(fleetstandin.Codec())}
+	n := &noticeNode{directory: directory.New(codecWithEvacuations())}
 	server, err := peers.ListenShare("127.0.0.1:0", []byte(noticeClusterKey), link.New(nil), lossyHandler{n})
 	require.NoError(c.t, err)
 	n.server = server
@@ -153,6 +153,15 @@
 	c.nodes = append(c.nodes, n)
 }
 
+// evacuationKey is the key of a row of the configuration table that evacuates the data centre "west".
+const evacuationKey = "evacuate west"
+
+func codecWithEvacuations() directory.Codec {
+	codec := fleetstandin.Codec()
+	codec.Evacuation = func(key string) (serving.DataCentre, bool) { return "west", key == evacuationKey }
+	return codec
+}
+
 func (n *noticeNode) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -247,17 +256,22 @@
 func (c *noticeCluster) drain() (age, spread time.Duration) {
 	written := time.Now()
 	c.writeEndpoint(true)
+	first := c.awaitAll(func(n *noticeNode) bool { return n.endpoint().Draining })
+	c.t.Log("time to the last node:", time.Since(written), "and after the first one:", time.Since(first))
+	return time.Since(written), time.Since(first)
+}
+
+// awaitAll waits until all nodes know a fact, and returns when the first one did.
+func (c *noticeCluster) awaitAll(knows func(n *noticeNode) bool) (first time.Time) {
 	deadline := time.Now().Add(20 * time.Second)
-	var first time.Time
 	unaware := slices.Clone(c.nodes)
 	for len(unaware) > 0 && time.Now().Before(deadline) {
-		unaware = slices.DeleteFunc(unaware, func(n *noticeNode) bool { return n.endpoint().Draining })
+		unaware = slices.DeleteFunc(unaware, knows)
 		if first.IsZero() && len(unaware) < len(c.nodes) {
 			first = time.Now()
 		}
 		time.Sleep(time.Millisecond)
 	}
-	require.Empty(c.t, unaware, "nodes that never learn of the notice")
-	c.t.Log("time to the last node:", time.Since(written), "and after the first one:", time.Since(first))
-	return time.Since(written), time.Since(first)
+	require.Empty(c.t, unaware, "nodes that never learn of the fact")
+	return first
 }
--- a/internal/gossip/notices_test.go
+++ b/internal/gossip/notices_test.go
@@ -5,6 +5,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/standin/fleetstandin"
+	"github.com/ridgehinge/ridgehinge/pkg/advisory"
+	qlist "github.com/ridgehinge/ridgehinge/pkg/quarantine"
+	"github.com/ridgehinge/ridgehinge/pkg/serving"
 )
 
 const (
@@ -50,3 +55,54 @@
 		})
 	}
 }
+
+// Guards against facts that only one node has found, or that only some nodes watch, and that the others learn
+// with the next exchange of loads.
+func TestNotices_CarryAllUrgentFacts(t *testing.T) {
+	c := newNoticeCluster(t, 8)
+	finder := c.nodes[len(c.nodes)-1]
+	inc := serving.Incarnation{ID: "e", StartedAt: 1}
+	content := qlist.FingerprintOf([]byte("a request"))
+	for _, test := range []struct {
+		name  string
+		find  func()
+		knows func(n *noticeNode) bool
+	}{
+		{
+			"rate limit",
+			func() { finder.throttle.SetLimit(inc, 3, time.Now()) },
+			func(n *noticeNode) bool { return n.throttle.RateLimit(inc).PerSecond == 3 },
+		},
+		{
+			"draining mark",
+			func() {
+				finder.throttle.Observe(advisory.Observation{Endpoint: inc, Statement: advisory.Statement{Draining: advisory.Advertised[bool]{Value: true}}}, time.Now())
+			},
+			func(n *noticeNode) bool { return n.endpoint().Draining },
+		},
+		{
+			"crash",
+			func() {
+				finder.quarantine.Merge([]qlist.Record{{Fingerprint: content, Crashes: []qlist.Crash{{Incarnation: 7, At: time.Now()}}}}, "test", time.Now())
+			},
+			func(n *noticeNode) bool { return len(n.quarantine.Record(content).Crashes) == 1 },
+		},
+		{
+			"evacuation",
+			func() { c.write(fleetstandin.ConfigurationTable, evacuationKey, []byte("{}")) },
+			func(n *noticeNode) bool { return n.directory.View().Evacuated["west"] },
+		},
+		{
+			"configuration",
+			func() { c.writeConfiguration(1, 1<<10) },
+			func(n *noticeNode) bool { version, _ := n.directory.Configuration(); return version == 1 },
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.find()
+			first := c.awaitAll(test.knows)
+			t.Log("time from the first node to the last:", time.Since(first))
+			require.Less(t, time.Since(first), noticeSpreadBound)
+		})
+	}
+}
