linkfaults: faults of links for tests leave the daemon

The daemon that is deployed read a setting that makes its links to endpoints fail, which only tests use. Entry instances in tests get another dialer instead, and the soak builds the daemon with the tag faults, which reads the file's name from the environment. The setting link_fault_file is gone.

--- a/cmd/ridgehinged/main.go
+++ b/cmd/ridgehinged/main.go
@@ -98,6 +98,7 @@
 	// Without a handler SIGHUP would terminate the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	injectFaults(s)
 	e, err := entry.Start(s, platform.Adapter())
 	if err != nil {
 		return printError(err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,7 +104,9 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	links := link.Bounds{Source: s.source(), DialTimeout: link.DefaultDialTimeout, SilenceTimeout: s.Silence}
 	endpointLinks := links
-	endpointLinks.FaultFile = s.LinkFaultFile
+	if s.DialEndpoints != nil {
+		endpointLinks.Dial = s.DialEndpoints(links)
+	}
 	incarnation := s.Node + incarnationSeparator + xid.New().String()
 	e := &Entry{
 		settings:    s,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -62,11 +63,15 @@
 	// SuspensionFile emulates a suspended machine in tests, see clock.Emulated. If empty, the
 	// machine's own clock is used.
 	SuspensionFile string
-	// LinkFaultFile emulates lost links to the endpoints in tests, see link.Emulated.
-	LinkFaultFile string
+	// DialEndpoints, if set, dials endpoints in place of the usual dialer with the given bounds. No
+	// settings file has it.
+	DialEndpoints func(bounds link.Bounds) DialFunc
 	Policy        Policy
 }
 
+// DialFunc dials connections.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Bounds and defaults.
 const (
 	minKeyLength       = 16
@@ -135,7 +140,6 @@
 	s.StopBound = timing.Duration("stop_bound", 7*time.Second, 0, time.Hour)
 	s.LogLevel = readLevel(f.Section("log"))
 	s.SuspensionFile = f.Section("tests").String("suspension_file", "")
-	s.LinkFaultFile = f.Section("tests").String("link_fault_file", "")
 	s.Policy = readPolicy(f.Section("policy"))
 	f.Section(interfaceSection).OneOf("kind", "", interfaceKind)
 	if err := f.Err(); err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -32,8 +32,8 @@
 	DialTimeout time.Duration
 	// SilenceTimeout is how long sent data or keep-alive probes may stay unacknowledged.
 	SilenceTimeout time.Duration
-	// FaultFile, if set, names the present fault of the dialed connections in tests, see Emulated.
-	FaultFile string
+	// Dial, if set, dials in place of Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // New returns the default bounds with a local address for outgoing connections, or nil
@@ -54,8 +54,8 @@
 
 // DialFunc returns a function that dials with the bounds.
 func (b Bounds) DialFunc() func(ctx context.Context, network, address string) (net.Conn, error) {
-	if b.FaultFile != "" {
-		return NewEmulated(b.FaultFile, b).DialContext
+	if b.Dial != nil {
+		return b.Dial
 	}
 	return b.Dialer().DialContext
 }
--- a/lab/soak/links.go
+++ b/lab/soak/links.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/ridgehinge/ridgehinge/internal/link"
+	"github.com/ridgehinge/ridgehinge/internal/standin/linkfaults"
 	"github.com/ridgehinge/ridgehinge/platform/emulator"
 )
 
@@ -21,7 +21,7 @@
 	if r.linkRandom.IntN(linkLossEvery) != 0 {
 		return
 	}
-	fault := []string{link.FaultHang, link.FaultReset, link.FaultRefuse}[r.linkRandom.IntN(3)]
+	fault := []string{linkfaults.Hang, linkfaults.Reset, linkfaults.Refuse}[r.linkRandom.IntN(3)]
 	duration := time.Duration(500+r.linkRandom.IntN(4500)) * time.Millisecond
 	first := r.linkRandom.IntN(len(r.entries))
 	affected := []*process{r.entries[first]}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -37,6 +37,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/standin/advisorylog"
 	"github.com/ridgehinge/ridgehinge/internal/standin/crashlog"
 	"github.com/ridgehinge/ridgehinge/internal/standin/limitlog"
+	"github.com/ridgehinge/ridgehinge/internal/standin/linkfaults"
 	"github.com/ridgehinge/ridgehinge/internal/standin/retrylog"
 	"github.com/ridgehinge/ridgehinge/lab/faultproxy"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -46,7 +47,7 @@
 // Options of one run.
 type Options struct {
 	Seed uint64
-	// Daemon is the path of the program under test.
+	// Daemon is the path of the program under test, built with the tag faults.
 	Daemon string
 	// Dir is the directory for settings and logs.
 	Dir string
@@ -219,9 +220,9 @@
 		linkFaultFile: filepath.Join(r.options.Dir, name+".links")}
 	text := fmt.Sprintf("[interface]\nkind = platform\n[node]\nname = %s\ndata_centre = %s\ndata_centres = %s\nfirst_start = true\n"+
 		"[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[peers]\nkey = soak-peer-key-0000\nseeds = %s\n"+
-		"[store]\naddress = %s\n[retries]\nratio = %v\nslack = %v\nwindow = %s\nnodes = %d\n[timing]\nstop_notice = 500ms\nstop_bound = %s\n[log]\nlevel = info\n[tests]\nsuspension_file = %s\nlink_fault_file = %s\n[policy]\n%s",
+		"[store]\naddress = %s\n[retries]\nratio = %v\nslack = %v\nwindow = %s\nnodes = %d\n[timing]\nstop_notice = 500ms\nstop_bound = %s\n[log]\nlevel = info\n[tests]\nsuspension_file = %s\n[policy]\n%s",
 		name, dataCentres[i%len(dataCentres)], strings.Join(dataCentres, ","),
-		addresses[0], addresses[1], addresses[2], addresses[3], strings.Join(seeds, ","), r.platform.Store, retryBudget.Ratio, retryBudget.Slack, retryBudget.Window, 2*r.options.Entries, stopBound, p.suspensionFile, p.linkFaultFile, overloadPolicy)
+		addresses[0], addresses[1], addresses[2], addresses[3], strings.Join(seeds, ","), r.platform.Store, retryBudget.Ratio, retryBudget.Slack, retryBudget.Window, 2*r.options.Entries, stopBound, p.suspensionFile, overloadPolicy)
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, "", err
 	}
@@ -258,6 +259,7 @@
 	defer p.mu.Unlock()
 	command := exec.Command(daemon, "serve", "-settings", p.settingsFile)
 	command.Stdout, command.Stderr = p.logFile, p.logFile
+	command.Env = append(os.Environ(), linkfaults.FileVariable+"="+p.linkFaultFile)
 	if err := command.Start(); err != nil {
 		return err
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -24,7 +24,7 @@
 		panic(err)
 	}
 	daemonPath = filepath.Join(dir, "ridgehinged")
-	args := []string{"build", "-o", daemonPath}
+	args := []string{"build", "-tags", "faults", "-o", daemonPath}
 	if os.Getenv("RIDGEHINGE_RACE") != "" {
 		args = append(args, "-race")
 	}
