notices: suspects of crashed or failing endpoints, and streams that outlast a busy moment

What nodes suspect reached the others with the exchange of loads, up to a second for each hop at the pace of a fleet. Suspects are notices now: a node's own go to its relay, those of several nodes to all. A followed stream may be silent for two seconds: with one, nodes without a processor for a moment opened their streams again and again, which cost more of it. The tests kill relays and readers, and silence streams.

--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -172,6 +172,8 @@
 	heard bool
 	// aggregated has the reports on which several nodes of this data centre agree.
 	aggregated relay.PeerReports
+	// relayedSuspects has the endpoints of aggregated, for notices.
+	relayedSuspects atomic.Pointer[[]string]
 	// ranks has the rank of each other node of this data centre by address, at a relay.
 	ranks      map[string]int
 	controller Controller
@@ -278,11 +280,16 @@
 		Directory:       p.Directory,
 		Throttle:        g.throttle,
 		Quarantine:      g.quarantine,
+		Suspects:        g.suspectsToSend,
+		OnSuspects:      g.applySuspects,
 		Targets:         g.followTargets,
 		OnConfiguration: func(address string, version uint64) { g.announced.add(address, version, time.Now()) },
 	})
 	p.Directory.SetDraining(g.throttle.Draining)
-	p.Balancer.OnSuspect(g.callRelayNow)
+	p.Balancer.OnSuspect(func() {
+		g.notices.Wake()
+		g.callRelayNow()
+	})
 	p.Balancer.SetHold(g.throttle.Hold)
 	g.AddSeeds(c.Seeds)
 	return g
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -37,6 +37,7 @@
 		g.aggregated = relay.PeerReports{}
 	}
 	peerReports := g.aggregated
+	g.publishSuspects(peerReports)
 	ratesAt := g.ratesComputedAt(relays, now)
 	g.mu.Unlock()
 	g.balancer.SetPeerLoads(total.loads)
--- a/internal/gossip/reports.go
+++ b/internal/gossip/reports.go
@@ -1,8 +1,10 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
+	"github.com/ridgehinge/ridgehinge/internal/notices"
 	"github.com/ridgehinge/ridgehinge/internal/peers"
 	"github.com/ridgehinge/ridgehinge/internal/relay"
 	"github.com/ridgehinge/ridgehinge/pkg/serving"
@@ -65,3 +67,57 @@
 	}
 	return r
 }
+
+// publishSuspects makes the endpoints on which several nodes agree available for notices; the caller holds
+// the lock.
+func (g *Gossiper) publishSuspects(r relay.PeerReports) {
+	var ids []string
+	for id := range r.Suspects {
+		ids = append(ids, string(id))
+	}
+	slices.Sort(ids)
+	if before := g.relayedSuspects.Swap(&ids); before == nil || !slices.Equal(*before, ids) {
+		g.notices.Wake()
+	}
+}
+
+// suspectsToSend returns the suspects for notices.
+func (g *Gossiper) suspectsToSend() notices.Suspects {
+	var s notices.Suspects
+	for _, id := range g.balancer.Suspects(time.Now()) {
+		s.Own = append(s.Own, string(id))
+	}
+	slices.Sort(s.Own)
+	if relayed := g.relayedSuspects.Load(); relayed != nil {
+		s.Relayed = *relayed
+	}
+	return s
+}
+
+// applySuspects applies the suspects in a peer's notice.
+func (g *Gossiper) applySuspects(address string, s notices.Suspects) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peers[address]
+	if p == nil {
+		return
+	}
+	if s.Own != nil {
+		p.suspects = toEndpointIDs(s.Own)
+	}
+	if s.Relayed != nil {
+		p.peerReports.Suspects = map[serving.EndpointID]bool{}
+		for _, id := range s.Relayed {
+			p.peerReports.Suspects[serving.EndpointID(id)] = true
+		}
+	}
+	g.dirty = true
+}
+
+func toEndpointIDs(ids []string) []serving.EndpointID {
+	out := make([]serving.EndpointID, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, serving.EndpointID(id))
+	}
+	return out
+}
--- a/internal/notices/message.go
+++ b/internal/notices/message.go
@@ -1,6 +1,7 @@
 package notices
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
@@ -20,6 +21,7 @@
 	quarantine    uint64
 	evacuations   uint64
 	configuration uint64
+	suspects      Suspects
 }
 
 // collect returns what is new since the last message, and whether there is more than one message may have.
@@ -46,9 +48,23 @@
 	if version, _ := o.Directory.Configuration(); version > c.configuration {
 		m.ConfigurationVersion, c.configuration = version, version
 	}
+	x.addSuspects(m, c)
 	return m, more
 }
 
+// addSuspects adds the suspects that have changed. Followed nodes send those that several nodes agree on,
+// followers their own.
+func (x *Exchange) addSuspects(m *sharepb.Notices, c *cursor) {
+	now := x.options.Suspects()
+	if c.follows && !slices.Equal(now.Own, c.suspects.Own) {
+		m.Suspects = &sharepb.EndpointList{Endpoints: now.Own}
+	}
+	if !c.follows && !slices.Equal(now.Relayed, c.suspects.Relayed) {
+		m.RelayedSuspects = &sharepb.EndpointList{Endpoints: now.Relayed}
+	}
+	c.suspects = now
+}
+
 // hello returns the first message of a stream that this node opens.
 func (x *Exchange) hello() *sharepb.Notices {
 	version, _ := x.options.Directory.TableVersion()
@@ -68,7 +84,8 @@
 
 // isEmpty reports whether a message has nothing but the age of the sender's knowledge.
 func isEmpty(m *sharepb.Notices) bool {
-	return len(m.Rows)+len(m.Advisories)+len(m.Quarantine) == 0 && m.Evacuations == nil && m.ConfigurationVersion == 0
+	return len(m.Rows)+len(m.Advisories)+len(m.Quarantine) == 0 && m.Evacuations == nil && m.ConfigurationVersion == 0 &&
+		m.Suspects == nil && m.RelayedSuspects == nil
 }
 
 // apply applies a message; address is that of a followed node that sent it, empty for others.
@@ -90,4 +107,15 @@
 	if version, _ := o.Directory.Configuration(); address != "" && m.GetConfigurationVersion() > version {
 		o.OnConfiguration(address, m.GetConfigurationVersion())
 	}
+	if m.GetSuspects() != nil || m.GetRelayedSuspects() != nil {
+		o.OnSuspects(m.GetFrom().GetAddress(), Suspects{listed(m.GetSuspects()), listed(m.GetRelayedSuspects())})
+	}
+}
+
+// listed returns the endpoints of a list, nil if there is no list.
+func listed(l *sharepb.EndpointList) []string {
+	if l == nil {
+		return nil
+	}
+	return append([]string{}, l.GetEndpoints()...)
 }
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -30,8 +30,9 @@
 	// minSendInterval is the time between two messages on a stream, so that a burst of notices takes
 	// few of them.
 	minSendInterval = 10 * time.Millisecond
-	// silenceTimeout is how long a followed stream may be silent before it is opened again.
-	silenceTimeout = time.Second
+	// silenceTimeout is how long a followed stream may be silent before it is opened again. Nodes that
+	// get no processor for a while are silent as well; meanwhile the other stream serves.
+	silenceTimeout = 2 * time.Second
 	// followInterval is the time between two looks at which nodes to follow.
 	followInterval = 100 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the time before a lost stream is opened again.
@@ -51,12 +52,22 @@
 	Directory  *directory.Directory
 	Throttle   *throttle.Tracker
 	Quarantine *quarantine.Quarantine
+	// Suspects returns the endpoints that this node suspects, and those that several nodes of the data
+	// centre do, both sorted. OnSuspects is called with those of another node; nil means unchanged.
+	Suspects   func() Suspects
+	OnSuspects func(address string, s Suspects)
 	// Targets returns the addresses of the nodes to follow now.
 	Targets func() []string
 	// OnConfiguration is called when a followed node has a newer configuration than this one.
 	OnConfiguration func(address string, version uint64)
 }
 
+// Suspects are endpoints that nodes find silent or failing.
+type Suspects struct {
+	Own     []string
+	Relayed []string
+}
+
 // Exchange keeps the streams of one node. Start it with Run.
 type Exchange struct {
 	options Options
