lease: acquire at once after an own write that got no response

A write of the lease that the table applied and whose response was lost left a row that names this node. The next write conflicted, the row was read, and counted as another holder's until it expired: the data centre had no controller for a TTL, each time anew. The machine remembers the row of its unanswered write; if the table has it, nobody else holds the lease.

TestMachine_ReacquiresAfterUnansweredAcquisition failed before (no action). Found by reading on the search for the cause of TestController_ThawedAfterLeaseExpiry; not shown to be that.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -85,6 +85,10 @@
 	rowKnown     bool
 	// maxEpoch is the highest epoch that is known to have been in use.
 	maxEpoch uint64
+	// writing is the row of the write in flight, and unanswered that of the last write that got no
+	// response. They are zero if there is none.
+	writing    Row
+	unanswered Row
 	// abandoned is set after Abandon until this incarnation acquires the lease again.
 	abandoned bool
 }
@@ -146,11 +150,13 @@
 		m.nextActionAt = now.Add(m.options.RenewInterval)
 		row := m.row
 		row.Renewals++
+		m.writing = row
 		return Action{Kind: ActionRenew, Row: row, Version: m.version}
 	}
 	if m.hasExpired(now) {
 		m.nextActionAt = now.Add(m.options.RenewInterval)
 		row := Row{Epoch: max(m.row.Epoch, m.maxEpoch) + 1, Holder: m.options.Self, Address: m.options.Address}
+		m.writing = row
 		return Action{Kind: ActionAcquire, Row: row, Version: m.version}
 	}
 	return Action{Kind: ActionRead}
@@ -161,8 +167,12 @@
 }
 
 // isFree reports whether the lease can be acquired without waiting for it to expire, for
-// instance because its holder is a terminated incarnation of this node.
+// instance because its holder is a terminated incarnation of this node, or because this node wrote the
+// row but got no response.
 func (m *Machine) isFree() bool {
+	if m.row == m.unanswered && m.heldUntil.IsZero() && m.unanswered != (Row{}) {
+		return true
+	}
 	if m.row.Released || m.version == 0 || m.abandoned && m.row.Holder == m.options.Self {
 		return true
 	}
@@ -216,6 +226,7 @@
 func (m *Machine) WriteDone(requestedAt time.Time, row Row, version uint64, committed bool) {
 	m.inFlight = false
 	m.unavailable = false
+	m.writing = Row{}
 	if !committed {
 		m.rowKnown = false
 		m.heldUntil = time.Time{}
@@ -225,6 +236,7 @@
 	m.row = row
 	m.version = version
 	m.changedAt = requestedAt
+	m.unanswered = Row{}
 	m.abandoned = false
 	m.ObserveEpoch(row.Epoch)
 	m.heldUntil = requestedAt.Add(m.options.TTL - m.options.Guard)
@@ -238,6 +250,9 @@
 func (m *Machine) StoreUnavailable() {
 	m.inFlight = false
 	m.unavailable = true
+	if m.writing != (Row{}) {
+		m.unanswered, m.writing = m.writing, Row{}
+	}
 }
 
 // Release returns the write that releases the lease, if it is held.
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -256,3 +256,23 @@
 		})
 	}
 }
+
+// Guards against a data centre without a controller for a TTL, because the row of an acquisition that got
+// no response is taken for that of another holder.
+func TestMachine_ReacquiresAfterUnansweredAcquisition(t *testing.T) {
+	m := newMachine("b")
+	m.Next(start)
+	m.ReadDone(start, Row{Epoch: 3, Holder: "a"}, 7)
+	action := m.Next(at(ttl + time.Second))
+	require.Equal(t, ActionAcquire, action.Kind)
+	m.StoreUnavailable()
+	// The table applied the write, so the next one conflicts.
+	second := m.Next(at(ttl + 2*time.Second))
+	require.Equal(t, ActionAcquire, second.Kind)
+	require.Equal(t, action.Row, second.Row)
+	m.WriteDone(at(ttl+2*time.Second), second.Row, 0, false)
+	require.Equal(t, ActionRead, m.Next(at(ttl+2*time.Second)).Kind)
+	m.ReadDone(at(ttl+2*time.Second), action.Row, 8)
+	third := m.Next(at(ttl + 2*time.Second))
+	require.Equal(t, Action{Kind: ActionAcquire, Row: Row{Epoch: 5, Holder: "b"}, Version: 8}, third)
+}
