gossip: send no rows before the table of endpoints is known

A node that had just started and got sixteen notices or more before the table crashed as it built its next message: its rows led to no version ('assignment to entry in nil map' in the cache of compressed rows). Before notices, no node had rows without a version. TestBuildMessage_NoticesBeforeTable panicked before.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -154,7 +154,8 @@
 	late := g.mayNeedRows(p) && p.lacksRows(now)
 	rows, covered := g.directory.Changes(p.rows)
 	m.EndpointsVersion, m.RowsSince = covered, p.rows
-	if now.Sub(p.lastHeard) < peerStateTTL && (late || p.rows > 0) {
+	// A node that knows notices alone has rows, but no version that they lead to.
+	if covered > 0 && now.Sub(p.lastHeard) < peerStateTTL && (late || p.rows > 0) {
 		m.Rows = sharecodec.ToRows(rows, g.directory.LeavingLearnedAt, now)
 	} else {
 		// The peer's state is unknown: it may have restarted.
--- a/internal/gossip/rows_test.go
+++ b/internal/gossip/rows_test.go
@@ -73,6 +73,18 @@
 	require.EqualValues(t, endpointsOfFleet, version)
 }
 
+// Guards against a crash of a node that has got notices, but not the table of endpoints yet.
+func TestBuildMessage_NoticesBeforeTable(t *testing.T) {
+	now := time.Now()
+	g := newRowsGossiper(now)
+	g.directory.ApplyNotices(directory.Update{Rows: endpointRows(2 * minCompressedRows), Source: "peer"}, now, now)
+	p := &peer{id: "n/1", address: "10.0.0.1:1", dataCentre: g.config.DataCentre, lastHeard: now, hasSent: true, readsCompressedRows: true, rows: 1}
+	m := g.buildMessage(p)
+	require.Empty(t, m.GetRows())
+	require.Empty(t, m.GetCompressedRows())
+	require.Zero(t, m.GetEndpointsVersion())
+}
+
 // A node of an earlier version knows nothing of compressed rows, and would take the table for known
 // up to a version whose rows it never got.
 func TestBuildMessage_SendsPlainRowsToEarlierVersions(t *testing.T) {
