directory: notices wait for the table of endpoints

A starting node that got notices before the table listed the endpoints that leave and no others: it called itself ready, and rejected its callers for want of an endpoint. Notices are kept until the table is known, and applied after it, so that an older table does not hide them.

TestApplyNotices_WaitForTable failed before. Found by reading, on the trace of the crash before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -101,6 +101,8 @@
 	// noticesKnownAt is the time as of which the notices of the table are known.
 	noticesKnownAt time.Time
 	onNotice       func()
+	// earlyNotices has the notices that arrived before the table.
+	earlyNotices []Update
 	// observations counts this node's own observations.
 	observations uint64
 	// logsEachChange reports whether each endpoint change in a data centre is logged; nil means in
@@ -204,6 +206,7 @@
 	if changed {
 		d.markStale()
 	}
+	d.applyEarlyNotices(now)
 }
 
 // ApplyChanges applies the endpoint rows that the store says changed after version since, up to
@@ -242,6 +245,7 @@
 	if changed {
 		d.markStale()
 	}
+	d.applyEarlyNotices(now)
 }
 
 func (u *Update) origin(key string, now time.Time) origin {
--- a/internal/directory/notices.go
+++ b/internal/directory/notices.go
@@ -78,6 +78,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordKnown(knownAt, now)
+	if len(u.Rows) == 0 {
+		return
+	}
+	if d.tableVersion == 0 {
+		// Endpoints that leave, and no others, would look like the whole table.
+		d.earlyNotices = append(d.earlyNotices, u)
+		return
+	}
+	d.applyNotices(u, now)
+}
+
+// applyNotices applies notices to a known table; the caller holds d.mu.
+func (d *Directory) applyNotices(u Update, now time.Time) {
 	changed := false
 	for _, row := range u.Rows {
 		if table.Era(row.Version) >= table.Era(d.tableVersion) {
@@ -89,6 +102,17 @@
 	}
 }
 
+// applyEarlyNotices applies the notices that arrived before the table was known; the caller holds d.mu.
+func (d *Directory) applyEarlyNotices(now time.Time) {
+	if d.tableVersion == 0 {
+		return
+	}
+	for _, u := range d.earlyNotices {
+		d.applyNotices(u, now)
+	}
+	d.earlyNotices = nil
+}
+
 // RecordRead records a complete read of the endpoint table, or of its changes, that started at a time.
 func (d *Directory) RecordRead(startedAt, now time.Time) {
 	d.mu.Lock()
--- a/internal/directory/notices_test.go
+++ b/internal/directory/notices_test.go
@@ -138,3 +138,28 @@
 	nt.d.Refresh(nt.now)
 	require.Equal(t, []string{"e"}, nt.keys(0, false))
 }
+
+// Guards against a starting node that takes the endpoints which leave for the whole table, and against one
+// that forgets them when an older table arrives.
+func TestApplyNotices_WaitForTable(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		table func(nt *noticeTest, older table.Row)
+	}{
+		{"read", func(nt *noticeTest, older table.Row) {
+			nt.d.ApplySnapshot([]table.Row{older}, older.Version, nt.now)
+		}},
+		{"from a peer", func(nt *noticeTest, older table.Row) {
+			nt.d.Apply(Update{Rows: []table.Row{older}, Version: older.Version, Source: "peer"}, nt.now)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			nt := newNoticeTest(t)
+			older := nt.row(false, false)
+			nt.d.ApplyNotices(Update{Rows: []table.Row{nt.row(true, false)}, Source: "peer"}, nt.now, nt.now)
+			require.Empty(t, nt.d.View().Endpoints)
+			test.table(nt, older)
+			require.True(t, nt.d.View().Endpoints["e"].Draining)
+		})
+	}
+}
