notices: heartbeats look at what has changed alone

Each heartbeat of each stream went through all loads and advisories, 400 times a second at a relay of a hundred nodes before thousands of endpoints.

--- a/internal/directory/notices.go
+++ b/internal/directory/notices.go
@@ -46,6 +46,9 @@
 func (d *Directory) Notices(after uint64, ownOnly bool) (rows []table.Row, last uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.noticeNumber == after {
+		return nil, after
+	}
 	seen := map[serving.EndpointID]bool{}
 	for i := len(d.notices) - 1; i >= 0 && d.notices[i].number > after; i-- {
 		n := d.notices[i]
--- a/internal/gossip/reports.go
+++ b/internal/gossip/reports.go
@@ -81,17 +81,22 @@
 	}
 }
 
-// suspectsToSend returns the suspects for notices.
-func (g *Gossiper) suspectsToSend() notices.Suspects {
-	var s notices.Suspects
+// ownSuspects returns the endpoints that this node suspects, sorted.
+func (g *Gossiper) ownSuspects() []string {
+	var ids []string
 	for _, id := range g.balancer.Suspects(time.Now()) {
-		s.Own = append(s.Own, string(id))
+		ids = append(ids, string(id))
 	}
-	slices.Sort(s.Own)
-	if relayed := g.relayedSuspects.Load(); relayed != nil {
-		s.Relayed = *relayed
+	slices.Sort(ids)
+	return ids
+}
+
+// relayedSuspectsNow returns the endpoints that publishSuspects published last.
+func (g *Gossiper) relayedSuspectsNow() []string {
+	if ids := g.relayedSuspects.Load(); ids != nil {
+		return *ids
 	}
-	return s
+	return nil
 }
 
 // applySuspects applies the suspects in a peer's notice.
--- a/internal/notices/message.go
+++ b/internal/notices/message.go
@@ -21,7 +21,8 @@
 	quarantine    uint64
 	evacuations   uint64
 	configuration uint64
-	suspects      Suspects
+	// suspects are the endpoints of the last list: a follower's own, or those that a followed node relays.
+	suspects []string
 }
 
 // collect returns what is new since the last message, and whether there is more than one message may have.
@@ -55,14 +56,13 @@
 // addSuspects adds the suspects that have changed. Followed nodes send those that several nodes agree on,
 // followers their own.
 func (x *Exchange) addSuspects(m *sharepb.Notices, c *cursor) {
-	now := x.options.Suspects()
-	if c.follows && !slices.Equal(now.Own, c.suspects.Own) {
-		m.Suspects = &sharepb.EndpointList{Endpoints: now.Own}
+	source, list := x.options.RelayedSuspects, &m.RelayedSuspects
+	if c.follows {
+		source, list = x.options.OwnSuspects, &m.Suspects
 	}
-	if !c.follows && !slices.Equal(now.Relayed, c.suspects.Relayed) {
-		m.RelayedSuspects = &sharepb.EndpointList{Endpoints: now.Relayed}
+	if suspects := source(); !slices.Equal(suspects, c.suspects) {
+		*list, c.suspects = &sharepb.EndpointList{Endpoints: suspects}, suspects
 	}
-	c.suspects = now
 }
 
 // hello returns the first message of a stream that this node opens.
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -52,17 +52,18 @@
 	Directory  *directory.Directory
 	Throttle   *throttle.Tracker
 	Quarantine *quarantine.Quarantine
-	// Suspects returns the endpoints that this node suspects, and those that several nodes of the data
-	// centre do, both sorted. OnSuspects is called with those of another node; nil means unchanged.
-	Suspects   func() Suspects
-	OnSuspects func(address string, s Suspects)
+	// OwnSuspects returns the endpoints that this node suspects, RelayedSuspects those that several nodes
+	// of the data centre do, both sorted. OnSuspects is called with those of another node.
+	OwnSuspects     func() []string
+	RelayedSuspects func() []string
+	OnSuspects      func(address string, s Suspects)
 	// Targets returns the addresses of the nodes to follow now.
 	Targets func() []string
 	// OnConfiguration is called when a followed node has a newer configuration than this one.
 	OnConfiguration func(address string, version uint64)
 }
 
-// Suspects are endpoints that nodes find silent or failing.
+// Suspects are endpoints that nodes find silent or failing; nil means that they have not changed.
 type Suspects struct {
 	Own     []string
 	Relayed []string
--- a/pkg/advisory/registry.go
+++ b/pkg/advisory/registry.go
@@ -125,6 +125,9 @@
 // Changes returns up to limit records that changed after a version, oldest change first, and the
 // version that they cover.
 func (r *Registry) Changes(since uint64, limit int) ([]Record, uint64) {
+	if since >= r.version {
+		return nil, r.version
+	}
 	var out []Record
 	for inc, e := range r.records {
 		if e.version > since {
