gossip: a controller without other readers reads the table at the full rate

A controller that was cut off from the other data centres read the endpoint table once in 1.1 s and not each 0.3 s: its own read, of which its nodes told it, looked like that of another reader. What peers know counts only if it is newer than this node's own read. TestReadsEndpoints_OwnReadsAreNoOthers failed before. Found by reading.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -100,7 +100,11 @@
 	noticeNumber uint64
 	// noticesKnownAt is the time as of which the notices of the table are known.
 	noticesKnownAt time.Time
-	onNotice       func()
+	// readAt is when the last read of this node started, and peersKnownAt the same as noticesKnownAt for
+	// what peers know beyond that.
+	readAt       time.Time
+	peersKnownAt time.Time
+	onNotice     func()
 	// earlyNotices has the notices that arrived before the table.
 	earlyNotices []Update
 	// observations counts this node's own observations.
--- a/internal/directory/notices.go
+++ b/internal/directory/notices.go
@@ -13,6 +13,10 @@
 // noticeTTL is how long a notice is kept for streams that have not sent it yet.
 const noticeTTL = 10 * time.Second
 
+// echoMargin is how much newer than this node's own read what a peer knows must be to count as the read of
+// another node: peers tell this node of its own reads too, whose age lacks the time on the way.
+const echoMargin = 150 * time.Millisecond
+
 // notice is an entry of the log of notices.
 type notice struct {
 	number     uint64
@@ -81,6 +85,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordKnown(knownAt, now)
+	if knownAt.After(d.readAt.Add(echoMargin)) && knownAt.After(d.peersKnownAt) {
+		d.peersKnownAt = knownAt
+	}
 	if len(u.Rows) == 0 {
 		return
 	}
@@ -121,6 +128,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordKnown(startedAt, now)
+	d.readAt = startedAt
 }
 
 // recordKnown records that the notices of the table are known as of a time; the caller holds d.mu.
@@ -147,6 +155,14 @@
 	return d.noticesKnownAt
 }
 
+// PeersKnownAt returns the time as of which peers know the notices of the table, if they know more than this
+// node has read itself. It does not advance while only this node reads.
+func (d *Directory) PeersKnownAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.peersKnownAt
+}
+
 // LeavingLearnedAt returns when a node first read the row that takes an endpoint out of service; ok
 // is false if no such row is known.
 func (d *Directory) LeavingLearnedAt(key string) (at time.Time, ok bool) {
--- a/internal/directory/suspension.go
+++ b/internal/directory/suspension.go
@@ -12,7 +12,7 @@
 func (d *Directory) HandleSuspension(duration time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, at := range []*time.Time{&d.configurationResponseAt, &d.tableVersionAt, &d.resumedAt, &d.noticesKnownAt} {
+	for _, at := range []*time.Time{&d.configurationResponseAt, &d.tableVersionAt, &d.resumedAt, &d.noticesKnownAt, &d.readAt, &d.peersKnownAt} {
 		clock.Backdate(at, duration)
 	}
 	d.evacuations.Backdate(duration)
--- a/internal/gossip/gossiper_test.go
+++ b/internal/gossip/gossiper_test.go
@@ -164,18 +164,40 @@
 	s.config.DataCentre = "dc1"
 	reader := s.peers["10.0.0.3:1"]
 	reader.controls, reader.epoch = true, 1
-	s.directory.RecordRead(now, now)
+	s.directory.ApplyNotices(directory.Update{}, now, now)
 	require.False(t, s.readsEndpoints(now.Add(400*time.Millisecond)))
 	for _, p := range s.peers {
 		p.lastHeard = now.Add(2 * time.Second)
 	}
 	require.True(t, s.readsEndpoints(now.Add(2*time.Second)), "it is alive but sends no notices")
-	s.directory.RecordRead(now.Add(2*time.Second), now.Add(2*time.Second))
+	s.directory.ApplyNotices(directory.Update{}, now.Add(2*time.Second), now.Add(2*time.Second))
 	require.False(t, s.readsEndpoints(now.Add(2*time.Second)))
 	reader.controls = false
 	require.True(t, s.readsEndpoints(now.Add(2*time.Second)), "there is no other controller")
 }
 
+// Guards against a controller without other readers that reads only once a second, because its own reads, of
+// which its nodes tell it, look like those of others.
+func TestReadsEndpoints_OwnReadsAreNoOthers(t *testing.T) {
+	now := time.Now()
+	s := newTestGossiper(now)
+	s.config.DataCentre = "dc1"
+	reader := s.peers["10.0.0.3:1"]
+	reader.controls, reader.epoch = true, 1
+	s.directory.ApplyNotices(directory.Update{}, now, now)
+	now = now.Add(1100 * time.Millisecond)
+	for range 10 {
+		for _, p := range s.peers {
+			p.lastHeard = now
+		}
+		require.True(t, s.readsEndpoints(now))
+		s.directory.RecordRead(now, now)
+		echoedAt := now.Add(20 * time.Millisecond)
+		s.directory.ApplyNotices(directory.Update{}, echoedAt, echoedAt)
+		now = now.Add(300 * time.Millisecond)
+	}
+}
+
 func TestAggregateReports_RequiresTwoReporters(t *testing.T) {
 	now := time.Now()
 	s := newTestGossiper(now)
--- a/internal/gossip/role.go
+++ b/internal/gossip/role.go
@@ -33,8 +33,8 @@
 	// maxStoreCallInterval is the longest usual time between a relay's calls to the store; a
 	// controller renews its lease more often.
 	maxStoreCallInterval = 700 * time.Millisecond
-	// readerSilence is how old the notices that a controller knows may be before it reads the endpoint
-	// table itself. They are usually as old as the interval between two reads and a heartbeat.
+	// readerSilence is how old the notices that others have read may be before a controller reads the
+	// endpoint table itself. They are usually as old as the interval between two reads and a heartbeat.
 	readerSilence = time.Second
 	// lateNotices is the same for other nodes, which hear of a read one heartbeat later.
 	lateNotices = 1200 * time.Millisecond
@@ -98,7 +98,7 @@
 // rate; the caller holds the lock. Since calls to the store are billed, only the live controller
 // of the first data centre by name does. If its notices stop arriving, all others read as well.
 func (g *Gossiper) readsEndpoints(now time.Time) bool {
-	return now.Sub(g.directory.NoticesKnownAt()) > readerSilence || g.isFirstDataCentre(now)
+	return now.Sub(g.directory.PeersKnownAt()) > readerSilence || g.isFirstDataCentre(now)
 }
 
 // noticesLate reports whether this node has to read the endpoint table because notices are late. A node
