--- a/internal/gossip/gossiper.go
+++ b/internal/gossip/gossiper.go
@@ -172,8 +172,8 @@
 	heard bool
 	// aggregated has the reports on which several nodes of this data centre agree.
 	aggregated relay.PeerReports
-	// relayedSuspects has the endpoints of aggregated, for notices.
-	relayedSuspects atomic.Pointer[[]string]
+	// publishedSuspects has the endpoints of aggregated, for notices.
+	publishedSuspects atomic.Pointer[[]string]
 	// ranks has the rank of each other node of this data centre by address, at a relay.
 	ranks      map[string]int
 	controller Controller
@@ -281,7 +281,7 @@
 		Throttle:        g.throttle,
 		Quarantine:      g.quarantine,
 		OwnSuspects:     g.ownSuspects,
-		RelayedSuspects: g.relayedSuspectsNow,
+		RelayedSuspects: g.relayedSuspects,
 		OnSuspects:      g.applySuspects,
 		Targets:         g.followTargets,
 		OnConfiguration: func(address string, version uint64) { g.announced.add(address, version, time.Now()) },
--- a/internal/gossip/reports.go
+++ b/internal/gossip/reports.go
@@ -76,7 +76,7 @@
 		ids = append(ids, string(id))
 	}
 	slices.Sort(ids)
-	if before := g.relayedSuspects.Swap(&ids); before == nil || !slices.Equal(*before, ids) {
+	if before := g.publishedSuspects.Swap(&ids); before == nil || !slices.Equal(*before, ids) {
 		g.notices.Wake()
 	}
 }
@@ -91,9 +91,9 @@
 	return ids
 }
 
-// relayedSuspectsNow returns the endpoints that publishSuspects published last.
-func (g *Gossiper) relayedSuspectsNow() []string {
-	if ids := g.relayedSuspects.Load(); ids != nil {
+// relayedSuspects returns the endpoints that publishSuspects published last.
+func (g *Gossiper) relayedSuspects() []string {
+	if ids := g.publishedSuspects.Load(); ids != nil {
 		return *ids
 	}
 	return nil
