peers: end the handshake of a dial with its context

A dial of a frozen peer, which accepts connections and says nothing, lasted two seconds whatever its context said. A node that stopped meanwhile waited for it beyond its bound, and a call with a deadline of 0.8 s took 2.8 s. The streams of notices made it more frequent, since they are opened again all the time. Closing the connection when the context ends is enough, for all callers of dial.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -187,7 +187,13 @@
 	if err != nil {
 		return nil, wrapUnreachable(err)
 	}
-	if err := handshakeClient(raw, c.key); err != nil {
+	// A frozen peer accepts connections and says nothing.
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	err = handshakeClient(raw, c.key)
+	if !stop() {
+		err = errors.Join(err, ctx.Err())
+	}
+	if err != nil {
 		_ = raw.Close()
 		return nil, wrapUnreachable(err)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -87,3 +88,19 @@
 	_, err = c.Forward(context.Background(), s.Address(), &forwardpb.Request{})
 	assert.ErrorIs(t, err, ErrUnreachable, "a request must not be sent to a peer without the key")
 }
+
+// Guards against a node that cannot stop in time, or a call that outlasts its deadline, because a frozen peer
+// accepts connections and says nothing.
+func TestDial_HandshakeEndsWithContext(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	c := NewClient(key, link.New(nil))
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_, err = c.Follow(ctx, silent.Addr().String())
+	require.ErrorIs(t, err, ErrUnreachable)
+	require.Less(t, time.Since(start), handshakeTimeout/2)
+}
