--- a/internal/notices/stream.go
+++ b/internal/notices/stream.go
@@ -74,7 +74,6 @@
 	if err != nil {
 		return err
 	}
-	x.apply(hello, "", time.Now())
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	received := make(chan error, 1)
