--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -36,6 +36,7 @@
 
 // cases has the cases by name. trouble is false for the control run, which lacks the disruption.
 var cases = map[string]func(e *environment, trouble bool) (verdict, error){
+	"framing": caseFraming,
 	"splice":  caseSplice,
 	"silence": caseSilence,
 }
