--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -37,6 +37,7 @@
 // cases has the cases by name. trouble is false for the control run, which lacks the disruption.
 var cases = map[string]func(e *environment, trouble bool) (verdict, error){
 	"framing": caseFraming,
+	"status":  caseStatus,
 	"splice":  caseSplice,
 	"silence": caseSilence,
 }
