relay: log what marked the end of a stream, and ids that skip

Callers saw streams that lacked a piece or ended early, and no log line tells the hypotheses apart: an end that nothing marks, a piece lost on the way, or two attempts spliced. Streams that end with their connection only and ids that skip have a line and a counter each; attempts that run beside each other already had theirs ("given up"). No decision changes.

--- a/internal/continuation/continuation.go
+++ b/internal/continuation/continuation.go
@@ -86,3 +86,17 @@
 	}
 	return a > b
 }
+
+// Skips reports whether ids are left out between an event and the one before it, or before the first one of a
+// stream. Streams may be numbered in steps, so this alone is no error.
+func Skips(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	if last == "" {
+		return n > 1
+	}
+	before, err := strconv.ParseUint(last, 10, 64)
+	return err == nil && n > before+1
+}
--- a/internal/relay/endpoint_source.go
+++ b/internal/relay/endpoint_source.go
@@ -66,6 +66,8 @@
 	}
 }
 
+func (s *endpointSource) name() string { return string(s.t.ID) }
+
 func (s *endpointSource) judge(a *streamAttempt, err error) (responseKind, result) {
 	a.counted, s.judged = true, true
 	s.mayRetry = errors.Is(err, errNoPermit)
--- a/internal/relay/neighbour_source.go
+++ b/internal/relay/neighbour_source.go
@@ -62,6 +62,8 @@
 	}
 }
 
+func (s *neighbourSource) name() string { return s.n.Address }
+
 func (s *neighbourSource) judge(a *streamAttempt, err error) (responseKind, result) {
 	a.counted = true
 	s.lastReceived = time.Now()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/continuation"
@@ -106,6 +107,7 @@
 func (r *streamRelay) handleEvent(a *streamAttempt, e event, err error) result {
 	if errors.Is(err, io.EOF) && a.position.EndsWith(a.received, a.isDelimited()) {
 		r.keepOnly(a)
+		r.logEnd(a)
 		a.relayEnd()
 		return resultDone
 	}
@@ -119,6 +121,9 @@
 		a.recordInvalid(err)
 		return r.end(a, resultIncomplete)
 	}
+	if continuation.Skips(e.id, r.lastEvent) {
+		r.logSkip(a, e.id)
+	}
 	r.keepOnly(a)
 	a.received++
 	if !a.relay(a, e, now) {
@@ -131,6 +136,21 @@
 	return resultIncomplete
 }
 
+// logEnd records what marked the end of a stream. One that ends with its connection only may have been cut off between
+// two events.
+func (r *streamRelay) logEnd(a *streamAttempt) {
+	r.options.Metrics.Inc("stream_ends", map[string]string{"marked": strconv.FormatBool(a.isDelimited())})
+	if !a.isDelimited() {
+		r.log.Info("a stream has ended with its connection only", "request", r.attrs.ID, "source", a.name(), "received", a.received, "last", r.lastEvent, "sends", r.attempts)
+	}
+}
+
+// logSkip records that ids are left out before an event.
+func (r *streamRelay) logSkip(a *streamAttempt, id string) {
+	r.options.Metrics.Inc("stream_skips", nil)
+	r.log.Info("the ids of a stream skip", "request", r.attrs.ID, "source", a.name(), "received", a.received, "last", r.lastEvent, "id", id, "sends", r.attempts)
+}
+
 // checkEvent checks the id of an event after so many others of the same response.
 func checkEvent(p continuation.Position, received int, id, last string) error {
 	if received == 0 {
--- a/internal/relay/stream_source.go
+++ b/internal/relay/stream_source.go
@@ -18,6 +18,8 @@
 	// close ends the request. It may be called more than once.
 	close()
 
+	// name identifies the source in the log.
+	name() string
 	// judge handles the result of open. If there is no response to read, it returns the result of the attempt.
 	judge(a *streamAttempt, err error) (responseKind, result)
 	// relayWhole handles the result of readWhole. The response is relayed if it is the last one in progress.
