--- /dev/null
+++ b/internal/relay/order_test.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// streamEnd describes what a caller gets of a stream of five events.
+type streamEnd struct {
+	name    string
+	scripts []script
+	// body is what the caller gets, complete whether it ends as complete.
+	body     string
+	complete bool
+}
+
+// nothingLeft answers a resumption after the last event.
+func nothingLeft(c net.Conn, r *http.Request) { events(1, 0, endStream)(c, r) }
+
+// Guards against a stream that ends as complete although its endpoint only closed the connection between two events.
+func TestStream_UnmarkedEndIsConfirmed(t *testing.T) {
+	part := eventsText(1, 3)
+	for _, test := range []streamEnd{
+		{"the rest follows", []script{unframedEvents(part), events(4, 5, endStream)}, eventsText(1, 5), true},
+		{"nothing follows", []script{unframedEvents(part), nothingLeft}, part, true},
+		{"nothing follows, with a length", []script{unframedEvents(part), answerWith(200, "text/event-stream", "")}, part, true},
+		{"nothing follows, unmarked", []script{unframedEvents(part), unframedEvents("")}, part, true},
+		{"one event, the rest follows", []script{unframedEvents(eventsText(1, 1)), events(2, 5, endStream)}, eventsText(1, 5), true},
+		{"the rest is unmarked", []script{unframedEvents(part), unframedEvents(eventsText(4, 5))}, eventsText(1, 5), false},
+		{"the rest is unmarked, nothing follows", []script{unframedEvents(part), unframedEvents(eventsText(4, 5)), nothingLeft}, eventsText(1, 5), true},
+		{"a broken stream's rest is unmarked", []script{events(1, 3, breakStream), unframedEvents(eventsText(4, 4)), events(5, 5, endStream)}, eventsText(1, 5), true},
+		{"nobody else responds", []script{unframedEvents(part), closeConn}, part, false},
+		{"a failure follows", []script{unframedEvents(part), answerWith(410, "application/json", "gone")}, part, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			requireEnd(t, test, serveInOrder(t, test.scripts...))
+		})
+	}
+}
+
+func requireEnd(t *testing.T, test streamEnd, out *recorder) {
+	t.Helper()
+	require.Equal(t, test.body, out.body.String())
+	require.Equal(t, test.complete, out.ended)
+	require.Equal(t, !test.complete, out.aborted)
+}
+
+// Guards against the same at a node without links, whose neighbour runs the stream.
+func TestStream_UnmarkedEndIsConfirmedByNeighbours(t *testing.T) {
+	for _, test := range []streamEnd{
+		{"the rest follows", []script{unframedEvents(eventsText(1, 3)), events(4, 5, endStream)}, eventsText(1, 5), true},
+		{"nothing follows", []script{unframedEvents(eventsText(1, 3)), nothingLeft}, eventsText(1, 3), true},
+		{"nobody else responds", []script{unframedEvents(eventsText(1, 3)), closeConn}, eventsText(1, 3), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			requireEnd(t, test, serveByNeighbours(t, test.scripts...))
+		})
+	}
+}
+
+// Guards against a stream that lacks an event, or begins late, and looks complete.
+func TestStream_SkippedEventIsAskedFor(t *testing.T) {
+	skipped := eventsText(1, 2) + eventsText(4, 5)
+	stream := func(body string) script { return answerWith(200, "text/event-stream", body) }
+	for _, test := range []streamEnd{
+		{"an event is missing", []script{stream(skipped), events(3, 5, endStream)}, eventsText(1, 5), true},
+		{"begins late", []script{stream(eventsText(3, 5)), events(1, 5, endStream)}, eventsText(1, 5), true},
+		{"out of order", []script{stream(eventsText(1, 2) + eventsText(4, 4) + eventsText(3, 3) + eventsText(5, 5)), events(3, 5, endStream)}, eventsText(1, 5), true},
+		{"the resumption begins late", []script{events(1, 2, breakStream), stream(eventsText(4, 5)), events(3, 5, endStream)}, eventsText(1, 5), true},
+		{"nobody else responds", []script{stream(skipped), closeConn}, eventsText(1, 2), false},
+		{"two agree that no id is missing", []script{stream(skipped), stream(eventsText(4, 5))}, skipped, true},
+		{"numbered in steps", []script{stream(eventText(10) + eventText(20)), stream(eventText(10) + eventText(20))}, eventText(10) + eventText(20), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			requireEnd(t, test, serveInOrder(t, test.scripts...))
+		})
+	}
+}
+
+// Guards against bytes that are no event and reach the caller as a piece of its stream.
+func TestStream_RelaysOnlyEventsWithIDs(t *testing.T) {
+	for _, spoilt := range []string{"data: piece\n\n", "garbage\n\n", "event: ping\ndata: x\n\n", "id: 3\nid: 4\ndata: x\n\n"} {
+		t.Run(strings.ReplaceAll(spoilt, "\n", "|"), func(t *testing.T) {
+			t.Parallel()
+			first := answerWith(200, "text/event-stream", eventsText(1, 2)+spoilt+eventsText(3, 5))
+			requireEnd(t, streamEnd{body: eventsText(1, 5), complete: true}, serveInOrder(t, first, events(3, 5, endStream)))
+			requireEnd(t, streamEnd{body: eventsText(1, 2)}, serveInOrder(t, first, closeConn))
+		})
+	}
+	garbage := answerWith(200, "text/event-stream", "garbage\n\n"+eventsText(1, 5))
+	requireEnd(t, streamEnd{body: eventsText(1, 5), complete: true}, serveInOrder(t, garbage, events(1, 5, endStream)))
+}
