relay: an end that only a closed connection marks does not complete a stream

Callers saw streams that end as complete before their last event. An endpoint's response without a length or chunks ends with its connection, and a process that crashes or is killed closes its connections like one that has finished. Any such end after an event counted as the end of the stream, and the caller's response was given a last chunk, or through another node the last event of a forwarded response: a certainty that the endpoint had not given.

Now continuation.EndAfter tells complete, unmarked and incomplete ends apart. A stream that can be resumed asks another endpoint what follows the last event, the same one only if there is no other. It is complete if that answers with a marked end, or ends unmarked in the same place and still listens. If nobody tells, it is cut off, and the caller can resume it. A stream that cannot be resumed ends the way its endpoint ended it: the caller's response has no length and no chunks either, and is reset if the endpoint refuses a dial, as after a crash. An answer that had nothing left to send clears no request of suspected crashes.

TestServe_UnframedResponses asserted that the unmarked end of a resumable stream is complete after one attempt; it asks now for what another endpoint says, for an error where none does, and that only confirmed ends are marked. The endpoint of TestQuarantine_IgnoresUnframedResponses answers the resumption.

--- a/internal/continuation/continuation.go
+++ b/internal/continuation/continuation.go
@@ -29,6 +29,8 @@
 	MediaType string
 	// LastID is the id of the last event that the caller has, also from earlier requests.
 	LastID string
+	// EndedUnmarked is set if another response has ended right after LastID and nothing marked its end.
+	EndedUnmarked bool
 }
 
 // MediaType returns the media type of a response without its parameters.
@@ -67,11 +69,30 @@
 	return nil
 }
 
-// EndsWith reports whether a response that has ended after so many events of its own completes the stream.
-// delimited is set if its length or chunks show that it is whole. One without any event is whole only after
-// the last event of a stream.
-func (p Position) EndsWith(events int, delimited bool) bool {
-	return events > 0 || delimited && p.LastID != ""
+// End is what the end of a response tells of the stream.
+type End uint8
+
+const (
+	// Incomplete means that the response is not the end of the stream.
+	Incomplete End = iota
+	// Unmarked means that the connection was closed between two events, as by an endpoint that has finished or by one
+	// that has crashed.
+	Unmarked
+	// Complete means that the stream is whole.
+	Complete
+)
+
+// EndAfter returns what the end of a response after so many events of its own tells. marked is set if a length or
+// a last chunk shows that the response is whole. One without any event is the end only after the last event of a
+// stream. Without a mark it takes two responses that end in the same place.
+func (p Position) EndAfter(events int, marked bool) End {
+	switch {
+	case events == 0 && p.LastID == "":
+		return Incomplete
+	case marked, events == 0 && p.EndedUnmarked:
+		return Complete
+	}
+	return Unmarked
 }
 
 // Follows reports whether an event's id may come after another: ids rise.
--- a/internal/forward/responder.go
+++ b/internal/forward/responder.go
@@ -51,11 +51,18 @@
 	r.first = &forwardpb.Event{Status: int32(status), Headers: HeaderToWire(header), Attempts: uint32(r.Attempts)}
 }
 
+// BeginUnmarked is called in place of Begin if the end of the response does not show that it is whole.
+func (r *Responder) BeginUnmarked(status int, header http.Header) {
+	r.Begin(status, header)
+	r.first.Unmarked = true
+}
+
 func (r *Responder) send(event *forwardpb.Event) error {
 	if r.first != nil {
 		event.Status = r.first.Status
 		event.Headers = r.first.Headers
 		event.Attempts = r.first.Attempts
+		event.Unmarked = r.first.Unmarked
 		r.first = nil
 	}
 	if r.err == nil {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -20,6 +20,8 @@
 	Header http.Header
 	// Attempts is the number of endpoints that the request had been sent to when the response began.
 	Attempts int
+	// Unmarked is set if the end of the response does not show that it is whole.
+	Unmarked bool
 
 	events Events
 	// rest is what is left of the body's last part.
@@ -52,6 +54,7 @@
 		Status:   int(first.GetStatus()),
 		Header:   HeaderFromWire(first.GetHeaders()),
 		Attempts: int(first.GetAttempts()),
+		Unmarked: first.GetUnmarked(),
 		events:   events,
 		rest:     first.GetBody(),
 		done:     first.GetDone(),
--- a/internal/httpserver/responder.go
+++ b/internal/httpserver/responder.go
@@ -21,11 +21,13 @@
 
 // Responder writes a response over nbhttp.
 type Responder struct {
-	w       http.ResponseWriter
-	cancel  context.CancelCauseFunc
-	conn    io.Closer
-	checker closeChecker
-	sized   bool
+	w http.ResponseWriter
+	// unmarked writes a response without a length or chunks; nil for others.
+	unmarked *unmarkedWriter
+	cancel   context.CancelCauseFunc
+	conn     io.Closer
+	checker  closeChecker
+	sized    bool
 	// failed is set once a part of the body could not be written.
 	failed bool
 }
@@ -68,6 +70,16 @@
 	r.w.WriteHeader(status)
 }
 
+// BeginUnmarked is Begin for a response with neither a length nor chunks. Nothing but the close of the connection marks
+// its end.
+func (r *Responder) BeginUnmarked(status int, header http.Header) {
+	if r.unmarked = newUnmarkedWriter(r.w); r.unmarked == nil {
+		r.Begin(status, header)
+		return
+	}
+	r.failed = r.unmarked.writeHead(status, header) != nil
+}
+
 // Write writes a part of the body, and flushes it if the response has no
 // Content-Length.
 func (r *Responder) Write(p []byte) error {
@@ -75,6 +87,11 @@
 		r.failed = true
 		return ErrCallerGone
 	}
+	if r.unmarked != nil {
+		err := r.unmarked.write(p)
+		r.failed = r.failed || err != nil
+		return err
+	}
 	if _, err := r.w.Write(p); err != nil {
 		r.failed = true
 		return err
@@ -88,13 +105,20 @@
 // End completes the response; nbhttp does so when the handler returns. After a failed write it
 // aborts: the next response on the connection would be read as the rest of this one.
 func (r *Responder) End() {
-	if r.failed {
+	switch {
+	case r.failed:
 		r.Abort()
+	case r.unmarked != nil:
+		r.unmarked.end()
 	}
 }
 
 // Abort closes the connection, so that the caller sees that the response is incomplete.
 func (r *Responder) Abort() {
+	if r.unmarked != nil {
+		r.unmarked.abort()
+		return
+	}
 	if flusher, ok := r.w.(http.Flusher); ok && !r.Closed() {
 		// Send a status that is still buffered, so that the caller receives it.
 		flusher.Flush()
--- /dev/null
+++ b/internal/httpserver/unmarked_test.go
@@ -0,0 +1,66 @@
+package httpserver
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// readUnmarked requests a response that a handler begins without a mark, and reads it.
+func readUnmarked(t *testing.T, handle func(*Responder)) (response *http.Response, body string, err error) {
+	t.Helper()
+	tracker := NewTracker()
+	t.Cleanup(tracker.Close)
+	_, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, out, done := tracker.Begin(w)
+		defer done()
+		out.BeginUnmarked(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}, "Content-Length": {"3"}})
+		handle(out)
+	})
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	response, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+// Guards against a response that shows its caller that it is whole although its endpoint's did not.
+func TestBeginUnmarked_EndsWithConnection(t *testing.T) {
+	large := strings.Repeat("0123456789abcdef", 64<<10)
+	for name, body := range map[string]string{"small": "one two", "large": large, "empty": ""} {
+		t.Run(name, func(t *testing.T) {
+			response, got, err := readUnmarked(t, func(out *Responder) {
+				for part := body; part != ""; part = part[min(len(part), 5000):] {
+					require.NoError(t, out.Write([]byte(part[:min(len(part), 5000)])))
+				}
+				out.End()
+			})
+			require.NoError(t, err)
+			require.Equal(t, body, got)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.EqualValues(t, -1, response.ContentLength)
+			require.Empty(t, response.TransferEncoding)
+			require.True(t, response.Close)
+		})
+	}
+}
+
+// Guards against an incomplete response without a mark that looks whole, since its connection was closed.
+func TestBeginUnmarked_AbortResets(t *testing.T) {
+	_, _, err := readUnmarked(t, func(out *Responder) {
+		require.NoError(t, out.Write([]byte("part")))
+		out.Abort()
+	})
+	require.True(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -63,8 +63,12 @@
 // Reset closes a connection so that its peer sees that it was cut: a response without framing that ends
 // with its connection would look complete otherwise.
 func Reset(conn net.Conn) {
-	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = tcp.SetLinger(0)
+	switch conn := conn.(type) {
+	case interface{ SetLinger(seconds int) error }:
+		_ = conn.SetLinger(0)
+	case interface{ SetLinger(on, seconds int32) error }:
+		// nbio's connections.
+		_ = conn.SetLinger(1, 0)
 	}
 	_ = conn.Close()
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
@@ -182,6 +183,13 @@
 	c.crashProbe = c.crashes.ReportBroken(c.subject.InterruptedAfter(active.progress(now)), incarnation, active.sentAt, now)
 }
 
+// refusesDial reports whether nothing listens at an endpoint's address, as after a crash.
+func (c *call) refusesDial(t target) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	return errors.Is(c.options.Upstream.Probe(ctx, t.Address), syscall.ECONNREFUSED)
+}
+
 // recordProgress clears the parts of the prompt once the endpoint has survived the beginning of its
 // response.
 func (c *call) recordProgress(active *activeRequest, now time.Time) {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -59,7 +59,7 @@
 // returns why there is none.
 func (c *call) choose(ctx context.Context, now time.Time) (target, rejection) {
 	for range maxPermitRequests {
-		t, reason := c.pick(now, c.failed, c.attempts > 0)
+		t, reason := c.pickForAttempt(now)
 		if t.Endpoint == nil || c.options.Throttle.Acquire(ctx, t.Endpoint) {
 			return t, reason
 		}
@@ -68,6 +68,18 @@
 	return target{}, rejection{cause: causeLimited, retryAfter: defaultRetryAfter}
 }
 
+// pickForAttempt picks an endpoint that has not failed, one that has ended the stream without a mark only if there is no
+// other.
+func (c *call) pickForAttempt(now time.Time) (target, rejection) {
+	isRetry := c.attempts > 0
+	if len(c.endedAt) > 0 {
+		if t, _ := c.pick(now, slices.Concat(c.failed, c.endedAt), isRetry); t.Endpoint != nil {
+			return t, rejection{}
+		}
+	}
+	return c.pick(now, c.failed, isRetry)
+}
+
 // pick picks an endpoint that may be sent a request and is not excluded, or returns why there is none.
 func (c *call) pick(now time.Time, exclude []serving.EndpointID, isRetry bool) (target, rejection) {
 	view := c.options.View()
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -115,6 +115,10 @@
 // request of earlier crashes.
 func TestQuarantine_IgnoresUnframedResponses(t *testing.T) {
 	fx := newFixture(t, nil, []*endpoint{newCrashingEndpoint(t), newEndpoint(t, func(c net.Conn, r *http.Request) {
+		if r.Header.Get("Last") == "1" {
+			nothingLeft(c, r)
+			return
+		}
 		_, _ = c.Write([]byte(responseHead(r, 200) + "\r\n" + eventText(1)))
 		_ = c.Close()
 	})})
--- a/internal/relay/endpoint_source.go
+++ b/internal/relay/endpoint_source.go
@@ -149,13 +149,33 @@
 func (s *endpointSource) beginResponse() {
 	header := s.c.options.Wire.CallerHeader(s.response.Header)
 	delete(header, "Content-Length")
-	s.c.beginResponse(http.StatusOK, header)
+	if s.response.Delimited || s.c.route.Repeatable() {
+		s.c.beginResponse(http.StatusOK, header)
+		return
+	}
+	s.c.beginUnmarkedResponse(http.StatusOK, header)
 }
 
-func (s *endpointSource) isDelimited() bool { return s.response.Delimited }
+func (s *endpointSource) isMarked() bool { return s.response.Delimited }
+
+// crashProbeTimeout bounds the dial after the unmarked end of a response, in which only a refusal counts.
+const crashProbeTimeout = 300 * time.Millisecond
+
+func (s *endpointSource) hasCrashed() bool { return s.c.refusesDial(s.t) }
 
-func (s *endpointSource) relayEnd() {
-	s.c.recordComplete(s.active, s.response)
+// recordUnmarkedEnd excludes the endpoint from the next attempt only while there is another.
+func (s *endpointSource) recordUnmarkedEnd(now time.Time) {
+	s.c.recordTrouble(s.t, s.active, now)
+	s.c.endedAt = append(s.c.endedAt, s.t.ID)
+}
+
+func (s *endpointSource) relayEnd(a *streamAttempt) {
+	if a.received > 0 {
+		s.c.recordComplete(s.active, s.response)
+	} else {
+		// An endpoint that had nothing left to send does not show that the request crashes none.
+		s.active.recordOutcome(false, time.Now())
+	}
 	s.c.endStream(s.beginResponse)
 }
 
--- a/internal/relay/neighbour_source.go
+++ b/internal/relay/neighbour_source.go
@@ -150,13 +150,23 @@
 func (s *neighbourSource) beginResponse() {
 	s.response.Header.Del("Connection")
 	s.c.class.FirstToken.RecordDuration(time.Since(s.c.start))
+	if s.response.Unmarked {
+		s.c.beginUnmarkedResponse(s.response.Status, s.response.Header)
+		return
+	}
 	s.c.beginResponse(s.response.Status, s.response.Header)
 }
 
-// isDelimited is true, since a response without its last event is an error.
-func (s *neighbourSource) isDelimited() bool { return true }
+// isMarked is false if the neighbour's endpoint did not mark the end either. A response without its last event is an
+// error.
+func (s *neighbourSource) isMarked() bool { return !s.response.Unmarked }
+
+// hasCrashed is false: a neighbour that crashes does not end its response.
+func (s *neighbourSource) hasCrashed() bool { return false }
+
+func (s *neighbourSource) recordUnmarkedEnd(time.Time) {}
 
-func (s *neighbourSource) relayEnd() { s.c.endStream(s.beginResponse) }
+func (s *neighbourSource) relayEnd(*streamAttempt) { s.c.endStream(s.beginResponse) }
 
 func (s *neighbourSource) recordBreak(a *streamAttempt, err error) {
 	aborted := &forward.AbortedError{}
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -64,6 +65,36 @@
 	}
 }
 
+// Guards against a stream that may not be resumed and ends with a mark that its endpoint did not give, or as whole although
+// its endpoint has crashed.
+func TestStream_UnmarkedEndIsPassedOnIfNotResumable(t *testing.T) {
+	crashed := func(e *endpoint) script {
+		return func(c net.Conn, r *http.Request) {
+			e.close()
+			unframedEvents(eventsText(1, 3))(c, r)
+		}
+	}
+	for _, crashes := range []bool{false, true} {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("crashes %v, forwarded %v", crashes, forwarded), func(t *testing.T) {
+				e := newEndpoint(t, unframedEvents(eventsText(1, 3)))
+				if crashes {
+					e.scripts = []script{crashed(e)}
+				}
+				fx := newFixture(t, nil, []*endpoint{e})
+				if forwarded {
+					n := &neighbour{fx: fx}
+					fx = newFixture(t, nil, nil)
+					fx.loseLinks(n)
+				}
+				out := fx.serve(request(hostSingle))
+				requireEnd(t, streamEnd{body: eventsText(1, 3), complete: !crashes}, out)
+				require.True(t, out.unmarked)
+			})
+		}
+	}
+}
+
 // Guards against a stream that lacks an event, or begins late, and looks complete.
 func TestStream_SkippedEventIsAskedFor(t *testing.T) {
 	skipped := eventsText(1, 2) + eventsText(4, 5)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,9 @@
 type Responder interface {
 	// Begin sends the status and header; it is called once, before the other methods.
 	Begin(status int, header http.Header)
+	// BeginUnmarked is called in place of Begin if the end of the response must not show that it is whole, since
+	// that of the endpoint's response did not.
+	BeginUnmarked(status int, header http.Header)
 	// Write sends a part of the body.
 	Write(p []byte) error
 	// End completes the response.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -92,16 +92,24 @@
 	body    strings.Builder
 	ended   bool
 	aborted bool
+	// unmarked is set if the end does not show that the response is whole.
+	unmarked bool
 }
 
 func (r *recorder) Begin(status int, h http.Header) { r.status, r.header = status, h }
-func (r *recorder) Write(p []byte) error            { r.body.Write(p); return nil }
-func (r *recorder) End()                            { r.ended = true }
-func (r *recorder) Abort()                          { r.aborted = true }
+func (r *recorder) BeginUnmarked(status int, h http.Header) {
+	r.Begin(status, h)
+	r.unmarked = true
+}
+func (r *recorder) Write(p []byte) error { r.body.Write(p); return nil }
+func (r *recorder) End()                 { r.ended = true }
+func (r *recorder) Abort()               { r.aborted = true }
 
 // endpoint runs one script per request; the last script is repeated.
 type endpoint struct {
-	address  string
+	address string
+	// close makes new connections be refused.
+	close    func()
 	mu       sync.Mutex
 	received []*http.Request
 	scripts  []script
@@ -114,7 +122,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	e := &endpoint{address: listener.Addr().String(), scripts: scripts}
+	e := &endpoint{address: listener.Addr().String(), close: func() { _ = listener.Close() }, scripts: scripts}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -765,7 +773,8 @@
 		complete bool
 		arrivals int
 	}{
-		{"whole stream", hostStream, unframed(eventsText(1, 3)), nil, eventsText(1, 3), true, 1},
+		{"whole stream", hostStream, unframed(eventsText(1, 3)), nothingLeft, eventsText(1, 3), true, 2},
+		{"whole stream, nobody else", hostStream, unframed(eventsText(1, 3)), nil, "", false, 2},
 		{"whole stream that may not be resumed", hostSingle, unframed(eventsText(1, 3)), nil, eventsText(1, 3), true, 1},
 		{"ends inside an event", hostStream, unframed(eventsText(1, 2) + "id: 3\ndata: pie"), events(3, 3, endStream), eventsText(1, 3), true, 2},
 		{"ends before the blank line", hostStream, unframed(eventsText(1, 2) + "id: 3\ndata: piece 3\n"), events(3, 3, endStream), eventsText(1, 3), true, 2},
@@ -789,6 +798,7 @@
 			out := fx.serve(request(test.host))
 			complete := out.ended && !out.aborted && out.status == http.StatusOK
 			require.Equal(t, test.complete, complete)
+			require.Equal(t, test.host == hostSingle, out.unmarked, "only what can be confirmed is marked as whole")
 			if complete || test.host == hostSingle {
 				require.Equal(t, test.body, out.body.String())
 			}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -83,8 +83,12 @@
 	// continues is set if the node that passed the request on has sent a part of the response.
 	continues bool
 	lastEvent string
-	events    int
-	outcome   outcome
+	// endedUnmarked is set if an endpoint has closed its connection right after lastEvent, with nothing that marks the
+	// end of the stream; endedAt has these endpoints.
+	endedUnmarked bool
+	endedAt       []serving.EndpointID
+	events        int
+	outcome       outcome
 	// reserved is the part of Relay.buffered that this call holds.
 	reserved int64
 	// endpointFailure is an endpoint's own error response, relayed if no other endpoint succeeds.
@@ -484,7 +488,17 @@
 	if c.in.Forwarded == nil && c.closeConnections.Load() {
 		header.Set("Connection", "close")
 	}
+	c.recordBegin(header)
+	c.out.Begin(status, header)
+}
+
+// beginUnmarkedResponse is beginResponse for a response whose end its endpoint does not mark.
+func (c *call) beginUnmarkedResponse(status int, header http.Header) {
+	c.recordBegin(header)
+	c.out.BeginUnmarked(status, header)
+}
+
+func (c *call) recordBegin(header http.Header) {
 	c.responseStarted = true
 	c.mediaType = continuation.MediaType(header)
-	c.out.Begin(status, header)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -105,11 +105,8 @@
 
 // handleEvent relays an event, or handles the end of a response.
 func (r *streamRelay) handleEvent(a *streamAttempt, e event, err error) result {
-	if errors.Is(err, io.EOF) && a.position.EndsWith(a.received, a.isDelimited()) {
-		r.keepOnly(a)
-		r.logEnd(a)
-		a.relayEnd()
-		return resultDone
+	if errors.Is(err, io.EOF) {
+		return r.handleEnd(a)
 	}
 	if err != nil {
 		a.recordBreak(a, err)
@@ -136,11 +133,52 @@
 	return resultIncomplete
 }
 
+// handleEnd handles the end of a response.
+func (r *streamRelay) handleEnd(a *streamAttempt) result {
+	switch a.position.EndAfter(a.received, a.isMarked()) {
+	case continuation.Incomplete:
+		a.recordBreak(a, io.ErrUnexpectedEOF)
+		return r.end(a, resultIncomplete)
+	case continuation.Unmarked:
+		return r.handleUnmarkedEnd(a)
+	}
+	if !a.isMarked() && a.hasCrashed() {
+		a.recordBreak(a, errCrashedAtEnd)
+		return r.end(a, resultIncomplete)
+	}
+	r.complete(a)
+	return resultDone
+}
+
+// errCrashedAtEnd means that an endpoint closed a connection because it crashed.
+var errCrashedAtEnd = errors.New("the endpoint has crashed at the unmarked end of its response")
+
+// handleUnmarkedEnd has another attempt find out what follows. A stream that cannot be resumed ends as its endpoint ended
+// it, unless that has crashed: the caller's response has no mark either.
+func (r *streamRelay) handleUnmarkedEnd(a *streamAttempt) result {
+	if !r.canResume() && !a.hasCrashed() {
+		r.complete(a)
+		return resultDone
+	}
+	r.logEnd(a)
+	r.endedUnmarked = true
+	a.recordUnmarkedEnd(time.Now())
+	r.remove(a, nil, false)
+	return r.endIfOver(resultIncomplete)
+}
+
+// complete ends the caller's response as complete.
+func (r *streamRelay) complete(a *streamAttempt) {
+	r.keepOnly(a)
+	r.logEnd(a)
+	a.relayEnd(a)
+}
+
 // logEnd records what marked the end of a stream. One that ends with its connection only may have been cut off between
 // two events.
 func (r *streamRelay) logEnd(a *streamAttempt) {
-	r.options.Metrics.Inc("stream_ends", map[string]string{"marked": strconv.FormatBool(a.isDelimited())})
-	if !a.isDelimited() {
+	r.options.Metrics.Inc("stream_ends", map[string]string{"marked": strconv.FormatBool(a.isMarked())})
+	if !a.isMarked() {
 		r.log.Info("a stream has ended with its connection only", "request", r.attrs.ID, "source", a.name(), "received", a.received, "last", r.lastEvent, "sends", r.attempts)
 	}
 }
@@ -165,6 +203,11 @@
 // end removes an attempt that has ended, and returns its result, or resultDone if the request is over.
 func (r *streamRelay) end(a *streamAttempt, ended result) result {
 	r.remove(a, nil, true)
+	return r.endIfOver(ended)
+}
+
+// endIfOver keeps the result of an attempt that was removed, and returns resultDone if the request is over.
+func (r *streamRelay) endIfOver(ended result) result {
 	if ended != resultNotRun {
 		r.result = ended
 	}
@@ -326,7 +369,7 @@
 
 // position returns how far the caller has got.
 func (c *call) position() continuation.Position {
-	return continuation.Position{Begun: c.responseStarted || c.continues, MediaType: c.mediaType, LastID: c.lastEvent}
+	return continuation.Position{Begun: c.responseStarted || c.continues, MediaType: c.mediaType, LastID: c.lastEvent, EndedUnmarked: c.endedUnmarked}
 }
 
 // endStream completes the caller's response, after begin if it has no event.
@@ -348,6 +391,7 @@
 		return false
 	}
 	c.events++
+	c.endedUnmarked = false
 	if e.id != "" {
 		c.lastEvent = e.id
 	}
--- a/internal/relay/stream_source.go
+++ b/internal/relay/stream_source.go
@@ -27,10 +27,14 @@
 	recordEvent(now time.Time)
 	// relay relays an event, and returns whether the caller is still there.
 	relay(a *streamAttempt, e event, now time.Time) bool
-	// isDelimited reports whether the end of the response shows that it is whole.
-	isDelimited() bool
+	// isMarked reports whether a length or a last chunk shows that a response that has ended is whole.
+	isMarked() bool
+	// hasCrashed reports whether the source has certainly crashed by now.
+	hasCrashed() bool
+	// recordUnmarkedEnd records that the connection was closed between two events.
+	recordUnmarkedEnd(now time.Time)
 	// relayEnd completes the caller's response.
-	relayEnd()
+	relayEnd(a *streamAttempt)
 	// recordBreak records that the response was cut off, recordInvalid that it is not the rest of the stream.
 	recordBreak(a *streamAttempt, err error)
 	recordInvalid(err error)
