relay: ask another endpoint for events that a response leaves out

Callers saw streams that lack a piece: ids had only to rise, so 1, 2, 4 and a stream that begins with 3 were relayed and ended as complete.

If two responses leave out the same ids, the service numbers its events in steps, which the node remembers until a whole stream shows otherwise. A stream that cannot be resumed is cut off only if whole streams of its service were numbered one by one.

A service with steps costs each node one more attempt at its first stream.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -68,12 +68,11 @@
 	return target{}, rejection{cause: causeLimited, retryAfter: defaultRetryAfter}
 }
 
-// pickForAttempt picks an endpoint that has not failed, one that has ended the stream without a mark only if there is no
-// other.
+// pickForAttempt picks an endpoint that has not failed, one of those that another has to confirm only if there is no other.
 func (c *call) pickForAttempt(now time.Time) (target, rejection) {
 	isRetry := c.attempts > 0
-	if len(c.endedAt) > 0 {
-		if t, _ := c.pick(now, slices.Concat(c.failed, c.endedAt), isRetry); t.Endpoint != nil {
+	if len(c.unconfirmed) > 0 {
+		if t, _ := c.pick(now, slices.Concat(c.failed, c.unconfirmed), isRetry); t.Endpoint != nil {
 			return t, rejection{}
 		}
 	}
--- a/internal/relay/endpoint_source.go
+++ b/internal/relay/endpoint_source.go
@@ -163,11 +163,9 @@
 
 func (s *endpointSource) hasCrashed() bool { return s.c.refusesDial(s.t) }
 
-// recordUnmarkedEnd excludes the endpoint from the next attempt only while there is another.
-func (s *endpointSource) recordUnmarkedEnd(now time.Time) {
-	s.c.recordTrouble(s.t, s.active, now)
-	s.c.endedAt = append(s.c.endedAt, s.t.ID)
-}
+func (s *endpointSource) recordUnmarkedEnd(now time.Time) { s.c.recordTrouble(s.t, s.active, now) }
+
+func (s *endpointSource) excludeIfOthers() { s.c.unconfirmed = append(s.c.unconfirmed, s.t.ID) }
 
 func (s *endpointSource) relayEnd(a *streamAttempt) {
 	if a.received > 0 {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -12,7 +12,6 @@
 
 var (
 	errEventTooLarge = errors.New("stream event is too large")
-	errEventOrder    = errors.New("stream event is out of order")
 	errPartialEvent  = errors.New("stream ended inside an event")
 )
 
--- a/internal/relay/neighbour_source.go
+++ b/internal/relay/neighbour_source.go
@@ -166,6 +166,9 @@
 
 func (s *neighbourSource) recordUnmarkedEnd(time.Time) {}
 
+// excludeIfOthers does nothing: no neighbour gets a request twice.
+func (s *neighbourSource) excludeIfOthers() {}
+
 func (s *neighbourSource) relayEnd(*streamAttempt) { s.c.endStream(s.beginResponse) }
 
 func (s *neighbourSource) recordBreak(a *streamAttempt, err error) {
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// Guards against the same at a node without links.
+func TestStream_SkippedEventIsAskedForAtNeighbours(t *testing.T) {
+	skipped := answerWith(200, "text/event-stream", eventsText(1, 2)+eventsText(4, 5))
+	requireEnd(t, streamEnd{body: eventsText(1, 5), complete: true}, serveByNeighbours(t, skipped, events(3, 5, endStream)))
+	requireEnd(t, streamEnd{body: eventsText(1, 2)}, serveByNeighbours(t, skipped, closeConn))
+}
+
 // Guards against bytes that are no event and reach the caller as a piece of its stream.
 func TestStream_RelaysOnlyEventsWithIDs(t *testing.T) {
 	for _, spoilt := range []string{"data: piece\n\n", "garbage\n\n", "event: ping\ndata: x\n\n", "id: 3\nid: 4\ndata: x\n\n"} {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/clock"
+	"github.com/ridgehinge/ridgehinge/internal/continuation"
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/forward"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
@@ -92,6 +93,7 @@
 	draining         atomic.Bool
 	hasRequests      atomic.Bool
 	crashes          *quarantine.Detector
+	numbering        *continuation.Numbering
 	startedAt        time.Time
 
 	mu      sync.Mutex
@@ -107,6 +109,7 @@
 		startedAt: time.Now(),
 		log:       logging.For("relay"),
 		chooser:   forward.NewChooser(),
+		numbering: continuation.NewNumbering(),
 		classes:   map[classKey]*metrics.Class{},
 	}
 	r.crashes = quarantine.NewDetector(o.Quarantine, r.replaced, o.Upstream.Probe, o.Links.Confirm)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -84,11 +84,14 @@
 	continues bool
 	lastEvent string
 	// endedUnmarked is set if an endpoint has closed its connection right after lastEvent, with nothing that marks the
-	// end of the stream; endedAt has these endpoints.
+	// end of the stream.
 	endedUnmarked bool
-	endedAt       []serving.EndpointID
-	events        int
-	outcome       outcome
+	// unconfirmed has the endpoints of which another one has to confirm what they sent or how they ended.
+	unconfirmed []serving.EndpointID
+	// sequence checks the events of a stream.
+	sequence *continuation.Sequence
+	events   int
+	outcome  outcome
 	// reserved is the part of Relay.buffered that this call holds.
 	reserved int64
 	// endpointFailure is an endpoint's own error response, relayed if no other endpoint succeeds.
@@ -207,6 +210,7 @@
 		c.workspace = workspace.Name
 	}
 	c.service = c.route.Service(xxh3.HashString(c.attrs.ID))
+	c.sequence = continuation.NewSequence(c.numbering, c.service, c.canResume())
 	c.level = c.urgencyLevel(identified)
 	c.subject = c.computeSubject()
 	timeout := c.route.Timeout
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -114,13 +114,18 @@
 	}
 	now := time.Now()
 	a.recordEvent(now)
-	if err := checkEvent(a.position, a.received, e.id, r.lastEvent); err != nil {
-		a.recordInvalid(err)
-		return r.end(a, resultIncomplete)
-	}
 	if continuation.Skips(e.id, r.lastEvent) {
 		r.logSkip(a, e.id)
 	}
+	if err := r.sequence.Accept(a.position, a.received, e.id, r.lastEvent); err != nil {
+		a.recordInvalid(err)
+		if errors.Is(err, continuation.ErrSkip) {
+			a.excludeIfOthers()
+			r.remove(a, nil, false)
+			return r.endIfOver(resultIncomplete)
+		}
+		return r.end(a, resultIncomplete)
+	}
 	r.keepOnly(a)
 	a.received++
 	if !a.relay(a, e, now) {
@@ -163,6 +168,7 @@
 	r.logEnd(a)
 	r.endedUnmarked = true
 	a.recordUnmarkedEnd(time.Now())
+	a.excludeIfOthers()
 	r.remove(a, nil, false)
 	return r.endIfOver(resultIncomplete)
 }
@@ -171,6 +177,9 @@
 func (r *streamRelay) complete(a *streamAttempt) {
 	r.keepOnly(a)
 	r.logEnd(a)
+	if a.isMarked() {
+		r.sequence.RecordWhole()
+	}
 	a.relayEnd(a)
 }
 
@@ -189,17 +198,6 @@
 	r.log.Info("the ids of a stream skip", "request", r.attrs.ID, "source", a.name(), "received", a.received, "last", r.lastEvent, "id", id, "sends", r.attempts)
 }
 
-// checkEvent checks the id of an event after so many others of the same response.
-func checkEvent(p continuation.Position, received int, id, last string) error {
-	if received == 0 {
-		return p.CheckFirst(id)
-	}
-	if !continuation.Follows(id, last) {
-		return errEventOrder
-	}
-	return nil
-}
-
 // end removes an attempt that has ended, and returns its result, or resultDone if the request is over.
 func (r *streamRelay) end(a *streamAttempt, ended result) result {
 	r.remove(a, nil, true)
--- a/internal/relay/stream_source.go
+++ b/internal/relay/stream_source.go
@@ -31,6 +31,8 @@
 	isMarked() bool
 	// hasCrashed reports whether the source has certainly crashed by now.
 	hasCrashed() bool
+	// excludeIfOthers keeps the source from the next attempt, which confirms what it has sent, if there is another one.
+	excludeIfOthers()
 	// recordUnmarkedEnd records that the connection was closed between two events.
 	recordUnmarkedEnd(now time.Time)
 	// relayEnd completes the caller's response.
