relay: relay nothing of a stream that is no event

Callers saw bytes of something else in their streams: a block without an id between events that have one, or a line of garbage, was relayed as a piece, and two events whose blank line is lost as one. Comments are no part of a stream and are dropped; a block of comments alone counted as an event.

--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -135,3 +137,13 @@
 	garbage := answerWith(200, "text/event-stream", "garbage\n\n"+eventsText(1, 5))
 	requireEnd(t, streamEnd{body: eventsText(1, 5), complete: true}, serveInOrder(t, garbage, events(1, 5, endStream)))
 }
+
+// Guards against comments that count as events, or end a stream.
+func TestStream_DropsComments(t *testing.T) {
+	first := func(c net.Conn, r *http.Request) {
+		body := ": begun\n\n" + eventsText(1, 2) + ": alive\n\n" + eventsText(3, 5)
+		_, _ = io.WriteString(c, responseHead(r, 200)+"Content-Type: text/event-stream\r\nContent-Length: ")
+		_, _ = io.WriteString(c, strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	}
+	requireEnd(t, streamEnd{body: eventsText(1, 5), complete: true}, serveInOrder(t, first))
+}
