relay: an answer whose endpoint crashed at its unmarked end is incomplete

The same cause as in streams: a plain answer with neither a length nor chunks ends with its connection, which a process that is killed closes too. Callers would get a part of an answer with a length that makes it whole. Where the endpoint refuses a dial right after such an end, the answer counts as broken off now: repeatable requests are sent elsewhere, others get 502, and a large answer that is already on its way is cut off.

TestServe_UnframedResponseOfCrashingEndpoint fails in 3 of 3 cases without the check. An endpoint that lives and ends an answer early without a mark cannot be told from one that has finished.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -74,6 +74,9 @@
 	active.recordEvent(time.Now())
 	answer := &bufferedResponse{response.Status, c.options.Wire.CallerHeader(response.Header), body}
 	tooLarge := int64(len(body)) > limit
+	if err == nil && !tooLarge {
+		err = c.checkUnmarkedEnd(t, response)
+	}
 	if err == nil && response.Status == http.StatusOK {
 		c.recordStart(time.Now())
 	}
@@ -111,6 +114,17 @@
 	return resultFailed
 }
 
+// errCrashedAtEnd means that an endpoint closed a connection because it crashed.
+var errCrashedAtEnd = errors.New("the endpoint has crashed at the unmarked end of its response")
+
+// checkUnmarkedEnd returns an error if a response ended with its connection only and its endpoint has crashed.
+func (c *call) checkUnmarkedEnd(t target, response *upstream.Response) error {
+	if !response.Delimited && c.refusesDial(t) {
+		return errCrashedAtEnd
+	}
+	return nil
+}
+
 // isFinal reports whether a response with the given status is relayed without another attempt.
 func (c *call) isFinal(status int) bool {
 	if impliesNotRun(status) {
@@ -235,6 +249,10 @@
 		n, err := response.Read(buffer)
 		part = buffer[:n]
 		ended = errors.Is(err, io.EOF)
+		if ended {
+			err = c.checkUnmarkedEnd(t, response)
+			ended = err == nil
+		}
 		if ended {
 			c.recordComplete(active, response)
 		} else if err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -810,3 +810,35 @@
 		})
 	}
 }
+
+// Guards against a response without framing of an endpoint that crashes in the middle, and counts as complete.
+func TestServe_UnframedResponseOfCrashingEndpoint(t *testing.T) {
+	large := strings.Repeat("x", 2*maxBuffered)
+	for _, test := range []struct {
+		name, host, body string
+		status           int
+		want             string
+		complete         bool
+	}{
+		{"repeatable", hostPlain, "go", 200, "good", true},
+		{"once", hostOnce, "go", 502, "", true},
+		{"large, once", hostOnce, large, 200, large, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			crashing := newEndpoint(t)
+			crashing.scripts = []script{func(c net.Conn, r *http.Request) {
+				crashing.close()
+				unframed(test.body)(c, r)
+			}}
+			// The rotation begins with the second one.
+			fx := newFixture(t, []*endpoint{newEndpoint(t, respondWith(200, "good")), crashing}, nil)
+			out := fx.serve(request(test.host))
+			require.Equal(t, test.status, out.status)
+			require.Equal(t, test.complete, out.ended)
+			require.Equal(t, !test.complete, out.aborted)
+			if test.want != "" {
+				require.Equal(t, test.want, out.body.String())
+			}
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -155,9 +155,6 @@
 	return resultDone
 }
 
-// errCrashedAtEnd means that an endpoint closed a connection because it crashed.
-var errCrashedAtEnd = errors.New("the endpoint has crashed at the unmarked end of its response")
-
 // handleUnmarkedEnd has another attempt find out what follows. A stream that cannot be resumed ends as its endpoint ended
 // it, unless that has crashed: the caller's response has no mark either.
 func (r *streamRelay) handleUnmarkedEnd(a *streamAttempt) result {
