--- a/internal/continuation/sequence.go
+++ b/internal/continuation/sequence.go
@@ -18,7 +18,7 @@
 type numbering uint8
 
 const (
-	unknown numbering = iota
+	_ numbering = iota
 	// oneByOne: whole streams were numbered 1, 2, 3.
 	oneByOne
 	// inSteps: two responses have left the same ids out.
