relay: a stream without framing may end unconfirmed if nobody can be asked

Since unmarked ends have to be confirmed, whole streams of endpoints that frame none of their responses were cut off once no retry was left, or no other endpoint: TestUnframed_WholeResponses failed at its fourth stream, on nodes without retries.

If nobody can be asked, the stream ends now as its endpoint ended it, provided that the endpoint accepts a dial and that no unmarked end of the service was a cut within the last minute (continuation.Observations). Its caller's response then has no mark either: a response whose endpoint frames nothing has neither a length nor chunks for its caller, whether or not it can be resumed, and is reset if it is incomplete. After all attempts are used up it is cut off as before, since an earlier one has failed. Between nodes the last event tells whether the end was confirmed.

Without a retry left and without any evidence, an endpoint that lives and ends a response between two events cannot be told from one that has finished.

TestStream_UnmarkedEndWithoutRetryBudget and ...OfNeighbourWithoutRetryBudget fail before in their first cases.

--- /dev/null
+++ b/internal/continuation/observations.go
@@ -0,0 +1,66 @@
+package continuation
+
+import (
+	"sync"
+	"time"
+)
+
+// numbering is how the events of a service's streams are numbered.
+type numbering uint8
+
+const (
+	_ numbering = iota
+	// oneByOne: whole streams were numbered 1, 2, 3.
+	oneByOne
+	// inSteps: two responses have left the same ids out.
+	inSteps
+)
+
+// cutTTL is how long a service's unmarked ends are distrusted after one of them was a cut.
+const cutTTL = time.Minute
+
+// Observations has what the streams of each service have shown so far. It is safe for concurrent use.
+type Observations struct {
+	mu        sync.Mutex
+	byService map[string]observation
+}
+
+type observation struct {
+	numbering numbering
+	// cutAt is when an endpoint last closed its connection, unmarked, before the end of a stream.
+	cutAt time.Time
+}
+
+// NewObservations returns Observations of nothing.
+func NewObservations() *Observations { return &Observations{byService: map[string]observation{}} }
+
+// RecordCut records that an unmarked end was not the end of a stream.
+func (o *Observations) RecordCut(service string, now time.Time) {
+	o.update(service, func(seen *observation) { seen.cutAt = now })
+}
+
+// HasCut reports whether unmarked ends of a service were cuts lately.
+func (o *Observations) HasCut(service string, now time.Time) bool {
+	cutAt := o.get(service).cutAt
+	return !cutAt.IsZero() && now.Sub(cutAt) < cutTTL
+}
+
+func (o *Observations) numbering(service string) numbering { return o.get(service).numbering }
+
+func (o *Observations) recordNumbering(service string, found numbering) {
+	o.update(service, func(seen *observation) { seen.numbering = found })
+}
+
+func (o *Observations) get(service string) observation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.byService[service]
+}
+
+func (o *Observations) update(service string, change func(*observation)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen := o.byService[service]
+	change(&seen)
+	o.byService[service] = seen
+}
--- a/internal/continuation/sequence.go
+++ b/internal/continuation/sequence.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"sync"
 )
 
 // Errors of an event that must not reach the caller as the next one of its stream.
@@ -14,45 +13,13 @@
 	ErrSkip = errors.New("stream events are left out")
 )
 
-// numbering is how the events of a service's streams are numbered.
-type numbering uint8
-
-const (
-	_ numbering = iota
-	// oneByOne: whole streams were numbered 1, 2, 3.
-	oneByOne
-	// inSteps: two responses have left the same ids out.
-	inSteps
-)
-
-// Numbering learns how each service numbers the events of its streams. It is safe for concurrent use.
-type Numbering struct {
-	mu        sync.Mutex
-	byService map[string]numbering
-}
-
-// NewNumbering returns a Numbering that knows nothing.
-func NewNumbering() *Numbering { return &Numbering{byService: map[string]numbering{}} }
-
-func (n *Numbering) of(service string) numbering {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.byService[service]
-}
-
-func (n *Numbering) record(service string, found numbering) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.byService[service] = found
-}
-
 // skip is a place in a stream where ids are left out.
 type skip struct{ last, id string }
 
 // Sequence checks the events of one stream, from all responses that a caller gets parts of.
 type Sequence struct {
-	numbering *Numbering
-	service   string
+	observed *Observations
+	service  string
 	// resumable is set if another response can be asked for what seems to be missing.
 	resumable bool
 	// rejected is the last skip for which another response was asked for.
@@ -63,8 +30,8 @@
 }
 
 // NewSequence returns a Sequence for a stream of a service.
-func NewSequence(n *Numbering, service string, resumable bool) *Sequence {
-	return &Sequence{numbering: n, service: service, resumable: resumable}
+func NewSequence(o *Observations, service string, resumable bool) *Sequence {
+	return &Sequence{observed: o, service: service, resumable: resumable}
 }
 
 // Accept checks the id of the next event: one of a response whose caller was at a position when it began, after so many
@@ -87,7 +54,7 @@
 	} else if !Follows(id, last) {
 		return fmt.Errorf("%w: %q after %q", ErrOrder, id, last)
 	}
-	if id == "" && (last != "" || s.numbering.of(s.service) == oneByOne) || id != "" && s.unnumbered {
+	if id == "" && (last != "" || s.observed.numbering(s.service) == oneByOne) || id != "" && s.unnumbered {
 		return fmt.Errorf("%w: %q after %q", ErrNoID, id, last)
 	}
 	return s.checkSkip(id, last)
@@ -97,12 +64,12 @@
 // be resumed is given up for it only if others of its service were numbered one by one.
 func (s *Sequence) checkSkip(id, last string) error {
 	found := skip{last, id}
-	known := s.numbering.of(s.service)
+	known := s.observed.numbering(s.service)
 	switch {
 	case !Skips(id, last), known == inSteps, !s.resumable && known != oneByOne:
 		return nil
 	case found == s.rejected:
-		s.numbering.record(s.service, inSteps)
+		s.observed.recordNumbering(s.service, inSteps)
 		return nil
 	}
 	s.rejected = found
@@ -115,6 +82,6 @@
 // RecordWhole learns from a stream that has ended as complete, unless its caller began in the middle.
 func (s *Sequence) RecordWhole() {
 	if s.accepted >= minEvents && !s.skips && !s.unnumbered {
-		s.numbering.record(s.service, oneByOne)
+		s.observed.recordNumbering(s.service, oneByOne)
 	}
 }
--- a/internal/forward/responder.go
+++ b/internal/forward/responder.go
@@ -51,7 +51,7 @@
 	r.first = &forwardpb.Event{Status: int32(status), Headers: HeaderToWire(header), Attempts: uint32(r.Attempts)}
 }
 
-// BeginUnmarked is called in place of Begin if the end of the response does not show that it is whole.
+// BeginUnmarked is called in place of Begin if the endpoint's response has neither a length nor chunks.
 func (r *Responder) BeginUnmarked(status int, header http.Header) {
 	r.Begin(status, header)
 	r.first.Unmarked = true
@@ -62,7 +62,7 @@
 		event.Status = r.first.Status
 		event.Headers = r.first.Headers
 		event.Attempts = r.first.Attempts
-		event.Unmarked = r.first.Unmarked
+		event.Unmarked = event.Unmarked || r.first.Unmarked
 		r.first = nil
 	}
 	if r.err == nil {
@@ -77,6 +77,9 @@
 // End completes the response.
 func (r *Responder) End() { _ = r.send(&forwardpb.Event{Done: true}) }
 
+// EndUnmarked ends a response of which nothing shows that it is whole.
+func (r *Responder) EndUnmarked() { _ = r.send(&forwardpb.Event{Done: true, Unmarked: true}) }
+
 // Abort ends an incomplete response.
 func (r *Responder) Abort() {
 	if r.err == nil {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -20,8 +20,9 @@
 	Header http.Header
 	// Attempts is the number of endpoints that the request had been sent to when the response began.
 	Attempts int
-	// Unmarked is set if the end of the response does not show that it is whole.
-	Unmarked bool
+	// Unmarked is set if the endpoint's response has neither a length nor chunks, EndedUnmarked at the end of one of which
+	// nothing shows that it is whole.
+	Unmarked, EndedUnmarked bool
 
 	events Events
 	// rest is what is left of the body's last part.
@@ -55,9 +56,11 @@
 		Header:   HeaderFromWire(first.GetHeaders()),
 		Attempts: int(first.GetAttempts()),
 		Unmarked: first.GetUnmarked(),
-		events:   events,
-		rest:     first.GetBody(),
-		done:     first.GetDone(),
+		// An only event that is unmarked is both.
+		EndedUnmarked: first.GetDone() && first.GetUnmarked(),
+		events:        events,
+		rest:          first.GetBody(),
+		done:          first.GetDone(),
 	}, nil
 }
 
@@ -68,6 +71,7 @@
 		return nil, err
 	}
 	r.done = event.GetDone()
+	r.EndedUnmarked = r.done && event.GetUnmarked()
 	return event.GetBody(), nil
 }
 
--- a/internal/httpserver/responder.go
+++ b/internal/httpserver/responder.go
@@ -113,6 +113,9 @@
 	}
 }
 
+// EndUnmarked ends a response that was begun with BeginUnmarked. Its caller sees the same as after End.
+func (r *Responder) EndUnmarked() { r.End() }
+
 // Abort closes the connection, so that the caller sees that the response is incomplete.
 func (r *Responder) Abort() {
 	if r.unmarked != nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -183,8 +183,11 @@
 	c.crashProbe = c.crashes.ReportBroken(c.subject.InterruptedAfter(active.progress(now)), incarnation, active.sentAt, now)
 }
 
-// refusesDial reports whether nothing listens at an endpoint's address, as after a crash.
+// refusesDial reports whether nothing listens at an endpoint's address, as after a crash. That of a neighbour is not known.
 func (c *call) refusesDial(t target) bool {
+	if t.Endpoint == nil {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	return errors.Is(c.options.Upstream.Probe(ctx, t.Address), syscall.ECONNREFUSED)
--- a/internal/relay/endpoint_source.go
+++ b/internal/relay/endpoint_source.go
@@ -149,7 +149,7 @@
 func (s *endpointSource) beginResponse() {
 	header := s.c.options.Wire.CallerHeader(s.response.Header)
 	delete(header, "Content-Length")
-	if s.response.Delimited || s.c.route.Repeatable() {
+	if s.response.Delimited {
 		s.c.beginResponse(http.StatusOK, header)
 		return
 	}
@@ -163,7 +163,11 @@
 
 func (s *endpointSource) hasCrashed() bool { return s.c.refusesDial(s.t) }
 
-func (s *endpointSource) recordUnmarkedEnd(now time.Time) { s.c.recordTrouble(s.t, s.active, now) }
+func (s *endpointSource) recordUnmarkedEnd(now time.Time) {
+	s.c.recordTrouble(s.t, s.active, now)
+	s.c.endedBy = s.t
+	s.excludeIfOthers()
+}
 
 func (s *endpointSource) excludeIfOthers() { s.c.unconfirmed = append(s.c.unconfirmed, s.t.ID) }
 
--- a/internal/relay/neighbour_source.go
+++ b/internal/relay/neighbour_source.go
@@ -157,14 +157,14 @@
 	s.c.beginResponse(s.response.Status, s.response.Header)
 }
 
-// isMarked is false if the neighbour's endpoint did not mark the end either. A response without its last event is an
-// error.
-func (s *neighbourSource) isMarked() bool { return !s.response.Unmarked }
+// isMarked is false if the neighbour could not find out either whether its response is whole. One without its last event is
+// an error.
+func (s *neighbourSource) isMarked() bool { return !s.response.EndedUnmarked }
 
 // hasCrashed is false: a neighbour that crashes does not end its response.
 func (s *neighbourSource) hasCrashed() bool { return false }
 
-func (s *neighbourSource) recordUnmarkedEnd(time.Time) {}
+func (s *neighbourSource) recordUnmarkedEnd(time.Time) { s.c.endedBy = target{} }
 
 // excludeIfOthers does nothing: no neighbour gets a request twice.
 func (s *neighbourSource) excludeIfOthers() {}
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -67,6 +67,55 @@
 	}
 }
 
+// Guards against whole streams that are cut off because nobody can be asked what follows, and against streams that end as
+// whole then although there is evidence of a cut.
+func TestStream_UnmarkedEndWithoutRetryBudget(t *testing.T) {
+	whole := unframedEvents(eventsText(1, 3))
+	refuse := func(e *endpoint) script {
+		return func(c net.Conn, r *http.Request) {
+			e.close()
+			whole(c, r)
+		}
+	}
+	for _, test := range []struct {
+		name     string
+		prepare  func(*fixture, *endpoint)
+		complete bool
+	}{
+		{"nothing speaks against it", func(*fixture, *endpoint) {}, true},
+		{"the endpoint has crashed", func(_ *fixture, e *endpoint) { e.scripts = []script{refuse(e)} }, false},
+		{"another stream was cut", func(fx *fixture, e *endpoint) {
+			e.scripts = []script{unframedEvents(eventsText(1, 2) + "id: 3"), whole}
+			fx.serve(request(hostStream))
+		}, false},
+		{"all attempts are used up", func(fx *fixture, e *endpoint) {
+			e.scripts = []script{events(1, 0, breakStream), whole}
+			fx.relay.options.Budget = agedBudget(0.2, 1000, 1)
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEndpoint(t, whole)
+			fx := newFixture(t, nil, []*endpoint{e, e})
+			fx.relay.options.Budget = agedBudget(0, 0, 1)
+			test.prepare(fx, e)
+			out := fx.serve(request(hostStream))
+			requireEnd(t, streamEnd{body: eventsText(1, 3), complete: test.complete}, out)
+			require.True(t, out.unmarked)
+		})
+	}
+}
+
+// Guards against the same at a node without links, whose neighbour has no retry left.
+func TestStream_UnmarkedEndOfNeighbourWithoutRetryBudget(t *testing.T) {
+	n := &neighbour{fx: newFixture(t, nil, []*endpoint{newEndpoint(t, unframedEvents(eventsText(1, 3)))})}
+	n.fx.relay.options.Budget = agedBudget(0, 0, 1)
+	fx := newFixture(t, nil, nil)
+	fx.loseLinks(n)
+	out := fx.serve(request(hostStream))
+	requireEnd(t, streamEnd{body: eventsText(1, 3), complete: true}, out)
+	require.True(t, out.unmarked)
+}
+
 // Guards against a stream that may not be resumed and ends with a mark that its endpoint did not give, or as whole although
 // its endpoint has crashed.
 func TestStream_UnmarkedEndIsPassedOnIfNotResumable(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,13 +57,15 @@
 type Responder interface {
 	// Begin sends the status and header; it is called once, before the other methods.
 	Begin(status int, header http.Header)
-	// BeginUnmarked is called in place of Begin if the end of the response must not show that it is whole, since
-	// that of the endpoint's response did not.
+	// BeginUnmarked is called in place of Begin if the endpoint's response has neither a length nor chunks: the response
+	// has none for its caller either.
 	BeginUnmarked(status int, header http.Header)
 	// Write sends a part of the body.
 	Write(p []byte) error
 	// End completes the response.
 	End()
+	// EndUnmarked ends a response that was begun with BeginUnmarked and of which nothing shows that it is whole.
+	EndUnmarked()
 	// Abort ends an incomplete response so that the caller detects that it is incomplete.
 	Abort()
 }
@@ -93,7 +95,7 @@
 	draining         atomic.Bool
 	hasRequests      atomic.Bool
 	crashes          *quarantine.Detector
-	numbering        *continuation.Numbering
+	streams          *continuation.Observations
 	startedAt        time.Time
 
 	mu      sync.Mutex
@@ -109,7 +111,7 @@
 		startedAt: time.Now(),
 		log:       logging.For("relay"),
 		chooser:   forward.NewChooser(),
-		numbering: continuation.NewNumbering(),
+		streams:   continuation.NewObservations(),
 		classes:   map[classKey]*metrics.Class{},
 	}
 	r.crashes = quarantine.NewDetector(o.Quarantine, r.replaced, o.Upstream.Probe, o.Links.Confirm)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -80,12 +80,15 @@
 	// responseStarted is set once a part of the response has been sent; mediaType is that of its head.
 	responseStarted bool
 	mediaType       string
+	// unmarked is set if the response has neither a length nor chunks.
+	unmarked bool
 	// continues is set if the node that passed the request on has sent a part of the response.
 	continues bool
 	lastEvent string
-	// endedUnmarked is set if an endpoint has closed its connection right after lastEvent, with nothing that marks the
-	// end of the stream.
+	// endedUnmarked is set if an endpoint, endedBy, has closed its connection right after lastEvent, with nothing that marks
+	// the end of the stream. endedBy has no endpoint if it is that of a neighbour.
 	endedUnmarked bool
+	endedBy       target
 	// unconfirmed has the endpoints of which another one has to confirm what they sent or how they ended.
 	unconfirmed []serving.EndpointID
 	// sequence checks the events of a stream.
@@ -210,7 +213,7 @@
 		c.workspace = workspace.Name
 	}
 	c.service = c.route.Service(xxh3.HashString(c.attrs.ID))
-	c.sequence = continuation.NewSequence(c.numbering, c.service, c.canResume())
+	c.sequence = continuation.NewSequence(c.streams, c.service, c.canResume())
 	c.level = c.urgencyLevel(identified)
 	c.subject = c.computeSubject()
 	timeout := c.route.Timeout
@@ -406,6 +409,10 @@
 		return
 	}
 	switch {
+	case c.mayEndUnconfirmed(reason):
+		c.outcome = outcomeServed
+		c.out.EndUnmarked()
+		return
 	case c.responseStarted:
 		c.outcome = outcomeIncomplete
 		c.out.Abort()
@@ -425,6 +432,17 @@
 	c.logUnserved(reason)
 }
 
+// mayEndUnconfirmed reports whether a stream ends as its endpoint ended it although no other one can be asked what
+// follows. An end of a service whose unmarked ends were cuts lately, or of an endpoint that has crashed, is none. Nor is one
+// after all attempts are used up: an earlier one has failed, or has gone on where the stream seemed to end.
+func (c *call) mayEndUnconfirmed(reason rejection) bool {
+	switch reason.cause {
+	case causeAttempts, causeDeadline, causeQuarantine, causeOnce:
+		return false
+	}
+	return c.endedUnmarked && c.unmarked && !c.streams.HasCut(c.service, time.Now()) && !c.refusesDial(c.endedBy)
+}
+
 // logBudget logs the state of the budget that denied a retry.
 func (c *call) logBudget() {
 	s := c.options.Budget.State(c.service, time.Now())
@@ -499,6 +517,7 @@
 // beginUnmarkedResponse is beginResponse for a response whose end its endpoint does not mark.
 func (c *call) beginUnmarkedResponse(status int, header http.Header) {
 	c.recordBegin(header)
+	c.unmarked = true
 	c.out.BeginUnmarked(status, header)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -108,6 +108,9 @@
 	if errors.Is(err, io.EOF) {
 		return r.handleEnd(a)
 	}
+	if errors.Is(err, errPartialEvent) && !a.isMarked() {
+		r.streams.RecordCut(r.service, time.Now())
+	}
 	if err != nil {
 		a.recordBreak(a, err)
 		return r.end(a, resultIncomplete)
@@ -126,6 +129,9 @@
 		}
 		return r.end(a, resultIncomplete)
 	}
+	if r.endedUnmarked {
+		r.streams.RecordCut(r.service, time.Now())
+	}
 	r.keepOnly(a)
 	a.received++
 	if !a.relay(a, e, now) {
@@ -156,7 +162,7 @@
 }
 
 // handleUnmarkedEnd has another attempt find out what follows. A stream that cannot be resumed ends as its endpoint ended
-// it, unless that has crashed: the caller's response has no mark either.
+// it, unless that has crashed.
 func (r *streamRelay) handleUnmarkedEnd(a *streamAttempt) result {
 	if !r.canResume() && !a.hasCrashed() {
 		r.complete(a)
@@ -165,12 +171,11 @@
 	r.logEnd(a)
 	r.endedUnmarked = true
 	a.recordUnmarkedEnd(time.Now())
-	a.excludeIfOthers()
 	r.remove(a, nil, false)
 	return r.endIfOver(resultIncomplete)
 }
 
-// complete ends the caller's response as complete.
+// complete ends the caller's response, with a mark if there is one or another endpoint has confirmed the end.
 func (r *streamRelay) complete(a *streamAttempt) {
 	r.keepOnly(a)
 	r.logEnd(a)
@@ -373,6 +378,10 @@
 		begin()
 	}
 	c.outcome = outcomeServed
+	if c.unmarked && !c.canResume() {
+		c.out.EndUnmarked()
+		return
+	}
 	c.out.End()
 }
 
