httpserver: reset a response without a mark whenever it is cut off

Callers of streams whose endpoint marks no end saw a close for a whole stream, and this node closes connections too: as it stops or is killed, when a caller has read nothing for ten seconds, and when the end is still pending then. All of them looked like the end of the response, which chunks had not done before.

The connection is now reset by any close from the moment it is taken over, also by the kernel's; only an end that the caller's side has taken switches that off.

TestBeginUnmarked_AnyOtherCloseResets failed before in 2 of 2 cases, and TestBeginUnmarked_EndThatIsNotReadResets as well. A kill of the process was not run.

--- a/internal/httpserver/unmarked.go
+++ b/internal/httpserver/unmarked.go
@@ -24,6 +24,8 @@
 	if err != nil {
 		return nil
 	}
+	// Any close but that of end must not look like the end of the response, also if this process is killed.
+	link.ResetOnClose(unwrap(conn), true)
 	return &unmarkedWriter{conn}
 }
 
@@ -49,8 +51,15 @@
 	return err
 }
 
-// end closes the connection once the caller has read the response.
-func (u *unmarkedWriter) end() { _ = u.conn.Close() }
+// end closes the connection once the caller has read the response, and resets it if the caller has stopped reading.
+func (u *unmarkedWriter) end() {
+	if limited, ok := u.conn.(*limitedConn); ok && !limited.state.writes.awaitDrained() {
+		u.abort()
+		return
+	}
+	link.ResetOnClose(unwrap(u.conn), false)
+	_ = u.conn.Close()
+}
 
 // abort resets the connection, since a close would look like the end of the response.
 func (u *unmarkedWriter) abort() { link.Reset(unwrap(u.conn)) }
--- a/internal/httpserver/unmarked_test.go
+++ b/internal/httpserver/unmarked_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -64,3 +66,64 @@
 	})
 	require.True(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
+
+// requireReset requires that a caller which reads only once a handler has returned sees that its response was cut off.
+func requireReset(t *testing.T, handle func(context.Context, *Responder), whileOpen func(stop func())) {
+	t.Helper()
+	tracker := NewTracker()
+	t.Cleanup(tracker.Close)
+	ended := make(chan struct{})
+	address := freeAddress(t)
+	s, err := Serve(Options{Address: address, MaxBody: 1 << 20, MaxRequests: 64, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		ctx, out, done := tracker.Begin(w)
+		defer done()
+		defer close(ended)
+		out.BeginUnmarked(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
+		handle(ctx, out)
+	})})
+	require.NoError(t, err)
+	stop := sync.OnceFunc(s.Stop)
+	t.Cleanup(stop)
+	conn, reader := connect(t, address)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	_, err = reader.Peek(1)
+	require.NoError(t, err)
+	whileOpen(stop)
+	<-ended
+	_, err = io.ReadAll(reader)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
+// Guards against a response without a mark that is cut off by this node, as it stops or since its caller reads nothing, and
+// looks whole.
+func TestBeginUnmarked_AnyOtherCloseResets(t *testing.T) {
+	for name, stops := range map[string]bool{"server stops": true, "caller stalls": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requireReset(t, func(ctx context.Context, out *Responder) {
+				for out.Write(make([]byte, 16<<10)) == nil {
+					if stops {
+						<-ctx.Done()
+					}
+				}
+				out.Abort()
+			}, func(stop func()) {
+				if stops {
+					stop()
+				}
+			})
+		})
+	}
+}
+
+// Guards against the same if only the end of a response is pending.
+func TestBeginUnmarked_EndThatIsNotReadResets(t *testing.T) {
+	t.Parallel()
+	requireReset(t, func(_ context.Context, out *Responder) {
+		limited, ok := out.unmarked.conn.(*limitedConn)
+		for ok && !limited.state.writes.hasPending() && out.Write(make([]byte, 16<<10)) == nil {
+		}
+		out.End()
+	}, func(func()) {})
+}
--- a/internal/httpserver/writes.go
+++ b/internal/httpserver/writes.go
@@ -121,10 +121,14 @@
 	}
 }
 
-// awaitDrained waits until nothing is pending or the caller has stopped reading.
-func (c *pendingWrites) awaitDrained() {
-	for c.hasPending() && c.awaitProgress() {
+// awaitDrained waits until nothing is pending, or returns false if the caller has stopped reading.
+func (c *pendingWrites) awaitDrained() bool {
+	for c.hasPending() {
+		if !c.awaitProgress() {
+			return false
+		}
 	}
+	return true
 }
 
 func (c *pendingWrites) hasPending() bool {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -63,14 +63,27 @@
 // Reset closes a connection so that its peer sees that it was cut: a response without framing that ends
 // with its connection would look complete otherwise.
 func Reset(conn net.Conn) {
+	ResetOnClose(conn, true)
+	_ = conn.Close()
+}
+
+// ResetOnClose sets whether a close of a connection resets it, also the close of a process that is killed.
+func ResetOnClose(conn net.Conn, reset bool) {
 	switch conn := conn.(type) {
 	case interface{ SetLinger(seconds int) error }:
-		_ = conn.SetLinger(0)
+		seconds := -1
+		if reset {
+			seconds = 0
+		}
+		_ = conn.SetLinger(seconds)
 	case interface{ SetLinger(on, seconds int32) error }:
 		// nbio's connections.
-		_ = conn.SetLinger(1, 0)
+		on := int32(0)
+		if reset {
+			on = 1
+		}
+		_ = conn.SetLinger(on, 0)
 	}
-	_ = conn.Close()
 }
 
 // Listen returns a listener whose accepted connections have the bounds.
