relay: an end without a mark before any event confirms nothing

Two endpoints that close their connections right after the head completed a stream that a third one had broken off: the first of them counted as a response that ends after the last event, the second as its confirmation.

Only a response that has sent events shows now where the stream may end.

TestStream_EmptyUnmarkedResponsesCompleteNothing failed before in 2 of 2 cases, and passes on.

--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -196,3 +196,13 @@
 	}
 	requireEnd(t, streamEnd{body: eventsText(1, 5), complete: true}, serveInOrder(t, first))
 }
+
+// Guards against a broken stream that two endpoints complete by closing their connections before any event.
+func TestStream_EmptyUnmarkedResponsesCompleteNothing(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){"between events": breakStream, "inside an event": breakInsideEvent} {
+		t.Run(name, func(t *testing.T) {
+			out := serveInOrder(t, events(1, 3, end), unframedEvents(""), unframedEvents(""), events(4, 5, endStream))
+			requireEnd(t, streamEnd{body: eventsText(1, 5), complete: true}, out)
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -169,7 +169,8 @@
 		return resultDone
 	}
 	r.logEnd(a)
-	r.endedUnmarked = true
+	// Without an event the response does not show that the stream ends here.
+	r.endedUnmarked = r.endedUnmarked || a.received > 0
 	a.recordUnmarkedEnd(time.Now())
 	r.remove(a, nil, false)
 	return r.endIfOver(resultIncomplete)
