relay: a route with a single attempt can have no end confirmed

Whole streams without framing were cut off on routes whose max_attempts is 1: the only attempt counted as one after which an earlier one has failed. They end as their endpoint ended them now. The new case of TestStream_UnmarkedEndWithoutRetryBudget fails before.

--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -88,6 +88,10 @@
 			e.scripts = []script{unframedEvents(eventsText(1, 2) + "id: 3"), whole}
 			fx.serve(request(hostStream))
 		}, false},
+		{"the route allows one attempt", func(fx *fixture, _ *endpoint) {
+			fx.allowAttempts(1)
+			fx.relay.options.Budget = agedBudget(0.2, 1000, 1)
+		}, true},
 		{"all attempts are used up", func(fx *fixture, e *endpoint) {
 			e.scripts = []script{events(1, 0, breakStream), whole}
 			fx.relay.options.Budget = agedBudget(0.2, 1000, 1)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -434,10 +434,12 @@
 
 // mayEndUnconfirmed reports whether a stream ends as its endpoint ended it although no other one can be asked what
 // follows. An end of a service whose unmarked ends were cuts lately, or of an endpoint that has crashed, is none. Nor is one
-// after all attempts are used up: an earlier one has failed, or has gone on where the stream seemed to end.
+// after several attempts have used up those of the route: an earlier one has failed, or has gone on where the stream seemed
+// to end.
 func (c *call) mayEndUnconfirmed(reason rejection) bool {
-	switch reason.cause {
-	case causeAttempts, causeDeadline, causeQuarantine, causeOnce:
+	switch {
+	case reason.cause == causeDeadline, reason.cause == causeQuarantine, reason.cause == causeOnce,
+		reason.cause == causeAttempts && c.attempts > 1:
 		return false
 	}
 	return c.endedUnmarked && c.unmarked && !c.streams.HasCut(c.service, time.Now()) && !c.refusesDial(c.endedBy)
