continuation: a success to a client's own resumption has to be its stream

A client that resumed with the id of its last event could get a success that is no stream, such as 200 with a text, and took its stream for whole: only responses to the relay's own resumptions were checked. Such a success counts as a failed attempt now, and 502 if no endpoint goes on. Failures are passed on as before: the client asked for them.

--- a/internal/continuation/continuation.go
+++ b/internal/continuation/continuation.go
@@ -44,10 +44,18 @@
 }
 
 // CheckHead checks the status and the header of a response before any of its body is read. Before a
-// caller has a part of the stream, any response is valid.
+// caller has a part of the stream, any response is valid. One that has asked for the rest itself may be told of any failure,
+// but no success is its rest that is not a stream.
 func (p Position) CheckHead(status int, h http.Header) error {
-	if !p.Begun {
+	isSuccess := status >= http.StatusOK && status < http.StatusMultipleChoices
+	switch {
+	case !p.Begun && (p.LastID == "" || !isSuccess):
 		return nil
+	case !p.Begun:
+		p.MediaType = EventStream
+		if MediaType(h) == "" {
+			p.MediaType = ""
+		}
 	}
 	if status != http.StatusOK {
 		return fmt.Errorf("%w: %d", ErrStatus, status)
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -176,6 +176,27 @@
 	}
 }
 
+// Guards against a client that resumes its stream and gets a success that is not the rest: it would take the stream for whole.
+func TestResume_ByClientGetsNoOtherSuccess(t *testing.T) {
+	for name, other := range map[string]script{
+		"another type":    answerWith(200, "text/plain", `{"done":true}`),
+		"no type":         answerWith(200, "", `{"done":true}`),
+		"nothing, a page": answerWith(200, "text/html", ""),
+		"a part":          answerWith(206, "text/event-stream", eventsText(4, 5)),
+		"no content":      func(c net.Conn, r *http.Request) { _, _ = io.WriteString(c, responseHead(r, 204)+"\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := request(hostStream)
+			in.Header.Set("Last", "3")
+			out := newFixture(t, nil, inOrder(t, other, events(4, 5, endStream))).serve(in)
+			require.Equal(t, eventsText(4, 5), out.body.String())
+			require.True(t, out.ended)
+			out = newFixture(t, nil, inOrder(t, other, closeConn)).serve(in)
+			require.Equal(t, http.StatusBadGateway, out.status)
+		})
+	}
+}
+
 // Guards against a stream without ids that begins again in the middle of a response.
 func TestResume_NotWithoutIDs(t *testing.T) {
 	first := func(c net.Conn, r *http.Request) {
