relay: a refused dial is no crash while the links are lost

Callers got 502, or a reset stream, for whole answers that end with their connection: a node that loses its links is refused by all endpoints, and took the refusal for a crash of the one that had just answered. The crash detector compares with other endpoints already; the dial after an unmarked end does so too now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -183,14 +183,16 @@
 	c.crashProbe = c.crashes.ReportBroken(c.subject.InterruptedAfter(active.progress(now)), incarnation, active.sentAt, now)
 }
 
-// refusesDial reports whether nothing listens at an endpoint's address, as after a crash. That of a neighbour is not known.
+// refusesDial reports whether nothing listens at an endpoint's address, as after a crash. A node whose links are lost is
+// refused by all endpoints. That of a neighbour is not known.
 func (c *call) refusesDial(t target) bool {
 	if t.Endpoint == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	return errors.Is(c.options.Upstream.Probe(ctx, t.Address), syscall.ECONNREFUSED)
+	refused := errors.Is(c.options.Upstream.Probe(ctx, t.Address), syscall.ECONNREFUSED)
+	return refused && c.options.Links.Confirm(ctx, t.Address)
 }
 
 // recordProgress clears the parts of the prompt once the endpoint has survived the beginning of its
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -210,3 +211,29 @@
 		})
 	}
 }
+
+// Guards against a refused dial that counts as a crash although this node has lost its links to all endpoints.
+func TestServe_UnframedResponseAsLinksAreLost(t *testing.T) {
+	for _, host := range []string{hostOnce, hostSingle} {
+		t.Run(host, func(t *testing.T) {
+			e := newEndpoint(t)
+			fx := newFixture(t, []*endpoint{e}, []*endpoint{e})
+			fx.loseLinks()
+			links := fx.relay.options.Links
+			for i := range 9 {
+				links.RecordDial(fmt.Sprint("e", i), 0, nil)
+			}
+			require.False(t, links.Lost())
+			e.scripts = []script{func(c net.Conn, r *http.Request) {
+				e.close()
+				for i := range 9 {
+					links.RecordDial(fmt.Sprint("e", i), 0, syscall.ECONNREFUSED)
+				}
+				unframedEvents(eventsText(1, 3))(c, r)
+			}}
+			out := fx.serve(request(host))
+			require.Equal(t, http.StatusOK, out.status)
+			requireEnd(t, streamEnd{body: eventsText(1, 3), complete: true}, out)
+		})
+	}
+}
