--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -237,3 +237,21 @@
 		})
 	}
 }
+
+// Guards against a large answer that gets a mark of its end although its endpoint gave none.
+func TestServe_LargeUnframedResponseGetsNoMark(t *testing.T) {
+	large := strings.Repeat("x", 2*maxBuffered)
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("forwarded %v", forwarded), func(t *testing.T) {
+			fx := newFixture(t, []*endpoint{newEndpoint(t, unframed(large))}, nil)
+			if forwarded {
+				n := &neighbour{fx: fx}
+				fx = newFixture(t, nil, nil)
+				fx.loseLinks(n)
+			}
+			out := fx.serve(request(hostOnce))
+			requireEnd(t, streamEnd{body: large, complete: true}, out)
+			require.True(t, out.unmarked)
+		})
+	}
+}
