relay: sound streams that the new checks cut off or ran twice

Blocks of standard fields without data are dropped and count as a sign of life. An event without an id is held until the next one shows what it is: it may end a stream or begin one without ids, and is an error between events with ids.

--- a/internal/continuation/observations.go
+++ b/internal/continuation/observations.go
@@ -9,7 +9,7 @@
 type numbering uint8
 
 const (
-	_ numbering = iota
+	unseen numbering = iota
 	// oneByOne: whole streams were numbered 1, 2, 3.
 	oneByOne
 	// inSteps: two responses have left the same ids out.
@@ -27,6 +27,8 @@
 
 type observation struct {
 	numbering numbering
+	// rejected is the last skip of any stream for which another response was asked.
+	rejected skip
 	// cutAt is when an endpoint last closed its connection, unmarked, before the end of a stream.
 	cutAt time.Time
 }
@@ -51,6 +53,16 @@
 	o.update(service, func(seen *observation) { seen.numbering = found })
 }
 
+// rejectSkip records a skip for which another response is asked, and reports whether the last one was the same in another
+// stream.
+func (o *Observations) rejectSkip(service string, found skip) (seen bool) {
+	o.update(service, func(observed *observation) {
+		seen = observed.rejected == found
+		observed.rejected = found
+	})
+	return seen
+}
+
 func (o *Observations) get(service string) observation {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/continuation/sequence.go
+++ b/internal/continuation/sequence.go
@@ -34,10 +34,21 @@
 	return &Sequence{observed: o, service: service, resumable: resumable}
 }
 
-// Accept checks the id of the next event: one of a response whose caller was at a position when it began, after so many
-// others of the same response, and after the event that the caller has last.
-func (s *Sequence) Accept(p Position, received int, id, last string) error {
-	if err := s.check(p, received, id, last); err != nil {
+// Next is an event that is about to be relayed.
+type Next struct {
+	// ID is the event's id, Last that of the event which the caller has last.
+	ID, Last string
+	// Position is that of the caller when the event's response began, Received the number of events of the response before.
+	Position Position
+	Received int
+	// Checked is set if another node has checked that the event is the next one.
+	Checked bool
+}
+
+// Accept checks the next event.
+func (s *Sequence) Accept(n Next) error {
+	id, last := n.ID, n.Last
+	if err := s.check(n); err != nil {
 		return err
 	}
 	s.accepted++
@@ -46,21 +57,26 @@
 	return nil
 }
 
-func (s *Sequence) check(p Position, received int, id, last string) error {
-	if received == 0 {
-		if err := p.CheckFirst(id); err != nil {
+func (s *Sequence) check(n Next) error {
+	id, last := n.ID, n.Last
+	if n.Received == 0 {
+		if err := n.Position.CheckFirst(id); err != nil {
 			return err
 		}
 	} else if !Follows(id, last) {
 		return fmt.Errorf("%w: %q after %q", ErrOrder, id, last)
 	}
-	if id == "" && (last != "" || s.observed.numbering(s.service) == oneByOne) || id != "" && s.unnumbered {
+	if id == "" && last != "" || id != "" && s.unnumbered {
 		return fmt.Errorf("%w: %q after %q", ErrNoID, id, last)
 	}
+	if n.Checked {
+		return nil
+	}
 	return s.checkSkip(id, last)
 }
 
-// checkSkip rejects an event before which ids are left out until another response leaves out the same. A stream that cannot
+// checkSkip rejects an event before which ids are left out until another response leaves out the same, or another stream if
+// none of the service was whole yet. A stream that cannot
 // be resumed is given up for it only if others of its service were numbered one by one.
 func (s *Sequence) checkSkip(id, last string) error {
 	found := skip{last, id}
@@ -68,7 +84,7 @@
 	switch {
 	case !Skips(id, last), known == inSteps, !s.resumable && known != oneByOne:
 		return nil
-	case found == s.rejected:
+	case found == s.rejected, s.observed.rejectSkip(s.service, found) && known == unseen:
 		s.observed.recordNumbering(s.service, inSteps)
 		return nil
 	}
@@ -79,7 +95,10 @@
 // minEvents is the least number of events from which a whole stream shows how its service numbers them.
 const minEvents = 2
 
-// RecordWhole learns from a stream that has ended as complete, unless its caller began in the middle.
+// IsUnnumbered reports whether an event without an id was accepted: none of the stream has one.
+func (s *Sequence) IsUnnumbered() bool { return s.unnumbered }
+
+// RecordWhole learns from a stream that has ended as complete.
 func (s *Sequence) RecordWhole() {
 	if s.accepted >= minEvents && !s.skips && !s.unnumbered {
 		s.observed.recordNumbering(s.service, oneByOne)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -183,10 +183,16 @@
 	c.crashProbe = c.crashes.ReportBroken(c.subject.InterruptedAfter(active.progress(now)), incarnation, active.sentAt, now)
 }
 
+// isLeaving reports whether an endpoint may have stopped listening while it finishes its requests.
+func (c *call) isLeaving(t target) bool {
+	listed := c.options.View().Endpoints[t.ID]
+	return listed == nil || listed.Draining || c.options.Throttle.Hold(t.Endpoint, time.Now()) == throttle.HoldDraining
+}
+
 // refusesDial reports whether nothing listens at an endpoint's address, as after a crash. A node whose links are lost is
 // refused by all endpoints. That of a neighbour is not known.
 func (c *call) refusesDial(t target) bool {
-	if t.Endpoint == nil {
+	if t.Endpoint == nil || c.isLeaving(t) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
@@ -342,5 +348,8 @@
 // reserveInterval is the time between two tries to acquire a retry: each may consume a fraction of one.
 const reserveInterval = 500 * time.Millisecond
 
+// canConfirm reports whether another attempt can be asked how a stream goes on.
+func (c *call) canConfirm() bool { return c.canResume() && c.route.MaxAttempts > 1 }
+
 // canResume reports whether the request is for a stream that another endpoint can go on with.
 func (c *call) canResume() bool { return c.isStream() && c.route.Repeatable() }
--- a/internal/relay/endpoint_source.go
+++ b/internal/relay/endpoint_source.go
@@ -110,6 +110,8 @@
 	}
 }
 
+func (s *endpointSource) checksEvents() bool { return false }
+
 func (s *endpointSource) recordEvent(now time.Time) {
 	s.active.recordEvent(now)
 	s.recordOffset(now)
@@ -163,8 +165,7 @@
 
 func (s *endpointSource) hasCrashed() bool { return s.c.refusesDial(s.t) }
 
-func (s *endpointSource) recordUnmarkedEnd(now time.Time) {
-	s.c.recordTrouble(s.t, s.active, now)
+func (s *endpointSource) recordUnmarkedEnd() {
 	s.c.endedBy = s.t
 	s.excludeIfOthers()
 }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -22,33 +22,40 @@
 	raw []byte
 	// id is empty for an event without one.
 	id string
+	// isEmpty is set for a block that is no event, such as a comment that keeps the connection alive.
+	isEmpty bool
 }
 
 // eventReader reads complete events. The bytes of an event are valid until the next call of next.
 type eventReader struct {
 	reader *bufio.Reader
 	raw    []byte
+	// skipped counts the bytes since the last event.
+	skipped int
 }
 
 func newEventReader(r io.Reader) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10)}
 }
 
-// next returns the next event, or io.EOF after the last one. Comments are dropped: they are no part of the stream.
+// next returns the next event or empty block, or io.EOF after the last one.
 func (r *eventReader) next() (event, error) {
-	for skipped := 0; skipped <= maxEventSize; skipped += len(r.raw) {
+	for r.skipped <= maxEventSize {
 		fields, err := r.block()
 		if err != nil {
 			return event{}, err
 		}
+		r.skipped += len(r.raw)
 		switch {
-		case fields.isEmpty():
 		case fields.ids > 1:
 			return event{}, errJoinedEvents
-		case fields.ids == 0 && !fields.hasData:
+		case fields.ids > 0 || fields.hasData:
+			r.skipped = 0
+			return event{raw: r.raw, id: fields.id}, nil
+		case fields.isUnknown:
 			return event{}, errNoEvent
-		default:
-			return event{r.raw, fields.id}, nil
+		case fields.lines > 0:
+			return event{isEmpty: true}, nil
 		}
 	}
 	return event{}, errEventTooLarge
@@ -56,27 +63,26 @@
 
 // fields is what the lines of a block have, up to a blank line.
 type fields struct {
+	lines   int
 	id      string
 	ids     int
 	hasData bool
-	// hasOther is set if there is another line that is no comment.
-	hasOther bool
+	// isUnknown is set if a line is neither a comment nor one of a standard field.
+	isUnknown bool
 }
 
-// isEmpty reports whether a block has nothing but comments.
-func (f *fields) isEmpty() bool { return f.ids == 0 && !f.hasData && !f.hasOther }
-
 func (f *fields) add(line []byte) {
+	f.lines++
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch string(name) {
-	case "":
+	case "", "event", "retry":
 	case "id":
 		f.id = string(bytes.TrimSpace(value))
 		f.ids++
 	case "data":
 		f.hasData = true
 	default:
-		f.hasOther = true
+		f.isUnknown = true
 	}
 }
 
--- a/internal/relay/neighbour_source.go
+++ b/internal/relay/neighbour_source.go
@@ -137,6 +137,9 @@
 	return resultDone
 }
 
+// checksEvents is true: the neighbour has asked its endpoints for what seemed to be missing.
+func (s *neighbourSource) checksEvents() bool { return true }
+
 func (s *neighbourSource) recordEvent(time.Time) {}
 
 func (s *neighbourSource) relay(_ *streamAttempt, e event, _ time.Time) bool {
@@ -164,7 +167,7 @@
 // hasCrashed is false: a neighbour that crashes does not end its response.
 func (s *neighbourSource) hasCrashed() bool { return false }
 
-func (s *neighbourSource) recordUnmarkedEnd(time.Time) { s.c.endedBy = target{} }
+func (s *neighbourSource) recordUnmarkedEnd() { s.c.endedBy = target{} }
 
 // excludeIfOthers does nothing: no neighbour gets a request twice.
 func (s *neighbourSource) excludeIfOthers() {}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -213,7 +213,7 @@
 		c.workspace = workspace.Name
 	}
 	c.service = c.route.Service(xxh3.HashString(c.attrs.ID))
-	c.sequence = continuation.NewSequence(c.streams, c.service, c.canResume())
+	c.sequence = continuation.NewSequence(c.streams, c.service, c.canConfirm())
 	c.level = c.urgencyLevel(identified)
 	c.subject = c.computeSubject()
 	timeout := c.route.Timeout
@@ -434,12 +434,10 @@
 
 // mayEndUnconfirmed reports whether a stream ends as its endpoint ended it although no other one can be asked what
 // follows. An end of a service whose unmarked ends were cuts lately, or of an endpoint that has crashed, is none. Nor is one
-// after several attempts have used up those of the route: an earlier one has failed, or has gone on where the stream seemed
-// to end.
+// after all attempts are used up: an earlier one has failed, or has gone on where the stream seemed to end.
 func (c *call) mayEndUnconfirmed(reason rejection) bool {
-	switch {
-	case reason.cause == causeDeadline, reason.cause == causeQuarantine, reason.cause == causeOnce,
-		reason.cause == causeAttempts && c.attempts > 1:
+	switch reason.cause {
+	case causeAttempts, causeDeadline, causeQuarantine, causeOnce:
 		return false
 	}
 	return c.endedUnmarked && c.unmarked && !c.streams.HasCut(c.service, time.Now()) && !c.refusesDial(c.endedBy)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -117,35 +117,82 @@
 	}
 	now := time.Now()
 	a.recordEvent(now)
+	if e.isEmpty {
+		return r.readOn(a)
+	}
+	if a.received == 0 {
+		if err := a.position.CheckFirst(e.id); err != nil {
+			return r.reject(a, err)
+		}
+	}
+	ready, err := a.hold(e, r.lastEvent, r.sequence.IsUnnumbered())
+	if err != nil {
+		return r.reject(a, err)
+	}
+	for _, e := range ready {
+		if ended, isOver := r.relayNext(a, e, now); isOver {
+			return ended
+		}
+	}
+	return r.readOn(a)
+}
+
+// readOn lets an attempt go on that has shown that it is alive.
+func (r *streamRelay) readOn(a *streamAttempt) result {
+	a.silent = false
+	a.command(readCommand{})
+	return resultIncomplete
+}
+
+// relayNext relays an event if it is the next one. isOver is set if the attempt has ended, with the result.
+func (r *streamRelay) relayNext(a *streamAttempt, e event, now time.Time) (ended result, isOver bool) {
 	if continuation.Skips(e.id, r.lastEvent) {
 		r.logSkip(a, e.id)
 	}
-	if err := r.sequence.Accept(a.position, a.received, e.id, r.lastEvent); err != nil {
-		a.recordInvalid(err)
-		if errors.Is(err, continuation.ErrSkip) {
-			a.excludeIfOthers()
-			r.remove(a, nil, false)
-			return r.endIfOver(resultIncomplete)
-		}
-		return r.end(a, resultIncomplete)
+	if err := r.sequence.Accept(continuation.Next{ID: e.id, Last: r.lastEvent, Position: a.position, Received: a.received, Checked: a.checksEvents()}); err != nil {
+		return r.reject(a, err), true
 	}
 	if r.endedUnmarked {
 		r.streams.RecordCut(r.service, time.Now())
 	}
+	if !r.write(a, e, now) {
+		return resultDone, true
+	}
+	return resultIncomplete, false
+}
+
+// reject ends an attempt whose event is not the next one.
+func (r *streamRelay) reject(a *streamAttempt, err error) result {
+	a.recordInvalid(err)
+	if errors.Is(err, continuation.ErrSkip) {
+		a.excludeIfOthers()
+		r.remove(a, nil, false)
+		return r.endIfOver(resultIncomplete)
+	}
+	return r.end(a, resultIncomplete)
+}
+
+// write relays an event, and returns whether the caller is still there.
+func (r *streamRelay) write(a *streamAttempt, e event, now time.Time) bool {
 	r.keepOnly(a)
 	a.received++
-	if !a.relay(a, e, now) {
-		r.outcome = outcomeCallerGone
-		r.out.Abort()
-		return resultDone
+	if a.relay(a, e, now) {
+		return true
 	}
-	a.silent = false
-	a.command(readCommand{})
-	return resultIncomplete
+	r.outcome = outcomeCallerGone
+	r.out.Abort()
+	return false
 }
 
 // handleEnd handles the end of a response.
 func (r *streamRelay) handleEnd(a *streamAttempt) result {
+	if a.held != nil && !a.isMarked() {
+		a.recordBreak(a, io.ErrUnexpectedEOF)
+		return r.end(a, resultIncomplete)
+	}
+	if a.held != nil && !r.write(a, event{raw: a.held}, time.Now()) {
+		return resultDone
+	}
 	switch a.position.EndAfter(a.received, a.isMarked()) {
 	case continuation.Incomplete:
 		a.recordBreak(a, io.ErrUnexpectedEOF)
@@ -161,17 +208,17 @@
 	return resultDone
 }
 
-// handleUnmarkedEnd has another attempt find out what follows. A stream that cannot be resumed ends as its endpoint ended
+// handleUnmarkedEnd has another attempt find out what follows. A stream that nothing can confirm ends as its endpoint ended
 // it, unless that has crashed.
 func (r *streamRelay) handleUnmarkedEnd(a *streamAttempt) result {
-	if !r.canResume() && !a.hasCrashed() {
+	if !r.canConfirm() && !a.hasCrashed() {
 		r.complete(a)
 		return resultDone
 	}
 	r.logEnd(a)
 	// Without an event the response does not show that the stream ends here.
 	r.endedUnmarked = r.endedUnmarked || a.received > 0
-	a.recordUnmarkedEnd(time.Now())
+	a.recordUnmarkedEnd()
 	r.remove(a, nil, false)
 	return r.endIfOver(resultIncomplete)
 }
@@ -379,7 +426,7 @@
 		begin()
 	}
 	c.outcome = outcomeServed
-	if c.unmarked && !c.canResume() {
+	if c.unmarked && !c.canConfirm() {
 		c.out.EndUnmarked()
 		return
 	}
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -28,6 +29,8 @@
 	// silent is set while nothing is received.
 	silent   bool
 	received int
+	// held is an event without an id, until the next one shows what it is.
+	held []byte
 	// heldUp is for how long the caller has kept this node from reading on.
 	heldUp time.Duration
 }
@@ -134,3 +137,20 @@
 	}
 	a.cancel(cause)
 }
+
+// hold keeps the first event without an id back, and returns the events that may be relayed now. One in the middle of a
+// stream with ids is none of its events; one after the last event may end it.
+func (a *streamAttempt) hold(e event, last string, isUnnumbered bool) ([]event, error) {
+	held := a.held
+	a.held = nil
+	switch {
+	case held == nil && (e.id != "" || isUnnumbered):
+		return []event{e}, nil
+	case held == nil:
+		a.held = bytes.Clone(e.raw)
+		return nil, nil
+	case e.id != "" || last != "":
+		return nil, continuation.ErrNoID
+	}
+	return []event{{raw: held}, e}, nil
+}
--- a/internal/relay/stream_source.go
+++ b/internal/relay/stream_source.go
@@ -25,6 +25,8 @@
 	// relayWhole handles the result of readWhole. The response is relayed if it is the last one in progress.
 	relayWhole(a *streamAttempt, err error, isLast bool) result
 	recordEvent(now time.Time)
+	// checksEvents reports whether the source has checked that its events follow each other.
+	checksEvents() bool
 	// relay relays an event, and returns whether the caller is still there.
 	relay(a *streamAttempt, e event, now time.Time) bool
 	// isMarked reports whether a length or a last chunk shows that a response that has ended is whole.
@@ -34,7 +36,7 @@
 	// excludeIfOthers keeps the source from the next attempt, which confirms what it has sent, if there is another one.
 	excludeIfOthers()
 	// recordUnmarkedEnd records that the connection was closed between two events.
-	recordUnmarkedEnd(now time.Time)
+	recordUnmarkedEnd()
 	// relayEnd completes the caller's response.
 	relayEnd(a *streamAttempt)
 	// recordBreak records that the response was cut off, recordInvalid that it is not the rest of the stream.
