--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -114,7 +114,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		if t.Failed() {
-			keepLogs(t, r, seed)
+			keepLogs(t, r)
 		}
 		r.Close()
 	})
@@ -165,17 +165,18 @@
 }
 
 // keepLogs copies the logs of a failed run to the directory SOAK_KEEP.
-func keepLogs(t *testing.T, r *Run, seed uint64) {
+func keepLogs(t *testing.T, r *Run) {
 	dir := os.Getenv("SOAK_KEEP")
 	if dir == "" {
 		return
 	}
+	run := strings.ReplaceAll(t.Name(), "/", "-")
 	for _, p := range r.entries {
 		text, err := os.ReadFile(p.logFile.Name())
 		if err != nil {
 			continue
 		}
-		name := filepath.Join(dir, fmt.Sprintf("seed-%d-%s.log", seed, p.name))
+		name := filepath.Join(dir, fmt.Sprintf("%s-%s.log", run, p.name))
 		if err := os.WriteFile(name, text, 0o600); err != nil {
 			t.Logf("keep %s: %v", name, err)
 		}
