--- a/lab/soak/streams_test.go
+++ b/lab/soak/streams_test.go
@@ -51,7 +51,7 @@
 	{"cut inside an event, chunked", 2}, {"cut inside an event, with a length", 2}, {"cut inside an event, unframed", 2},
 	{"cut before the last chunk, chunked", 2}, {"cut on a route without resumption", 5},
 	{"event left out", 2}, {"event repeated", 2}, {"events swapped", 2}, {"late first event", 2}, {"event without an id", 2},
-	{"line of garbage", 2}, {"lost blank line", 2},
+	{"line of garbage", 2}, {"lost blank line", 2}, {"whole answer ends inside an event", 2},
 	{"surplus answer at once", 10}, {"surplus answer as the next one", 10}, {"surplus answer as the next one, reused connection", 1},
 	{"stalled", 3}, {"resumed runs", 50},
 	{"streams whole", 50}, {"stream resumptions", 50}, {"stream broken", 20}, {"stream given up", 1}, {"streams left", 1},
