gateway: a plain response whose endpoint crashed at its unmarked end is incomplete

Callers of the own interface got a part of a response with a last chunk, so that it looked whole: a response with neither a length nor chunks ends with its connection, and a process that crashes closes its connections too. As in the relay, the node now dials the endpoint after such an end and closes the caller's connection in the middle if nothing listens. The status has been sent by then, so there is no retry.

An endpoint that lives and ends a response early without a mark cannot be told from one that has finished.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ridgehinge/ridgehinge/internal/continuation"
@@ -346,7 +347,7 @@
 			c.out.Abort()
 			return attemptResponded
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !c.crashedAtUnmarkedEnd(response, target) {
 			if showsEndpointSurvived(response) {
 				c.recordSuccess()
 			}
@@ -365,6 +366,24 @@
 	}
 }
 
+// unmarkedEndProbe bounds the dial that tells a finished response from that of a crashed endpoint.
+const unmarkedEndProbe = time.Second
+
+// crashedAtUnmarkedEnd reports whether a response ended with its connection only, and nothing listens at its
+// endpoint's address any more: a crash closes connections too.
+func (c *call) crashedAtUnmarkedEnd(response *http.Response, target routing.Target) bool {
+	if isDelimited(response) || c.in.Method == http.MethodHead {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), unmarkedEndProbe)
+	defer cancel()
+	crashed := errors.Is(c.g.options.Engine.Probe(ctx, target.Address), syscall.ECONNREFUSED)
+	if crashed {
+		c.log.Info("the endpoint has crashed at the unmarked end of its response", "endpoint", target.Address)
+	}
+	return crashed
+}
+
 // watchdog cancels an attempt when its group is no longer complete or its response stalls, once another group has
 // a place for the response: the group may still go on. A frozen instance keeps its connections open, so connection
 // errors alone don't reveal it.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,7 +39,13 @@
 
 func newTestGateway(t *testing.T, endpoint http.Handler) *testGateway {
 	t.Helper()
-	upstream := httptest.NewServer(endpoint)
+	return newTestGatewayFor(t, httptest.NewUnstartedServer(endpoint))
+}
+
+// newTestGatewayFor is newTestGateway with a server that is not started.
+func newTestGatewayFor(t *testing.T, upstream *httptest.Server) *testGateway {
+	t.Helper()
+	upstream.Start()
 	t.Cleanup(upstream.Close)
 	client := engine.New(nil)
 	t.Cleanup(client.Close)
@@ -151,6 +157,55 @@
 	})
 }
 
+// Guards against a response that looks whole to its caller although its endpoint, which crashed in the middle, had not
+// marked its end.
+func TestPlain_UnmarkedEndOfCrashingEndpoint(t *testing.T) {
+	large := strings.Repeat("x", 10*copyBuffer)
+	for _, test := range []struct {
+		name, method, head, body string
+		crashes                  bool
+		complete                 bool
+	}{
+		{"unmarked, crash", "GET", "", "half", true, false},
+		{"unmarked, crash, not repeatable", "POST", "", "half", true, false},
+		{"unmarked, crash, large", "POST", "", large, true, false},
+		{"unmarked, crash, empty", "GET", "", "", true, false},
+		{"unmarked, alive", "POST", "", "whole", false, true},
+		{"length, crash", "POST", "Content-Length: 5\r\n", "whole", true, true},
+		{"chunks, crash", "POST", "Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n", true, true},
+		{"head, crash", "HEAD", "", "", true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inner := closeConnectionAfter("HTTP/1.1 200 OK\r\n" + test.head + "\r\n" + test.body)
+			var listener net.Listener
+			upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if test.crashes {
+					_ = listener.Close()
+				}
+				inner.ServeHTTP(w, r)
+			}))
+			listener = upstream.Listener
+			b := newTestGatewayFor(t, upstream)
+			request, err := http.NewRequest(test.method, "http://"+b.address+"/services/s/pay", nil)
+			require.NoError(t, err)
+			request.Header.Set("Authorization", "Bearer "+testKey)
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			text, err := io.ReadAll(response.Body)
+			if !test.complete {
+				require.Error(t, err, "an incomplete response appears complete")
+				return
+			}
+			require.NoError(t, err)
+			if test.method != "HEAD" {
+				require.Equal(t, "whole", string(text))
+			}
+		})
+	}
+}
+
 // A request whose connection breaks after it was sent is never reported as not
 // run, and is sent only once if it is not repeatable.
 func TestServe_EndpointConnectionBreaks(t *testing.T) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -89,8 +89,12 @@
 // did not crash. A response that is delimited by the end of its connection does not: a crash
 // ends it in the same way.
 func showsEndpointSurvived(response *http.Response) bool {
-	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return delimited && response.StatusCode < http.StatusInternalServerError
+	return isDelimited(response) && response.StatusCode < http.StatusInternalServerError
+}
+
+// isDelimited reports whether a length or chunks mark the end of a response.
+func isDelimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
 // incarnationOf returns the incarnation of the endpoint that receives a target's requests.
