--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -127,6 +129,57 @@
 	}
 }
 
+// Guards against a forwarded response that looks whole to the caller although the node that ran it aborted it or is
+// gone.
+func TestServe_ForwardedResponseCutOff(t *testing.T) {
+	first := &forwardpb.Event{Status: 200, Body: []byte("data: one\n\n")}
+	second := &forwardpb.Event{Body: []byte("data: two\n\n")}
+	aborted := &forwardpb.Event{Aborted: true}
+	done := &forwardpb.Event{Done: true}
+	for _, test := range []struct {
+		name     string
+		events   []*forwardpb.Event
+		complete bool
+	}{
+		{"whole", []*forwardpb.Event{first, second, done}, true},
+		{"aborted", []*forwardpb.Event{first, second, aborted}, false},
+		{"aborted after the first part", []*forwardpb.Event{first, aborted}, false},
+		{"aborted before the first part", []*forwardpb.Event{aborted}, false},
+		{"node gone", []*forwardpb.Event{first, second}, false},
+		{"node gone at once", nil, false},
+	} {
+		for _, path := range []string{"/services/s/pay", "/v1/chat/completions"} {
+			t.Run(test.name+" "+path, func(t *testing.T) {
+				key := []byte("0123456789abcdef")
+				server, err := peers.Listen("127.0.0.1:0", key, link.New(nil), &scriptedPeer{events: test.events})
+				require.NoError(t, err)
+				t.Cleanup(server.Close)
+				b := newTestGateway(t, newEngineStandIn().Handler())
+				b.gateway.options.Peers = peers.NewClient(key, link.New(nil))
+				s := *b.gateway.snapshot.Load()
+				s.Neighbours = []membership.Node{{ID: "near", Address: server.Address()}}
+				b.gateway.Publish(&s)
+				loseLinks(b.gateway)
+				request, err := http.NewRequest("POST", "http://"+b.address+path, strings.NewReader(`{"model":"m","messages":[],"stream":true}`))
+				require.NoError(t, err)
+				request.Header.Set("Authorization", "Bearer "+testKey)
+				response, err := http.DefaultClient.Do(request)
+				require.NoError(t, err)
+				defer response.Body.Close()
+				text, err := io.ReadAll(response.Body)
+				if test.complete {
+					require.NoError(t, err)
+					require.Equal(t, "data: one\n\ndata: two\n\n", string(text))
+					return
+				}
+				if err == nil && response.StatusCode == 200 {
+					require.Contains(t, string(text), "event: error\n", "an incomplete response appears complete")
+				}
+			})
+		}
+	}
+}
+
 // loseLinks makes a gateway believe that its links to all endpoints are lost.
 func loseLinks(g *Gateway) {
 	addresses := []string{"a", "b", "c", "d"}
