httpserver: streams to callers of HTTP/1.0 end with their connection

Callers of HTTP/1.0 got a stream that looked complete after its first event, and one that was aborted before its head as an empty success: nbhttp (Response.eoncodeHead) gives a response without chunks the length of what is buffered at the first flush. Responder.Begin now uses the writer of unmarked responses where the protocol has no chunks and there is no length, and Abort sends no head that the response has not begun.

An aborted response is reset, which callers of HTTP/1.0 can tell from its end.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -347,6 +347,25 @@
 	assert.Equal(t, "data: [DONE]", events[4])
 }
 
+// Guards against a stream that ends after its first event for a caller of HTTP/1.0, which has no chunks.
+func TestChat_StreamOfHTTP10(t *testing.T) {
+	b := newTestGateway(t, newEngineStandIn().Handler())
+	_, want := b.send("POST", engine.PathChat, `{"stream":true,"messages":[]}`, nil)
+	conn, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	defer conn.Close()
+	body := `{"stream":true,"messages":[]}`
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", engine.PathChat, testKey, len(body), body)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, -1, response.ContentLength)
+	require.Contains(t, string(text), "data: [DONE]")
+	require.Equal(t, strings.Count(want, "\n\n"), strings.Count(string(text), "\n\n"))
+}
+
 // Responses without a body by method or status are passed on, and the
 // connection is reused.
 func TestPlain_ResponsesWithoutBody(t *testing.T) {
--- a/internal/httpserver/pieces.go
+++ b/internal/httpserver/pieces.go
@@ -25,6 +25,8 @@
 type pieceWriter struct {
 	response     *nbhttp.Response
 	begun, sized bool
+	// noChunks is set if the request's protocol has no chunks.
+	noChunks bool
 	// buffered is at least what nbhttp has collected.
 	buffered int
 }
@@ -33,7 +35,7 @@
 func writeInPieces(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if response, ok := w.(*nbhttp.Response); ok {
-			w = &pieceWriter{response: response}
+			w = &pieceWriter{response: response, noChunks: !r.ProtoAtLeast(1, 1)}
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -50,6 +52,12 @@
 	return nil
 }
 
+// lacksChunks reports whether a response without a length cannot be sent in chunks.
+func lacksChunks(w http.ResponseWriter) bool {
+	p, ok := w.(*pieceWriter)
+	return ok && p.noChunks
+}
+
 // Header implements http.ResponseWriter.
 func (p *pieceWriter) Header() http.Header { return p.response.Header() }
 
--- a/internal/httpserver/responder.go
+++ b/internal/httpserver/responder.go
@@ -27,6 +27,7 @@
 	cancel   context.CancelCauseFunc
 	conn     io.Closer
 	checker  closeChecker
+	begun    bool
 	sized    bool
 	// failed is set once a part of the body could not be written.
 	failed bool
@@ -63,21 +64,37 @@
 	if !IsKnownStatus(status) {
 		status = http.StatusBadGateway
 	}
+	r.sized = header.Get("Content-Length") != ""
+	if !r.sized && bodyAllowed(status) && lacksChunks(r.w) && r.beginUnmarked(status, header) {
+		return
+	}
+	r.begun = true
 	for name, values := range header {
 		r.w.Header()[name] = values
 	}
-	r.sized = header.Get("Content-Length") != ""
 	r.w.WriteHeader(status)
 }
 
+// bodyAllowed reports whether a response with a status may have a body.
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // BeginUnmarked is Begin for a response with neither a length nor chunks. Nothing but the close of the connection marks
 // its end.
 func (r *Responder) BeginUnmarked(status int, header http.Header) {
-	if r.unmarked = newUnmarkedWriter(r.w); r.unmarked == nil {
+	if !r.beginUnmarked(status, header) {
 		r.Begin(status, header)
-		return
+	}
+}
+
+// beginUnmarked returns false if the connection cannot be taken over from nbhttp.
+func (r *Responder) beginUnmarked(status int, header http.Header) bool {
+	if r.unmarked = newUnmarkedWriter(r.w); r.unmarked == nil {
+		return false
 	}
 	r.failed = r.unmarked.writeHead(status, header) != nil
+	return true
 }
 
 // Write writes a part of the body, and flushes it if the response has no
@@ -122,8 +139,8 @@
 		r.unmarked.abort()
 		return
 	}
-	if flusher, ok := r.w.(http.Flusher); ok && !r.Closed() {
-		// Send a status that is still buffered, so that the caller receives it.
+	if flusher, ok := r.w.(http.Flusher); ok && r.begun && !r.Closed() {
+		// Send a status that is still buffered, so that the caller receives it. Before Begin, nbhttp would make up one.
 		flusher.Flush()
 	}
 	if r.conn != nil {
--- a/internal/httpserver/responder_test.go
+++ b/internal/httpserver/responder_test.go
@@ -38,3 +38,88 @@
 	body, err := io.ReadAll(response.Body)
 	require.Error(t, err, "the caller reads %q as a complete body", body)
 }
+
+// readHTTP10 sends a request of HTTP/1.0 and reads the response.
+func readHTTP10(t *testing.T, method string, handle func(*Responder)) (response *http.Response, body string, err error) {
+	t.Helper()
+	tracker := NewTracker()
+	t.Cleanup(tracker.Close)
+	_, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, out, done := tracker.Begin(w)
+		defer done()
+		handle(out)
+	})
+	c, reader := connect(t, address)
+	_, err = fmt.Fprintf(c, "%s / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", method)
+	require.NoError(t, err)
+	response, err = http.ReadResponse(reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+// Guards against a stream that looks whole after its first event, or after it was aborted: HTTP/1.0 has no chunks, and
+// nbhttp gives such a response the length of what is written first.
+func TestBegin_HTTP10(t *testing.T) {
+	plain := http.Header{"Content-Type": {"text/plain"}}
+	sized := http.Header{"Content-Type": {"text/plain"}, "Content-Length": {"6"}}
+	write := func(t *testing.T, out *Responder, parts ...string) {
+		for _, part := range parts {
+			require.NoError(t, out.Write([]byte(part)))
+		}
+	}
+	for _, test := range []struct {
+		name, method string
+		handle       func(t *testing.T, out *Responder)
+		length       int64
+		want         string
+		fails        bool
+	}{
+		{"stream", "GET", func(t *testing.T, out *Responder) {
+			out.Begin(http.StatusOK, plain.Clone())
+			write(t, out, "one", "two")
+			out.End()
+		}, -1, "onetwo", false},
+		{"aborted stream", "GET", func(t *testing.T, out *Responder) {
+			out.Begin(http.StatusOK, plain.Clone())
+			write(t, out, "one", "two")
+			out.Abort()
+		}, -1, "", true},
+		{"aborted after the head", "GET", func(_ *testing.T, out *Responder) {
+			out.Begin(http.StatusOK, plain.Clone())
+			out.Abort()
+		}, -1, "", true},
+		{"aborted before the head", "GET", func(_ *testing.T, out *Responder) { out.Abort() }, -1, "", true},
+		{"with a length", "GET", func(t *testing.T, out *Responder) {
+			out.Begin(http.StatusOK, sized.Clone())
+			write(t, out, "one", "two")
+			out.End()
+		}, 6, "onetwo", false},
+		{"with a length, aborted", "GET", func(t *testing.T, out *Responder) {
+			out.Begin(http.StatusOK, sized.Clone())
+			write(t, out, "one")
+			out.Abort()
+		}, 6, "", true},
+		{"without a body", "GET", func(_ *testing.T, out *Responder) {
+			out.Begin(http.StatusNoContent, http.Header{})
+			out.End()
+		}, 0, "", false},
+		{"head", "HEAD", func(_ *testing.T, out *Responder) {
+			out.Begin(http.StatusOK, plain.Clone())
+			out.End()
+		}, -1, "", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			response, body, err := readHTTP10(t, test.method, func(out *Responder) { test.handle(t, out) })
+			if test.fails {
+				require.Error(t, err, "the caller takes %q for whole", body)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, test.want, body)
+			require.Equal(t, test.length, response.ContentLength)
+		})
+	}
+}
