httpserver: send no body and no last chunk in responses to HEAD

Callers that reuse a connection after a HEAD request read bytes that belong to no response: nbhttp sends the body of an error, and after a response without a length the last chunk. pieceWriter drops the body of such a response and gives it its length; a response of an endpoint that tells no length ends with its connection.

--- a/internal/httpserver/pieces.go
+++ b/internal/httpserver/pieces.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -25,7 +26,11 @@
 type pieceWriter struct {
 	response     *nbhttp.Response
 	begun, sized bool
-	// noChunks is set if the request's protocol has no chunks.
+	// head is set for a response to HEAD, whose body is counted and dropped: nbhttp would send it.
+	head    bool
+	dropped int
+	// noChunks is set if the response cannot be sent in chunks: HTTP/1.0 has none, and nbhttp would send the last one
+	// after a response to HEAD.
 	noChunks bool
 	// buffered is at least what nbhttp has collected.
 	buffered int
@@ -34,10 +39,15 @@
 // writeInPieces makes a handler's responses go through a pieceWriter.
 func writeInPieces(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if response, ok := w.(*nbhttp.Response); ok {
-			w = &pieceWriter{response: response, noChunks: !r.ProtoAtLeast(1, 1)}
+		response, ok := w.(*nbhttp.Response)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
 		}
-		h.ServeHTTP(w, r)
+		head := r.Method == http.MethodHead
+		p := &pieceWriter{response: response, head: head, noChunks: head || !r.ProtoAtLeast(1, 1)}
+		h.ServeHTTP(p, r)
+		p.end()
 	})
 }
 
@@ -66,6 +76,10 @@
 
 // Write implements http.ResponseWriter.
 func (p *pieceWriter) Write(b []byte) (int, error) {
+	if p.head {
+		p.dropped += len(b)
+		return len(b), nil
+	}
 	p.begin()
 	if p.sized {
 		// The number that nbhttp returns includes earlier writes.
@@ -109,7 +123,17 @@
 
 // Flush implements http.Flusher.
 func (p *pieceWriter) Flush() {
+	if p.head {
+		return
+	}
 	p.begin()
 	p.response.Flush()
 	p.buffered = 0
 }
+
+// end is called when the handler has returned. It gives a response to HEAD the length that keeps nbhttp from chunks.
+func (p *pieceWriter) end() {
+	if p.head && p.Header().Get("Content-Length") == "" {
+		p.Header().Set("Content-Length", strconv.Itoa(p.dropped))
+	}
+}
--- a/internal/httpserver/responder_test.go
+++ b/internal/httpserver/responder_test.go
@@ -123,3 +123,56 @@
 		})
 	}
 }
+
+// Guards against bytes on a connection that belong to no response after one to HEAD: nbhttp sends the body and the last
+// chunk, and the caller takes them for the next response.
+func TestResponses_ToHead(t *testing.T) {
+	tracker := NewTracker()
+	t.Cleanup(tracker.Close)
+	begin := func(w http.ResponseWriter, header http.Header, body string) {
+		_, out, done := tracker.Begin(w)
+		defer done()
+		out.Begin(http.StatusOK, header)
+		if body != "" {
+			_ = out.Write([]byte(body))
+		}
+		out.End()
+	}
+	plain := http.Header{"Content-Type": {"text/plain"}}
+	for _, test := range []struct {
+		name   string
+		handle func(w http.ResponseWriter)
+		length int64
+	}{
+		{"no length", func(w http.ResponseWriter) { begin(w, plain.Clone(), "") }, -1},
+		{"length", func(w http.ResponseWriter) { begin(w, http.Header{"Content-Length": {"7"}}, "") }, 7},
+		{"length and body", func(w http.ResponseWriter) { begin(w, http.Header{"Content-Length": {"7"}}, "HTTP/1.") }, 7},
+		{"plain handler", func(w http.ResponseWriter) { http.Error(w, "gone", http.StatusOK) }, 5},
+		{"plain handler, nothing", func(http.ResponseWriter) {}, 0},
+		{"plain handler, large", func(w http.ResponseWriter) { _, _ = w.Write(make([]byte, 3*maxBuffered)) }, 3 * maxBuffered},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodHead {
+					test.handle(w)
+					return
+				}
+				_, _ = io.WriteString(w, "next")
+			})
+			c, reader := connect(t, address)
+			_, err := fmt.Fprint(c, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodHead})
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.Equal(t, test.length, response.ContentLength)
+			if response.Close {
+				rest, err := io.ReadAll(reader)
+				require.NoError(t, err)
+				require.Empty(t, rest)
+				return
+			}
+			require.Equal(t, "next", get(t, c, reader, "/"))
+		})
+	}
+}
