httpserver: close the connection of a handler that panics

nbio recovers and goes on with the next pipelined request, so its response would be sent as the rest of the unfinished one, and without a next one the caller waits until its deadline. TestPanic_ClosesConnection failed before.

--- a/internal/httpserver/pieces.go
+++ b/internal/httpserver/pieces.go
@@ -46,11 +46,21 @@
 		}
 		head := r.Method == http.MethodHead
 		p := &pieceWriter{response: response, head: head, noChunks: head || !r.ProtoAtLeast(1, 1)}
+		defer closeAfterPanic(response)
 		h.ServeHTTP(p, r)
 		p.end()
 	})
 }
 
+// closeAfterPanic closes the connection of a handler that panics: nbio goes on with the next request, and its response
+// would be read as the rest of this one.
+func closeAfterPanic(response *nbhttp.Response) {
+	if cause := recover(); cause != nil {
+		_ = unwrap(response.Parser.Conn).Close()
+		panic(cause)
+	}
+}
+
 // responseOf returns nbhttp's response of one that a handler gets, or nil.
 func responseOf(w http.ResponseWriter) *nbhttp.Response {
 	switch w := w.(type) {
--- a/internal/httpserver/responder_test.go
+++ b/internal/httpserver/responder_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -176,3 +180,22 @@
 		})
 	}
 }
+
+// Guards against a response that is spliced with the next one: nbio goes on with the next request after a handler has
+// panicked.
+func TestPanic_ClosesConnection(t *testing.T) {
+	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		if r.URL.Path == "/panics" {
+			panic("test")
+		}
+	})
+	c, reader := connect(t, address)
+	_, err := fmt.Fprint(c, "GET /panics HTTP/1.1\r\nHost: h\r\n\r\nGET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	text, err := io.ReadAll(reader)
+	require.False(t, errors.Is(err, os.ErrDeadlineExceeded), "the connection is still open")
+	require.LessOrEqual(t, strings.Count(string(text), "HTTP/1.1 200"), 1, "%q", text)
+}
