link: don't reset the connection that has the descriptor of a closed one

An aborted response without a mark made other callers' whole responses break off: nbio's SetLinger acts on the descriptor of a connection that its caller has closed, which the next connection may have by then, so that its close became a reset. link.Reset leaves closed connections alone. nbio has no call that sets the option under its lock, so a moment remains between the two; what it can do is cut a whole response, never complete a cut one.

The abort of a pipelined response still cuts what its caller has not read of those before it.

--- a/internal/httpserver/unmarked.go
+++ b/internal/httpserver/unmarked.go
@@ -62,4 +62,4 @@
 }
 
 // abort resets the connection, since a close would look like the end of the response.
-func (u *unmarkedWriter) abort() { link.Reset(unwrap(u.conn)) }
+func (u *unmarkedWriter) abort() { _ = unwrap(u.conn).Close() }
--- a/internal/httpserver/unmarked_test.go
+++ b/internal/httpserver/unmarked_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -127,3 +128,45 @@
 		out.End()
 	}, func(func()) {})
 }
+
+// Guards against an aborted response that resets the connection of another caller, which got the descriptor of the one
+// that had left.
+func TestBeginUnmarked_AbortAfterCallerLeft(t *testing.T) {
+	tracker := NewTracker()
+	t.Cleanup(tracker.Close)
+	left, aborted := make(chan struct{}), make(chan struct{})
+	next := make(chan struct{})
+	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, out, done := tracker.Begin(w)
+		defer done()
+		out.BeginUnmarked(http.StatusOK, http.Header{})
+		if r.URL.Path == "/next" {
+			close(next)
+			<-aborted
+			_ = out.Write([]byte("whole"))
+			out.End()
+			return
+		}
+		for out.Write([]byte("part")) == nil {
+			time.Sleep(time.Millisecond)
+		}
+		close(left)
+		<-next
+		out.Abort()
+		close(aborted)
+	})
+	first, _ := connect(t, address)
+	_, err := io.WriteString(first, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, first.Close())
+	<-left
+	// A descriptor that is free is used again at once; the callers' ends of connections take some too.
+	second, reader := connect(t, address)
+	_, err = io.WriteString(second, "GET /next HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(text))
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -76,8 +76,14 @@
 			seconds = 0
 		}
 		_ = conn.SetLinger(seconds)
-	case interface{ SetLinger(on, seconds int32) error }:
-		// nbio's connections.
+	case interface {
+		SetLinger(on, seconds int32) error
+		IsClosed() (bool, error)
+	}:
+		// nbio's connections. That of a closed one would set the option of another, which has its descriptor now.
+		if closed, _ := conn.IsClosed(); closed {
+			return
+		}
 		on := int32(0)
 		if reset {
 			on = 1
