httpserver: release a connection as soon as a write to it fails

An aborted response, or one whose caller has left, went on to take the place of a handler and its share of pending bytes for 10 s: nbhttp writes the end of the response to the closed connection, and closes it again, which waits for those bytes. The close handler that would release them runs on the connection after this handler. Many of them at once would leave no handlers for others. limitedConn.Write now releases the connection when nbio has refused a write, since nbio closes it then.

TestWrites_ClosedConnectionIsReleased failed before in 2 of 2 cases.

--- a/internal/httpserver/writes.go
+++ b/internal/httpserver/writes.go
@@ -164,6 +164,8 @@
 			return done, err
 		}
 		if _, err := p.Conn.Write(b[done : done+n]); err != nil {
+			// The connection is closed, but its close handler runs after this one, which must not wait for it.
+			p.state.writes.close()
 			return done, err
 		}
 		done += n
--- a/internal/httpserver/writes_test.go
+++ b/internal/httpserver/writes_test.go
@@ -157,3 +157,38 @@
 		require.Equal(t, "event", string(got))
 	}
 }
+
+// Guards against a response that was aborted, or whose caller has left, and goes on to take the place of a handler and
+// of pending bytes until writeStallTimeout.
+func TestWrites_ClosedConnectionIsReleased(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprint("caller leaves ", leaves), func(t *testing.T) {
+			tracker := NewTracker()
+			t.Cleanup(tracker.Close)
+			server, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, out, done := tracker.Begin(w)
+				defer done()
+				out.Begin(http.StatusOK, http.Header{})
+				for out.Write([]byte("part")) == nil && leaves {
+					time.Sleep(time.Millisecond)
+				}
+				out.Abort()
+			})
+			for range 5 {
+				c, reader := connect(t, address)
+				_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				require.NoError(t, err)
+				_, err = http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				if leaves {
+					require.NoError(t, c.Close())
+				}
+			}
+			require.Eventually(t, func() bool {
+				server.mu.Lock()
+				defer server.mu.Unlock()
+				return len(server.conns) == 0 && server.writes.pending.Load() == 0
+			}, writeStallTimeout/3, time.Millisecond)
+		})
+	}
+}
