relay: test that a retry does not take a surplus response of the same request

Retries use new connections; in this case the old one is closed as well, since its response is not read to its end, so the test passes without the one or the other.

--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -255,3 +256,26 @@
 		})
 	}
 }
+
+// Guards against a surplus response that counts as that to a retry: it has the same request's id, and arrives late on
+// the connection of a whole response before.
+func TestStream_RetryIgnoresSurplusOfSameRequest(t *testing.T) {
+	theirs := strings.ReplaceAll(eventsText(3, 5), "piece", "surplus")
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+		first := func(c net.Conn, r *http.Request) {
+			answerWith(200, "text/event-stream", eventsText(1, 2)+eventsText(4, 5))(c, r)
+			time.AfterFunc(delay, func() { answerWith(200, "text/event-stream", theirs)(c, r) })
+		}
+		second := func(c net.Conn, r *http.Request) {
+			time.Sleep(100 * time.Millisecond)
+			last, _ := strconv.Atoi(r.Header.Get("Last"))
+			events(last+1, 5, endStream)(c, r)
+		}
+		t.Run(delay.String(), func(t *testing.T) {
+			e := newEndpoint(t, first, second)
+			out := newFixture(t, nil, []*endpoint{e}).serve(request(hostStream))
+			require.Len(t, e.requests(), 2)
+			requireEnd(t, streamEnd{body: eventsText(1, 5), complete: true}, out)
+		})
+	}
+}
