lease: test that a suspended holder's lease is always taken over

Two machines share a table of which up to 60 % of the calls get no response, half of the writes among them with effect; then the holder is suspended and all calls are answered. In 500 of 500 seeds the other machine holds the lease within two TTLs and two seconds, and never do both.

--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -276,3 +277,93 @@
 	third := m.Next(at(ttl + 2*time.Second))
 	require.Equal(t, Action{Kind: ActionAcquire, Row: Row{Epoch: 5, Holder: "b"}, Version: 8}, third)
 }
+
+// table is a table with one lease row, of which some calls get no response.
+type table struct {
+	row     Row
+	version uint64
+	random  *rand.Rand
+	// lost is the share of calls without a response; half of the writes among them take effect.
+	lost float64
+}
+
+// call is a call in progress.
+type call struct {
+	action Action
+	sentAt time.Time
+	doneAt time.Time
+	// answered is set if there is a response, which has the row that was read or whether the write committed.
+	answered, committed bool
+	row                 Row
+	version             uint64
+}
+
+func (t *table) do(action Action, now time.Time) *call {
+	c := &call{action: action, sentAt: now, doneAt: now.Add(time.Duration(t.random.IntN(300)) * time.Millisecond)}
+	c.answered = t.random.Float64() >= t.lost
+	if action.Kind != ActionRead && action.Version == t.version && (c.answered || t.random.IntN(2) == 0) {
+		t.version++
+		t.row = action.Row
+		c.committed = true
+	}
+	c.row, c.version = t.row, t.version
+	if !c.answered {
+		c.doneAt = now.Add(700 * time.Millisecond)
+	}
+	return c
+}
+
+func (c *call) finish(m *Machine, now time.Time) {
+	switch {
+	case !c.answered:
+		m.StoreUnavailable()
+	case c.action.Kind == ActionRead:
+		m.ReadDone(now, c.row, c.version)
+	default:
+		m.WriteDone(c.sentAt, c.action.Row, c.version, c.committed)
+	}
+}
+
+// Guards against a lease that nobody takes after its holder was suspended, whatever responses were lost before, and against
+// two holders.
+func TestMachine_TakesOverFromSuspendedHolder(t *testing.T) {
+	const tick, suspendAfter, within = 50 * time.Millisecond, 20 * time.Second, 2*ttl + 2*time.Second
+	for seed := range uint64(500) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		store := &table{random: random, lost: 0.6 * random.Float64()}
+		machines := []*Machine{newMachine("a"), newMachine("b")}
+		calls := make([]*call, len(machines))
+		suspended := -1
+		var takenAt, suspendedAt time.Time
+		for now := start; takenAt.IsZero(); now = now.Add(tick) {
+			holders := 0
+			for i, m := range machines {
+				if i == suspended {
+					continue
+				}
+				if c := calls[i]; c != nil && !now.Before(c.doneAt) {
+					c.finish(m, now)
+					calls[i] = nil
+				}
+				if calls[i] == nil {
+					if action := m.Next(now); action.Kind != ActionNone {
+						calls[i] = store.do(action, now)
+					}
+				}
+				if _, held := m.Held(now); held {
+					holders++
+					if suspended >= 0 {
+						takenAt = now
+					} else if now.Sub(start) > suspendAfter {
+						suspended, suspendedAt, store.lost = i, now, 0
+					}
+				}
+			}
+			require.LessOrEqual(t, holders, 1, "seed %d", seed)
+			if suspended >= 0 {
+				require.LessOrEqual(t, now.Sub(suspendedAt), within, "seed %d: nobody has taken the lease", seed)
+			}
+			require.Less(t, now.Sub(start), 10*suspendAfter, "seed %d: nobody holds the lease", seed)
+		}
+	}
+}
