control: log changes of the lease and whether the table responds to it

TestController_ThawedAfterLeaseExpiry failed once because a node did not take the lease, and that node had logged nothing: lost leases, other holders and calls without a response left no line. Each change is logged once now. The test also prints the last status of the node that should have taken the lease, to tell whether it responded and had reached the table; its checks are the same.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -126,14 +126,16 @@
 	// intervals are the options' intervals scaled to the data centre's size.
 	intervals Intervals
 
-	start     time.Time
-	random    *rand.Rand
-	tracker   *membership.Tracker
-	lease     *lease.Machine
-	planner   *placement.Planner
-	store     *configuration.Store
-	groups    *fleet.Groups
-	instances map[fleet.InstanceID]fleet.Instance
+	start   time.Time
+	random  *rand.Rand
+	tracker *membership.Tracker
+	lease   *lease.Machine
+	// loggedLease is the lease as it was logged last.
+	loggedLease leaseStatus
+	planner     *placement.Planner
+	store       *configuration.Store
+	groups      *fleet.Groups
+	instances   map[fleet.InstanceID]fleet.Instance
 	// unlisted are instances that are no longer listed but still respond.
 	unlisted map[fleet.InstanceID]bool
 	// instancesChangedAt is when the set of instances last changed.
@@ -224,6 +226,7 @@
 	l.exchangeWithPeers(now)
 	l.readPlatform(now)
 	l.runLease(now)
+	l.logLease(now)
 	l.runController(now)
 	l.publish(now)
 	if now.After(l.next.expire) {
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -24,6 +24,26 @@
 	}
 }
 
+// leaseStatus is what is logged of the lease when it changes.
+type leaseStatus struct {
+	held        bool
+	holder      string
+	epoch       uint64
+	unavailable bool
+}
+
+// logLease logs a change of the lease's holder, or of whether the table responds.
+func (l *Loop) logLease(now time.Time) {
+	_, held := l.lease.Held(now)
+	holder, epoch := l.lease.Holder()
+	status := leaseStatus{held, holder, epoch, l.lease.Unavailable()}
+	if status == l.loggedLease {
+		return
+	}
+	l.loggedLease = status
+	l.log.Info("lease status changed", "held", held, "holder", holder, "epoch", epoch, "table_unavailable", status.unavailable)
+}
+
 // leaseRead is the result of reading the lease row.
 type leaseRead struct {
 	row          lease.Row
--- a/lab/integration/control_test.go
+++ b/lab/integration/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/ridgehinge/ridgehinge/internal/control"
 	"github.com/ridgehinge/ridgehinge/internal/operatorapi"
 	"github.com/ridgehinge/ridgehinge/internal/standin/platformstandin"
 	"github.com/ridgehinge/ridgehinge/lab/cluster"
@@ -31,9 +32,17 @@
 	c := start(t, 9, 1)
 	old := c.Controller("kochi")
 	other := c.OtherEntries(old)[0]
+	var last control.Status
+	lastOK := false
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("%s was frozen; last status of %s, responded %v: controller %s, epoch %d, age of the table's last response %.1f s", old.Name, other.Name, lastOK, last.Controller, last.Epoch, last.PlatformAge)
+		}
+	})
 	c.Freeze(old.Process)
 	c.Eventually("another takes the lease", func() bool {
 		s, ok := other.Status()
+		last, lastOK = s, ok
 		return ok && s.Controller == other.Name
 	})
 	before := c.Groups("kochi")[0]
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -133,6 +133,9 @@
 	return m.row.Holder, m.row.Epoch
 }
 
+// Unavailable reports whether the table has not responded to the last call.
+func (m *Machine) Unavailable() bool { return m.unavailable }
+
 // SetReadInterval sets how often a node that does not hold the lease reads the row.
 func (m *Machine) SetReadInterval(d time.Duration) { m.readInterval = d }
 
