httpserver: test bodies of up to 16 MiB, and responses without a mark, byte by byte

TestResponses_BelongToTheirRequests went up to 4 MiB and left out responses that end with their connection. It covers them now as a sixth framing; the largest sizes, beyond what may be pending for a caller, are a test of their own with few requests: 16 MiB and 8 MiB + 1, all framings, readers fast and slow, a small request after each on the same connection.

--- a/internal/httpserver/pieces_test.go
+++ b/internal/httpserver/pieces_test.go
@@ -35,52 +35,93 @@
 	if q.Get("sized") != "" {
 		w.Header().Set("Content-Length", strconv.Itoa(size))
 	}
+	unmarked := NewResponder(w, func(error) {})
+	if q.Get("unmarked") != "" {
+		unmarked.BeginUnmarked(http.StatusOK, w.Header().Clone())
+		defer unmarked.End()
+	}
 	for len(body) > 0 {
-		n, err := w.Write(body[:min(len(body), max(write, 1))])
-		if err != nil {
+		piece := body[:min(len(body), max(write, 1))]
+		body = body[len(piece):]
+		if q.Get("unmarked") != "" {
+			if unmarked.Write(piece) != nil {
+				return
+			}
+			continue
+		}
+		if _, err := w.Write(piece); err != nil {
 			return
 		}
-		body = body[n:]
 		if q.Get("flush") != "" {
 			w.(http.Flusher).Flush()
 		}
 	}
 }
 
-// Guards against callers that get the responses of others, or bytes that are no response, after large ones.
-func TestResponses_BelongToTheirRequests(t *testing.T) {
-	_, address := startServer(t, handleOwnBody)
-	sizes := []int{0, 1, 800, 16 << 10, 64<<10 - 20, 64 << 10, 256<<10 + 1, 300_000, 1 << 20, 4 << 20}
-	writes := []int{700, 16 << 10, 64 << 10, 256<<10 + 1, 16 << 20}
-	const clients, requests = 12, 60
+// framings are the ways in which handleOwnBody can frame a response.
+var framings = []string{"", "&sized=1", "&flush=1", "&head=70000", "&head=30000&flush=1", "&unmarked=1"}
+
+// requireOwnBody requests a body and compares each byte with that of the request. It returns false if they differ.
+func requireOwnBody(t *testing.T, client *http.Client, address, id string, size, write int, framing string, slowly bool) bool {
+	url := fmt.Sprintf("http://%s/?id=%s&size=%d&write=%d%s", address, id, size, write, framing)
+	response, err := client.Get(url)
+	if !assert.NoError(t, err, url) {
+		return false
+	}
+	body, err := readSlowly(response.Body, slowly)
+	_ = response.Body.Close()
+	return assert.NoError(t, err, url) && assert.Equal(t, id, response.Header.Get("Id")) && assert.True(t, bytes.Equal(ownBody(id, size), body), url)
+}
+
+// runClients runs clients with connections of their own at the same time.
+func runClients(clients int, run func(i int, client *http.Client)) {
 	var running sync.WaitGroup
 	for i := range clients {
 		running.Go(func() {
 			client := &http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableCompression: true}}
 			defer client.CloseIdleConnections()
-			for n := range requests {
-				size, write := sizes[(i+n)%len(sizes)], writes[(i+n/len(sizes))%len(writes)]
-				if write < 1<<10 {
-					size = min(size, 300_000)
-				}
-				id := fmt.Sprintf("c%d-%d", i, n)
-				url := fmt.Sprintf("http://%s/?id=%s&size=%d&write=%d", address, id, size, write)
-				url += []string{"", "&sized=1", "&flush=1", "&head=70000", "&head=30000&flush=1"}[n%5]
-				response, err := client.Get(url)
-				if !assert.NoError(t, err, url) {
-					return
-				}
-				body, err := readSlowly(response.Body, n%7 == 0)
-				_ = response.Body.Close()
-				if !assert.NoError(t, err, url) || !assert.Equal(t, id, response.Header.Get("Id")) || !assert.True(t, bytes.Equal(ownBody(id, size), body), url) {
-					return
-				}
-			}
+			run(i, client)
 		})
 	}
 	running.Wait()
 }
 
+// Guards against callers that get the responses of others, or bytes that are no response, after large ones.
+func TestResponses_BelongToTheirRequests(t *testing.T) {
+	_, address := startServer(t, handleOwnBody)
+	sizes := []int{0, 1, 800, 16 << 10, 64<<10 - 20, 64 << 10, 256<<10 + 1, 300_000, 1 << 20, 4 << 20}
+	writes := []int{700, 16 << 10, 64 << 10, 256<<10 + 1, 16 << 20}
+	runClients(12, func(i int, client *http.Client) {
+		for n := range 60 {
+			size, write := sizes[(i+n)%len(sizes)], writes[(i+n/len(sizes))%len(writes)]
+			if write < 1<<10 {
+				size = min(size, 300_000)
+			}
+			if !requireOwnBody(t, client, address, fmt.Sprintf("c%d-%d", i, n), size, write, framings[n%len(framings)], n%7 == 0) {
+				return
+			}
+		}
+	})
+}
+
+// Guards against the same beyond the sizes that the server may have pending for a caller. Each large response is followed by
+// a small one on the same connection if its framing allows one.
+func TestResponses_LargestBelongToTheirRequests(t *testing.T) {
+	_, address := startServer(t, handleOwnBody)
+	sizes := []int{16 << 20, 8<<20 + 1}
+	writes := []int{64 << 10, 16 << 20}
+	runClients(len(framings), func(i int, client *http.Client) {
+		for n := range 4 {
+			id := fmt.Sprintf("c%d-%d", i, n)
+			slowly, size, write := n%2 == 0, sizes[n/2], writes[(i+n/2)%len(writes)]
+			if !requireOwnBody(t, client, address, id, size, write, framings[i], slowly) ||
+				!requireOwnBody(t, client, address, id+"-next", n, write, "", false) {
+				return
+			}
+		}
+	})
+}
+
 // readSlowly reads a body, with pauses if it is read slowly.
 func readSlowly(r io.Reader, slowly bool) ([]byte, error) {
 	if !slowly {
