quarantine: test a tie of two parts after all nodes have restarted

Nodes that restart read the crashes of both parts back from the table, without their times, and have no history of successes or attempts. In both orders of fingerprints and of rows a tie stays one until a success, a crash of one part or the bound on crashes decides it.

--- a/pkg/quarantine/subject_test.go
+++ b/pkg/quarantine/subject_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -196,6 +197,64 @@
 	}
 }
 
+// Guards against a tie that the order of fingerprints, or of the rows read back, decides after all nodes have restarted: they
+// know the crashes from the table and nothing else.
+func TestBlocks_TieAfterRestartOfAllNodes(t *testing.T) {
+	for _, test := range []struct {
+		shared, deadly uint64
+		sharedFirst    bool
+	}{{1, 2, true}, {1, 2, false}, {2, 1, true}, {2, 1, false}} {
+		sound, bad := parts(test.shared), parts(test.shared, test.deadly)
+		shared, deadly := fingerprint(test.shared), fingerprint(test.deadly)
+		restarted := func(crashes int) *List {
+			before := NewList()
+			for n := range crashes {
+				before.RecordSent(bad)
+				before.RecordPartCrash(bad, Incarnation(n+1), at(float64(n)))
+			}
+			rows, _ := before.Unstored(MaxCrashes-1, 10)
+			require.Len(t, rows, 2)
+			if (rows[0].Fingerprint == shared) != test.sharedFirst {
+				slices.Reverse(rows)
+			}
+			after := NewList()
+			for _, row := range rows {
+				for i := range row.Crashes {
+					// A row does not have the times of the crashes.
+					row.Crashes[i].At = at(10)
+				}
+				after.Merge([]Record{row}, at(10))
+			}
+			after.MarkStored(rows)
+			return after
+		}
+		requireTold := func(l *List) {
+			t.Helper()
+			require.False(t, l.Blocks(shared))
+			require.True(t, l.Blocks(deadly))
+		}
+		for crashes := MaxCrashes; crashes < maxTiedCrashes; crashes++ {
+			l := restarted(crashes)
+			require.False(t, l.Blocks(shared) || l.Blocks(deadly), "nothing tells them apart")
+			l.RecordPartSuccess(sound, at(11))
+			requireTold(l)
+
+			l = restarted(crashes)
+			l.RecordSent(bad)
+			l.RecordPartCrash(bad, 9, at(11))
+			require.Equal(t, crashes+1 >= maxTiedCrashes, l.Blocks(shared) && l.Blocks(deadly), "a crash of both parts tells nothing")
+			l.RecordPartCrash(parts(test.deadly), 10, at(12))
+			requireTold(l)
+		}
+		l := restarted(maxTiedCrashes)
+		require.True(t, l.Blocks(shared) && l.Blocks(deadly), "the bound on crashes")
+		require.False(t, l.StartTrial(deadly, Subject{Parts: bad}, at(11)), "its response would not tell them apart")
+		require.True(t, l.StartTrial(shared, Subject{Parts: sound}, at(11)), "at once")
+		l.RecordPartSuccess(sound, at(11.1))
+		requireTold(l)
+	}
+}
+
 // Two parts that crash different endpoints are not tied, so neither gets a trial at once.
 func TestTrialAllowed_IgnoresUnrelatedParts(t *testing.T) {
 	l := NewList()
