--- a/internal/continuation/observations.go
+++ b/internal/continuation/observations.go
@@ -44,7 +44,7 @@
 	o.update(service, func(seen *observation) { seen.confirmed++ })
 }
 
-// TrustsEnds reports whether unmarked ends of a service have all been those of their streams lately.
+// TrustsEnds reports whether the last unmarked ends of a service were all those of their streams.
 func (o *Observations) TrustsEnds(service string) bool {
 	return o.get(service).confirmed >= minConfirmed
 }
