--- a/internal/continuation/observations.go
+++ b/internal/continuation/observations.go
@@ -6,7 +6,7 @@
 type numbering uint8
 
 const (
-	unseen numbering = iota
+	_ numbering = iota
 	// oneByOne: whole streams were numbered 1, 2, 3.
 	oneByOne
 	// inSteps: two responses have left the same ids out.
@@ -25,8 +25,6 @@
 
 type observation struct {
 	numbering numbering
-	// rejected is the last skip of any stream for which another response was asked.
-	rejected skip
 	// confirmed counts the unmarked ends that were those of their streams since the last that was not.
 	confirmed int
 }
@@ -55,16 +53,6 @@
 	o.update(service, func(seen *observation) { seen.numbering = found })
 }
 
-// rejectSkip records a skip for which another response is asked, and reports whether the last one was the same in another
-// stream.
-func (o *Observations) rejectSkip(service string, found skip) (seen bool) {
-	o.update(service, func(observed *observation) {
-		seen = observed.rejected == found
-		observed.rejected = found
-	})
-	return seen
-}
-
 func (o *Observations) get(service string) observation {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/continuation/sequence.go
+++ b/internal/continuation/sequence.go
@@ -75,16 +75,15 @@
 	return s.checkSkip(id, last)
 }
 
-// checkSkip rejects an event before which ids are left out until another response leaves out the same, or another stream
-// does while none of the service was whole yet. A stream that cannot be resumed is given up for it only if others of its
-// service were numbered one by one.
+// checkSkip rejects an event before which ids are left out until another response leaves out the same. A stream that cannot
+// be resumed is given up for it only if others of its service were numbered one by one.
 func (s *Sequence) checkSkip(id, last string) error {
 	found := skip{last, id}
 	known := s.observed.numbering(s.service)
 	switch {
 	case !Skips(id, last), known == inSteps, !s.resumable && known != oneByOne:
 		return nil
-	case found == s.rejected, s.observed.rejectSkip(s.service, found) && known == unseen:
+	case found == s.rejected:
 		s.observed.recordNumbering(s.service, inSteps)
 		return nil
 	}
--- a/internal/continuation/sequence_test.go
+++ b/internal/continuation/sequence_test.go
@@ -96,3 +96,12 @@
 	_, _, err = accept(NewSequence(o, "llm", false), "", "1", "3")
 	require.ErrorIs(t, err, ErrSkip)
 }
+
+// Guards against two streams that happen to lack the same event and pass for a service that numbers in steps.
+func TestSequence_OtherStreamsShowNoSteps(t *testing.T) {
+	o := NewObservations()
+	for range 3 {
+		_, _, err := accept(NewSequence(o, "llm", true), "", "1", "3")
+		require.ErrorIs(t, err, ErrSkip)
+	}
+}
