relay: one place begins a response as its endpoint framed it

Three places chose by themselves between a response with and without a mark; they call beginFramed. A resumption's head needs no media type of its own, since none is known before the response has begun, and the position of an event is checked by the sequence alone but for one that is held.

--- a/internal/continuation/continuation.go
+++ b/internal/continuation/continuation.go
@@ -48,14 +48,8 @@
 // but no success is its rest that is not a stream.
 func (p Position) CheckHead(status int, h http.Header) error {
 	isSuccess := status >= http.StatusOK && status < http.StatusMultipleChoices
-	switch {
-	case !p.Begun && (p.LastID == "" || !isSuccess):
+	if !p.Begun && (p.LastID == "" || !isSuccess) {
 		return nil
-	case !p.Begun:
-		p.MediaType = EventStream
-		if MediaType(h) == "" {
-			p.MediaType = ""
-		}
 	}
 	if status != http.StatusOK {
 		return fmt.Errorf("%w: %d", ErrStatus, status)
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -225,11 +225,7 @@
 		a.header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	c.class.FirstToken.RecordDuration(time.Since(c.start))
-	if response.Delimited {
-		c.beginResponse(a.status, a.header)
-	} else {
-		c.beginUnmarkedResponse(a.status, a.header)
-	}
+	c.beginFramed(a.status, a.header, response.Delimited)
 	part := a.body
 	buffer := make([]byte, copyBufferSize)
 	ended := false
--- a/internal/relay/endpoint_source.go
+++ b/internal/relay/endpoint_source.go
@@ -151,11 +151,7 @@
 func (s *endpointSource) beginResponse() {
 	header := s.c.options.Wire.CallerHeader(s.response.Header)
 	delete(header, "Content-Length")
-	if s.response.Delimited {
-		s.c.beginResponse(http.StatusOK, header)
-		return
-	}
-	s.c.beginUnmarkedResponse(http.StatusOK, header)
+	s.c.beginFramed(http.StatusOK, header, s.response.Delimited)
 }
 
 func (s *endpointSource) isMarked() bool { return s.response.Delimited }
--- a/internal/relay/neighbour_source.go
+++ b/internal/relay/neighbour_source.go
@@ -153,11 +153,7 @@
 func (s *neighbourSource) beginResponse() {
 	s.response.Header.Del("Connection")
 	s.c.class.FirstToken.RecordDuration(time.Since(s.c.start))
-	if s.response.Unmarked {
-		s.c.beginUnmarkedResponse(s.response.Status, s.response.Header)
-		return
-	}
-	s.c.beginResponse(s.response.Status, s.response.Header)
+	s.c.beginFramed(s.response.Status, s.response.Header, !s.response.Unmarked)
 }
 
 // isMarked is false if the neighbour could not find out either whether its response is whole. One without its last event is
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -514,8 +514,12 @@
 	c.out.Begin(status, header)
 }
 
-// beginUnmarkedResponse is beginResponse for a response whose end its endpoint does not mark.
-func (c *call) beginUnmarkedResponse(status int, header http.Header) {
+// beginFramed is beginResponse for a response whose end has a mark only if its endpoint's has one.
+func (c *call) beginFramed(status int, header http.Header, marked bool) {
+	if marked {
+		c.beginResponse(status, header)
+		return
+	}
 	c.recordBegin(header)
 	c.unmarked = true
 	c.out.BeginUnmarked(status, header)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -120,11 +120,6 @@
 	if e.isEmpty {
 		return r.readOn(a)
 	}
-	if a.received == 0 {
-		if err := a.position.CheckFirst(e.id); err != nil {
-			return r.reject(a, err)
-		}
-	}
 	ready, err := a.hold(e, r.lastEvent, r.sequence.IsUnnumbered())
 	if err != nil {
 		return r.reject(a, err)
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -146,6 +146,9 @@
 	switch {
 	case held == nil && (e.id != "" || isUnnumbered):
 		return []event{e}, nil
+	case held == nil && a.received == 0:
+		a.held = bytes.Clone(e.raw)
+		return nil, a.position.CheckFirst(e.id)
 	case held == nil:
 		a.held = bytes.Clone(e.raw)
 		return nil, nil
