gateway: a refused dial is no crash of an endpoint that is leaving, or while links are lost

Callers of the own interface got whole plain answers without framing cut off: an endpoint that is leaving may have stopped listening before it has finished, and a node whose links are lost is refused by all endpoints. The relay's check of such ends knows both cases; its twin here did not. It asks now whether the endpoint is still a target, and whether others accept dials, as the relay does.

Two new cases of TestPlain_UnmarkedEndOfCrashingEndpoint fail before and pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -370,14 +370,16 @@
 const unmarkedEndProbe = time.Second
 
 // crashedAtUnmarkedEnd reports whether a response ended with its connection only, and nothing listens at its
-// endpoint's address any more: a crash closes connections too.
+// endpoint's address any more: a crash closes connections too. An endpoint that is leaving may have stopped listening, and a
+// node whose links are lost is refused by all.
 func (c *call) crashedAtUnmarkedEnd(response *http.Response, target routing.Target) bool {
-	if isDelimited(response) || c.in.Method == http.MethodHead {
+	if isDelimited(response) || c.in.Method == http.MethodHead || !c.g.isTarget(target.Address) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), unmarkedEndProbe)
 	defer cancel()
-	crashed := errors.Is(c.g.options.Engine.Probe(ctx, target.Address), syscall.ECONNREFUSED)
+	refused := errors.Is(c.g.dialEndpoint(ctx, target.Address), syscall.ECONNREFUSED)
+	crashed := refused && c.g.links.Confirm(ctx, target.Address)
 	if crashed {
 		c.log.Info("the endpoint has crashed at the unmarked end of its response", "endpoint", target.Address)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -157,35 +157,58 @@
 	})
 }
 
+// setTargets publishes other targets.
+func (b *testGateway) setTargets(targets ...routing.Target) {
+	s := *b.gateway.snapshot.Load()
+	s.Targets = targets
+	b.gateway.Publish(&s)
+}
+
 // Guards against a response that looks whole to its caller although its endpoint, which crashed in the middle, had not
-// marked its end.
+// marked its end, and against one that is cut off because an endpoint that is leaving, or a node whose links are lost,
+// looks like a crash.
 func TestPlain_UnmarkedEndOfCrashingEndpoint(t *testing.T) {
 	large := strings.Repeat("x", 10*copyBuffer)
 	for _, test := range []struct {
 		name, method, head, body string
 		crashes                  bool
-		complete                 bool
+		// leaves and refusing are set if the endpoint is no longer listed, and if another one refuses dials too.
+		leaves, refusing bool
+		complete         bool
 	}{
-		{"unmarked, crash", "GET", "", "half", true, false},
-		{"unmarked, crash, not repeatable", "POST", "", "half", true, false},
-		{"unmarked, crash, large", "POST", "", large, true, false},
-		{"unmarked, crash, empty", "GET", "", "", true, false},
-		{"unmarked, alive", "POST", "", "whole", false, true},
-		{"length, crash", "POST", "Content-Length: 5\r\n", "whole", true, true},
-		{"chunks, crash", "POST", "Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n", true, true},
-		{"head, crash", "HEAD", "", "", true, true},
+		{"unmarked, crash", "GET", "", "half", true, false, false, false},
+		{"unmarked, crash, not repeatable", "POST", "", "half", true, false, false, false},
+		{"unmarked, crash, large", "POST", "", large, true, false, false, false},
+		{"unmarked, crash, empty", "GET", "", "", true, false, false, false},
+		{"unmarked, leaving", "POST", "", "whole", true, true, false, true},
+		{"unmarked, all endpoints refuse", "POST", "", "whole", true, false, true, true},
+		{"unmarked, alive", "POST", "", "whole", false, false, false, true},
+		{"length, crash", "POST", "Content-Length: 5\r\n", "whole", true, false, false, true},
+		{"chunks, crash", "POST", "Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n", true, false, false, true},
+		{"head, crash", "HEAD", "", "", true, false, false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			var b *testGateway
 			inner := closeConnectionAfter("HTTP/1.1 200 OK\r\n" + test.head + "\r\n" + test.body)
 			var listener net.Listener
 			upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/pay" {
+					// A probe of the links.
+					return
+				}
 				if test.crashes {
 					_ = listener.Close()
 				}
+				if test.leaves {
+					b.setTargets()
+				}
 				inner.ServeHTTP(w, r)
 			}))
 			listener = upstream.Listener
-			b := newTestGatewayFor(t, upstream)
+			b = newTestGatewayFor(t, upstream)
+			if test.refusing {
+				b.setTargets(append(b.gateway.snapshot.Load().Targets, routing.Target{Group: "service/s2", Address: "127.0.0.1:1"})...)
+			}
 			request, err := http.NewRequest(test.method, "http://"+b.address+"/services/s/pay", nil)
 			require.NoError(t, err)
 			request.Header.Set("Authorization", "Bearer "+testKey)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/ridgehinge/ridgehinge/pkg/routing"
 )
 
 // targetAddresses returns the addresses of the endpoints that requests are sent to, all of the own data
@@ -16,6 +18,11 @@
 	return slices.Compact(local), nil
 }
 
+// isTarget reports whether new requests are sent to an address.
+func (g *Gateway) isTarget(address string) bool {
+	return slices.ContainsFunc(g.snapshot.Load().Targets, func(t routing.Target) bool { return t.Address == address })
+}
+
 // dialEndpoint dials an endpoint and records whether the link to it works.
 func (g *Gateway) dialEndpoint(ctx context.Context, address string) error {
 	start := time.Now()
