relay: name the endpoint of an unmarked end or a skip as other log lines do

The lines had the endpoint as "source", which ridgehinge explain does not look at, so that a stream's story lacked its endpoint. An event without an id that is the first of a resumption is rejected where it would be held, without a copy.

--- a/internal/relay/endpoint_source.go
+++ b/internal/relay/endpoint_source.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -66,7 +67,7 @@
 	}
 }
 
-func (s *endpointSource) name() string { return string(s.t.ID) }
+func (s *endpointSource) subject() slog.Attr { return slog.String("endpoint", string(s.t.ID)) }
 
 func (s *endpointSource) judge(a *streamAttempt, err error) (responseKind, result) {
 	a.counted, s.judged = true, true
--- a/internal/relay/neighbour_source.go
+++ b/internal/relay/neighbour_source.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -62,7 +63,7 @@
 	}
 }
 
-func (s *neighbourSource) name() string { return s.n.Address }
+func (s *neighbourSource) subject() slog.Attr { return slog.String("neighbour", s.n.Address) }
 
 func (s *neighbourSource) judge(a *streamAttempt, err error) (responseKind, result) {
 	a.counted = true
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -236,14 +236,14 @@
 func (r *streamRelay) logEnd(a *streamAttempt) {
 	r.options.Metrics.Inc("stream_ends", map[string]string{"marked": strconv.FormatBool(a.isMarked())})
 	if !a.isMarked() {
-		r.log.Info("a stream has ended with its connection only", "request", r.attrs.ID, "source", a.name(), "received", a.received, "last", r.lastEvent, "sends", r.attempts)
+		r.log.Info("a stream has ended with its connection only", "request", r.attrs.ID, a.subject(), "received", a.received, "last", r.lastEvent, "sends", r.attempts)
 	}
 }
 
 // logSkip records that ids are left out before an event.
 func (r *streamRelay) logSkip(a *streamAttempt, id string) {
 	r.options.Metrics.Inc("stream_skips", nil)
-	r.log.Info("the ids of a stream skip", "request", r.attrs.ID, "source", a.name(), "received", a.received, "last", r.lastEvent, "id", id, "sends", r.attempts)
+	r.log.Info("the ids of a stream skip", "request", r.attrs.ID, a.subject(), "received", a.received, "last", r.lastEvent, "id", id, "sends", r.attempts)
 }
 
 // end removes an attempt that has ended, and returns its result, or resultDone if the request is over.
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -146,8 +146,7 @@
 	switch {
 	case held == nil && (e.id != "" || isUnnumbered):
 		return []event{e}, nil
-	case held == nil && a.received == 0:
-		a.held = bytes.Clone(e.raw)
+	case held == nil && a.received == 0 && a.position.Begun:
 		return nil, a.position.CheckFirst(e.id)
 	case held == nil:
 		a.held = bytes.Clone(e.raw)
--- a/internal/relay/stream_source.go
+++ b/internal/relay/stream_source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"time"
 )
 
@@ -18,8 +19,8 @@
 	// close ends the request. It may be called more than once.
 	close()
 
-	// name identifies the source in the log.
-	name() string
+	// subject identifies the source in the log.
+	subject() slog.Attr
 	// judge handles the result of open. If there is no response to read, it returns the result of the attempt.
 	judge(a *streamAttempt, err error) (responseKind, result)
 	// relayWhole handles the result of readWhole. The response is relayed if it is the last one in progress.
