--- a/review/driver-2/worker.go
+++ b/review/driver-2/worker.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -31,6 +32,8 @@
 	work time.Duration
 	// crashes reports whether a request crashes the worker that begins to run it; nil means that none does.
 	crashes func(*http.Request) bool
+	// stream answers requests for streams; nil means that there are none.
+	stream func(self string, out http.ResponseWriter, r *http.Request)
 	// downFor is how long the worker is down after a crash.
 	downFor time.Duration
 
@@ -228,6 +231,10 @@
 		w.crash(self)
 		panic(http.ErrAbortHandler)
 	}
+	if w.stream != nil && strings.HasPrefix(r.URL.Path, streamPath) {
+		w.stream(self, out, r)
+		return
+	}
 	select {
 	case <-time.After(w.work):
 	case <-r.Context().Done():
