upstream, link: a response cut off during its upload is incomplete

Cause: a socket reports a reset once. The goroutine that wrote the upload got it and dropped it, and the reader saw an ordinary end, which is all that delimits such a body. net/http's transport, which the own interface uses, does the same.

The client of endpoints takes the end of such a response as its end only once the request is written, and as a cut if that has failed; it waits no longer than the request's deadline or the time allowed for a failure. An endpoint that ends its own direction and reads the upload afterwards is still complete.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -350,7 +350,7 @@
 	deadline, _ := ctx.Deadline()
 	_ = k.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
-	written, err := k.write(q)
+	upload, err := k.write(q)
 	if err != nil {
 		stop()
 		c.discard(q.Address, k, reused)
@@ -377,7 +377,7 @@
 		conn:      k,
 		addr:      q.Address,
 		stop:      stop,
-		written:   written,
+		upload:    upload,
 	}, nil
 }
 
@@ -401,34 +401,51 @@
 	return oops.In("upstream").Wrap(fmt.Errorf("%w: %w", kind, cause))
 }
 
-// write sends the request. The channel is closed once all of it is written,
-// which may be after the return if the body is large.
-func (k *conn) write(q Request) (<-chan struct{}, error) {
-	head := q.head()
-	done := make(chan struct{})
-	if len(q.Body) < largeBody {
-		defer close(done)
-		n, err := k.Write(append(head, q.Body...))
-		if err != nil && n == 0 {
-			return done, wrapError(ErrNotSent, err)
-		}
-		if err != nil {
-			return done, wrapError(ErrUnknown, err)
-		}
-		return done, nil
+// upload is the write of a request, which may last longer than the response.
+type upload struct {
+	// done is closed once the write has ended; err is set before.
+	done chan struct{}
+	err  error
+}
+
+// wait returns the error of the write once it has ended.
+func (u *upload) wait() error {
+	<-u.done
+	return u.err
+}
+
+// succeeded reports whether all of the request is written.
+func (u *upload) succeeded() bool {
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
 	}
-	if n, err := k.Write(head); err != nil {
+}
+
+// write sends the request. A large body is still being written after the return.
+func (k *conn) write(q Request) (*upload, error) {
+	u := &upload{done: make(chan struct{})}
+	first, rest := q.head(), q.Body
+	if len(rest) < largeBody {
+		first, rest = append(first, rest...), nil
+	}
+	if n, err := k.Write(first); err != nil {
 		if n == 0 {
-			return done, wrapError(ErrNotSent, err)
+			return nil, wrapError(ErrNotSent, err)
 		}
-		return done, wrapError(ErrUnknown, err)
+		return nil, wrapError(ErrUnknown, err)
+	}
+	if len(rest) == 0 {
+		close(u.done)
+		return u, nil
 	}
 	go func() {
-		if _, err := k.Write(q.Body); err == nil {
-			close(done)
-		}
+		defer close(u.done)
+		_, u.err = k.Write(rest)
 	}()
-	return done, nil
+	return u, nil
 }
 
 // head returns the request line and the header.
@@ -497,7 +514,7 @@
 	conn      *conn
 	addr      string
 	stop      func() bool
-	written   <-chan struct{}
+	upload    *upload
 	complete  bool
 	closed    bool
 }
@@ -509,20 +526,33 @@
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF):
-		r.complete = true
-		return n, io.EOF
+	case !errors.Is(err, io.EOF):
+		return n, wrapError(ErrIncomplete, err)
+	}
+	if err := r.confirmEnd(); err != nil {
+		return n, wrapError(ErrIncomplete, err)
+	}
+	r.complete = true
+	return n, io.EOF
+}
+
+// confirmEnd returns an error if only the end of the connection delimits the body, and the request could not be sent. A
+// socket reports a reset once: if the write of the request gets it, the reader sees an ordinary end.
+func (r *Response) confirmEnd() error {
+	if r.Delimited || r.body == http.NoBody {
+		return nil
 	}
-	return n, wrapError(ErrIncomplete, err)
+	return r.upload.wait()
 }
 
-// LimitTime bounds the time in which the rest of the response is read. Reading fails after it, see TimedOut.
+// LimitTime bounds the time in which the rest of the response is read, and the rest of the request written. Reading fails
+// after it, see TimedOut.
 func (r *Response) LimitTime(d time.Duration) {
 	at := time.Now().Add(d)
 	if deadline, ok := r.ctx.Deadline(); ok && deadline.Before(at) {
 		return
 	}
-	_ = r.conn.SetReadDeadline(at)
+	_ = r.conn.SetDeadline(at)
 	if r.ctx.Err() != nil {
 		// The deadline that cancels the request may have been overwritten.
 		_ = r.conn.SetDeadline(time.Unix(1, 0))
@@ -560,15 +590,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if !r.complete || r.close || r.conn.reader.Buffered() > 0 {
-		return false
-	}
-	select {
-	case <-r.written:
-		return true
-	default:
-		return false
-	}
+	return r.complete && !r.close && r.conn.reader.Buffered() == 0 && r.upload.succeeded()
 }
 
 // TimedOut reports whether an error of this package came from a deadline.
