httpresponse: field names that are no tokens make no answer

Cause: net/textproto accepts a blank in or after a name and leaves the name as it is. The field is passed on, and one that frames the body is not recognised: after "Transfer-Encoding : chunked" the body is read to the end of the connection with the lines of its chunks in it.

One function says whether the fields of a head are well-formed, and all clients of endpoints, the store and the own interface ask it, for interim responses and trailers too. The transport stops bounding the heads of interim responses once somebody looks at them, so they are bounded here. golang.org/x/net/http/httpguts has the definition of a token.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,6 +23,7 @@
 	"github.com/samber/oops"
 
 	"github.com/ridgehinge/ridgehinge/internal/bytecount"
+	"github.com/ridgehinge/ridgehinge/internal/httpresponse"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/pkg/fleet"
 )
@@ -75,9 +76,9 @@
 	singleUse := link.Transport(dialer.DialContext)
 	singleUse.DisableKeepAlives = true
 	return &Client{
-		http:      &http.Client{Transport: traffic, CheckRedirect: noRedirect},
-		singleUse: &http.Client{Transport: singleUse, CheckRedirect: noRedirect},
-		control:   &http.Client{Transport: control},
+		http:      &http.Client{Transport: httpresponse.Transport{Transport: traffic}, CheckRedirect: noRedirect},
+		singleUse: &http.Client{Transport: httpresponse.Transport{Transport: singleUse}, CheckRedirect: noRedirect},
+		control:   &http.Client{Transport: httpresponse.Transport{Transport: control}},
 		bytes:     counts,
 		dialer:    dialer,
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/ridgehinge/ridgehinge/internal/directory"
 	"github.com/ridgehinge/ridgehinge/internal/gossip"
 	"github.com/ridgehinge/ridgehinge/internal/groupcontrol"
+	"github.com/ridgehinge/ridgehinge/internal/httpresponse"
 	"github.com/ridgehinge/ridgehinge/internal/httpserver"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 	"github.com/ridgehinge/ridgehinge/internal/logging"
@@ -129,7 +130,7 @@
 		OnChange:  e.setLinksLost,
 	})
 	e.directory.SetReturnGrace(s.Policy.ReturnGrace)
-	store := &meteredStore{Store: a.Store(s.Store, httpClient(links)), metrics: e.metrics}
+	store := &meteredStore{Store: a.Store(s.Store, HTTPClient(links)), metrics: e.metrics}
 	e.store = store
 	demand := relay.NewDemand()
 	e.budget = relay.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Nodes)
@@ -195,7 +196,7 @@
 		CallTimeout:          250 * time.Millisecond,
 		Tick:                 100 * time.Millisecond,
 		DrainWait:            2500 * time.Millisecond,
-	}, e.store, meteredEndpoints{a.Endpoints(httpClient(endpointLinks), e.observe), e.metrics}, e.directory, e.gossip.Suspects)
+	}, e.store, meteredEndpoints{a.Endpoints(HTTPClient(endpointLinks), e.observe), e.metrics}, e.directory, e.gossip.Suspects)
 	e.gossip.SetController(e.controller)
 	e.directory.SetLogsEachChange(e.gossip.LogsEachChange)
 	if err := e.listen(a, links); err != nil {
@@ -241,12 +242,12 @@
 	return e.balancer.LastEvent
 }
 
-// httpClient returns a client for control calls and store calls.
-func httpClient(links link.Bounds) *http.Client {
+// HTTPClient returns a client for control calls and store calls.
+func HTTPClient(links link.Bounds) *http.Client {
 	transport := link.Transport(links.DialFunc())
 	transport.MaxIdleConnsPerHost = 8
 	transport.IdleConnTimeout = idleTimeout
-	return &http.Client{Transport: link.ResetOnError(transport)}
+	return &http.Client{Transport: link.ResetOnError(httpresponse.Transport{Transport: transport})}
 }
 
 func (e *Entry) listen(a Adapter, links link.Bounds) error {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/ridgehinge/ridgehinge/internal/httpresponse"
 	"github.com/ridgehinge/ridgehinge/internal/peers/forwardpb"
 )
 
@@ -51,9 +52,13 @@
 	if reason := first.GetDeclined(); reason != "" {
 		return nil, &DeclinedError{reason}
 	}
+	header := HeaderFromWire(first.GetHeaders())
+	if err := httpresponse.ValidateFields(header); err != nil {
+		return nil, errors.Join(ErrBroken, err)
+	}
 	return &Response{
 		Status:   int(first.GetStatus()),
-		Header:   HeaderFromWire(first.GetHeaders()),
+		Header:   header,
 		Attempts: int(first.GetAttempts()),
 		Unmarked: first.GetUnmarked(),
 		// An only event that is unmarked is both.
--- /dev/null
+++ b/internal/httpresponse/transport_test.go
@@ -0,0 +1,64 @@
+package httpresponse
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ridgehinge/ridgehinge/internal/link"
+)
+
+// Guards against interim responses without end: net/http does not bound them for those who look at them.
+func TestTransport_BoundsInterimResponses(t *testing.T) {
+	const deadline = 10 * time.Second
+	for name, part := range map[string]string{
+		"without fields":    "HTTP/1.1 102 Processing\r\n\r\n",
+		"with fields":       "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+		"with large fields": "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 16<<10) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				conn, err := listener.Accept()
+				for err == nil {
+					_, err = io.WriteString(conn, part)
+				}
+			}()
+			client := &http.Client{Transport: Transport{link.Transport(link.New(nil).DialFunc())}, Timeout: deadline}
+			began := time.Now()
+			_, err = client.Get("http://" + listener.Addr().String())
+			require.ErrorIs(t, err, ErrMalformed)
+			require.Less(t, time.Since(began), deadline/2)
+			<-closed
+		})
+	}
+}
+
+// Guards against failing a call whose endpoint reports progress with interim responses.
+func TestTransport_AcceptsInterimResponses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, _ = io.WriteString(conn, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 500)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}()
+	client := &http.Client{Transport: Transport{link.Transport(link.New(nil).DialFunc())}, Timeout: 10 * time.Second}
+	response, err := client.Get("http://" + listener.Addr().String())
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(body))
+}
--- /dev/null
+++ b/internal/httpresponse/validate.go
@@ -0,0 +1,62 @@
+// Package httpresponse decides what is a response in HTTP/1.1, for all clients of this program. The parsers of net/http
+// accept more than a proxy may pass on.
+package httpresponse
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrMalformed means that something was received which is no response in HTTP/1.1. Nothing that follows it on the
+// connection can be trusted.
+var ErrMalformed = errors.New("malformed response")
+
+// Validate returns an error that wraps ErrMalformed unless the head of a response, final or interim, is well-formed. It also
+// makes the response's body fail at its end after a malformed trailer.
+func Validate(r *http.Response) error {
+	if err := ValidateFields(r.Header); err != nil {
+		return err
+	}
+	if len(r.TransferEncoding) > 0 {
+		r.Body = &validatedBody{r.Body, r}
+	}
+	return nil
+}
+
+// ValidateFields returns an error that wraps ErrMalformed if a field has a name or a value that is not allowed. net/http
+// accepts names with a blank, and does not recognise the fields: Content-Length followed by a blank delimits nothing.
+func ValidateFields(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return fmt.Errorf("%w: value of field %s: %q", ErrMalformed, name, value)
+			}
+		}
+	}
+	return nil
+}
+
+// validatedBody checks the trailer of a response, which is known once its body was read.
+type validatedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *validatedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if invalid := ValidateFields(b.response.Trailer); invalid != nil {
+		return n, invalid
+	}
+	return n, err
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -141,15 +141,21 @@
 	return &http.Transport{DialContext: reportFailures(dial), MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true}
 }
 
+// PoolingTransport is a transport with idle connections.
+type PoolingTransport interface {
+	http.RoundTripper
+	CloseIdleConnections()
+}
+
 // ResetOnError returns a transport that closes its idle connections after a failed call: if one
 // connection is dead, the other open ones most likely are too.
-func ResetOnError(t *http.Transport) http.RoundTripper { return resetOnError{t} }
+func ResetOnError(t PoolingTransport) http.RoundTripper { return resetOnError{t} }
 
-type resetOnError struct{ *http.Transport }
+type resetOnError struct{ PoolingTransport }
 
 // RoundTrip implements http.RoundTripper.
 func (d resetOnError) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := d.Transport.RoundTrip(request)
+	response, err := d.PoolingTransport.RoundTrip(request)
 	if err != nil {
 		d.CloseIdleConnections()
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,6 +23,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/ridgehinge/ridgehinge/internal/httpresponse"
 	"github.com/ridgehinge/ridgehinge/internal/link"
 )
 
@@ -475,6 +476,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httpresponse.Validate(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
