httpresponse: a status outside 200 to 599 ends no request

An endpoint in trouble sent an answer whose status was 000. With another response behind it the caller got that as the answer (MIXED); on a connection that stayed open the request waited until its deadline although another endpoint was well.

Cause: net/http parses signs and any three digits, and the client of endpoints skipped every status below 200 as that of an interim response. 101 was skipped as well, 600 and 999 were passed on to the relay.

Before, TestReaders_RejectInvalidStatuses fails for 000, 001, 099, +20, -00, 101, 600 and 999, with and without a response behind the head; for 20, 2000 and other text it passed. TestServe_PlainServices fails with "status 000 before a response", TestForward_RejectsInvalidStatuses for what a neighbour passes on.

The check that all clients share now knows the statuses of interim and of final responses. No request of this program asks to switch protocols, so 101 is neither.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -52,12 +52,12 @@
 	if reason := first.GetDeclined(); reason != "" {
 		return nil, &DeclinedError{reason}
 	}
-	header := HeaderFromWire(first.GetHeaders())
-	if err := httpresponse.ValidateFields(header); err != nil {
+	status, header := int(first.GetStatus()), HeaderFromWire(first.GetHeaders())
+	if err := httpresponse.ValidateHead(status, header); err != nil {
 		return nil, errors.Join(ErrBroken, err)
 	}
 	return &Response{
-		Status:   int(first.GetStatus()),
+		Status:   status,
 		Header:   header,
 		Attempts: int(first.GetAttempts()),
 		Unmarked: first.GetUnmarked(),
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -36,7 +36,7 @@
 		if size += headSize(h); size > maxInterimBytes {
 			return fmt.Errorf("%w: more than %d bytes of interim responses", ErrMalformed, maxInterimBytes)
 		}
-		return ValidateFields(http.Header(h))
+		return validateFields(http.Header(h))
 	}
 }
 
--- a/internal/httpresponse/validate.go
+++ b/internal/httpresponse/validate.go
@@ -18,7 +18,10 @@
 // Validate returns an error that wraps ErrMalformed unless the head of a response, final or interim, is well-formed. It also
 // makes the response's body fail at its end after a malformed trailer.
 func Validate(r *http.Response) error {
-	if err := ValidateFields(r.Header); err != nil {
+	if !isInterimStatus(r.StatusCode) && !isFinalStatus(r.StatusCode) {
+		return fmt.Errorf("%w: status %q", ErrMalformed, r.Status)
+	}
+	if err := validateFields(r.Header); err != nil {
 		return err
 	}
 	if len(r.TransferEncoding) > 0 {
@@ -27,9 +30,26 @@
 	return nil
 }
 
-// ValidateFields returns an error that wraps ErrMalformed if a field has a name or a value that is not allowed. net/http
+// ValidateHead returns an error that wraps ErrMalformed unless a status and a header are those of a final response.
+func ValidateHead(status int, h http.Header) error {
+	if !isFinalStatus(status) {
+		return fmt.Errorf("%w: status %d", ErrMalformed, status)
+	}
+	return validateFields(h)
+}
+
+// isInterimStatus reports whether another response follows one with the given status. No request of this program asks to
+// switch protocols.
+func isInterimStatus(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// isFinalStatus reports whether a status is in one of the classes of final responses. net/http parses others too.
+func isFinalStatus(status int) bool { return status >= http.StatusOK && status < 600 }
+
+// validateFields returns an error that wraps ErrMalformed if a field has a name or a value that is not allowed. net/http
 // accepts names with a blank, and does not recognise the fields: Content-Length followed by a blank delimits nothing.
-func ValidateFields(h http.Header) error {
+func validateFields(h http.Header) error {
 	for name, values := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return fmt.Errorf("%w: field name %q", ErrMalformed, name)
@@ -55,7 +75,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if invalid := ValidateFields(b.response.Trailer); invalid != nil {
+	if invalid := validateFields(b.response.Trailer); invalid != nil {
 		return n, invalid
 	}
 	return n, err
