httpresponse: refuse other versions and control bytes in a reason

Cause: net/http parses the version and does not compare it, and keeps the reason as it is.

Before, TestReaders_RejectInvalidStatusLines fails at all twelve calls for the three versions and for a zero byte, a carriage return and an escape in the reason. HTTP/1, HTTP/1.10, other names and a blank line before the head were refused before. HTTP/1.0 is accepted as before, and so are several blanks before the status, which RFC 9112 allows a recipient to accept.

The version and the reason are checked where the status is.

--- a/internal/httpresponse/validate.go
+++ b/internal/httpresponse/validate.go
@@ -18,6 +18,12 @@
 // Validate returns an error that wraps ErrMalformed unless the head of a response, final or interim, is well-formed. It also
 // makes the response's body fail at its end after a malformed trailer.
 func Validate(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %q", ErrMalformed, r.Proto)
+	}
+	if !httpguts.ValidHeaderFieldValue(r.Status) {
+		return fmt.Errorf("%w: control byte in the status %q", ErrMalformed, r.Status)
+	}
 	if !isInterimStatus(r.StatusCode) && !isFinalStatus(r.StatusCode) {
 		return fmt.Errorf("%w: status %q", ErrMalformed, r.Status)
 	}
