relay, gateway: answer the requests in flight at the end of a stop

In a planned stop, requests whose endpoints were silent to its end were cut with no answer, among them requests that may run only once (LOST). Their callers did not learn whether the requests may have run, which a 502 says.

Cause: a stopping node waited for its requests until the end of the bound and then closed all connections.

A node now ends what is in flight a quarter of a second before it closes its connections: 502 if the request may have run, 503 with Retry-After if not. A response of which the caller has a part cannot be answered any more and is cut off, in the own interface's streams with an error event. A request of another node is broken off, so that its node has it run elsewhere, or answers that it may have run; one that runs at a neighbour gets its answer from the node that has its caller.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -429,7 +429,8 @@
 }
 
 // Stop shuts down gracefully: it fails the readiness check, keeps accepting requests for
-// StopNotice, then closes idle connections and finishes requests in flight. The process can end within StopBound.
+// StopNotice, then closes idle connections and finishes requests in flight, or ends them with a response. The process can
+// end within StopBound.
 func (e *Entry) Stop() {
 	e.log.Info("stopping", "in_progress", e.relay.InFlight())
 	start := time.Now()
@@ -445,14 +446,32 @@
 	// The balancer may still route callers here while few other nodes are ready. From now on
 	// their requests could be interrupted by the end of the process.
 	e.relay.Drain()
-	callers := e.servers[len(e.servers)-1]
-	for (callers.CloseIdle() > 0 || e.relay.InFlight() > 0) && time.Since(start) < e.settings.StopBound-closeTime {
-		time.Sleep(drainPollInterval)
+	closeAt := start.Add(e.settings.StopBound - closeTime)
+	if !e.awaitCallers(closeAt.Add(-answerTime)) {
+		e.log.Warn("ending the requests in flight", "in_progress", e.relay.InFlight())
+		e.relay.EndRequests()
+		e.awaitCallers(closeAt)
 	}
 	e.log.Info("stopped", "in_progress", e.relay.InFlight(), "took", time.Since(start))
 	e.close()
 }
 
+// awaitCallers closes the callers' connections as they become idle. It reports whether no request was in flight any more
+// before the given time.
+func (e *Entry) awaitCallers(until time.Time) bool {
+	callers := e.servers[len(e.servers)-1]
+	for callers.CloseIdle() > 0 || e.relay.InFlight() > 0 {
+		if !time.Now().Before(until) {
+			return false
+		}
+		time.Sleep(drainPollInterval)
+	}
+	return true
+}
+
+// answerTime is reserved for the responses to requests that are ended because the node stops.
+const answerTime = 250 * time.Millisecond
+
 // closeTime is reserved within StopBound for closing connections and ending goroutines: the platform
 // kills a process that exists longer.
 const closeTime = 500 * time.Millisecond
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,14 +114,14 @@
 }
 
 // attemptError classifies a failed attempt and cancels it at the endpoint. A
-// disconnected caller or an expired deadline ends the request.
+// disconnected caller, an expired deadline or the stop of this node ends the request.
 func (c *call) attemptError(ctx context.Context, target routing.Target, attempt string, err error) attemptResult {
 	notRun := errors.Is(err, engine.ErrNotRun)
 	if !notRun {
 		c.cancelAttempt(target, attempt)
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, ErrCallerGone) || errors.Is(cause, errDeadline) || errors.Is(cause, context.DeadlineExceeded) {
+	if isOver(cause) || errors.Is(cause, context.DeadlineExceeded) {
 		c.failContextDone(ctx)
 		return attemptResponded
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,6 +35,9 @@
 type testGateway struct {
 	t       *testing.T
 	gateway *Gateway
+	server  *Server
+	// close closes the server.
+	close   func()
 	address string
 }
 
@@ -74,7 +78,8 @@
 	require.NoError(t, listener.Close())
 	server, err := Serve(ServerOptions{Address: b.address, MaxBody: maxBody, MaxRequests: 256, Handler: http.NotFoundHandler(), Gateway: g})
 	require.NoError(t, err)
-	t.Cleanup(server.Close)
+	b.server, b.close = server, sync.OnceFunc(server.Close)
+	t.Cleanup(b.close)
 	return b
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -27,8 +27,14 @@
 	ErrCallerGone = httpserver.ErrCallerGone
 	errDeadline   = errors.New("the deadline has passed")
 	errStalled    = errors.New("the group became incomplete or stalled during the response")
+	errStopped    = errors.New("this entry instance has stopped")
 )
 
+// isOver reports whether the cause of a context's cancellation ends its request, and not only one attempt.
+func isOver(cause error) bool {
+	return errors.Is(cause, ErrCallerGone) || errors.Is(cause, errDeadline) || errors.Is(cause, errStopped)
+}
+
 // call is one request in the gateway.
 type call struct {
 	g      *Gateway
@@ -73,7 +79,7 @@
 	}
 	c.log = g.log.With("request", c.id)
 	if g.stopping.Load() {
-		c.fail(errorResponse{http.StatusServiceUnavailable, "stopping", "this entry instance is stopping; retry at another one", OutcomeNotRun, time.Second})
+		c.failStopping()
 		return
 	}
 	p, f := parseRequest(in, g.snapshot.Load(), c.start, g.options.MaxBody)
@@ -86,6 +92,10 @@
 	c.class = g.class(p.workspace.Name, className(p.priority))
 	ctx, cancel := context.WithDeadlineCause(ctx, p.deadline, errDeadline)
 	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	unregister := context.AfterFunc(g.stopped, func() { cancelCause(errStopped) })
+	defer unregister()
 	c.run(ctx)
 	c.class.Total.RecordDuration(time.Since(c.start))
 	c.class.Outcome(string(c.outcome))
@@ -161,12 +171,23 @@
 
 // failContextDone responds to a request whose context is done.
 func (c *call) failContextDone(ctx context.Context) {
-	if errors.Is(context.Cause(ctx), ErrCallerGone) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, ErrCallerGone):
 		c.outcome = OutcomeCallerGone
 		c.out.Abort()
-		return
+	case errors.Is(cause, errStopped) && c.mayHaveRun:
+		c.fail(errorResponse{http.StatusBadGateway, "stopping", "this entry instance has stopped; the request may have run", OutcomeUnknown, 0})
+	case errors.Is(cause, errStopped):
+		c.failStopping()
+	default:
+		c.fail(errorResponse{http.StatusGatewayTimeout, "deadline_passed", "the deadline passed before the response was complete", c.notRunOutcome(), time.Second})
 	}
-	c.fail(errorResponse{http.StatusGatewayTimeout, "deadline_passed", "the deadline passed before the response was complete", c.notRunOutcome(), time.Second})
+}
+
+// failStopping rejects a request that has not run because this node is stopping.
+func (c *call) failStopping() {
+	c.fail(errorResponse{http.StatusServiceUnavailable, "stopping", "this entry instance is stopping; retry at another one", OutcomeNotRun, time.Second})
 }
 
 const claimRetryAfter = 5 * time.Second
@@ -323,7 +344,6 @@
 	} else {
 		result = c.attemptPlain(ctx, target, attempt)
 	}
-	cancelled := errors.Is(context.Cause(ctx), ErrCallerGone) || errors.Is(context.Cause(ctx), errDeadline)
-	c.g.recordFinished(target.Group, time.Since(c.attemptStarted), result == attemptResponded || cancelled)
+	c.g.recordFinished(target.Group, time.Since(c.attemptStarted), result == attemptResponded || isOver(context.Cause(ctx)))
 	return result
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -48,6 +50,17 @@
 	return s, nil
 }
 
+// Drain rejects new requests and waits until those in flight have finished or the context is done; it ends those that are
+// left with a response. It returns how many it has ended, once the responses are written.
+func (s *Server) Drain(ctx context.Context) (ended int64) {
+	ended = s.gateway.Stop(ctx)
+	until := time.Now().Add(answerTimeout)
+	for s.server.CloseIdle() > 0 && time.Now().Before(until) {
+		time.Sleep(tickInterval)
+	}
+	return ended
+}
+
 // Close stops the server and closes its connections.
 func (s *Server) Close() {
 	s.tracker.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,7 +201,8 @@
 func (n *Node) Loop() *control.Loop { return n.loop }
 
 // Stop shuts the node down gracefully: it reports that it is not ready, accepts
-// requests for StopNotice, then waits up to StopBound for those in flight.
+// requests for StopNotice, then waits up to StopBound for those in flight, and ends
+// those that are left with a response.
 func (n *Node) Stop() {
 	n.log.Info("stopping")
 	leave, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
@@ -210,8 +211,8 @@
 	time.Sleep(n.settings.StopNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopBound)
 	defer cancel()
-	if remaining := n.gateway.Stop(ctx); remaining > 0 {
-		n.log.Warn("stopped with requests in progress", "requests", remaining)
+	if ended := n.callerServer.Drain(ctx); ended > 0 {
+		n.log.Warn("ended the requests in flight", "requests", ended)
 	}
 	n.close()
 	n.log.Info("stopped")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,6 +97,9 @@
 	crashes          *quarantine.Detector
 	streams          *continuation.Observations
 	startedAt        time.Time
+	// stopped is cancelled by EndRequests.
+	stopped context.Context
+	stop    context.CancelFunc
 
 	mu      sync.Mutex
 	classes map[classKey]*metrics.Class
@@ -114,6 +117,7 @@
 		streams:   continuation.NewObservations(),
 		classes:   map[classKey]*metrics.Class{},
 	}
+	r.stopped, r.stop = context.WithCancel(context.Background())
 	r.crashes = quarantine.NewDetector(o.Quarantine, r.replaced, o.Upstream.Probe, o.Links.Confirm)
 	return r
 }
@@ -130,6 +134,13 @@
 // Drain makes the relay reject new requests.
 func (r *Relay) Drain() { r.draining.Store(true) }
 
+// EndRequests ends the requests in flight, each with a response that tells its caller whether it may have run. Their
+// callers would learn nothing from the end of the process.
+func (r *Relay) EndRequests() {
+	r.Drain()
+	r.stop()
+}
+
 // maxClasses bounds the number of label combinations in the metrics.
 const maxClasses = 400
 
@@ -158,6 +169,7 @@
 const (
 	errDeadline contextCause = "request deadline exceeded"
 	errStalled  contextCause = "endpoint stalled"
+	errStopping contextCause = "this node has stopped"
 )
 
 // withDeadline sets a request's deadline.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -143,10 +143,14 @@
 	c.class.Outcome(string(c.outcome))
 }
 
-// run attempts the request until its deadline.
+// run attempts the request until its deadline, or until this node stops.
 func (c *call) run(ctx context.Context) {
 	ctx, cancel := withDeadline(ctx, c.deadline)
 	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	unregister := context.AfterFunc(c.stopped, func() { cancelCause(errStopping) })
+	defer unregister()
 	c.attemptAll(ctx)
 }
 
@@ -395,12 +399,16 @@
 
 // handleContextDone finishes a request whose context is done.
 func (c *call) handleContextDone(ctx context.Context) {
-	if errors.Is(context.Cause(ctx), httpserver.ErrCallerGone) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, httpserver.ErrCallerGone):
 		c.outcome = outcomeCallerGone
 		c.out.Abort()
-		return
+	case errors.Is(cause, errStopping):
+		c.finishUnserved(rejection{cause: causeStopping, retryAfter: drainingRetryAfter})
+	default:
+		c.finishUnserved(rejection{cause: causeDeadline, retryAfter: defaultRetryAfter})
 	}
-	c.finishUnserved(rejection{cause: causeDeadline, retryAfter: defaultRetryAfter})
 }
 
 // finishUnserved sends the final response of a request that no endpoint has served.
@@ -422,6 +430,13 @@
 	case !c.mayHaveRun:
 		c.reject(reason)
 		return
+	case c.in.Forwarded != nil && reason.cause == causeStopping:
+		// The node that passed the request on may have another one run it.
+		c.outcome = outcomeIncomplete
+		c.out.Abort()
+	case reason.cause == causeStopping:
+		c.outcome = outcomeFailed
+		c.respond(http.StatusBadGateway, "this node has stopped; the request may have run", 0)
 	case reason.cause == causeDeadline:
 		c.outcome = outcomeFailed
 		c.respond(http.StatusGatewayTimeout, "the response did not arrive in time", 0)
