gateway: cut off a neighbour's plain response at the deadline

A caller of the own interface got an incomplete plain response as a complete one, with an error event in its body (MIXED): another node ran its request, and the deadline passed in the middle of the response.

Cause: an expired context was handled before the question whether a part of a response that is no stream has been sent. Found by reading where answers are passed on; nobody has reported it.

TestServe_ForwardedResponseAtDeadline fails before: the caller reads the part and the event without an error. Now the connection is closed.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -145,15 +145,17 @@
 }
 
 func (c *call) handleRelayError(ctx context.Context) {
-	if ctx.Err() != nil {
-		c.failContextDone(ctx)
-		return
-	}
-	if c.headerSent && !c.parsed.stream {
+	callerGone := errors.Is(context.Cause(ctx), ErrCallerGone)
+	if c.headerSent && !c.parsed.stream && !callerGone {
+		// An error event would be a part of the body.
 		c.outcome = OutcomeUnknown
 		c.out.Abort()
 		return
 	}
+	if ctx.Err() != nil {
+		c.failContextDone(ctx)
+		return
+	}
 	c.fail(errorResponse{http.StatusBadGateway, "broken", "the response from the other data centre was cut off", OutcomeUnknown, time.Second})
 }
 
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -180,6 +180,39 @@
 	}
 }
 
+// silentPeer sends a part of a response and then nothing.
+type silentPeer struct{ remotePeer }
+
+func (o *silentPeer) Forward(_ *forwardpb.Request, out peers.ForwardStream) error {
+	_ = out.Send(&forwardpb.Event{Status: 200, Body: []byte("part")})
+	<-out.Context().Done()
+	return nil
+}
+
+// Guards against an error event that becomes a part of a response which is no stream: the response then looks complete.
+func TestServe_ForwardedResponseAtDeadline(t *testing.T) {
+	key := []byte("0123456789abcdef")
+	server, err := peers.Listen("127.0.0.1:0", key, link.New(nil), &silentPeer{})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	b := newTestGateway(t, newEngineStandIn().Handler())
+	b.gateway.options.Peers = peers.NewClient(key, link.New(nil))
+	s := *b.gateway.snapshot.Load()
+	s.Neighbours = []membership.Node{{ID: "near", Address: server.Address()}}
+	b.gateway.Publish(&s)
+	loseLinks(b.gateway)
+	request, err := http.NewRequest("POST", "http://"+b.address+"/services/s/pay", strings.NewReader("{}"))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set(HeaderTimeout, "300")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.Error(t, err)
+	require.Equal(t, "part", string(text))
+}
+
 // loseLinks makes a gateway believe that its links to all endpoints are lost.
 func loseLinks(g *Gateway) {
 	addresses := []string{"a", "b", "c", "d"}
