--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -254,6 +254,9 @@
 	require.NoError(t, client.Probe(ctx, listener.Addr().String()))
 	require.ErrorIs(t, client.Exchange(ctx, listener.Addr().String(), "/"), context.DeadlineExceeded)
 
+	garbled := scriptedServer(t, func(c net.Conn, _ *http.Request, _ int) { _, _ = io.WriteString(c, "\x00 no response") })
+	require.NoError(t, client.Exchange(context.Background(), garbled, "/"), "any byte shows that the link works")
+
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
 	require.NoError(t, client.Exchange(context.Background(), server.Listener.Addr().String(), "/"))
