httpresponse: keep the text of errors short

Errors of this package are logged, and a malformed name or value may have up to 64 KiB, of which %q makes four times as much.

--- a/internal/httpresponse/validate.go
+++ b/internal/httpresponse/validate.go
@@ -12,20 +12,20 @@
 )
 
 // ErrMalformed means that something was received which is no response in HTTP/1.1. Nothing that follows it on the
-// connection can be trusted.
+// connection can be trusted. The text of an error has no more than a part of what was received, since it is logged.
 var ErrMalformed = errors.New("malformed response")
 
 // Validate returns an error that wraps ErrMalformed unless the head of a response, final or interim, is well-formed. It also
 // makes the response's body fail at its end after a malformed trailer.
 func Validate(r *http.Response) error {
 	if r.ProtoMajor != 1 {
-		return fmt.Errorf("%w: version %q", ErrMalformed, r.Proto)
+		return fmt.Errorf("%w: version %.32q", ErrMalformed, r.Proto)
 	}
 	if !httpguts.ValidHeaderFieldValue(r.Status) {
-		return fmt.Errorf("%w: control byte in the status %q", ErrMalformed, r.Status)
+		return fmt.Errorf("%w: control byte in the status %.32q", ErrMalformed, r.Status)
 	}
 	if !isInterimStatus(r.StatusCode) && !isFinalStatus(r.StatusCode) {
-		return fmt.Errorf("%w: status %q", ErrMalformed, r.Status)
+		return fmt.Errorf("%w: status %.32q", ErrMalformed, r.Status)
 	}
 	if err := validateFields(r.Header); err != nil {
 		return err
@@ -58,11 +58,11 @@
 func validateFields(h http.Header) error {
 	for name, values := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+			return fmt.Errorf("%w: field name %.32q", ErrMalformed, name)
 		}
 		for _, value := range values {
 			if !httpguts.ValidHeaderFieldValue(value) {
-				return fmt.Errorf("%w: value of field %s: %q", ErrMalformed, name, value)
+				return fmt.Errorf("%w: value of field %.32q", ErrMalformed, name)
 			}
 		}
 	}
