--- a/internal/httpresponse/transport_test.go
+++ b/internal/httpresponse/transport_test.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,25 @@
 	"github.com/ridgehinge/ridgehinge/internal/link"
 )
 
+// serveOnce starts a server that passes its first connection to a function once it has read a request. The transport takes
+// what comes before its request for an unsolicited response.
+func serveOnce(t *testing.T, respond func(conn net.Conn)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if _, err = http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			respond(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // Guards against interim responses without end: net/http does not bound them for those who look at them.
 func TestTransport_BoundsInterimResponses(t *testing.T) {
 	const deadline = 10 * time.Second
@@ -22,20 +42,17 @@
 		"with large fields": "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 16<<10) + "\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
 			closed := make(chan struct{})
-			go func() {
+			address := serveOnce(t, func(conn net.Conn) {
 				defer close(closed)
-				conn, err := listener.Accept()
+				var err error
 				for err == nil {
 					_, err = io.WriteString(conn, part)
 				}
-			}()
+			})
 			client := &http.Client{Transport: Transport{link.Transport(link.New(nil).DialFunc())}, Timeout: deadline}
 			began := time.Now()
-			_, err = client.Get("http://" + listener.Addr().String())
+			_, err := client.Get("http://" + address)
 			require.ErrorIs(t, err, ErrMalformed)
 			require.Less(t, time.Since(began), deadline/2)
 			<-closed
@@ -45,17 +62,11 @@
 
 // Guards against failing a call whose endpoint reports progress with interim responses.
 func TestTransport_AcceptsInterimResponses(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	go func() {
-		conn, err := listener.Accept()
-		if err == nil {
-			_, _ = io.WriteString(conn, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 500)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		}
-	}()
+	address := serveOnce(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 500)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
 	client := &http.Client{Transport: Transport{link.Transport(link.New(nil).DialFunc())}, Timeout: 10 * time.Second}
-	response, err := client.Get("http://" + listener.Addr().String())
+	response, err := client.Get("http://" + address)
 	require.NoError(t, err)
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
