httpresponse: close the connection of a malformed response

The clients that use net/http's transport kept the connection of a malformed response without a body, or with a malformed trailer, and sent the next request on it; what followed on it could have been read as the answer to that one.

Cause: the transport makes a connection idle once a response has ended, before its caller has looked at it. Closing the body, as was done, closes only connections with a part left to read.

Validate closes the connection that it is given, at the head or at the trailer, for the client of endpoints too. ValidateHead is ValidateFinal now, since only final responses pass it.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -53,7 +53,7 @@
 		return nil, &DeclinedError{reason}
 	}
 	status, header := int(first.GetStatus()), HeaderFromWire(first.GetHeaders())
-	if err := httpresponse.ValidateHead(status, header); err != nil {
+	if err := httpresponse.ValidateFinal(status, header); err != nil {
 		return nil, errors.Join(ErrBroken, err)
 	}
 	return &Response{
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -15,29 +16,43 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{Got1xxResponse: validateInterim()}
-	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	e := &exchange{}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), e.trace()))
 	response, err := t.Transport.RoundTrip(request)
 	if err != nil {
 		return nil, err
 	}
-	if err := Validate(response); err != nil {
-		_ = response.Body.Close() // This closes the connection.
+	if err := Validate(response, e.closeConn); err != nil {
+		_ = response.Body.Close()
 		return nil, err
 	}
 	return response, nil
 }
 
-// validateInterim returns a function that validates the interim responses to one request. http.Transport does not bound
-// their heads if it passes them to such a function.
-func validateInterim() func(status int, h textproto.MIMEHeader) error {
-	size := 0
-	return func(_ int, h textproto.MIMEHeader) error {
-		if size += headSize(h); size > maxInterimBytes {
-			return fmt.Errorf("%w: more than %d bytes of interim responses", ErrMalformed, maxInterimBytes)
-		}
-		return validateFields(http.Header(h))
+// exchange is one request with its responses.
+type exchange struct {
+	// conn is the last connection that the request was sent on.
+	conn         net.Conn
+	interimBytes int
+}
+
+func (e *exchange) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn:        func(i httptrace.GotConnInfo) { e.conn = i.Conn },
+		Got1xxResponse: e.validateInterim,
+	}
+}
+
+// closeConn closes the connection. http.Transport may have it among its idle ones already.
+func (e *exchange) closeConn() { _ = e.conn.Close() }
+
+// validateInterim validates an interim response. http.Transport does not bound the heads of interim responses if it passes
+// them on.
+func (e *exchange) validateInterim(_ int, h textproto.MIMEHeader) error {
+	if e.interimBytes += headSize(h); e.interimBytes > maxInterimBytes {
+		return fmt.Errorf("%w: more than %d bytes of interim responses", ErrMalformed, maxInterimBytes)
 	}
+	return validateFields(http.Header(h))
 }
 
 // headSize returns the approximate size of a head in bytes.
--- a/internal/httpresponse/validate.go
+++ b/internal/httpresponse/validate.go
@@ -16,8 +16,19 @@
 var ErrMalformed = errors.New("malformed response")
 
 // Validate returns an error that wraps ErrMalformed unless the head of a response, final or interim, is well-formed. It also
-// makes the response's body fail at its end after a malformed trailer.
-func Validate(r *http.Response) error {
+// makes the response's body fail at its end after a malformed trailer. After either, it closes the connection by closeConn.
+func Validate(r *http.Response, closeConn func()) error {
+	if err := validateHead(r); err != nil {
+		closeConn()
+		return err
+	}
+	if len(r.TransferEncoding) > 0 {
+		r.Body = &validatedBody{r.Body, r, closeConn}
+	}
+	return nil
+}
+
+func validateHead(r *http.Response) error {
 	if r.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %.32q", ErrMalformed, r.Proto)
 	}
@@ -27,17 +38,11 @@
 	if !isInterimStatus(r.StatusCode) && !isFinalStatus(r.StatusCode) {
 		return fmt.Errorf("%w: status %.32q", ErrMalformed, r.Status)
 	}
-	if err := validateFields(r.Header); err != nil {
-		return err
-	}
-	if len(r.TransferEncoding) > 0 {
-		r.Body = &validatedBody{r.Body, r}
-	}
-	return nil
+	return validateFields(r.Header)
 }
 
-// ValidateHead returns an error that wraps ErrMalformed unless a status and a header are those of a final response.
-func ValidateHead(status int, h http.Header) error {
+// ValidateFinal returns an error that wraps ErrMalformed unless a status and a header are those of a final response.
+func ValidateFinal(status int, h http.Header) error {
 	if !isFinalStatus(status) {
 		return fmt.Errorf("%w: status %d", ErrMalformed, status)
 	}
@@ -72,7 +77,8 @@
 // validatedBody checks the trailer of a response, which is known once its body was read.
 type validatedBody struct {
 	io.ReadCloser
-	response *http.Response
+	response  *http.Response
+	closeConn func()
 }
 
 // Read implements io.Reader.
@@ -82,6 +88,7 @@
 		return n, err
 	}
 	if invalid := validateFields(b.response.Trailer); invalid != nil {
+		b.closeConn()
 		return n, invalid
 	}
 	return n, err
--- a/internal/httpresponse/validate_test.go
+++ b/internal/httpresponse/validate_test.go
@@ -15,7 +15,7 @@
 	valid := func() *http.Response {
 		return &http.Response{ProtoMajor: 1, Proto: "HTTP/1.1", Status: "200 OK", StatusCode: http.StatusOK, Header: http.Header{}}
 	}
-	require.NoError(t, Validate(valid()))
+	require.NoError(t, Validate(valid(), func() { t.Error("the connection is closed") }))
 	for name, change := range map[string]func(r *http.Response){
 		"version":                           func(r *http.Response) { r.ProtoMajor, r.Proto = 2, large },
 		"reason":                            func(r *http.Response) { r.Status = "200 " + large },
@@ -27,7 +27,9 @@
 		t.Run(name, func(t *testing.T) {
 			r := valid()
 			change(r)
-			err := Validate(r)
+			closed := false
+			err := Validate(r, func() { closed = true })
+			require.True(t, closed)
 			require.ErrorIs(t, err, ErrMalformed)
 			require.Less(t, len(err.Error()), maxText)
 		})
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -476,7 +476,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := httpresponse.Validate(response); err != nil {
+		if err := httpresponse.Validate(response, func() { _ = k.Close() }); err != nil {
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
