httpresponse: one rule for responses that end before their uploads

The two interfaces had a rule each: the client of endpoints waited for the upload, the connections of net/http's transport only reported the error of a write that had failed so far. In the own interface an endpoint that ended its own direction and went on reading got a part of the upload, although its response counted as complete.

Cause: the transport stops an upload at the end of a response without framing, so its callers cannot wait for the rest.

TestDo_UnframedBodyCutDuringUploadIsIncomplete now requires that the upload arrives; before, about 4 of 16 MiB did. Its new case, own direction closed and then reset, passed before.

httpresponse.Upload is the write of a request for both.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -76,9 +76,9 @@
 	singleUse := link.Transport(dialer.DialContext)
 	singleUse.DisableKeepAlives = true
 	return &Client{
-		http:      &http.Client{Transport: httpresponse.Transport{Transport: traffic}, CheckRedirect: noRedirect},
-		singleUse: &http.Client{Transport: httpresponse.Transport{Transport: singleUse}, CheckRedirect: noRedirect},
-		control:   &http.Client{Transport: httpresponse.Transport{Transport: control}},
+		http:      &http.Client{Transport: httpresponse.NewTransport(traffic), CheckRedirect: noRedirect},
+		singleUse: &http.Client{Transport: httpresponse.NewTransport(singleUse), CheckRedirect: noRedirect},
+		control:   &http.Client{Transport: httpresponse.NewTransport(control)},
 		bytes:     counts,
 		dialer:    dialer,
 	}
--- a/internal/engine/upload_test.go
+++ b/internal/engine/upload_test.go
@@ -58,9 +58,16 @@
 	}{
 		{"reset", false, func(c *net.TCPConn, _ io.Reader) { _ = c.SetLinger(0) }},
 		{"closed with the upload unread", false, func(*net.TCPConn, io.Reader) {}},
+		{"own direction closed, then reset", false, func(c *net.TCPConn, upload io.Reader) {
+			_ = c.CloseWrite()
+			_, _ = io.CopyN(io.Discard, upload, 1<<20)
+			_ = c.SetLinger(0)
+		}},
 		{"own direction closed, the upload read", true, func(c *net.TCPConn, upload io.Reader) {
 			_ = c.CloseWrite()
-			_, _ = io.Copy(io.Discard, upload)
+			if n, err := io.Copy(io.Discard, upload); n != uploadSize {
+				t.Errorf("%d bytes of the upload have arrived: %v", n, err)
+			}
 		}},
 	} {
 		for _, noRetry := range []bool{true, false} {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -247,7 +247,7 @@
 	transport := link.Transport(links.DialFunc())
 	transport.MaxIdleConnsPerHost = 8
 	transport.IdleConnTimeout = idleTimeout
-	return &http.Client{Transport: link.ResetOnError(httpresponse.Transport{Transport: transport})}
+	return &http.Client{Transport: link.ResetOnError(httpresponse.NewTransport(transport))}
 }
 
 func (e *Entry) listen(a Adapter, links link.Bounds) error {
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,9 +12,23 @@
 // maxInterimBytes bounds the heads of the interim responses to one request.
 const maxInterimBytes = 64 << 10
 
-// Transport is an http.Transport that returns only well-formed responses.
+// Transport is an http.Transport that returns only well-formed responses, and completes none whose request could not be
+// sent.
 type Transport struct{ *http.Transport }
 
+// NewTransport takes over a transport that has a DialContext, for calls without TLS.
+func NewTransport(t *http.Transport) Transport {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: raw}, nil
+	}
+	return Transport{t}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	e := &exchange{}
@@ -31,18 +46,26 @@
 
 // exchange is one request with its responses.
 type exchange struct {
-	// conn is the last connection that the request was sent on.
-	conn         net.Conn
+	// conn is the last connection that the request was sent on, and upload its upload there.
+	conn         *conn
+	upload       *Upload
 	interimBytes int
 }
 
 func (e *exchange) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn:        func(i httptrace.GotConnInfo) { e.conn = i.Conn },
+		GotConn:        e.begin,
+		WroteRequest:   func(i httptrace.WroteRequestInfo) { e.upload.End(i.Err) },
 		Got1xxResponse: e.validateInterim,
 	}
 }
 
+// begin is called before the request is sent on a connection, at the latest after it has failed on the one before.
+func (e *exchange) begin(i httptrace.GotConnInfo) {
+	e.conn = i.Conn.(*conn)
+	e.upload = e.conn.begin()
+}
+
 // closeConn closes the connection. http.Transport may have it among its idle ones already.
 func (e *exchange) closeConn() { _ = e.conn.Close() }
 
--- a/internal/httpresponse/transport_test.go
+++ b/internal/httpresponse/transport_test.go
@@ -57,7 +57,7 @@
 					}
 				}
 			}()
-			client := &http.Client{Transport: Transport{link.Transport(link.New(nil).DialFunc())}, Timeout: 10 * time.Second}
+			client := &http.Client{Transport: NewTransport(link.Transport(link.New(nil).DialFunc())), Timeout: 10 * time.Second}
 			get := func() error {
 				response, err := client.Get("http://" + listener.Addr().String())
 				if err != nil {
@@ -94,7 +94,7 @@
 					_, err = io.WriteString(conn, part)
 				}
 			})
-			client := &http.Client{Transport: Transport{link.Transport(link.New(nil).DialFunc())}, Timeout: deadline}
+			client := &http.Client{Transport: NewTransport(link.Transport(link.New(nil).DialFunc())), Timeout: deadline}
 			began := time.Now()
 			_, err := client.Get("http://" + address)
 			require.ErrorIs(t, err, ErrMalformed)
@@ -109,7 +109,7 @@
 	address := serveOnce(t, func(conn net.Conn) {
 		_, _ = io.WriteString(conn, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 500)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	})
-	client := &http.Client{Transport: Transport{link.Transport(link.New(nil).DialFunc())}, Timeout: 10 * time.Second}
+	client := &http.Client{Transport: NewTransport(link.Transport(link.New(nil).DialFunc())), Timeout: 10 * time.Second}
 	response, err := client.Get("http://" + address)
 	require.NoError(t, err)
 	defer response.Body.Close()
--- a/internal/httpresponse/validate.go
+++ b/internal/httpresponse/validate.go
@@ -1,5 +1,5 @@
-// Package httpresponse decides what is a response in HTTP/1.1, for all clients of this program. The parsers of net/http
-// accept more than a proxy may pass on.
+// Package httpresponse decides what is a response in HTTP/1.1 and whether it is complete, for all clients of this program.
+// net/http accepts more than a proxy may pass on.
 package httpresponse
 
 import (
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -132,13 +132,9 @@
 // maxHeadBytes bounds the head of a response, interim responses included.
 const maxHeadBytes = 64 << 10
 
-// dialFunc dials like net.Dialer.DialContext.
-type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Transport returns a transport for calls whose responses may have heads without end, or be cut off while their requests
-// are being sent.
-func Transport(dial dialFunc) *http.Transport {
-	return &http.Transport{DialContext: reportFailures(dial), MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true}
+// Transport returns a transport for calls whose responses may have heads without end.
+func Transport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true}
 }
 
 // PoolingTransport is a transport with idle connections.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -64,7 +64,7 @@
 	transport.DisableCompression = false
 	transport.MaxIdleConnsPerHost = 8
 	transport.IdleConnTimeout = time.Minute
-	return &Client{options: options, http: &http.Client{Transport: link.ResetOnError(httpresponse.Transport{Transport: transport}), Timeout: options.Timeout}, bytes: counts}
+	return &Client{options: options, http: &http.Client{Transport: link.ResetOnError(httpresponse.NewTransport(transport)), Timeout: options.Timeout}, bytes: counts}
 }
 
 // Bytes returns the byte counter of the client's connections.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -402,32 +402,8 @@
 	return oops.In("upstream").Wrap(fmt.Errorf("%w: %w", kind, cause))
 }
 
-// upload is the write of a request, which may last longer than the response.
-type upload struct {
-	// done is closed once the write has ended; err is set before.
-	done chan struct{}
-	err  error
-}
-
-// wait returns the error of the write once it has ended.
-func (u *upload) wait() error {
-	<-u.done
-	return u.err
-}
-
-// succeeded reports whether all of the request is written.
-func (u *upload) succeeded() bool {
-	select {
-	case <-u.done:
-		return u.err == nil
-	default:
-		return false
-	}
-}
-
 // write sends the request. A large body is still being written after the return.
-func (k *conn) write(q Request) (*upload, error) {
-	u := &upload{done: make(chan struct{})}
+func (k *conn) write(q Request) (*httpresponse.Upload, error) {
 	first, rest := q.head(), q.Body
 	if len(rest) < largeBody {
 		first, rest = append(first, rest...), nil
@@ -438,15 +414,16 @@
 		}
 		return nil, wrapError(ErrUnknown, err)
 	}
+	upload := httpresponse.NewUpload()
 	if len(rest) == 0 {
-		close(u.done)
-		return u, nil
+		upload.End(nil)
+		return upload, nil
 	}
 	go func() {
-		defer close(u.done)
-		_, u.err = k.Write(rest)
+		_, err := k.Write(rest)
+		upload.End(err)
 	}()
-	return u, nil
+	return upload, nil
 }
 
 // head returns the request line and the header.
@@ -518,7 +495,7 @@
 	conn      *conn
 	addr      string
 	stop      func() bool
-	upload    *upload
+	upload    *httpresponse.Upload
 	complete  bool
 	closed    bool
 }
@@ -540,13 +517,12 @@
 	return n, io.EOF
 }
 
-// confirmEnd returns an error if only the end of the connection delimits the body, and the request could not be sent. A
-// socket reports a reset once: if the write of the request gets it, the reader sees an ordinary end.
+// confirmEnd returns an error if only the end of the connection delimits the body, and the request could not be sent.
 func (r *Response) confirmEnd() error {
 	if r.Delimited || r.body == http.NoBody {
 		return nil
 	}
-	return r.upload.wait()
+	return r.upload.Wait()
 }
 
 // LimitTime bounds the time in which the rest of the response is read, and the rest of the request written. Reading fails
@@ -594,7 +570,7 @@
 }
 
 func (r *Response) reusable() bool {
-	return r.complete && !r.close && r.conn.reader.Buffered() == 0 && r.upload.succeeded()
+	return r.complete && !r.close && r.conn.reader.Buffered() == 0 && r.upload.Succeeded()
 }
 
 // TimedOut reports whether an error of this package came from a deadline.
