--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/ridgehinge/ridgehinge/internal/confstore"
 	"github.com/ridgehinge/ridgehinge/internal/control"
+	"github.com/ridgehinge/ridgehinge/internal/httpresponse"
 	"github.com/ridgehinge/ridgehinge/pkg/configuration"
 )
 
@@ -30,9 +31,12 @@
 	http   *http.Client
 }
 
+// transport is that of all clients, as http.DefaultTransport would be.
+var transport = httpresponse.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+
 // NewClient returns a client for an address and key.
 func NewClient(server, key string) *Client {
-	return &Client{server: server, key: key, http: &http.Client{Timeout: clientTimeout}}
+	return &Client{server: server, key: key, http: &http.Client{Transport: transport, Timeout: clientTimeout}}
 }
 
 // Error is an error response of the API.
