httpserver: one copy of what both interfaces do when they stop

WithStop, AwaitIdle and AnswerTime are their one copy now, and the two interfaces use the same names for the same fields and errors.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -446,39 +446,21 @@
 	// The balancer may still route callers here while few other nodes are ready. From now on
 	// their requests could be interrupted by the end of the process.
 	e.relay.Drain()
+	callers := e.servers[len(e.servers)-1]
 	closeAt := start.Add(e.settings.StopBound - closeTime)
-	if !e.awaitCallers(closeAt.Add(-answerTime)) {
+	if !callers.AwaitIdle(closeAt.Add(-httpserver.AnswerTime), e.relay.InFlight) {
 		e.log.Warn("ending the requests in flight", "in_progress", e.relay.InFlight())
 		e.relay.EndRequests()
-		e.awaitCallers(closeAt)
+		callers.AwaitIdle(closeAt, e.relay.InFlight)
 	}
 	e.log.Info("stopped", "in_progress", e.relay.InFlight(), "took", time.Since(start))
 	e.close()
 }
 
-// awaitCallers closes the callers' connections as they become idle. It reports whether no request was in flight any more
-// before the given time.
-func (e *Entry) awaitCallers(until time.Time) bool {
-	callers := e.servers[len(e.servers)-1]
-	for callers.CloseIdle() > 0 || e.relay.InFlight() > 0 {
-		if !time.Now().Before(until) {
-			return false
-		}
-		time.Sleep(drainPollInterval)
-	}
-	return true
-}
-
-// answerTime is reserved for the responses to requests that are ended because the node stops.
-const answerTime = 250 * time.Millisecond
-
 // closeTime is reserved within StopBound for closing connections and ending goroutines: the platform
 // kills a process that exists longer.
 const closeTime = 500 * time.Millisecond
 
-// drainPollInterval is the time between two checks of a stopping node's connections.
-const drainPollInterval = 20 * time.Millisecond
-
 func (e *Entry) close() {
 	e.cancel()
 	e.tracker.Close()
--- a/internal/forward/responder.go
+++ b/internal/forward/responder.go
@@ -16,12 +16,7 @@
 // CallerContext returns the context of a request that was received on a stream with the given one. It is
 // cancelled with the cause httpserver.ErrCallerGone when the sender closes the connection.
 func CallerContext(stream context.Context) (ctx context.Context, cancel func()) {
-	ctx, cancelCause := context.WithCancelCause(context.Background())
-	stop := context.AfterFunc(stream, func() { cancelCause(httpserver.ErrCallerGone) })
-	return ctx, func() {
-		stop()
-		cancelCause(nil)
-	}
+	return httpserver.WithStop(context.Background(), stream, httpserver.ErrCallerGone)
 }
 
 // Responder sends a response to the entry instance that forwarded the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,7 @@
 	inFlight atomic.Int64
 	// stopped is cancelled when the requests in flight are ended.
 	stopped context.Context
-	end     context.CancelFunc
+	stop    context.CancelFunc
 
 	mu        sync.Mutex
 	admission *admission.Machine
@@ -100,7 +100,7 @@
 		chooser:     forward.NewChooser(),
 	}
 	g.snapshot.Store(&control.Snapshot{})
-	g.stopped, g.end = context.WithCancel(context.Background())
+	g.stopped, g.stop = context.WithCancel(context.Background())
 	g.links = reachability.New(reachability.Options{Addresses: g.targetAddresses, Probe: g.probe, LastEvent: g.lastEventAt})
 	g.crashDetector = quarantine.NewDetector(options.Quarantine, g.replaced, g.dialEndpoint, g.links.Confirm)
 	return g
@@ -276,35 +276,20 @@
 	return c
 }
 
-// answerTimeout bounds the waits for the responses to requests that are ended because the node stops, and for their last
-// bytes to be written.
-const answerTimeout = 250 * time.Millisecond
-
 // Stop rejects new requests and waits until those in flight have finished or
-// the context is done. Then it ends them with a response, and returns how many.
+// the context is done. Then it ends them, each with a response, and returns how many.
 func (g *Gateway) Stop(ctx context.Context) (ended int64) {
 	g.stopping.Store(true)
-	if g.awaitFinished(ctx) {
-		return 0
-	}
-	ended = g.inFlight.Load()
-	g.end()
-	answer, cancel := context.WithTimeout(context.Background(), answerTimeout)
-	defer cancel()
-	g.awaitFinished(answer)
-	return ended
-}
-
-// awaitFinished waits until no request is in flight. It returns false if the context is done first.
-func (g *Gateway) awaitFinished(ctx context.Context) bool {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for g.inFlight.Load() > 0 {
 		select {
 		case <-ctx.Done():
-			return false
+			ended = g.inFlight.Load()
+			g.stop()
+			return ended
 		case <-ticker.C:
 		}
 	}
-	return true
+	return 0
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -54,10 +54,7 @@
 // left with a response. It returns how many it has ended, once the responses are written.
 func (s *Server) Drain(ctx context.Context) (ended int64) {
 	ended = s.gateway.Stop(ctx)
-	until := time.Now().Add(answerTimeout)
-	for s.server.CloseIdle() > 0 && time.Now().Before(until) {
-		time.Sleep(tickInterval)
-	}
+	s.server.AwaitIdle(time.Now().Add(httpserver.AnswerTime), s.gateway.inFlight.Load)
 	return ended
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -169,7 +169,7 @@
 const (
 	errDeadline contextCause = "request deadline exceeded"
 	errStalled  contextCause = "endpoint stalled"
-	errStopping contextCause = "this node has stopped"
+	errStopped  contextCause = "this node has stopped"
 )
 
 // withDeadline sets a request's deadline.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -147,10 +147,8 @@
 func (c *call) run(ctx context.Context) {
 	ctx, cancel := withDeadline(ctx, c.deadline)
 	defer cancel()
-	ctx, cancelCause := context.WithCancelCause(ctx)
-	defer cancelCause(nil)
-	unregister := context.AfterFunc(c.stopped, func() { cancelCause(errStopping) })
-	defer unregister()
+	ctx, release := httpserver.WithStop(ctx, c.stopped, errStopped)
+	defer release()
 	c.attemptAll(ctx)
 }
 
@@ -404,7 +402,7 @@
 	case errors.Is(cause, httpserver.ErrCallerGone):
 		c.outcome = outcomeCallerGone
 		c.out.Abort()
-	case errors.Is(cause, errStopping):
+	case errors.Is(cause, errStopped):
 		c.finishUnserved(rejection{cause: causeStopping, retryAfter: drainingRetryAfter})
 	default:
 		c.finishUnserved(rejection{cause: causeDeadline, retryAfter: defaultRetryAfter})
